--- a/cmd/mustardhook/main.go
+++ b/cmd/mustardhook/main.go
@@ -18,6 +18,8 @@
 	// A second signal does not cut what is in flight: the context ends once, and
 	// the signals stay caught.
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	// Settings are read anew at a start; a notice of a change must not end the process.
+	signal.Ignore(syscall.SIGHUP)
 	defer stop()
 	root := newRoot()
 	if err := root.ExecuteContext(ctx); err != nil {
@@ -36,7 +38,7 @@
 	}
 	root.SetOut(os.Stdout)
 	root.AddCommand(
-		newServe(), newTicket(), newSettings(), newStatus(), newAudit(), newDrain(), newReplay(), newDemo(),
+		newServe(), newRelay(), newTicket(), newSettings(), newStatus(), newAudit(), newDrain(), newReplay(), newDemo(),
 		newBench(), newVersion(),
 	)
 	return root
--- /dev/null
+++ b/cmd/mustardhook/relay.go
@@ -0,0 +1,43 @@
+package main
+
+import (
+	"os"
+
+	"github.com/go-faster/errors"
+	"github.com/spf13/cobra"
+
+	"mustardhook"
+	"mustardhook/internal/flow/proxy"
+	"mustardhook/internal/flow/setup"
+	"mustardhook/internal/serve/logs"
+	"mustardhook/platform"
+)
+
+func newRelay() *cobra.Command {
+	var file string
+	cmd := &cobra.Command{
+		Use:   "relay [--settings FILE]",
+		Short: "Relay requests as the platform's published configuration says",
+		Args:  cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			settings, err := readRelaySettings(file)
+			if err != nil {
+				return err
+			}
+			logger := logs.New(cmd.OutOrStdout(), settings.LogLevel)
+			store := platform.NewStore(settings.Publisher, proxy.NewClient())
+			relay := mustardhook.NewRelay(settings, platform.Dialect{}, store, mustardhook.WithRelayLogger(logger))
+			return relay.Run(cmd.Context())
+		},
+	}
+	cmd.Flags().StringVar(&file, "settings", platform.SettingsPath(), "settings file; the platform names the default")
+	return cmd
+}
+
+func readRelaySettings(file string) (setup.Settings, error) {
+	text, err := os.ReadFile(file)
+	if err != nil {
+		return setup.Settings{}, errors.Wrap(err, "read settings")
+	}
+	return setup.Parse(file, text)
+}
--- a/internal/core/loop/loop.go
+++ b/internal/core/loop/loop.go
@@ -4,28 +4,22 @@
 
 import (
 	"math/rand/v2"
-	"slices"
 
 	"mustardhook/internal/claim/rules"
 	"mustardhook/internal/claim/views"
 	"mustardhook/internal/core/action"
 	"mustardhook/internal/core/board"
 	"mustardhook/internal/core/clock"
+	"mustardhook/internal/core/cycle"
 	"mustardhook/internal/core/event"
 )
 
 type (
-	// Controller decides on one matter. Step may read and write the board and
-	// emit actions; it does no I/O, starts no goroutine and reads no clock.
-	Controller interface {
-		Step(b *board.Board, happened event.Event)
-	}
+	// Controller decides on one matter and emits actions on the board.
+	Controller = cycle.Controller[*board.Board, event.Event]
 
 	// Registration gives a controller its place; lower numbers run first.
-	Registration struct {
-		Priority   int
-		Controller Controller
-	}
+	Registration = cycle.Registration[*board.Board, event.Event]
 
 	// Core is the deciding core of one entry.
 	Core interface {
@@ -40,13 +34,13 @@
 
 	core struct {
 		board       *board.Board
-		controllers []Registration
+		controllers cycle.Cycle[*board.Board, event.Event]
 	}
 )
 
 // WithControllers registers controllers.
 func WithControllers(registrations ...Registration) Option {
-	return func(c *core) { c.controllers = append(c.controllers, registrations...) }
+	return func(c *core) { c.controllers = cycle.New(append(c.controllers, registrations...)...) }
 }
 
 // NewCore returns a core with an empty board.
@@ -55,7 +49,6 @@
 	for _, option := range options {
 		option(c)
 	}
-	slices.SortStableFunc(c.controllers, func(a, b Registration) int { return a.Priority - b.Priority })
 	return c
 }
 
@@ -65,9 +58,7 @@
 		c.start(now, started)
 	}
 	c.board.Now = max(now, c.board.Now)
-	for _, registration := range c.controllers {
-		registration.Controller.Step(c.board, happened)
-	}
+	c.controllers.Step(c.board, happened)
 	c.board.LastStep = c.board.Now
 	return c.board.TakeActions()
 }
--- /dev/null
+++ b/internal/flow/board/board.go
@@ -0,0 +1,156 @@
+// Package board holds the blackboard of an entry that relays requests: its whole
+// memory. Controllers read and write it, one input at a time.
+package board
+
+import (
+	"math/rand/v2"
+
+	"mustardhook/internal/core/clock"
+	"mustardhook/internal/core/cycle"
+	"mustardhook/internal/core/ident"
+	"mustardhook/internal/flow/budget"
+	"mustardhook/internal/flow/input"
+	"mustardhook/internal/flow/job"
+	"mustardhook/internal/flow/output"
+	"mustardhook/internal/flow/plan"
+	"mustardhook/internal/flow/pool"
+)
+
+const (
+	// retryParts is the part of the time left after which a refused caller comes
+	// back; callers wait a third of it at most.
+	retryParts    = 4
+	minRetryAfter = 100 * clock.Millis(1)
+)
+
+type (
+	// Controller decides on one matter.
+	Controller = cycle.Controller[*Board, input.Input]
+	// Registration gives a controller its place.
+	Registration = cycle.Registration[*Board, input.Input]
+
+	// Board is the memory of an entry.
+	Board struct {
+		Now clock.Millis
+		// LastStep is the instant of the input before this one.
+		LastStep clock.Millis
+		Self     ident.Entry
+		Life     uint64
+		Domain   ident.Domain
+		Address  string
+		Settings input.Settings
+		Random   *rand.Rand
+
+		Plan         plan.Plan
+		PlanDocument []byte
+		// PlanAt is when the plan came in force.
+		PlanAt clock.Millis
+		// ListRead says that the list of endpoints was read in this life.
+		ListRead bool
+		// SourceLostAt is when reads of published state began to fail; zero while
+		// they succeed.
+		SourceLostAt clock.Millis
+		Pool         *pool.Pool
+
+		Requests map[uint64]*Request
+		Seeds    []string
+		Peers    map[ident.Entry]*Peer
+		// Members is the most entries that were seen alive at once, this one too.
+		Members int
+		Budget  *budget.Budget
+		Crashes map[uint64]*Crash
+		// WorkChanged says that own work changed since it was last told.
+		WorkChanged bool
+		Stopping    bool
+
+		outputs []output.Output
+	}
+
+	// Request is a caller's request that is not answered yet.
+	Request struct {
+		job.Placed
+		CameAt clock.Millis
+		EndsAt clock.Millis
+		// Endpoint runs the current send; empty while the request waits.
+		Endpoint ident.Endpoint
+		SentAt   clock.Millis
+		Helpers  []ident.Endpoint
+		Tried    []ident.Endpoint
+		// Runs counts sends that may have run.
+		Runs int
+		// Refusals counts sends that did not run.
+		Refusals int
+		// PredictedFirst is when the first event was expected as it was sent.
+		PredictedFirst clock.Millis
+		Begun          bool
+		Delivered      bool
+	}
+
+	// Peer is another entry.
+	Peer struct {
+		News      input.News
+		NewsFrom  string
+		LastHeard clock.Millis
+		FetchedAt clock.Millis
+	}
+
+	// Crash is a request that was running when endpoints ended.
+	Crash struct {
+		// Counts holds how many endpoints each entry saw end.
+		Counts map[ident.Entry]int
+		SeenAt clock.Millis
+	}
+)
+
+// New returns an empty board.
+func New() *Board {
+	return &Board{
+		Pool:     pool.New(),
+		Requests: map[uint64]*Request{},
+		Peers:    map[ident.Entry]*Peer{},
+		Crashes:  map[uint64]*Crash{},
+		Budget:   budget.New(),
+		Members:  1,
+	}
+}
+
+// Emit asks the shell for an output.
+func (b *Board) Emit(wanted output.Output) { b.outputs = append(b.outputs, wanted) }
+
+// Note writes a log line about what the entry believes.
+func (b *Board) Note(text string, pairs ...any) { b.Emit(output.Note{Text: text, Pairs: pairs}) }
+
+// TakeOutputs returns what was asked for since the last call.
+func (b *Board) TakeOutputs() []output.Output {
+	taken := b.outputs
+	b.outputs = nil
+	return taken
+}
+
+// IsReady reports whether the entry can serve callers.
+func (b *Board) IsReady() bool { return !b.Plan.IsZero() && b.ListRead && !b.Stopping }
+
+// Own returns the name of a request's work at endpoints.
+func (b *Board) Own(number uint64) pool.WorkID { return pool.WorkID{Entry: b.Self, Number: number} }
+
+// EndsSoon reports whether the request has less than the span left.
+func (b *Board) EndsSoon(request *Request, span clock.Millis) bool {
+	return request.EndsAt-b.Now < span
+}
+
+// RetryAfter is when it is worth asking again after a refusal for want of room.
+func (b *Board) RetryAfter(request *Request) clock.Millis {
+	return max((request.EndsAt-b.Now)/retryParts, minRetryAfter)
+}
+
+// Start takes the first input of a life.
+func (b *Board) Start(started input.Started) {
+	const stream = 0x666c6f77
+	b.Self = started.Self
+	b.Life = started.Life
+	b.Domain = started.Domain
+	b.Address = started.Address
+	b.Seeds = started.Seeds
+	b.Settings = started.Settings
+	b.Random = rand.New(rand.NewPCG(started.Seed, stream))
+}
--- /dev/null
+++ b/internal/flow/cost/cost.go
@@ -0,0 +1,83 @@
+// Package cost predicts how long an engine takes to read a prompt, from the
+// published description of its passes and what runs there.
+package cost
+
+import (
+	"math"
+
+	"mustardhook/internal/flow/plan"
+	"mustardhook/internal/flow/pool"
+)
+
+const (
+	million  = 1e6
+	thousand = 1e3
+	// halfPass is the part of a running pass that a new request waits for on average.
+	halfPass = 0.5
+)
+
+type (
+	// Load sums up what an engine runs.
+	Load struct {
+		Writers int
+		Readers int
+		// ContextTokens is the memory of the writers.
+		ContextTokens int
+		// UnreadMillis is the time to read what waits, without writers.
+		UnreadMillis float64
+		// UnreadTokens is how many tokens of prompts wait to be read.
+		UnreadTokens int
+		// MemoryTokens is the memory that is taken up at the end of all work.
+		MemoryTokens int
+	}
+)
+
+// LoadOf sums up the work at an endpoint.
+func LoadOf(engine *plan.Engine, endpoint *pool.Endpoint) Load {
+	var load Load
+	for _, work := range endpoint.Work {
+		if !work.Helping {
+			load.MemoryTokens += work.PromptTokens + work.OutputTokens
+		}
+		if work.Writing {
+			load.Writers++
+			load.ContextTokens += work.PromptTokens + work.OutputTokens/2
+			continue
+		}
+		load.Readers++
+		load.UnreadTokens += work.PromptTokens / max(work.Parts, 1)
+		load.UnreadMillis += ReadMillis(engine, work.PromptTokens, work.Parts)
+	}
+	return load
+}
+
+// ReadMillis is the time to read one of equal parts of a prompt, without writers.
+func ReadMillis(engine *plan.Engine, tokens, parts int) float64 {
+	n := float64(tokens)
+	whole := n/engine.ReadPerMilli + n*n/2/million*engine.PairMillis
+	return whole / float64(max(parts, 1))
+}
+
+// StrideMillis is what the writers add to each pass.
+func StrideMillis(engine *plan.Engine, load Load) float64 {
+	if load.Writers == 0 {
+		return 0
+	}
+	step := engine.StepMillis + engine.WriterMillis*float64(load.Writers) +
+		engine.ContextMillis*float64(load.ContextTokens)/thousand
+	return step * float64(engine.Stride)
+}
+
+// FirstMillis predicts the time from the arrival of a part of a prompt to its
+// end, in arrival order behind what waits.
+func FirstMillis(engine *plan.Engine, load Load, tokens, parts int) float64 {
+	part := tokens / max(parts, 1)
+	stride := StrideMillis(engine, load)
+	chunkMillis := float64(engine.Chunk) / engine.ReadPerMilli
+	passes := math.Ceil(float64(load.UnreadTokens+part) / float64(engine.Chunk))
+	wait := halfPass * stride
+	if load.Readers > 0 {
+		wait += halfPass * chunkMillis
+	}
+	return wait + passes*stride + load.UnreadMillis + ReadMillis(engine, tokens, parts)
+}
--- /dev/null
+++ b/internal/flow/input/input.go
@@ -0,0 +1,120 @@
+// Package input lists what can happen to an entry that relays requests. Inputs
+// are all that its deciding core gets; equal inputs give equal outputs.
+package input
+
+import (
+	"mustardhook/internal/core/clock"
+	"mustardhook/internal/core/ident"
+	"mustardhook/internal/flow/job"
+	"mustardhook/internal/flow/plan"
+	"mustardhook/internal/flow/pool"
+)
+
+type (
+	// Input is one of the types of this package.
+	Input interface{ isInput() }
+
+	// Started is the first input of every life of an entry.
+	Started struct {
+		Self ident.Entry
+		// Life grows with every life of the entry.
+		Life     uint64
+		Domain   ident.Domain
+		Address  string
+		Seeds    []string
+		Seed     uint64
+		Settings Settings
+	}
+
+	// Settings are the parts of the settings that the core reads.
+	Settings struct {
+		// RetryRatio and RetrySlack bound the sends beyond the first of each request
+		// of a service, over all entries, in a RetryWindow.
+		RetryRatio  float64
+		RetrySlack  float64
+		RetryWindow clock.Millis
+		// Stall is how long work waits at an endpoint that depends on a dead one.
+		Stall clock.Millis
+		// Grace is how long a stopped entry may go on.
+		Grace clock.Millis
+	}
+
+	// Ticked comes every tick.
+	Ticked struct{}
+
+	// PlanRead brings a published configuration and its document.
+	PlanRead struct {
+		Plan     plan.Plan
+		Document []byte
+	}
+
+	// ListRead brings the whole list of endpoints.
+	ListRead struct{ List []pool.Listed }
+
+	// EndpointRead brings one changed entry of the list.
+	EndpointRead struct{ Entry pool.Listed }
+
+	// EndpointGone says that an entry of the list was removed.
+	EndpointGone struct{ Name ident.Endpoint }
+
+	// SourceLost says that published state can't be read.
+	SourceLost struct{ Reason string }
+
+	// SourceBack says that published state can be read again.
+	SourceBack struct{}
+
+	// RequestCame is a caller's request, read whole.
+	RequestCame struct{ Request job.Request }
+
+	// EventCame says that the first event of a stream was passed on.
+	EventCame struct{ Number uint64 }
+
+	// SendEnded says how a send ended.
+	SendEnded struct{ Result job.Result }
+
+	// CallerGone says that a caller left while its request was not sent.
+	CallerGone struct{ Number uint64 }
+
+	// NewsCame brings what another entry tells.
+	NewsCame struct {
+		News News
+		// From is the address that the datagram came from.
+		From string
+	}
+
+	// PeerFailed says that another entry did not hand out its configuration.
+	PeerFailed struct{ Address string }
+
+	// StopAsked says that the entry must finish its work and end.
+	StopAsked struct{}
+
+	// News is what an entry tells others; it replaces what it said before.
+	News struct {
+		Entry       ident.Entry
+		Life        uint64
+		Sequence    uint64
+		Domain      ident.Domain
+		Address     string
+		PlanVersion plan.Version
+		Leaving     bool
+		Work        map[ident.Endpoint]map[pool.WorkID]pool.Work
+		Known       []string
+		Crashes     map[uint64]int
+	}
+)
+
+func (Started) isInput()      {}
+func (Ticked) isInput()       {}
+func (PlanRead) isInput()     {}
+func (ListRead) isInput()     {}
+func (EndpointRead) isInput() {}
+func (EndpointGone) isInput() {}
+func (SourceLost) isInput()   {}
+func (SourceBack) isInput()   {}
+func (RequestCame) isInput()  {}
+func (EventCame) isInput()    {}
+func (SendEnded) isInput()    {}
+func (CallerGone) isInput()   {}
+func (NewsCame) isInput()     {}
+func (PeerFailed) isInput()   {}
+func (StopAsked) isInput()    {}
--- /dev/null
+++ b/internal/flow/intake/intake.go
@@ -0,0 +1,61 @@
+// Package intake holds the controller that takes in published state: the
+// configuration, which never goes back, and the list of endpoints.
+package intake
+
+import (
+	"mustardhook/internal/core/clock"
+	"mustardhook/internal/flow/board"
+	"mustardhook/internal/flow/input"
+)
+
+// SweepSpan is the time between two sweeps of endpoints that are gone.
+const SweepSpan = 1 * clock.Second
+
+type controller struct{ sweptAt clock.Millis }
+
+// NewController returns the controller of published state.
+func NewController() board.Controller { return &controller{} }
+
+// Step handles one input.
+func (c *controller) Step(b *board.Board, happened input.Input) {
+	switch happened := happened.(type) {
+	case input.PlanRead:
+		takePlan(b, happened)
+	case input.ListRead:
+		b.Pool.Replace(happened.List, b.Now)
+		b.ListRead = true
+		b.Note("List of endpoints read.", "endpoints", len(happened.List))
+	case input.EndpointRead:
+		b.Pool.Put(happened.Entry)
+		b.Note("Endpoint changed.", "endpoint", happened.Entry.Name, "leaving", happened.Entry.Leaving)
+	case input.EndpointGone:
+		b.Pool.Remove(happened.Name, b.Now)
+		b.Note("Endpoint gone from the list.", "endpoint", happened.Name)
+	case input.SourceLost:
+		if b.SourceLostAt == 0 {
+			b.SourceLostAt = b.Now
+			b.Note("Published state can't be read.", "reason", happened.Reason)
+		}
+		b.Pool.Lost(b.Now)
+	case input.SourceBack:
+		b.Note("Published state can be read again.", "away", b.Now-b.SourceLostAt)
+		b.SourceLostAt = 0
+		b.Pool.Back(b.Now)
+	case input.Ticked:
+		if b.Now-c.sweptAt >= SweepSpan {
+			c.sweptAt = b.Now
+			b.Pool.Sweep(b.Now)
+		}
+	}
+}
+
+func takePlan(b *board.Board, read input.PlanRead) {
+	if read.Plan.Version <= b.Plan.Version {
+		return
+	}
+	b.Note("Configuration in force.", "version", uint64(read.Plan.Version), "before", uint64(b.Plan.Version))
+	b.Plan = read.Plan
+	b.PlanDocument = read.Document
+	b.PlanAt = b.Now
+	b.WorkChanged = true
+}
--- /dev/null
+++ b/internal/flow/job/job.go
@@ -0,0 +1,136 @@
+// Package job holds the vocabulary of relayed requests: what a caller asks for,
+// a send to an endpoint, how the send ended and what the caller is told.
+package job
+
+import (
+	"mustardhook/internal/core/clock"
+	"mustardhook/internal/core/ident"
+	"mustardhook/internal/flow/plan"
+)
+
+// How a send ended.
+const (
+	// EndWhole means that the endpoint's whole answer is there.
+	EndWhole End = "whole"
+	// EndNotRun means that the request did not run and never will.
+	EndNotRun End = "notRun"
+	// EndBroken means that the request may have run and its answer is lost.
+	EndBroken End = "broken"
+	// EndCallerGone means that the caller closed its connection.
+	EndCallerGone End = "callerGone"
+	// EndTimeout means that the time of the request was over.
+	EndTimeout End = "timeout"
+)
+
+// Why a caller gets no answer of an endpoint.
+const (
+	ReasonNoPlan     Reason = "noPlan"
+	ReasonNoRoute    Reason = "noRoute"
+	ReasonBadKey     Reason = "badKey"
+	ReasonNoEndpoint Reason = "noEndpoint"
+	ReasonOverload   Reason = "overload"
+	ReasonTooLong    Reason = "promptTooLong"
+	ReasonTooLate    Reason = "deadlineTooShort"
+	ReasonCrashes    Reason = "crashesEndpoints"
+	ReasonBroken     Reason = "answerLost"
+	ReasonTimeout    Reason = "timeout"
+	ReasonBodyLimit  Reason = "bodyLimit"
+	ReasonBadRequest Reason = "badRequest"
+)
+
+type (
+	// End says how a send ended.
+	End string
+
+	// Reason says why a caller gets no answer of an endpoint.
+	Reason string
+
+	// Request is what a caller asks for, in the terms of the product.
+	Request struct {
+		// Number names the request inside this entry.
+		Number uint64
+		// Name is the caller's name for this attempt; endpoints echo it.
+		Name ident.Request
+		Host string
+		Path string
+		Key  string
+		// Deadline is how long the caller waits from the start of the request.
+		Deadline clock.Millis
+		// PromptTokens and OutputTokens are zero for plain services.
+		PromptTokens int
+		OutputTokens int
+		// OutputGuess is the caller's estimate of the answer; zero if there is none.
+		OutputGuess int
+		// ResumeAfter is the last event that the caller already has.
+		ResumeAfter string
+		// Fingerprint is equal for requests with equal path, caller and body.
+		Fingerprint uint64
+	}
+
+	// Send is one try of a request at an endpoint.
+	Send struct {
+		Number       uint64
+		Endpoint     ident.Endpoint
+		Address      string
+		Organisation ident.Organisation
+		// Left is the time the endpoint has for its answer.
+		Left clock.Millis
+		// Urgency orders requests at the endpoint; 0 is first.
+		Urgency int
+		Stream  bool
+		// Helpers read parts of the prompt.
+		Helpers []Helper
+		// FirstWithin and NextWithin bound the silence before the first event of a
+		// stream and between two events; a longer one means a dead endpoint.
+		FirstWithin clock.Millis
+		NextWithin  clock.Millis
+	}
+
+	// Helper is an endpoint that reads a part of a prompt and, with a lease, keeps
+	// a part of its memory.
+	Helper struct {
+		Endpoint ident.Endpoint
+		Address  string
+		// Lease names memory that was reserved there; empty for none.
+		Lease string
+	}
+
+	// Reply ends a request without an endpoint's answer.
+	Reply struct {
+		Number uint64
+		Reason Reason
+		Status int
+		// RetryAfter is when it is worth asking again; zero for no hint.
+		RetryAfter clock.Millis
+	}
+
+	// Result says how a send ended.
+	Result struct {
+		Number uint64
+		End    End
+		// Status is the endpoint's status, zero when there was none.
+		Status int
+		// Delivered says that the caller has got a part of the answer.
+		Delivered bool
+		// Blamed is the address that the endpoint names as the cause.
+		Blamed string
+		// Refused says that the endpoint had no room; Moved that another endpoint
+		// has its address; Closing that the endpoint is leaving.
+		Refused bool
+		Moved   bool
+		Closing bool
+		// Unreached says that no connection could be opened.
+		Unreached bool
+		Err       error
+	}
+)
+
+// Placed joins a request with the route that it was matched to.
+type Placed struct {
+	Request Request
+	Route   plan.Route
+	Service ident.Service
+	// Organisation is empty on anonymous routes.
+	Organisation ident.Organisation
+	Rank         int
+}
--- /dev/null
+++ b/internal/flow/output/output.go
@@ -0,0 +1,52 @@
+// Package output lists what the deciding core of an entry that relays requests
+// asks the shell to do.
+package output
+
+import (
+	"mustardhook/internal/flow/input"
+	"mustardhook/internal/flow/job"
+)
+
+type (
+	// Output is one of the types of this package.
+	Output interface{ isOutput() }
+
+	// Send starts a send of a request.
+	Send struct{ Send job.Send }
+
+	// Deliver ends a request with the answer that the endpoint gave.
+	Deliver struct{ Number uint64 }
+
+	// Reply ends a request without an endpoint's answer.
+	Reply struct{ Reply job.Reply }
+
+	// Abort ends a request whose answer can't be made whole, so that the caller
+	// sees it broken.
+	Abort struct {
+		Number uint64
+		Reason job.Reason
+	}
+
+	// Tell sends news to other entries.
+	Tell struct {
+		Addresses []string
+		News      input.News
+	}
+
+	// FetchPlan asks another entry for its configuration.
+	FetchPlan struct{ Address string }
+
+	// Note is a log line about a change of what the entry believes.
+	Note struct {
+		Text  string
+		Pairs []any
+	}
+)
+
+func (Send) isOutput()      {}
+func (Deliver) isOutput()   {}
+func (Reply) isOutput()     {}
+func (Abort) isOutput()     {}
+func (Tell) isOutput()      {}
+func (FetchPlan) isOutput() {}
+func (Note) isOutput()      {}
--- /dev/null
+++ b/internal/flow/peers/peers.go
@@ -0,0 +1,213 @@
+// Package peers holds the controller of the other entries: who is there, what
+// each of them runs, and who has a newer configuration.
+package peers
+
+import (
+	"maps"
+	"net"
+	"slices"
+
+	"mustardhook/internal/core/clock"
+	"mustardhook/internal/core/ident"
+	"mustardhook/internal/flow/board"
+	"mustardhook/internal/flow/input"
+	"mustardhook/internal/flow/output"
+	"mustardhook/internal/flow/pool"
+)
+
+const (
+	// RoundSpan is the time between two tellings when nothing changed.
+	RoundSpan = 500 * clock.Millis(1)
+	// BatchSpan is the shortest time between two tellings of changes.
+	BatchSpan = 25 * clock.Millis(1)
+	// SilentSpan is how long an entry must be silent for its work to be forgotten.
+	SilentSpan = 2 * clock.Second
+	// ForgetSpan is how long a silent entry is still told news.
+	ForgetSpan = 60 * clock.Second
+	// FetchSpan is the time between two calls for a newer configuration.
+	FetchSpan = 300 * clock.Millis(1)
+	// SeedSpan is the time between two tellings to the seeds.
+	SeedSpan = 2 * clock.Second
+
+	knownLimit = 6
+)
+
+type controller struct {
+	sequence uint64
+	toldAt   clock.Millis
+	seededAt clock.Millis
+	port     string
+}
+
+// NewController returns the controller of other entries. Datagrams go to the
+// same port on every instance.
+func NewController(port string) board.Controller { return &controller{port: port} }
+
+// Step handles one input.
+func (c *controller) Step(b *board.Board, happened input.Input) {
+	switch happened := happened.(type) {
+	case input.NewsCame:
+		c.take(b, happened)
+	case input.Ticked:
+		forget(b)
+		fetch(b)
+	}
+	c.tell(b)
+}
+
+func (c *controller) take(b *board.Board, came input.NewsCame) {
+	news := came.News
+	if news.Entry == b.Self {
+		return
+	}
+	peer := b.Peers[news.Entry]
+	if peer == nil {
+		b.Note("Entry found.", "entry", news.Entry, "failureDomain", news.Domain)
+		peer = &board.Peer{}
+		b.Peers[news.Entry] = peer
+		b.WorkChanged = true
+	}
+	isOlder := news.Life < peer.News.Life || news.Life == peer.News.Life && news.Sequence <= peer.News.Sequence
+	if isOlder {
+		return
+	}
+	peer.News = news
+	peer.NewsFrom = came.From
+	peer.LastHeard = b.Now
+	if news.Leaving && len(news.Work) == 0 {
+		peer.News.Work = nil
+	}
+	b.Pool.ReplaceWork(news.Entry, news.Work)
+	for _, address := range news.Known {
+		c.meet(b, address)
+	}
+	b.Members = max(b.Members, live(b)+1)
+}
+
+// meet tells an entry that was heard of and is not known.
+func (c *controller) meet(b *board.Board, address string) {
+	if address == b.Address {
+		return
+	}
+	for _, peer := range b.Peers {
+		if peer.News.Address == address {
+			return
+		}
+	}
+	b.Emit(output.Tell{Addresses: []string{c.newsAddress(address)}, News: c.news(b)})
+}
+
+func live(b *board.Board) int {
+	count := 0
+	for _, peer := range b.Peers {
+		if b.Now-peer.LastHeard <= SilentSpan {
+			count++
+		}
+	}
+	return count
+}
+
+func forget(b *board.Board) {
+	for name, peer := range b.Peers {
+		silence := b.Now - peer.LastHeard
+		if silence > SilentSpan && peer.News.Work != nil {
+			peer.News.Work = nil
+			b.Pool.ReplaceWork(name, nil)
+			b.Note("Entry is silent.", "entry", name)
+		}
+		if silence > ForgetSpan {
+			delete(b.Peers, name)
+		}
+	}
+}
+
+// fetch asks one entry that has a newer configuration for it. The published
+// state itself usually brings it first.
+func fetch(b *board.Board) {
+	for _, name := range slices.Sorted(maps.Keys(b.Peers)) {
+		peer := b.Peers[name]
+		if peer.News.PlanVersion <= b.Plan.Version || b.Now-peer.LastHeard > SilentSpan {
+			continue
+		}
+		if b.Now-peer.FetchedAt >= FetchSpan {
+			peer.FetchedAt = b.Now
+			b.Emit(output.FetchPlan{Address: peer.News.Address})
+			return
+		}
+	}
+}
+
+func (c *controller) tell(b *board.Board) {
+	since := b.Now - c.toldAt
+	if since < BatchSpan || !b.WorkChanged && since < RoundSpan {
+		return
+	}
+	addresses := make([]string, 0, len(b.Peers)+len(b.Seeds))
+	for _, peer := range b.Peers {
+		addresses = append(addresses, c.newsAddress(peer.News.Address))
+	}
+	if len(b.Peers) == 0 || b.Now-c.seededAt >= SeedSpan {
+		c.seededAt = b.Now
+		for _, seed := range b.Seeds {
+			addresses = append(addresses, c.newsAddress(seed))
+		}
+	}
+	slices.Sort(addresses)
+	b.Emit(output.Tell{Addresses: slices.Compact(addresses), News: c.news(b)})
+	c.toldAt = b.Now
+	b.WorkChanged = false
+}
+
+func (c *controller) newsAddress(address string) string {
+	host, _, err := net.SplitHostPort(address)
+	if err != nil {
+		return address
+	}
+	return net.JoinHostPort(host, c.port)
+}
+
+func (c *controller) news(b *board.Board) input.News {
+	c.sequence++
+	news := input.News{
+		Entry: b.Self, Life: b.Life, Sequence: c.sequence, Domain: b.Domain, Address: b.Address,
+		PlanVersion: b.Plan.Version, Leaving: b.Stopping, Work: ownWork(b), Crashes: map[uint64]int{},
+	}
+	for fingerprint, known := range b.Crashes {
+		if count := known.Counts[b.Self]; count > 0 {
+			news.Crashes[fingerprint] = count
+		}
+	}
+	names := slices.Sorted(maps.Keys(b.Peers))
+	for range min(knownLimit, len(names)) {
+		peer := b.Peers[names[b.Random.IntN(len(names))]]
+		if b.Now-peer.LastHeard <= SilentSpan {
+			news.Known = append(news.Known, peer.News.Address)
+		}
+	}
+	return news
+}
+
+func ownWork(b *board.Board) map[ident.Endpoint]map[pool.WorkID]pool.Work {
+	own := map[ident.Endpoint]map[pool.WorkID]pool.Work{}
+	add := func(name ident.Endpoint, id pool.WorkID) {
+		endpoint := b.Pool.Find(name)
+		if endpoint == nil {
+			return
+		}
+		work, found := endpoint.Work[id]
+		if !found {
+			return
+		}
+		if own[name] == nil {
+			own[name] = map[pool.WorkID]pool.Work{}
+		}
+		own[name][id] = work
+	}
+	for number, request := range b.Requests {
+		add(request.Endpoint, b.Own(number))
+		for _, helper := range request.Helpers {
+			add(helper, b.Own(number))
+		}
+	}
+	return own
+}
--- /dev/null
+++ b/internal/flow/place/choose.go
@@ -0,0 +1,105 @@
+package place
+
+import (
+	"math"
+	"slices"
+
+	"mustardhook/internal/core/clock"
+	"mustardhook/internal/flow/board"
+	"mustardhook/internal/flow/cost"
+	"mustardhook/internal/flow/job"
+	"mustardhook/internal/flow/plan"
+	"mustardhook/internal/flow/pool"
+)
+
+const (
+	// SilenceFactor is how many times its expected length a silence may last
+	// before the endpoint is taken to be dead.
+	SilenceFactor = 4
+	// LeastSilence is shorter than the 2 s after which callers give up, and longer
+	// than the passes of an engine that reads a long prompt.
+	LeastSilence = 1200 * clock.Millis(1)
+	// FullWait is when it is worth asking again while all endpoints are full.
+	FullWait = 500 * clock.Millis(1)
+
+	urgencies = 10
+)
+
+type (
+	// choice is where a request goes: no lead means that it waits, or with
+	// retryAfter that it is refused.
+	choice struct {
+		lead       *pool.Endpoint
+		helpers    []*pool.Endpoint
+		urgency    int
+		first      clock.Millis
+		reason     job.Reason
+		retryAfter clock.Millis
+	}
+)
+
+func silences(_ *board.Board, found choice, stream plan.Stream) (first, next clock.Millis) {
+	return max(LeastSilence, SilenceFactor*found.first), max(LeastSilence, SilenceFactor*stream.GapObjective)
+}
+
+// usable returns the endpoints that may get the request, those that it was not
+// sent to before if there are any.
+func usable(b *board.Board, request *board.Request) []*pool.Endpoint {
+	var fresh, tried []*pool.Endpoint
+	for _, endpoint := range b.Pool.Of(request.Service) {
+		switch {
+		case !endpoint.IsUsable(b.Now):
+		case slices.Contains(request.Tried, endpoint.Name):
+			tried = append(tried, endpoint)
+		default:
+			fresh = append(fresh, endpoint)
+		}
+	}
+	if len(fresh) > 0 {
+		return fresh
+	}
+	return tried
+}
+
+// chooseService takes the endpoint with the least work for its slots.
+func chooseService(b *board.Board, request *board.Request) choice {
+	best := choice{reason: job.ReasonNoEndpoint, retryAfter: FullWait}
+	least := math.Inf(1)
+	for _, endpoint := range usable(b, request) {
+		load := float64(endpoint.Leads())/float64(max(endpoint.Slots, 1)) + b.Random.Float64()*0.1
+		if endpoint.Domain != b.Domain {
+			load += 0.1
+		}
+		if load < least {
+			least = load
+			best = choice{lead: endpoint}
+		}
+	}
+	return best
+}
+
+// chooseEngine takes the engine with the earliest predicted first event.
+func chooseEngine(b *board.Board, request *board.Request, engine *plan.Engine) choice {
+	best := choice{reason: job.ReasonNoEndpoint, retryAfter: FullWait}
+	least := math.Inf(1)
+	prompt := request.Request.PromptTokens
+	need := prompt + outputTokens(request.Request)
+	if need > engine.MemoryTokens {
+		return choice{reason: job.ReasonTooLong, retryAfter: FullWait}
+	}
+	for _, endpoint := range usable(b, request) {
+		load := cost.LoadOf(engine, endpoint)
+		first := cost.FirstMillis(engine, load, prompt, 1)
+		price := first
+		if load.MemoryTokens+need > engine.MemoryTokens || endpoint.Leads() >= engine.Slots {
+			price += 1e4
+		}
+		price *= 1 + 0.05*b.Random.Float64()
+		if price < least {
+			least = price
+			best = choice{lead: endpoint, first: clock.Millis(first)}
+		}
+	}
+	best.urgency = min(request.Rank, urgencies-1)
+	return best
+}
--- /dev/null
+++ b/internal/flow/plan/engine.go
@@ -0,0 +1,34 @@
+package plan
+
+import "mustardhook/internal/core/clock"
+
+type (
+	// Engine describes how the model engines of a service work through requests:
+	// in passes that read prompts in chunks and write a number of token steps.
+	Engine struct {
+		// Slots is how many requests run at once.
+		Slots int
+		// MemoryTokens is how many tokens of prompts and answers fit.
+		MemoryTokens int
+		// Stride is how many token steps a pass with writers executes.
+		Stride int
+		// Chunk is the most prompt tokens that a pass reads.
+		Chunk int
+		// StepMillis is the time of one token step.
+		StepMillis float64
+		// WriterMillis is added to a step for each request that is writing.
+		WriterMillis float64
+		// ContextMillis is added to a step for each 1,000 tokens of context.
+		ContextMillis float64
+		// ReadPerMilli is how many prompt tokens are read in a millisecond.
+		ReadPerMilli float64
+		// PairMillis is the time for a million pairs of a token and an earlier one.
+		PairMillis float64
+		// HopMillis is added to a step of a request whose memory is divided.
+		HopMillis float64
+		ReportLag clock.Millis
+		// UsualPrompt and UsualAnswer are mean token counts.
+		UsualPrompt int
+		UsualAnswer int
+	}
+)
--- /dev/null
+++ b/internal/flow/pool/pool.go
@@ -0,0 +1,228 @@
+// Package pool keeps the endpoints that requests can be sent to: what is
+// published of them, what the entries have running there and how sends ended.
+package pool
+
+import (
+	"maps"
+	"slices"
+
+	"mustardhook/internal/core/clock"
+	"mustardhook/internal/core/ident"
+)
+
+const (
+	// DoubtSpan is how long an endpoint that vanished from the list while the list
+	// could not be read stays in use: live endpoints are listed again within 2 s.
+	DoubtSpan = 2200 * clock.Millis(1)
+	// FirstRest is the first pause after failures at an endpoint; each further
+	// failure doubles it, up to LongestRest.
+	FirstRest   = 400 * clock.Millis(1)
+	LongestRest = 4 * clock.Second
+	// FailuresToRest is how many failures in a row take an endpoint out of use.
+	FailuresToRest = 2
+)
+
+type (
+	// Listed is what is published of an endpoint.
+	Listed struct {
+		Name    ident.Endpoint
+		Service ident.Service
+		Address string
+		Domain  ident.Domain
+		Slots   int
+		Leaving bool
+		// Born is the start of this life; an endpoint may come back under its name.
+		Born uint64
+	}
+
+	// Endpoint is one endpoint with what is known of its load and health.
+	Endpoint struct {
+		Listed
+		// GoneAt is when the entry vanished from the list; zero while it is listed.
+		GoneAt clock.Millis
+		// DoubtUntil is how long a vanished entry is still taken to be alive.
+		DoubtUntil clock.Millis
+		// Closing says that an answer announced the end of the endpoint.
+		Closing bool
+
+		Failures  int
+		RestUntil clock.Millis
+		// Work is what runs here, of this entry and of its peers.
+		Work map[WorkID]Work
+		// Pace is how much slower than described the endpoint answers; 1 is nominal.
+		Pace float64
+	}
+
+	// WorkID names a piece of work: the entry that sent it and its number there.
+	WorkID struct {
+		Entry  ident.Entry
+		Number uint64
+	}
+
+	// Work is a request, or the part of one, that an endpoint runs.
+	Work struct {
+		// PromptTokens is the whole prompt, OutputTokens the expected answer.
+		PromptTokens int
+		OutputTokens int
+		// Parts is how many endpoints read the prompt.
+		Parts int
+		// Helping says that the endpoint reads a part and does not write.
+		Helping bool
+		// Writing says that the answer has begun.
+		Writing bool
+		Since   clock.Millis
+	}
+
+	// Pool is all endpoints by name.
+	Pool struct {
+		endpoints map[ident.Endpoint]*Endpoint
+		// lost is when reads of the list began to fail; zero while they succeed.
+		lost clock.Millis
+		// backAt is when reads of the list last began to succeed again.
+		backAt clock.Millis
+	}
+)
+
+// New returns an empty pool.
+func New() *Pool { return &Pool{endpoints: map[ident.Endpoint]*Endpoint{}} }
+
+// Find returns the endpoint of the name, or nil.
+func (p *Pool) Find(name ident.Endpoint) *Endpoint { return p.endpoints[name] }
+
+// FindAddress returns the endpoint that is listed at the address, or nil.
+func (p *Pool) FindAddress(address string) *Endpoint {
+	for _, endpoint := range p.endpoints {
+		if endpoint.Address == address && endpoint.GoneAt == 0 {
+			return endpoint
+		}
+	}
+	return nil
+}
+
+// Put takes a published entry.
+func (p *Pool) Put(entry Listed) {
+	known := p.endpoints[entry.Name]
+	if known == nil || known.Born != entry.Born || known.Address != entry.Address {
+		p.endpoints[entry.Name] = &Endpoint{Listed: entry, Work: map[WorkID]Work{}, Pace: 1}
+		return
+	}
+	known.Listed = entry
+	known.GoneAt = 0
+	known.DoubtUntil = 0
+}
+
+// Remove takes the news that an entry vanished from the list. While reads fail
+// and shortly after, it may be back, and stays in use as long as it answers.
+func (p *Pool) Remove(name ident.Endpoint, now clock.Millis) {
+	known := p.endpoints[name]
+	if known == nil || known.GoneAt != 0 {
+		return
+	}
+	known.GoneAt = now
+	if p.lost != 0 || now-p.backAt < DoubtSpan && p.backAt != 0 {
+		known.DoubtUntil = max(p.backAt, now) + DoubtSpan
+	}
+}
+
+// Replace takes the whole list.
+func (p *Pool) Replace(list []Listed, now clock.Millis) {
+	listed := make(map[ident.Endpoint]bool, len(list))
+	for _, entry := range list {
+		listed[entry.Name] = true
+		p.Put(entry)
+	}
+	for name := range p.endpoints {
+		if !listed[name] {
+			p.Remove(name, now)
+		}
+	}
+}
+
+// Lost takes the news that the list can't be read.
+func (p *Pool) Lost(now clock.Millis) {
+	if p.lost == 0 {
+		p.lost = now
+	}
+}
+
+// Back takes the news that the list can be read again.
+func (p *Pool) Back(now clock.Millis) {
+	p.lost = 0
+	p.backAt = now
+}
+
+// Sweep forgets endpoints that are gone and run nothing of ours.
+func (p *Pool) Sweep(now clock.Millis) {
+	maps.DeleteFunc(p.endpoints, func(_ ident.Endpoint, e *Endpoint) bool {
+		return e.GoneAt != 0 && now > e.DoubtUntil && len(e.Work) == 0
+	})
+}
+
+// Of returns the endpoints of the service in order of their names.
+func (p *Pool) Of(service ident.Service) []*Endpoint {
+	var found []*Endpoint
+	for _, name := range slices.Sorted(maps.Keys(p.endpoints)) {
+		if endpoint := p.endpoints[name]; endpoint.Service == service {
+			found = append(found, endpoint)
+		}
+	}
+	return found
+}
+
+// ReplaceWork puts what an entry says it runs in place of what it said before.
+func (p *Pool) ReplaceWork(entry ident.Entry, work map[ident.Endpoint]map[WorkID]Work) {
+	for _, endpoint := range p.endpoints {
+		maps.DeleteFunc(endpoint.Work, func(id WorkID, _ Work) bool { return id.Entry == entry })
+		maps.Copy(endpoint.Work, work[endpoint.Name])
+	}
+}
+
+// IsUsable reports whether new work may be sent to the endpoint.
+func (e *Endpoint) IsUsable(now clock.Millis) bool {
+	isListed := e.GoneAt == 0 || now < e.DoubtUntil
+	return isListed && !e.Leaving && !e.Closing && now >= e.RestUntil
+}
+
+// Failed notes a send that failed by the endpoint's fault.
+func (e *Endpoint) Failed(now clock.Millis) {
+	e.Failures++
+	if e.Failures < FailuresToRest {
+		return
+	}
+	rest := FirstRest << min(e.Failures-FailuresToRest, 10)
+	e.RestUntil = now + min(rest, LongestRest)
+}
+
+// Unreachable notes that no connection could be opened.
+func (e *Endpoint) Unreachable(now clock.Millis) {
+	e.Failures = max(e.Failures, FailuresToRest-1)
+	e.Failed(now)
+}
+
+// Succeeded notes a whole answer.
+func (e *Endpoint) Succeeded() {
+	e.Failures = 0
+	e.RestUntil = 0
+}
+
+// Leads counts the requests that hold a slot here.
+func (e *Endpoint) Leads() int {
+	count := 0
+	for _, work := range e.Work {
+		if !work.Helping {
+			count++
+		}
+	}
+	return count
+}
+
+// MemoryTokens is how many tokens the work here takes up at its end.
+func (e *Endpoint) MemoryTokens() int {
+	tokens := 0
+	for _, work := range e.Work {
+		if !work.Helping {
+			tokens += work.PromptTokens + work.OutputTokens
+		}
+	}
+	return tokens
+}
--- /dev/null
+++ b/internal/flow/proxy/proxy.go
@@ -0,0 +1,207 @@
+// Package proxy is the shell of an entry that relays requests: it turns sockets
+// into inputs of the deciding core and carries out its outputs. It holds no
+// policy.
+package proxy
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/sourcegraph/conc"
+	"golang.org/x/sys/unix"
+
+	"mustardhook/internal/core/clock"
+	"mustardhook/internal/core/cycle"
+	"mustardhook/internal/core/ident"
+	"mustardhook/internal/flow/board"
+	"mustardhook/internal/flow/input"
+	"mustardhook/internal/flow/job"
+	"mustardhook/internal/flow/output"
+	"mustardhook/internal/flow/plan"
+	"mustardhook/internal/flow/pool"
+	"mustardhook/internal/flow/port"
+	"mustardhook/internal/flow/setup"
+	"mustardhook/internal/serve/logs"
+)
+
+const (
+	// TickSpan is the time between two Ticked inputs.
+	TickSpan = 50 * time.Millisecond
+
+	outputBuffer = 4
+	nanosPerMs   = 1e6
+)
+
+type (
+	// Proxy runs the deciding core of one entry.
+	Proxy struct {
+		settings setup.Settings
+		dialect  port.Dialect
+		source   port.Source
+		logger   logs.Logger
+		metrics  *meters
+		news     *newsSocket
+		peers    *http.Client
+
+		mutex sync.Mutex
+		board *board.Board
+		cycle cycle.Cycle[*board.Board, input.Input]
+
+		sessions sync.Map
+		numbers  atomic.Uint64
+		active   atomic.Int64
+		lifetime context.Context
+		cancel   context.CancelFunc
+		group    conc.WaitGroup
+	}
+
+	// Parts are what a proxy is put together from.
+	Parts struct {
+		Settings    setup.Settings
+		Dialect     port.Dialect
+		Source      port.Source
+		Logger      logs.Logger
+		Controllers []board.Registration
+	}
+)
+
+// New returns a proxy that has not started.
+func New(parts Parts) *Proxy {
+	ctx, cancel := context.WithCancel(context.Background())
+	return &Proxy{
+		settings: parts.Settings,
+		dialect:  parts.Dialect,
+		source:   parts.Source,
+		logger:   parts.Logger,
+		metrics:  newMeters(),
+		peers:    NewClient(),
+		board:    board.New(),
+		cycle:    cycle.New(parts.Controllers...),
+		lifetime: ctx,
+		cancel:   cancel,
+	}
+}
+
+// Now returns the time since the instance started, which goes on while it is
+// suspended and never jumps.
+func Now() clock.Millis {
+	var at unix.Timespec
+	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &at); err != nil {
+		// Every kernel since 2.6.39 has this clock.
+		panic(err)
+	}
+	return clock.Millis(at.Nano() / nanosPerMs)
+}
+
+// Step hands an input to the core and carries out what it asks for.
+func (p *Proxy) Step(happened input.Input) {
+	p.mutex.Lock()
+	b := p.board
+	if started, is := happened.(input.Started); is {
+		b.Start(started)
+	}
+	b.Now = max(Now(), b.Now)
+	p.cycle.Step(b, happened)
+	b.LastStep = b.Now
+	outputs := b.TakeOutputs()
+	now := b.Now
+	p.mutex.Unlock()
+	for _, wanted := range outputs {
+		p.carryOut(wanted, now)
+	}
+}
+
+func (p *Proxy) carryOut(wanted output.Output, now clock.Millis) {
+	switch wanted := wanted.(type) {
+	case output.Send:
+		p.post(wanted.Send.Number, wanted)
+	case output.Deliver:
+		p.post(wanted.Number, wanted)
+	case output.Reply:
+		p.post(wanted.Reply.Number, wanted)
+	case output.Abort:
+		p.post(wanted.Number, wanted)
+	case output.Tell:
+		p.news.tell(wanted, now)
+	case output.FetchPlan:
+		p.spawn(func() { p.fetchPlan(wanted.Address) })
+	case output.Note:
+		p.logger.Part("core").Info(wanted.Text, wanted.Pairs...)
+	}
+}
+
+func (p *Proxy) post(number uint64, wanted output.Output) {
+	if found, ok := p.sessions.Load(number); ok {
+		// One output follows each input of a session, so the buffer never fills.
+		found.(*session).outputs <- wanted
+	}
+}
+
+func (p *Proxy) spawn(work func()) { p.group.Go(work) }
+
+// IsReady reports whether the entry can serve callers.
+func (p *Proxy) IsReady() bool {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	return p.board.IsReady()
+}
+
+func (p *Proxy) planDocument() (plan.Version, []byte) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	return p.board.Plan.Version, p.board.PlanDocument
+}
+
+func (p *Proxy) limits() plan.Limits {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	return p.board.Plan.Limits
+}
+
+func (p *Proxy) tick() {
+	ticker := time.NewTicker(TickSpan)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-p.lifetime.Done():
+			return
+		case <-ticker.C:
+			p.Step(input.Ticked{})
+		}
+	}
+}
+
+// PlanRead brings a configuration of the source.
+func (p *Proxy) PlanRead(read plan.Plan, document []byte) {
+	p.Step(input.PlanRead{Plan: read, Document: document})
+}
+
+// ListRead brings the whole list of endpoints.
+func (p *Proxy) ListRead(list []pool.Listed) { p.Step(input.ListRead{List: list}) }
+
+// EndpointRead brings one changed entry of the list.
+func (p *Proxy) EndpointRead(entry pool.Listed) { p.Step(input.EndpointRead{Entry: entry}) }
+
+// EndpointGone says that an entry was removed from the list.
+func (p *Proxy) EndpointGone(name ident.Endpoint) { p.Step(input.EndpointGone{Name: name}) }
+
+// SourceLost says that a read failed.
+func (p *Proxy) SourceLost(err error) { p.Step(input.SourceLost{Reason: err.Error()}) }
+
+// SourceBack says that reads succeed again.
+func (p *Proxy) SourceBack() { p.Step(input.SourceBack{}) }
+
+// BadEntry logs an unreadable entry.
+func (p *Proxy) BadEntry(key string, err error) {
+	p.logger.Part("source").Warn("Published entry can't be read.", "key", key, "err", err)
+}
+
+// retryHint returns the value of a Retry-After header.
+func (p *Proxy) finishLog(s *session, outcome string, reason job.Reason, status int) {
+	p.logger.Part("request").Info(outcome, "request", s.request.Name, "reason", reason, "status", status,
+		"endpoint", s.lastEndpoint, "sends", s.sends, "millis", time.Since(s.began).Milliseconds(),
+		"first", s.firstAfter.Milliseconds(), "promptTokens", s.request.PromptTokens)
+}
--- /dev/null
+++ b/internal/flow/proxy/run.go
@@ -0,0 +1,128 @@
+package proxy
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"mustardhook/internal/flow/input"
+)
+
+const (
+	// headTimeout bounds the time a caller takes for the head of a request, and
+	// callerIdle how long its connection may stay idle.
+	headTimeout = 5 * time.Second
+	callerIdle  = 60 * time.Second
+	// noticeSpan is how long a stopped entry still accepts: the balancer takes an
+	// entry out after two questions, one a second, that found it not ready.
+	noticeSpan = 2500 * time.Millisecond
+	// drainPoll is the time between two looks whether all requests have ended.
+	drainPoll = 20 * time.Millisecond
+	// exitMargin is left of the grace for the end of the process.
+	exitMargin = 500 * time.Millisecond
+)
+
+type (
+	// ListenError says which port could not be opened.
+	ListenError struct {
+		Port    string
+		Address string
+		Err     error
+	}
+)
+
+// Error names the port and the cause.
+func (e *ListenError) Error() string {
+	return "open port " + e.Port + " at " + e.Address + ": " + e.Err.Error()
+}
+
+// Unwrap returns the cause.
+func (e *ListenError) Unwrap() error { return e.Err }
+
+// Run serves until the context ends, then finishes the requests in flight.
+func (p *Proxy) Run(ctx context.Context, seed uint64) error {
+	defer p.group.Wait()
+	defer p.cancel()
+	news, err := openNews(p.settings.Peers, p.settings.NewsPort, p.logger)
+	if err != nil {
+		return &ListenError{"news", p.settings.Peers, err}
+	}
+	defer func() { _ = news.conn.Close() }()
+	p.news = news
+	callers, err := p.listen("callers", p.settings.Callers, p)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = callers.Close() }()
+	others := map[string]http.Handler{p.settings.Ready: p.readyHandler(), p.settings.Peers: p.peerHandler()}
+	if p.settings.MetricsPort != 0 {
+		host, _, err := net.SplitHostPort(p.settings.Peers)
+		if err != nil {
+			return &ListenError{"metrics", p.settings.Peers, err}
+		}
+		others[net.JoinHostPort(host, strconv.Itoa(p.settings.MetricsPort))] = p.metricsHandler()
+	}
+	for address, handler := range others {
+		server, err := p.listen("control", address, handler)
+		if err != nil {
+			return err
+		}
+		defer func() { _ = server.Close() }()
+	}
+	p.Step(input.Started{
+		Self: p.settings.Entry, Life: uint64(time.Now().UnixNano()), Domain: p.settings.Domain,
+		Address: p.settings.Peers, Seeds: p.settings.Seeds, Seed: seed, Settings: p.settings.Core,
+	})
+	p.spawn(func() { p.news.listen(p.Step) })
+	p.spawn(p.tick)
+	p.spawn(func() { p.source.Run(p.lifetime, p) })
+	p.logger.Part("entry").Info("Entry serves.", "callers", p.settings.Callers)
+	<-ctx.Done()
+	p.stop(callers)
+	return nil
+}
+
+func (p *Proxy) listen(name, address string, handler http.Handler) (*http.Server, error) {
+	config := net.ListenConfig{KeepAliveConfig: keepAlive()}
+	listener, err := config.Listen(p.lifetime, "tcp4", address)
+	if err != nil {
+		return nil, &ListenError{name, address, err}
+	}
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: headTimeout, IdleTimeout: callerIdle}
+	p.spawn(func() {
+		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+			p.logger.Part("entry").Warn("Port closed.", "port", name, "err", err)
+		}
+	})
+	return server, nil
+}
+
+// stop says not ready, goes on accepting until the balancer has noticed, and
+// finishes what runs within the grace.
+func (p *Proxy) stop(callers *http.Server) {
+	p.logger.Part("entry").Info("Entry stops.", "active", p.active.Load())
+	deadline := time.Now().Add(p.settings.Core.Grace.Span() - exitMargin)
+	p.Step(input.StopAsked{})
+	callers.SetKeepAlivesEnabled(false)
+	time.Sleep(noticeSpan)
+	for p.active.Load() > 0 && time.Now().Before(deadline) {
+		time.Sleep(drainPoll)
+	}
+	p.logger.Part("entry").Info("Entry ends.", "active", p.active.Load())
+}
+
+func (p *Proxy) readyHandler() http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		if !p.IsReady() {
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+	})
+}
+
+func (p *Proxy) metricsHandler() http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { p.metrics.write(w) })
+}
--- /dev/null
+++ b/internal/flow/proxy/send.go
@@ -0,0 +1,216 @@
+package proxy
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"mustardhook/internal/flow/input"
+	"mustardhook/internal/flow/job"
+	"mustardhook/internal/flow/port"
+)
+
+const (
+	// answerBytes bounds an answer that is held whole.
+	answerBytes = 16 << 20
+	// timeoutSlack lets an endpoint's own answer at its deadline come through.
+	timeoutSlack = 60 * time.Millisecond
+	readBuffer   = 8 << 10
+)
+
+type (
+	// AnswerError says why an endpoint's answer can't be passed on.
+	AnswerError struct{ Fault string }
+
+	// CallerError says that the caller took no more of its answer.
+	CallerError struct{ Err error }
+
+	// exchange is one send on its own connection.
+	exchange struct {
+		session *session
+		send    job.Send
+		conn    net.Conn
+		reader  *bufio.Reader
+		timeout time.Time
+	}
+)
+
+// Error names the fault.
+func (e *AnswerError) Error() string { return "answer of an endpoint: " + e.Fault }
+
+// Error names the cause.
+func (e *CallerError) Error() string { return "caller took no more: " + e.Err.Error() }
+
+// Unwrap returns the cause.
+func (e *CallerError) Unwrap() error { return e.Err }
+
+// send runs one send on a connection of its own, so that an answer is never
+// another request's and nothing is repeated unasked.
+func (s *session) send(wanted job.Send) job.Result {
+	s.proxy.metrics.sends.Inc(1)
+	result := job.Result{Number: wanted.Number, End: job.EndNotRun, Unreached: true}
+	timeout := time.Now().Add(wanted.Left.Span() + timeoutSlack)
+	ctx, cancel := context.WithDeadline(s.head.Context(), timeout)
+	defer cancel()
+	conn, err := dialer().DialContext(ctx, "tcp4", wanted.Address)
+	if err != nil {
+		result.Err = err
+		return s.blameCaller(result)
+	}
+	defer func() { _ = conn.Close() }()
+	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
+	defer stop()
+	x := &exchange{session: s, send: wanted, conn: conn, reader: bufio.NewReaderSize(conn, readBuffer), timeout: timeout}
+	result = x.run()
+	result.Number = wanted.Number
+	result.Delivered = s.opened
+	return s.blameCaller(result)
+}
+
+// blameCaller tells a send that ended by the caller's leave from one that failed.
+func (s *session) blameCaller(result job.Result) job.Result {
+	var caller *CallerError
+	if result.End != job.EndWhole && (s.head.Context().Err() != nil || errors.As(result.Err, &caller)) {
+		result.End = job.EndCallerGone
+		result.Unreached = false
+	}
+	return result
+}
+
+func (x *exchange) run() job.Result {
+	if err := x.write(); err != nil {
+		return x.broken(err)
+	}
+	x.silence(x.send.FirstWithin.Span())
+	response, err := http.ReadResponse(x.reader, x.session.head)
+	if err != nil {
+		return x.broken(err)
+	}
+	defer func() { _ = response.Body.Close() }()
+	head := x.session.proxy.dialect.ReadAnswer(response)
+	switch {
+	case head.NotRun:
+		return job.Result{
+			End: job.EndNotRun, Status: response.StatusCode, Blamed: head.Blamed, Moved: head.Moved,
+			Refused: !head.Moved, Closing: head.Closing,
+		}
+	case head.Request != "" && head.Request != x.session.request.Name:
+		return x.broken(&AnswerError{"it answers another request"})
+	case !head.Signed:
+		return x.broken(&AnswerError{"it has no signature"})
+	case response.Header.Get("Content-Encoding") != "":
+		return x.broken(&AnswerError{"it is encoded"})
+	case x.send.Stream && response.StatusCode == http.StatusOK:
+		return x.stream(response, head)
+	}
+	return x.whole(response, head)
+}
+
+// broken is the end of a send that may have run.
+func (x *exchange) broken(err error) job.Result {
+	end := job.EndBroken
+	if time.Now().After(x.timeout.Add(-timeoutSlack)) {
+		end = job.EndTimeout
+	}
+	return job.Result{End: end, Err: err}
+}
+
+// silence bounds the time until the next byte of the endpoint.
+func (x *exchange) silence(span time.Duration) {
+	next := time.Now().Add(span)
+	if next.After(x.timeout) {
+		next = x.timeout
+	}
+	_ = x.conn.SetReadDeadline(next)
+}
+
+func (x *exchange) write() error {
+	s := x.session
+	header := s.proxy.dialect.SendHeader(s.head.Header, x.send, s.lastEvent)
+	_ = x.conn.SetWriteDeadline(x.timeout)
+	writer := bufio.NewWriterSize(x.conn, readBuffer)
+	line := s.head.Method + " " + s.head.RequestURI + " HTTP/1.1\r\nHost: " + s.head.Host + "\r\n"
+	if _, err := writer.WriteString(line); err != nil {
+		return err
+	}
+	if len(s.body) > 0 || s.head.Method != http.MethodGet && s.head.Method != http.MethodHead {
+		header.Set("Content-Length", itoa(len(s.body)))
+	}
+	if err := header.Write(writer); err != nil {
+		return err
+	}
+	if _, err := writer.WriteString("\r\n"); err != nil {
+		return err
+	}
+	if _, err := writer.Write(s.body); err != nil {
+		return err
+	}
+	return writer.Flush()
+}
+
+// whole holds an answer until it is complete.
+func (x *exchange) whole(response *http.Response, head port.AnswerHead) job.Result {
+	body, err := io.ReadAll(io.LimitReader(response.Body, answerBytes))
+	if err != nil {
+		return x.broken(errors.Wrap(err, "read answer"))
+	}
+	x.session.answer = &answer{response.StatusCode, response.Header, body}
+	return job.Result{End: job.EndWhole, Status: response.StatusCode, Closing: head.Closing}
+}
+
+// stream passes whole events on as they come. Events that the caller has, from an
+// earlier send, are never passed again.
+func (x *exchange) stream(response *http.Response, head port.AnswerHead) job.Result {
+	events := bufio.NewReaderSize(response.Body, readBuffer)
+	var event []byte
+	isFirst := true
+	for {
+		line, err := events.ReadSlice('\n')
+		event = append(event, line...)
+		if errors.Is(err, bufio.ErrBufferFull) {
+			continue
+		}
+		if errors.Is(err, io.EOF) {
+			return x.streamEnded(response, head, event)
+		}
+		if err != nil {
+			return x.broken(errors.Wrap(err, "read event"))
+		}
+		if !isBlank(line) {
+			continue
+		}
+		if err := x.passEvent(response, event, isFirst); err != nil {
+			return job.Result{End: job.EndCallerGone, Err: &CallerError{err}}
+		}
+		if isFirst {
+			isFirst = false
+			x.session.proxy.Step(input.EventCame{Number: x.send.Number})
+		}
+		event = event[:0]
+		x.silence(x.send.NextWithin.Span())
+	}
+}
+
+func (x *exchange) passEvent(response *http.Response, event []byte, isFirst bool) error {
+	if isFirst && !x.session.opened {
+		x.session.open(response.Header)
+	}
+	return x.session.pass(event)
+}
+
+// streamEnded tells a complete stream from one that ended early.
+func (x *exchange) streamEnded(response *http.Response, head port.AnswerHead, rest []byte) job.Result {
+	if len(strings.TrimSpace(string(rest))) > 0 {
+		return x.broken(&AnswerError{"it ended inside an event"})
+	}
+	if !x.session.opened {
+		return x.broken(&AnswerError{"it ended without an event"})
+	}
+	return job.Result{End: job.EndWhole, Status: response.StatusCode, Closing: head.Closing}
+}
--- /dev/null
+++ b/relay.go
@@ -0,0 +1,75 @@
+package mustardhook
+
+import (
+	"context"
+	"math/rand/v2"
+	"strconv"
+
+	"mustardhook/internal/flow/board"
+	"mustardhook/internal/flow/crash"
+	"mustardhook/internal/flow/intake"
+	"mustardhook/internal/flow/peers"
+	"mustardhook/internal/flow/place"
+	"mustardhook/internal/flow/port"
+	"mustardhook/internal/flow/proxy"
+	"mustardhook/internal/flow/setup"
+	"mustardhook/internal/serve/logs"
+)
+
+// The priorities of the relay's controllers; lower numbers run first.
+const (
+	priorityCrash  = 100
+	priorityIntake = 200
+	priorityPlace  = 300
+	priorityPeers  = 400
+)
+
+type (
+	// Relay is one instance that relays callers' requests to endpoints as they are,
+	// driven by the configuration that a platform publishes.
+	Relay interface {
+		// Run serves until the context ends, then finishes all requests in flight
+		// and returns. An error means that a port could not be opened.
+		Run(ctx context.Context) error
+	}
+
+	// RelayOption sets up a relay.
+	RelayOption func(*relay)
+
+	relay struct {
+		settings setup.Settings
+		dialect  port.Dialect
+		source   port.Source
+		logger   logs.Logger
+		seed     uint64
+	}
+)
+
+// WithRelayLogger sets the logger; the default writes nothing.
+func WithRelayLogger(logger logs.Logger) RelayOption { return func(r *relay) { r.logger = logger } }
+
+// WithRelaySeed sets the seed of random decisions; the default is random.
+func WithRelaySeed(seed uint64) RelayOption { return func(r *relay) { r.seed = seed } }
+
+// NewRelay returns a relay that has not started. The dialect translates requests
+// and answers, the source reads published state.
+func NewRelay(settings setup.Settings, dialect port.Dialect, source port.Source, options ...RelayOption) Relay {
+	r := &relay{settings: settings, dialect: dialect, source: source, logger: logs.Discard(), seed: rand.Uint64()}
+	for _, option := range options {
+		option(r)
+	}
+	return r
+}
+
+// Run serves until the context ends.
+func (r *relay) Run(ctx context.Context) error {
+	return proxy.New(proxy.Parts{
+		Settings: r.settings, Dialect: r.dialect, Source: r.source, Logger: r.logger,
+		Controllers: []board.Registration{
+			{Priority: priorityCrash, Controller: crash.NewController()},
+			{Priority: priorityIntake, Controller: intake.NewController()},
+			{Priority: priorityPlace, Controller: place.NewController()},
+			{Priority: priorityPeers, Controller: peers.NewController(strconv.Itoa(r.settings.NewsPort))},
+		},
+	}).Run(ctx, r.seed)
+}
