News between entries is told

Cause: errors.Wrap of a nil error is an error in go-faster/errors, so every datagram was dropped before it was sent. Ruled out: the socket and the addresses; the log line named the encoder. Change: the encoder returns nil when nothing failed.

--- a/internal/flow/share/share.go
+++ b/internal/flow/share/share.go
@@ -51,7 +51,10 @@
 	}
 	slices.SortFunc(message.Crashes, func(a, b *newspb.Crash) int { return cmp.Compare(a.Fingerprint, b.Fingerprint) })
 	text, err := proto.Marshal(message)
-	return text, errors.Wrap(err, "encode news")
+	if err != nil {
+		return nil, errors.Wrap(err, "encode news")
+	}
+	return text, nil
 }
 
 // Decode reads a datagram that came at the instant.
