Long prompts are read in parts by a lane of engines

Cause: an engine with writers reads up to a chunk in each step of a pass, so a pass lasts as long as all prompts that wait; a prompt read whole holds up the first event of others and the events of the requests that are writing. Ruled out: one chunk a pass (predictions were 2 to 3 times the measured times). Change: engines are divided by the short requests in flight, in an order that all entries share; long prompts are read in parts by the long lane.

--- a/internal/flow/cost/cost.go
+++ b/internal/flow/cost/cost.go
@@ -69,15 +69,21 @@
 }
 
 // FirstMillis predicts the time from the arrival of a part of a prompt to its
-// end, in arrival order behind what waits.
+// end, in arrival order behind what waits. A pass with writers reads up to a
+// chunk in each of its steps.
 func FirstMillis(engine *plan.Engine, load Load, tokens, parts int) float64 {
-	part := tokens / max(parts, 1)
+	read := load.UnreadMillis + ReadMillis(engine, tokens, parts)
 	stride := StrideMillis(engine, load)
-	chunkMillis := float64(engine.Chunk) / engine.ReadPerMilli
-	passes := math.Ceil(float64(load.UnreadTokens+part) / float64(engine.Chunk))
-	wait := halfPass * stride
-	if load.Readers > 0 {
-		wait += halfPass * chunkMillis
+	if load.Writers == 0 {
+		return read
 	}
-	return wait + passes*stride + load.UnreadMillis + ReadMillis(engine, tokens, parts)
+	perPass := float64(engine.Chunk * engine.Stride)
+	passes := math.Ceil(float64(load.UnreadTokens+tokens/max(parts, 1)) / perPass)
+	return halfPass*PassMillis(engine, load) + passes*stride + read
+}
+
+// PassMillis is the length of a running pass: the pause between two events of
+// the requests that are writing.
+func PassMillis(engine *plan.Engine, load Load) float64 {
+	return StrideMillis(engine, load) + load.UnreadMillis
 }
--- a/internal/flow/job/job.go
+++ b/internal/flow/job/job.go
@@ -80,6 +80,8 @@
 		Stream  bool
 		// Helpers read parts of the prompt.
 		Helpers []Helper
+		// Predicted is the expected time to the first event.
+		Predicted clock.Millis
 		// FirstWithin and NextWithin bound the silence before the first event of a
 		// stream and between two events; a longer one means a dead endpoint.
 		FirstWithin clock.Millis
--- a/internal/flow/place/choose.go
+++ b/internal/flow/place/choose.go
@@ -6,7 +6,6 @@
 
 	"mustardhook/internal/core/clock"
 	"mustardhook/internal/flow/board"
-	"mustardhook/internal/flow/cost"
 	"mustardhook/internal/flow/job"
 	"mustardhook/internal/flow/plan"
 	"mustardhook/internal/flow/pool"
@@ -77,29 +76,3 @@
 	}
 	return best
 }
-
-// chooseEngine takes the engine with the earliest predicted first event.
-func chooseEngine(b *board.Board, request *board.Request, engine *plan.Engine) choice {
-	best := choice{reason: job.ReasonNoEndpoint, retryAfter: FullWait}
-	least := math.Inf(1)
-	prompt := request.Request.PromptTokens
-	need := prompt + outputTokens(request.Request)
-	if need > engine.MemoryTokens {
-		return choice{reason: job.ReasonTooLong, retryAfter: FullWait}
-	}
-	for _, endpoint := range usable(b, request) {
-		load := cost.LoadOf(engine, endpoint)
-		first := cost.FirstMillis(engine, load, prompt, 1)
-		price := first
-		if load.MemoryTokens+need > engine.MemoryTokens || endpoint.Leads() >= engine.Slots {
-			price += 1e4
-		}
-		price *= 1 + 0.05*b.Random.Float64()
-		if price < least {
-			least = price
-			best = choice{lead: endpoint, first: clock.Millis(first)}
-		}
-	}
-	best.urgency = min(request.Rank, urgencies-1)
-	return best
-}
--- /dev/null
+++ b/internal/flow/place/engine.go
@@ -0,0 +1,174 @@
+package place
+
+import (
+	"cmp"
+	"math"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+
+	"mustardhook/internal/core/clock"
+	"mustardhook/internal/flow/board"
+	"mustardhook/internal/flow/cost"
+	"mustardhook/internal/flow/job"
+	"mustardhook/internal/flow/plan"
+	"mustardhook/internal/flow/pool"
+)
+
+const (
+	// longRead is the reading time from which a prompt is long: it is read in
+	// parts, since a pass that reads it whole makes others' events late.
+	longRead = 110.0
+	// partRead is the reading time of a part that pauses of short answers bear.
+	partRead = 100.0
+	// maxHelpers is the most endpoints that may help to read a prompt.
+	maxHelpers = 16
+	// shortsPerEngine is how many short requests an engine of the short lane takes
+	// on before the lane grows.
+	shortsPerEngine = 9
+	// spareShorts is room in the short lane for requests to come.
+	spareShorts = 4
+	// leastShortLane and leastLongLane are the smallest sizes of the lanes.
+	leastShortLane = 2
+	leastLongLane  = 2
+	// fullPenalty puts engines without room behind all that have some.
+	fullPenalty = 1e5
+	// jitter keeps entries that decide at one instant from choosing alike.
+	jitter = 0.05
+
+	urgencyShort = 3
+	urgencyLong  = 5
+)
+
+type (
+	// candidate is an engine with what it runs.
+	candidate struct {
+		endpoint *pool.Endpoint
+		load     cost.Load
+		shorts   int
+		order    uint64
+		price    float64
+	}
+)
+
+// chooseEngine places a prompt. Short ones go to the lane of short prompts; long
+// ones are read in parts by the engines of the other lane.
+func chooseEngine(b *board.Board, request *board.Request, engine *plan.Engine) choice {
+	prompt := request.Request.PromptTokens
+	need := prompt + outputTokens(request.Request)
+	if need > engine.MemoryTokens {
+		return choice{reason: job.ReasonTooLong, retryAfter: FullWait}
+	}
+	candidates := survey(b, request, engine)
+	if len(candidates) == 0 {
+		return choice{reason: job.ReasonNoEndpoint, retryAfter: FullWait}
+	}
+	short, long := lanes(candidates)
+	if cost.ReadMillis(engine, prompt, 1) <= longRead {
+		found := cheapest(b, engine, short, long, prompt, need)
+		found.urgency = urgencyShort
+		return found
+	}
+	found := gather(b, engine, short, long, prompt, need)
+	found.urgency = urgencyLong
+	return found
+}
+
+func isLong(engine *plan.Engine, work pool.Work) bool {
+	return cost.ReadMillis(engine, work.PromptTokens, 1) > longRead
+}
+
+// survey lists the usable engines in an order that all entries share.
+func survey(b *board.Board, request *board.Request, engine *plan.Engine) []*candidate {
+	var candidates []*candidate
+	for _, endpoint := range usable(b, request) {
+		found := &candidate{
+			endpoint: endpoint, load: cost.LoadOf(engine, endpoint), order: xxhash.Sum64String(string(endpoint.Name)),
+		}
+		for _, work := range endpoint.Work {
+			if !work.Helping && !isLong(engine, work) {
+				found.shorts++
+			}
+		}
+		candidates = append(candidates, found)
+	}
+	slices.SortFunc(candidates, func(a, b *candidate) int { return cmp.Compare(a.order, b.order) })
+	return candidates
+}
+
+// lanes divides the engines between short and long prompts by the short ones in
+// flight.
+func lanes(candidates []*candidate) (short, long []*candidate) {
+	shorts := 0
+	for _, found := range candidates {
+		shorts += found.shorts
+	}
+	size := max((shorts+spareShorts+shortsPerEngine-1)/shortsPerEngine, leastShortLane)
+	size = min(size, max(len(candidates)-leastLongLane, 1))
+	return candidates[:size], candidates[size:]
+}
+
+// cheapest takes the engine with the earliest predicted first event; those of
+// the other lane count for more.
+func cheapest(b *board.Board, engine *plan.Engine, own, other []*candidate, prompt, need int) choice {
+	best := choice{reason: job.ReasonNoEndpoint, retryAfter: FullWait}
+	least := math.Inf(1)
+	consider := func(found *candidate, factor float64) {
+		first := cost.FirstMillis(engine, found.load, prompt, 1)
+		price := first*factor + cost.StrideMillis(engine, found.load)
+		if found.load.MemoryTokens+need > engine.MemoryTokens || found.endpoint.Leads() >= engine.Slots {
+			price += fullPenalty
+		}
+		price *= 1 + jitter*b.Random.Float64()
+		if price < least {
+			least = price
+			best = choice{lead: found.endpoint, first: clock.Millis(first)}
+		}
+	}
+	for _, found := range own {
+		consider(found, 1)
+	}
+	for _, found := range other {
+		consider(found, 2)
+	}
+	return best
+}
+
+// gather finds the engines that read a long prompt together and the one among
+// them that writes its answer.
+func gather(b *board.Board, engine *plan.Engine, short, long []*candidate, prompt, need int) choice {
+	parts := int(math.Ceil(cost.ReadMillis(engine, prompt, 1) / partRead))
+	parts = min(max(parts, 1), maxHelpers+1)
+	members := slices.Clone(long)
+	if len(members) < parts {
+		rest := slices.Clone(short)
+		slices.SortStableFunc(rest, func(a, b *candidate) int { return cmp.Compare(a.load.Writers, b.load.Writers) })
+		members = append(members, rest[:min(parts-len(members), len(rest))]...)
+	}
+	parts = min(parts, len(members))
+	for _, found := range members {
+		found.price = cost.FirstMillis(engine, found.load, prompt, parts) * (1 + jitter*b.Random.Float64())
+	}
+	lead := leadOf(engine, members, need)
+	slices.SortStableFunc(members, func(a, b *candidate) int { return cmp.Compare(a.price, b.price) })
+	result := choice{lead: lead.endpoint, first: clock.Millis(lead.price)}
+	for _, found := range members {
+		if found != lead && len(result.helpers) < parts-1 {
+			result.helpers = append(result.helpers, found.endpoint)
+			result.first = max(result.first, clock.Millis(found.price))
+		}
+	}
+	return result
+}
+
+// leadOf takes the engine that has the memory for the prompt and writes soonest.
+func leadOf(engine *plan.Engine, members []*candidate, need int) *candidate {
+	price := func(found *candidate) float64 {
+		total := found.price + cost.PassMillis(engine, found.load)*float64(engine.UsualAnswer)/float64(max(engine.Stride, 1))
+		if found.load.MemoryTokens+need > engine.MemoryTokens || found.endpoint.Leads() >= engine.Slots {
+			total += fullPenalty
+		}
+		return total
+	}
+	return slices.MinFunc(members, func(a, b *candidate) int { return cmp.Compare(price(a), price(b)) })
+}
--- a/internal/flow/place/place.go
+++ b/internal/flow/place/place.go
@@ -133,7 +133,7 @@
 	wanted := job.Send{
 		Number: request.Request.Number, Endpoint: found.lead.Name, Address: found.lead.Address,
 		Organisation: request.Organisation, Left: left, Urgency: found.urgency, Stream: request.Route.IsStream(),
-		FirstWithin: left, NextWithin: left,
+		FirstWithin: left, NextWithin: left, Predicted: found.first,
 	}
 	if stream, is := request.Route.Repeat.(plan.Stream); is {
 		wanted.FirstWithin, wanted.NextWithin = silences(b, found, stream)
--- a/internal/flow/proxy/proxy.go
+++ b/internal/flow/proxy/proxy.go
@@ -199,9 +199,9 @@
 	p.logger.Part("source").Warn("Published entry can't be read.", "key", key, "err", err)
 }
 
-// retryHint returns the value of a Retry-After header.
+// finishLog writes the line that ends a request.
 func (p *Proxy) finishLog(s *session, outcome string, reason job.Reason, status int) {
 	p.logger.Part("request").Info(outcome, "request", s.request.Name, "reason", reason, "status", status,
 		"endpoint", s.lastEndpoint, "sends", s.sends, "millis", time.Since(s.began).Milliseconds(),
-		"first", s.firstAfter.Milliseconds(), "promptTokens", s.request.PromptTokens)
+		"first", s.firstAfter.Milliseconds(), "predicted", int64(s.predicted), "promptTokens", s.request.PromptTokens)
 }
--- a/internal/flow/proxy/session.go
+++ b/internal/flow/proxy/session.go
@@ -10,6 +10,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/go-faster/errors"
 
+	"mustardhook/internal/core/clock"
 	"mustardhook/internal/flow/input"
 	"mustardhook/internal/flow/job"
 	"mustardhook/internal/flow/output"
@@ -46,6 +47,7 @@
 		opened       bool
 		lastEvent    string
 		lastEndpoint string
+		predicted    clock.Millis
 		firstAfter   time.Duration
 		sends        int
 	}
@@ -128,6 +130,7 @@
 		case output.Send:
 			s.sends++
 			s.lastEndpoint = string(wanted.Send.Endpoint)
+			s.predicted = wanted.Send.Predicted
 			result := s.send(wanted.Send)
 			s.proxy.Step(input.SendEnded{Result: result})
 			if result.End == job.EndCallerGone {
