The short lane is spared from long parts

Cause: prompts that needed more parts than the long lane has engines took all engines, and a giant one held up every answer that was being written (650 ms in one pass); short prompts went to the long lane for an earlier first event. Ruled out: late first events (48 of 729 short ones against 243 with late pauses). Change: engines of the short lane read parts only if the part is short enough or the long lane alone would be late; a short prompt's place in the long lane costs.

--- a/internal/flow/place/engine.go
+++ b/internal/flow/place/engine.go
@@ -21,6 +21,11 @@
 	longRead = 110.0
 	// partRead is the reading time of a part that pauses of short answers bear.
 	partRead = 100.0
+	// bearableRead is the longest part that engines of the short lane read.
+	bearableRead = 150.0
+	// lateShare is the part of its objective that a long prompt may take with the
+	// long lane alone.
+	lateShare = 0.7
 	// maxHelpers is the most endpoints that may help to read a prompt.
 	maxHelpers = 16
 	// shortsPerEngine is how many short requests an engine of the short lane takes
@@ -33,6 +38,9 @@
 	leastLongLane  = 2
 	// fullPenalty puts engines without room behind all that have some.
 	fullPenalty = 1e5
+	// foreignPenalty is what a short prompt's place in the long lane costs, in
+	// milliseconds: its events would wait for parts of long prompts.
+	foreignPenalty = 200
 	// jitter keeps entries that decide at one instant from choosing alike.
 	jitter = 0.05
 
@@ -69,7 +77,7 @@
 		found.urgency = urgencyShort
 		return found
 	}
-	found := gather(b, engine, short, long, prompt, need)
+	found := gather(b, engine, short, long, prompt, need, request.Route.Objective)
 	found.urgency = urgencyLong
 	return found
 }
@@ -113,9 +121,9 @@
 func cheapest(b *board.Board, engine *plan.Engine, own, other []*candidate, prompt, need int) choice {
 	best := choice{reason: job.ReasonNoEndpoint, retryAfter: FullWait}
 	least := math.Inf(1)
-	consider := func(found *candidate, factor float64) {
+	consider := func(found *candidate, penalty float64) {
 		first := cost.FirstMillis(engine, found.load, prompt, 1)
-		price := first*factor + cost.StrideMillis(engine, found.load)
+		price := first + cost.StrideMillis(engine, found.load) + penalty
 		if found.load.MemoryTokens+need > engine.MemoryTokens || found.endpoint.Leads() >= engine.Slots {
 			price += fullPenalty
 		}
@@ -126,21 +134,23 @@
 		}
 	}
 	for _, found := range own {
-		consider(found, 1)
+		consider(found, 0)
 	}
 	for _, found := range other {
-		consider(found, 2)
+		consider(found, foreignPenalty)
 	}
 	return best
 }
 
 // gather finds the engines that read a long prompt together and the one among
 // them that writes its answer.
-func gather(b *board.Board, engine *plan.Engine, short, long []*candidate, prompt, need int) choice {
-	parts := int(math.Ceil(cost.ReadMillis(engine, prompt, 1) / partRead))
-	parts = min(max(parts, 1), maxHelpers+1)
+func gather(
+	b *board.Board, engine *plan.Engine, short, long []*candidate, prompt, need int, objective clock.Millis,
+) choice {
+	read := cost.ReadMillis(engine, prompt, 1)
+	parts := min(max(int(math.Ceil(read/partRead)), 1), maxHelpers+1)
 	members := slices.Clone(long)
-	if len(members) < parts {
+	if len(members) < parts && mayBorrow(engine, long, len(short), prompt, objective) {
 		rest := slices.Clone(short)
 		slices.SortStableFunc(rest, func(a, b *candidate) int { return cmp.Compare(a.load.Writers, b.load.Writers) })
 		members = append(members, rest[:min(parts-len(members), len(rest))]...)
@@ -161,6 +171,19 @@
 	return result
 }
 
+// mayBorrow reports whether engines of the short lane should read parts too:
+// their pauses bear the part, or the long lane alone is too slow.
+func mayBorrow(engine *plan.Engine, long []*candidate, shorts, prompt int, objective clock.Millis) bool {
+	if cost.ReadMillis(engine, prompt, min(len(long)+shorts, maxHelpers+1)) <= bearableRead {
+		return true
+	}
+	slowest := 0.0
+	for _, found := range long {
+		slowest = max(slowest, cost.FirstMillis(engine, found.load, prompt, len(long)))
+	}
+	return slowest > lateShare*float64(objective)
+}
+
 // leadOf takes the engine that has the memory for the prompt and writes soonest.
 func leadOf(engine *plan.Engine, members []*candidate, need int) *candidate {
 	price := func(found *candidate) float64 {
--- a/internal/flow/proxy/proxy.go
+++ b/internal/flow/proxy/proxy.go
@@ -203,5 +203,6 @@
 func (p *Proxy) finishLog(s *session, outcome string, reason job.Reason, status int) {
 	p.logger.Part("request").Info(outcome, "request", s.request.Name, "reason", reason, "status", status,
 		"endpoint", s.lastEndpoint, "sends", s.sends, "millis", time.Since(s.began).Milliseconds(),
-		"first", s.firstAfter.Milliseconds(), "predicted", int64(s.predicted), "promptTokens", s.request.PromptTokens)
+		"first", s.firstAfter.Milliseconds(), "predicted", int64(s.predicted), "longestGap", s.longestGap.Milliseconds(),
+		"promptTokens", s.request.PromptTokens)
 }
--- a/internal/flow/proxy/session.go
+++ b/internal/flow/proxy/session.go
@@ -49,7 +49,11 @@
 		lastEndpoint string
 		predicted    clock.Millis
 		firstAfter   time.Duration
-		sends        int
+		// lastAt is when the last event was passed on, longestGap the longest pause
+		// between two.
+		lastAt     time.Time
+		longestGap time.Duration
+		sends      int
 	}
 
 	// answer is an endpoint's whole answer.
@@ -222,6 +226,11 @@
 	if id := s.proxy.dialect.EventID(event); id != "" {
 		s.lastEvent = id
 	}
+	now := time.Now()
+	if !s.lastAt.IsZero() {
+		s.longestGap = max(s.longestGap, now.Sub(s.lastAt))
+	}
+	s.lastAt = now
 	return s.control.Flush()
 }
 
