An endpoint that leaves after the list is back is not spared

Ruled out: a slow watch; the removal was read 6 ms after it happened. Change: doubt ends at a fixed time after the list is back, 1.9 s. Measured: TestLeavesSoonAfterListIsBack fails before and passes after.

--- a/internal/flow/pool/pool.go
+++ b/internal/flow/pool/pool.go
@@ -13,7 +13,7 @@
 const (
 	// DoubtSpan is how long an endpoint that vanished from the list while the list
 	// could not be read stays in use: live endpoints are listed again within 2 s.
-	DoubtSpan = 2200 * clock.Millis(1)
+	DoubtSpan = 1900 * clock.Millis(1)
 	// FirstRest is the first pause after failures at an endpoint; each further
 	// failure doubles it, up to LongestRest.
 	FirstRest   = 400 * clock.Millis(1)
@@ -119,8 +119,12 @@
 		return
 	}
 	known.GoneAt = now
-	if p.lost != 0 || now-p.backAt < DoubtSpan && p.backAt != 0 {
-		known.DoubtUntil = max(p.backAt, now) + DoubtSpan
+	switch {
+	case p.lost != 0:
+		known.DoubtUntil = now + DoubtSpan
+	case p.backAt != 0:
+		// An entry that leaves after the return of the list is not spared longer.
+		known.DoubtUntil = p.backAt + DoubtSpan
 	}
 }
 
--- /dev/null
+++ b/internal/flow/pool/pool_test.go
@@ -0,0 +1,57 @@
+package pool
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"mustardhook/internal/core/clock"
+)
+
+func listed(name string) Listed {
+	return Listed{Name: "e-" + "1", Service: "s", Address: "10.0.0.1:1", Domain: "d", Slots: 4, Born: uint64(len(name))}
+}
+
+// An entry that leaves shortly after the list came back is out of use within the
+// two seconds that a leaving endpoint may still get work.
+func TestLeavesSoonAfterListIsBack(t *testing.T) {
+	p := New()
+	p.Put(listed("a"))
+	p.Lost(1000)
+	p.Back(9000)
+	p.Remove("e-1", 10800)
+	endpoint := p.Find("e-1")
+	require.True(t, endpoint.IsUsable(10850))
+	require.False(t, endpoint.IsUsable(9000+2*clock.Second))
+}
+
+// Entries that lapsed while the list could not be read are back in two seconds.
+func TestLapsedEntryIsSpared(t *testing.T) {
+	p := New()
+	p.Put(listed("a"))
+	p.Lost(1000)
+	p.Replace(nil, 5000)
+	p.Back(5000)
+	require.True(t, p.Find("e-1").IsUsable(6500))
+	require.False(t, p.Find("e-1").IsUsable(7000))
+	p.Put(listed("a"))
+	require.True(t, p.Find("e-1").IsUsable(7000))
+}
+
+func TestRemovedWhileListIsReadIsOutOfUse(t *testing.T) {
+	p := New()
+	p.Put(listed("a"))
+	p.Remove("e-1", 5000)
+	require.False(t, p.Find("e-1").IsUsable(5000))
+}
+
+// An endpoint that comes back under its name holds and knows nothing of before.
+func TestSameNameNewLife(t *testing.T) {
+	p := New()
+	p.Put(listed("a"))
+	p.Find("e-1").Work[WorkID{"x", 1}] = Work{}
+	p.Find("e-1").Unreachable(5000)
+	p.Put(listed("bb"))
+	require.Empty(t, p.Find("e-1").Work)
+	require.True(t, p.Find("e-1").IsUsable(5000))
+}
