Long prompts wait for their turn at all entries

Ruled out: slow engines (their descriptions hold) and uneven placing. Change: entries tell which long prompts wait; the earliest due one goes when its engines have little left to read. Lanes count only short requests that came lately.

--- a/internal/flow/board/board.go
+++ b/internal/flow/board/board.go
@@ -82,8 +82,12 @@
 		Refusals int
 		// PredictedFirst is when the first event was expected as it was sent.
 		PredictedFirst clock.Millis
-		Begun          bool
-		Delivered      bool
+		// Queued says that the request is a long prompt that waits for engines, and
+		// RoomAt since when this entry has seen room for it.
+		Queued    bool
+		RoomAt    clock.Millis
+		Begun     bool
+		Delivered bool
 	}
 
 	// Peer is another entry.
@@ -130,6 +134,9 @@
 // IsReady reports whether the entry can serve callers.
 func (b *Board) IsReady() bool { return !b.Plan.IsZero() && b.ListRead && !b.Stopping }
 
+// DueAt is until when the first event of the request is on time.
+func (r *Request) DueAt() clock.Millis { return r.CameAt + r.Route.Objective }
+
 // Own returns the name of a request's work at endpoints.
 func (b *Board) Own(number uint64) pool.WorkID { return pool.WorkID{Entry: b.Self, Number: number} }
 
--- a/internal/flow/cost/cost.go
+++ b/internal/flow/cost/cost.go
@@ -5,6 +5,7 @@
 import (
 	"math"
 
+	"mustardhook/internal/core/clock"
 	"mustardhook/internal/flow/plan"
 	"mustardhook/internal/flow/pool"
 )
@@ -14,6 +15,9 @@
 	thousand = 1e3
 	// halfPass is the part of a running pass that a new request waits for on average.
 	halfPass = 0.5
+	// overdueShare is the part of a reading that is taken to be left when it should
+	// have ended.
+	overdueShare = 0.2
 )
 
 type (
@@ -33,7 +37,7 @@
 )
 
 // LoadOf sums up the work at an endpoint.
-func LoadOf(engine *plan.Engine, endpoint *pool.Endpoint) Load {
+func LoadOf(engine *plan.Engine, endpoint *pool.Endpoint, now clock.Millis) Load {
 	var load Load
 	for _, work := range endpoint.Work {
 		if !work.Helping {
@@ -46,11 +50,18 @@
 		}
 		load.Readers++
 		load.UnreadTokens += work.PromptTokens / max(work.Parts, 1)
-		load.UnreadMillis += ReadMillis(engine, work.PromptTokens, work.Parts)
+		load.UnreadMillis += unread(engine, work, now)
 	}
 	return load
 }
 
+// unread is the time to read what is left of a part. Predictions err, so that some
+// of it is left until the answer begins.
+func unread(engine *plan.Engine, work pool.Work, now clock.Millis) float64 {
+	whole := ReadMillis(engine, work.PromptTokens, work.Parts)
+	return min(max(float64(work.ReadAt-now), overdueShare*whole), whole)
+}
+
 // ReadMillis is the time to read one of equal parts of a prompt, without writers.
 func ReadMillis(engine *plan.Engine, tokens, parts int) float64 {
 	n := float64(tokens)
--- a/internal/flow/input/input.go
+++ b/internal/flow/input/input.go
@@ -98,8 +98,18 @@
 		PlanVersion plan.Version
 		Leaving     bool
 		Work        map[ident.Endpoint]map[pool.WorkID]pool.Work
-		Known       []string
-		Crashes     map[uint64]int
+		// Waiting are the long prompts that wait for engines.
+		Waiting []Waiting
+		Known   []string
+		Crashes map[uint64]int
+	}
+
+	// Waiting is a long prompt that waits for engines.
+	Waiting struct {
+		Service ident.Service
+		Number  uint64
+		// DueAt is until when its first event is on time.
+		DueAt clock.Millis
 	}
 )
 
--- a/internal/flow/peers/peers.go
+++ b/internal/flow/peers/peers.go
@@ -112,6 +112,7 @@
 		silence := b.Now - peer.LastHeard
 		if silence > SilentSpan && peer.News.Work != nil {
 			peer.News.Work = nil
+			peer.News.Waiting = nil
 			b.Pool.ReplaceWork(name, nil)
 			b.Note("Entry is silent.", "entry", name)
 		}
@@ -172,6 +173,13 @@
 		Entry: b.Self, Life: b.Life, Sequence: c.sequence, Domain: b.Domain, Address: b.Address,
 		PlanVersion: b.Plan.Version, Leaving: b.Stopping, Work: ownWork(b), Crashes: map[uint64]int{},
 	}
+	for _, number := range slices.Sorted(maps.Keys(b.Requests)) {
+		if request := b.Requests[number]; request.Queued {
+			news.Waiting = append(news.Waiting, input.Waiting{
+				Service: request.Service, Number: number, DueAt: request.DueAt(),
+			})
+		}
+	}
 	for fingerprint, known := range b.Crashes {
 		if count := known.Counts[b.Self]; count > 0 {
 			news.Crashes[fingerprint] = count
--- a/internal/flow/place/engine.go
+++ b/internal/flow/place/engine.go
@@ -23,14 +23,16 @@
 	partRead = 100.0
 	// bearableRead is the longest part that engines of the short lane read.
 	bearableRead = 150.0
-	// lateShare is the part of its objective that a long prompt may take with the
-	// long lane alone.
-	lateShare = 0.7
+	// releaseUnread is how much an engine may still have to read, in milliseconds,
+	// when the next part is sent to it.
+	releaseUnread = 100.0
 	// maxHelpers is the most endpoints that may help to read a prompt.
 	maxHelpers = 16
 	// shortsPerEngine is how many short requests an engine of the short lane takes
 	// on before the lane grows.
 	shortsPerEngine = 9
+	// shortSpan is how long a short request takes on an engine that is not held up.
+	shortSpan = 1600 * clock.Millis(1)
 	// spareShorts is room in the short lane for requests to come.
 	spareShorts = 4
 	// leastShortLane and leastLongLane are the smallest sizes of the lanes.
@@ -77,7 +79,7 @@
 		found.urgency = urgencyShort
 		return found
 	}
-	found := gather(b, engine, short, long, prompt, need, request.Route.Objective)
+	found := gather(b, engine, short, long, request, need)
 	found.urgency = urgencyLong
 	return found
 }
@@ -91,10 +93,10 @@
 	var candidates []*candidate
 	for _, endpoint := range usable(b, request) {
 		found := &candidate{
-			endpoint: endpoint, load: cost.LoadOf(engine, endpoint), order: xxhash.Sum64String(string(endpoint.Name)),
+			endpoint: endpoint, load: cost.LoadOf(engine, endpoint, b.Now), order: xxhash.Sum64String(string(endpoint.Name)),
 		}
 		for _, work := range endpoint.Work {
-			if !work.Helping && !isLong(engine, work) {
+			if !work.Helping && !isLong(engine, work) && b.Now-work.Since < shortSpan {
 				found.shorts++
 			}
 		}
@@ -104,8 +106,8 @@
 	return candidates
 }
 
-// lanes divides the engines between short and long prompts by the short ones in
-// flight.
+// lanes divides the engines between short and long prompts by the short ones that
+// came lately: those that are held up must not make their lane larger.
 func lanes(candidates []*candidate) (short, long []*candidate) {
 	shorts := 0
 	for _, found := range candidates {
@@ -143,14 +145,15 @@
 }
 
 // gather finds the engines that read a long prompt together and the one among
-// them that writes its answer.
+// them that writes its answer. The prompt waits while others have an earlier turn
+// or the engines have much to read: parts that pile up make one long pass.
 func gather(
-	b *board.Board, engine *plan.Engine, short, long []*candidate, prompt, need int, objective clock.Millis,
+	b *board.Board, engine *plan.Engine, short, long []*candidate, request *board.Request, need int,
 ) choice {
-	read := cost.ReadMillis(engine, prompt, 1)
-	parts := min(max(int(math.Ceil(read/partRead)), 1), maxHelpers+1)
+	prompt := request.Request.PromptTokens
+	parts := min(max(int(math.Ceil(cost.ReadMillis(engine, prompt, 1)/partRead)), 1), maxHelpers+1)
 	members := slices.Clone(long)
-	if len(members) < parts && mayBorrow(engine, long, len(short), prompt, objective) {
+	if len(members) < parts && mayBorrow(b, engine, long, len(short), request) {
 		rest := slices.Clone(short)
 		slices.SortStableFunc(rest, func(a, b *candidate) int { return cmp.Compare(a.load.Writers, b.load.Writers) })
 		members = append(members, rest[:min(parts-len(members), len(rest))]...)
@@ -162,18 +165,36 @@
 	lead := leadOf(engine, members, need)
 	slices.SortStableFunc(members, func(a, b *candidate) int { return cmp.Compare(a.price, b.price) })
 	result := choice{lead: lead.endpoint, first: clock.Millis(lead.price)}
+	unread := lead.load.UnreadMillis
 	for _, found := range members {
 		if found != lead && len(result.helpers) < parts-1 {
 			result.helpers = append(result.helpers, found.endpoint)
 			result.first = max(result.first, clock.Millis(found.price))
+			unread = max(unread, found.load.UnreadMillis)
+		}
+	}
+	if unread > releaseUnread || !mayGo(b, request) {
+		if unread > releaseUnread {
+			request.RoomAt = 0
 		}
+		return choice{}
 	}
 	return result
 }
 
+// mayGo reports whether it is the prompt's turn, or it has waited for its turn
+// too long while there was room.
+func mayGo(b *board.Board, request *board.Request) bool {
+	if request.RoomAt == 0 {
+		request.RoomAt = b.Now
+	}
+	return isFirst(b, request) || b.Now-request.RoomAt > TurnSpan
+}
+
 // mayBorrow reports whether engines of the short lane should read parts too:
 // their pauses bear the part, or the long lane alone is too slow.
-func mayBorrow(engine *plan.Engine, long []*candidate, shorts, prompt int, objective clock.Millis) bool {
+func mayBorrow(b *board.Board, engine *plan.Engine, long []*candidate, shorts int, request *board.Request) bool {
+	prompt := request.Request.PromptTokens
 	if cost.ReadMillis(engine, prompt, min(len(long)+shorts, maxHelpers+1)) <= bearableRead {
 		return true
 	}
@@ -181,7 +202,7 @@
 	for _, found := range long {
 		slowest = max(slowest, cost.FirstMillis(engine, found.load, prompt, len(long)))
 	}
-	return slowest > lateShare*float64(objective)
+	return b.Now+clock.Millis(slowest) > request.DueAt()
 }
 
 // leadOf takes the engine that has the memory for the prompt and writes soonest.
--- a/internal/flow/place/place.go
+++ b/internal/flow/place/place.go
@@ -3,7 +3,6 @@
 package place
 
 import (
-	"maps"
 	"net/http"
 	"slices"
 
@@ -50,9 +49,8 @@
 	case input.StopAsked:
 		b.Stopping = true
 		b.WorkChanged = true
-	case input.Ticked:
-		retryWaiting(b)
 	}
+	retryWaiting(b)
 }
 
 func admit(b *board.Board, asked job.Request) {
@@ -125,6 +123,9 @@
 		send(b, request, found)
 	case found.retryAfter > 0:
 		refuse(b, request, found.reason, found.retryAfter)
+	case !request.Queued:
+		request.Queued = true
+		b.WorkChanged = true
 	}
 }
 
@@ -142,9 +143,10 @@
 	request.SentAt = b.Now
 	request.PredictedFirst = found.first
 	request.Helpers = nil
+	request.Queued = false
 	work := pool.Work{
 		PromptTokens: request.Request.PromptTokens, OutputTokens: outputTokens(request.Request),
-		Parts: 1 + len(found.helpers), Since: b.Now,
+		Parts: 1 + len(found.helpers), Since: b.Now, ReadAt: b.Now + found.first,
 	}
 	id := b.Own(request.Request.Number)
 	found.lead.Work[id] = work
@@ -177,7 +179,6 @@
 		id := b.Own(number)
 		if work, found := lead.Work[id]; found {
 			work.Writing = true
-			work.Since = b.Now
 			lead.Work[id] = work
 		}
 		lead.Succeeded()
@@ -333,15 +334,15 @@
 	b.Emit(output.Reply{Reply: reply})
 }
 
-// retryWaiting places requests that wait, the most urgent first.
+// retryWaiting places requests that wait, in the order of their turns.
 func retryWaiting(b *board.Board) {
 	var waiting []*board.Request
-	for _, number := range slices.Sorted(maps.Keys(b.Requests)) {
-		if request := b.Requests[number]; request.Endpoint == "" {
+	for _, request := range b.Requests {
+		if request.Endpoint == "" {
 			waiting = append(waiting, request)
 		}
 	}
-	slices.SortStableFunc(waiting, func(a, b *board.Request) int { return a.Rank - b.Rank })
+	slices.SortFunc(waiting, func(a, c *board.Request) int { return compareTurns(turnOf(b, a), turnOf(b, c)) })
 	for _, request := range waiting {
 		place(b, request)
 	}
--- a/internal/flow/pool/pool.go
+++ b/internal/flow/pool/pool.go
@@ -70,7 +70,10 @@
 		Helping bool
 		// Writing says that the answer has begun.
 		Writing bool
-		Since   clock.Millis
+		// Since is when the work was sent, ReadAt when its part of the prompt is
+		// expected to be read.
+		Since  clock.Millis
+		ReadAt clock.Millis
 	}
 
 	// Pool is all endpoints by name.
--- a/internal/flow/share/share.go
+++ b/internal/flow/share/share.go
@@ -40,12 +40,18 @@
 				Helping:      work.Helping,
 				Writing:      work.Writing,
 				AgeMillis:    uint32(max(now-work.Since, 0)),
+				ReadInMillis: int32(work.ReadAt - now),
 			})
 		}
 	}
 	slices.SortFunc(message.Work, func(a, b *newspb.Work) int {
 		return cmp.Or(cmp.Compare(a.Number, b.Number), cmp.Compare(a.Endpoint, b.Endpoint))
 	})
+	for _, waiting := range news.Waiting {
+		message.Waiting = append(message.Waiting, &newspb.Waiting{
+			Service: string(waiting.Service), Number: waiting.Number, DueInMillis: int32(waiting.DueAt - now),
+		})
+	}
 	for fingerprint, count := range news.Crashes {
 		message.Crashes = append(message.Crashes, &newspb.Crash{Fingerprint: fingerprint, Count: uint32(count)})
 	}
@@ -87,8 +93,14 @@
 			Helping:      told.Helping,
 			Writing:      told.Writing,
 			Since:        now - clock.Millis(told.AgeMillis),
+			ReadAt:       now + clock.Millis(told.ReadInMillis),
 		}
 	}
+	for _, told := range message.Waiting {
+		news.Waiting = append(news.Waiting, input.Waiting{
+			Service: ident.Service(told.Service), Number: told.Number, DueAt: now + clock.Millis(told.DueInMillis),
+		})
+	}
 	for _, crash := range message.Crashes {
 		news.Crashes[crash.Fingerprint] = int(crash.Count)
 	}
