--- a/internal/flow/place/engine.go
+++ b/internal/flow/place/engine.go
@@ -37,7 +37,7 @@
 	spareShorts = 4
 	// leastShortLane and leastLongLane are the smallest sizes of the lanes.
 	leastShortLane = 2
-	leastLongLane  = 2
+	leastLongLane  = 3
 	// fullPenalty puts engines without room behind all that have some.
 	fullPenalty = 1e5
 	// foreignPenalty is what a short prompt's place in the long lane costs, in
@@ -153,7 +153,9 @@
 	prompt := request.Request.PromptTokens
 	parts := min(max(int(math.Ceil(cost.ReadMillis(engine, prompt, 1)/partRead)), 1), maxHelpers+1)
 	members := slices.Clone(long)
-	if len(members) < parts && mayBorrow(b, engine, long, len(short), request) {
+	// Engines of the short lane help while their pauses bear the part.
+	all := min(len(long)+len(short), maxHelpers+1)
+	if len(members) < parts && cost.ReadMillis(engine, prompt, all) <= bearableRead {
 		rest := slices.Clone(short)
 		slices.SortStableFunc(rest, func(a, b *candidate) int { return cmp.Compare(a.load.Writers, b.load.Writers) })
 		members = append(members, rest[:min(parts-len(members), len(rest))]...)
@@ -191,20 +193,6 @@
 	return isFirst(b, request) || b.Now-request.RoomAt > TurnSpan
 }
 
-// mayBorrow reports whether engines of the short lane should read parts too:
-// their pauses bear the part, or the long lane alone is too slow.
-func mayBorrow(b *board.Board, engine *plan.Engine, long []*candidate, shorts int, request *board.Request) bool {
-	prompt := request.Request.PromptTokens
-	if cost.ReadMillis(engine, prompt, min(len(long)+shorts, maxHelpers+1)) <= bearableRead {
-		return true
-	}
-	slowest := 0.0
-	for _, found := range long {
-		slowest = max(slowest, cost.FirstMillis(engine, found.load, prompt, len(long)))
-	}
-	return b.Now+clock.Millis(slowest) > request.DueAt()
-}
-
 // leadOf takes the engine that has the memory for the prompt and writes soonest.
 func leadOf(engine *plan.Engine, members []*candidate, need int) *candidate {
 	price := func(found *candidate) float64 {
