A failed endpoint condemns its failure domain when the entries there are silent

Ruled out: health questions to each endpoint (dear, and they say nothing of the path between engines). Change: silence of all entries of a domain and one failure there take the whole domain out of use for a pause that doubles until an endpoint there answers.

--- a/internal/flow/board/board.go
+++ b/internal/flow/board/board.go
@@ -161,3 +161,19 @@
 	b.Settings = started.Settings
 	b.Random = rand.New(rand.NewPCG(started.Seed, stream))
 }
+
+// IsSilent reports whether entries of the failure domain are known and none of
+// them was heard for the span.
+func (b *Board) IsSilent(domain ident.Domain, span clock.Millis) bool {
+	isKnown := false
+	for _, peer := range b.Peers {
+		if peer.News.Domain != domain || peer.News.Leaving {
+			continue
+		}
+		isKnown = true
+		if b.Now-peer.LastHeard <= span {
+			return false
+		}
+	}
+	return isKnown
+}
--- a/internal/flow/place/choose.go
+++ b/internal/flow/place/choose.go
@@ -47,7 +47,7 @@
 	var fresh, tried []*pool.Endpoint
 	for _, endpoint := range b.Pool.Of(request.Service) {
 		switch {
-		case !endpoint.IsUsable(b.Now):
+		case !endpoint.IsUsable(b.Now), b.Pool.IsCut(endpoint.Domain, b.Now):
 		case slices.Contains(request.Tried, endpoint.Name):
 			tried = append(tried, endpoint)
 		default:
--- a/internal/flow/place/place.go
+++ b/internal/flow/place/place.go
@@ -24,6 +24,9 @@
 	MaxRefusals = 3
 	// MinLeft is the least time left that is worth a send.
 	MinLeft = 20 * clock.Millis(1)
+	// SilentDomain is how long all entries of a failure domain must be silent for a
+	// failed endpoint there to condemn the domain; they speak twice a second.
+	SilentDomain = 1100 * clock.Millis(1)
 	// CrashWait is when a request that crashes endpoints may come again.
 	CrashWait = 60 * clock.Second
 )
@@ -182,6 +185,7 @@
 			lead.Work[id] = work
 		}
 		lead.Succeeded()
+		b.Pool.Reached(lead.Domain)
 	}
 	b.WorkChanged = true
 }
@@ -251,24 +255,32 @@
 		return
 	}
 	switch {
-	case result.Closing:
-		// An announced end is final only when the list agrees; some answers close
-		// their connection for other reasons.
-	case result.Moved:
+	case result.Moved, result.Unreached, result.Blamed != "":
 		endpoint.Unreachable(b.Now)
-	case result.Unreached:
-		endpoint.Unreachable(b.Now)
-	}
-	switch result.End {
-	case job.EndBroken, job.EndTimeout:
+		suspectDomain(b, endpoint)
+	case result.End == job.EndBroken, result.End == job.EndTimeout:
 		endpoint.Failed(b.Now)
-	case job.EndWhole:
+		suspectDomain(b, endpoint)
+	case result.End == job.EndWhole:
+		b.Pool.Reached(endpoint.Domain)
 		if result.Status < http.StatusInternalServerError {
 			endpoint.Succeeded()
 		}
 	}
 }
 
+// suspectDomain takes a failed endpoint of another failure domain for a sign that
+// the domain can't be reached when its entries are silent too.
+func suspectDomain(b *board.Board, endpoint *pool.Endpoint) {
+	if endpoint.Domain == b.Domain || !b.IsSilent(endpoint.Domain, SilentDomain) {
+		return
+	}
+	if !b.Pool.IsCut(endpoint.Domain, b.Now) {
+		b.Note("Failure domain can't be reached.", "failureDomain", endpoint.Domain, "endpoint", endpoint.Name)
+	}
+	b.Pool.Cut(endpoint.Domain, b.Now)
+}
+
 func answered(b *board.Board, request *board.Request, result job.Result) {
 	isFailure := result.Status >= http.StatusInternalServerError
 	if isFailure && !request.Delivered && again(b, request) {
--- a/internal/flow/pool/pool.go
+++ b/internal/flow/pool/pool.go
@@ -83,11 +83,42 @@
 		lost clock.Millis
 		// backAt is when reads of the list last began to succeed again.
 		backAt clock.Millis
+		// cut holds the failure domains that can't be reached.
+		cut map[ident.Domain]cutDomain
+	}
+
+	// cutDomain is a failure domain whose entries are silent and one of whose
+	// endpoints could not be reached.
+	cutDomain struct {
+		restUntil clock.Millis
+		rest      clock.Millis
 	}
 )
 
 // New returns an empty pool.
-func New() *Pool { return &Pool{endpoints: map[ident.Endpoint]*Endpoint{}} }
+func New() *Pool {
+	return &Pool{endpoints: map[ident.Endpoint]*Endpoint{}, cut: map[ident.Domain]cutDomain{}}
+}
+
+// Cut notes that the failure domain can't be reached. Its endpoints are out of
+// use for a pause that doubles until one of them answers.
+func (p *Pool) Cut(domain ident.Domain, now clock.Millis) {
+	known := p.cut[domain]
+	if now < known.restUntil {
+		return
+	}
+	known.rest = min(max(2*known.rest, FirstRest), LongestRest)
+	known.restUntil = now + known.rest
+	p.cut[domain] = known
+}
+
+// Reached notes that the failure domain can be reached.
+func (p *Pool) Reached(domain ident.Domain) { delete(p.cut, domain) }
+
+// IsCut reports whether the failure domain is out of use.
+func (p *Pool) IsCut(domain ident.Domain, now clock.Millis) bool {
+	return now < p.cut[domain].restUntil
+}
 
 // Find returns the endpoint of the name, or nil.
 func (p *Pool) Find(name ident.Endpoint) *Endpoint { return p.endpoints[name] }
