Waiting long prompts are lined up by Moore's algorithm; what is out of reach is refused

Ruled out: taking engines from the short lane (measured before). Change: the line keeps as many on time as the lane can serve and puts the longest behind; a prompt whose turn is out of reach is refused at once with the time to come back. A first short prompt is refused while all engines are full.

--- a/internal/flow/board/board.go
+++ b/internal/flow/board/board.go
@@ -21,6 +21,13 @@
 	// back; callers wait a third of it at most.
 	retryParts    = 4
 	minRetryAfter = 100 * clock.Millis(1)
+	// freshShare is the part of its route's time that a request has at least when it
+	// comes for the first time.
+	freshShare = 0.95
+	// Callers give a stream up after the longest of these silences.
+	leastPatience     = 2 * clock.Second
+	objectivePatience = 4
+	gapPatience       = 8
 )
 
 type (
@@ -134,8 +141,37 @@
 // IsReady reports whether the entry can serve callers.
 func (b *Board) IsReady() bool { return !b.Plan.IsZero() && b.ListRead && !b.Stopping }
 
-// DueAt is until when the first event of the request is on time.
-func (r *Request) DueAt() clock.Millis { return r.CameAt + r.Route.Objective }
+// HasComeBack reports whether the caller was refused before: it has less time
+// than its route gives.
+func (r *Request) HasComeBack() bool {
+	return float64(r.EndsAt-r.CameAt) < freshShare*float64(r.Route.Timeout)
+}
+
+// DueAt is until when the first event of the request is on time. The time of one
+// that came back began with the caller's first attempt.
+func (r *Request) DueAt() clock.Millis {
+	if r.HasComeBack() {
+		return r.EndsAt - r.Route.Timeout + r.Route.Objective
+	}
+	return r.CameAt + r.Route.Objective
+}
+
+// UntilAt is until when the caller waits for a first event.
+func (r *Request) UntilAt() clock.Millis {
+	patience := max(leastPatience, objectivePatience*r.Route.Objective)
+	if stream, is := r.Route.Repeat.(plan.Stream); is {
+		patience = max(patience, gapPatience*stream.GapObjective)
+	}
+	return min(r.CameAt+patience, r.EndsAt)
+}
+
+// Waiting returns what other entries are told of a prompt that waits.
+func (r *Request) Waiting() input.Waiting {
+	return input.Waiting{
+		Service: r.Service, Number: r.Request.Number, PromptTokens: r.Request.PromptTokens,
+		DueAt: r.DueAt(), UntilAt: r.UntilAt(),
+	}
+}
 
 // Own returns the name of a request's work at endpoints.
 func (b *Board) Own(number uint64) pool.WorkID { return pool.WorkID{Entry: b.Self, Number: number} }
--- a/internal/flow/input/input.go
+++ b/internal/flow/input/input.go
@@ -108,8 +108,12 @@
 	Waiting struct {
 		Service ident.Service
 		Number  uint64
-		// DueAt is until when its first event is on time.
-		DueAt clock.Millis
+		// PromptTokens is the size of the prompt.
+		PromptTokens int
+		// DueAt is until when its first event is on time, UntilAt until when its
+		// caller waits for one.
+		DueAt   clock.Millis
+		UntilAt clock.Millis
 	}
 )
 
--- a/internal/flow/peers/peers.go
+++ b/internal/flow/peers/peers.go
@@ -175,9 +175,7 @@
 	}
 	for _, number := range slices.Sorted(maps.Keys(b.Requests)) {
 		if request := b.Requests[number]; request.Queued {
-			news.Waiting = append(news.Waiting, input.Waiting{
-				Service: request.Service, Number: number, DueAt: request.DueAt(),
-			})
+			news.Waiting = append(news.Waiting, request.Waiting())
 		}
 	}
 	for fingerprint, known := range b.Crashes {
--- a/internal/flow/place/choose.go
+++ b/internal/flow/place/choose.go
@@ -32,6 +32,7 @@
 		helpers    []*pool.Endpoint
 		urgency    int
 		first      clock.Millis
+		isFull     bool
 		reason     job.Reason
 		retryAfter clock.Millis
 	}
--- a/internal/flow/place/engine.go
+++ b/internal/flow/place/engine.go
@@ -77,6 +77,9 @@
 	if cost.ReadMillis(engine, prompt, 1) <= longRead {
 		found := cheapest(b, engine, short, long, prompt, need)
 		found.urgency = urgencyShort
+		if found.isFull && !request.HasComeBack() {
+			return choice{reason: job.ReasonOverload, retryAfter: b.RetryAfter(request)}
+		}
 		return found
 	}
 	found := gather(b, engine, short, long, request, need)
@@ -126,13 +129,14 @@
 	consider := func(found *candidate, penalty float64) {
 		first := cost.FirstMillis(engine, found.load, prompt, 1)
 		price := first + cost.StrideMillis(engine, found.load) + penalty
-		if found.load.MemoryTokens+need > engine.MemoryTokens || found.endpoint.Leads() >= engine.Slots {
+		isFull := found.load.MemoryTokens+need > engine.MemoryTokens || found.endpoint.Leads() >= engine.Slots
+		if isFull {
 			price += fullPenalty
 		}
 		price *= 1 + jitter*b.Random.Float64()
 		if price < least {
 			least = price
-			best = choice{lead: found.endpoint, first: clock.Millis(first)}
+			best = choice{lead: found.endpoint, first: clock.Millis(first), isFull: isFull}
 		}
 	}
 	for _, found := range own {
@@ -175,10 +179,14 @@
 			unread = max(unread, found.load.UnreadMillis)
 		}
 	}
-	if unread > releaseUnread || !mayGo(b, request) {
-		if unread > releaseUnread {
-			request.RoomAt = 0
-		}
+	own := queueOf(b, engine, request, len(members)).placeOf(b, request)
+	switch {
+	case own.startAt > b.Now+(request.UntilAt()-b.Now)/2:
+		return choice{reason: job.ReasonOverload, retryAfter: b.RetryAfter(request)}
+	case unread > releaseUnread:
+		request.RoomAt = 0
+		return choice{}
+	case !mayGo(b, request, own):
 		return choice{}
 	}
 	return result
@@ -186,11 +194,11 @@
 
 // mayGo reports whether it is the prompt's turn, or it has waited for its turn
 // too long while there was room.
-func mayGo(b *board.Board, request *board.Request) bool {
+func mayGo(b *board.Board, request *board.Request, own place) bool {
 	if request.RoomAt == 0 {
 		request.RoomAt = b.Now
 	}
-	return isFirst(b, request) || b.Now-request.RoomAt > TurnSpan
+	return own.isFirst || own.isOnTime && b.Now-request.RoomAt > TurnSpan
 }
 
 // leadOf takes the engine that has the memory for the prompt and writes soonest.
--- a/internal/flow/place/place.go
+++ b/internal/flow/place/place.go
@@ -3,6 +3,7 @@
 package place
 
 import (
+	"cmp"
 	"net/http"
 	"slices"
 
@@ -70,7 +71,7 @@
 	request := &board.Request{Placed: placed, CameAt: b.Now, EndsAt: b.Now + span}
 	b.Requests[asked.Number] = request
 	b.Budget.Count(placed.Service, limits(b), b.Now)
-	place(b, request)
+	decide(b, request)
 }
 
 func limits(b *board.Board) budget.Limits {
@@ -104,8 +105,8 @@
 	return placed, nil
 }
 
-// place sends the request, or lets it wait or refuses it.
-func place(b *board.Board, request *board.Request) {
+// decide sends the request, or lets it wait or refuses it.
+func decide(b *board.Board, request *board.Request) {
 	if b.EndsSoon(request, MinLeft) {
 		timeout(b, request)
 		return
@@ -297,7 +298,7 @@
 	if !mayRun || b.EndsSoon(request, MinLeft) || !b.Budget.Spend(request.Service, limits(b), b.Now) {
 		return false
 	}
-	place(b, request)
+	decide(b, request)
 	return true
 }
 
@@ -305,7 +306,7 @@
 	isOver := request.Refusals >= MaxRefusals || b.EndsSoon(request, MinLeft)
 	// What ran before and broke can't be refused as not run.
 	if !isOver && b.Budget.Spend(request.Service, limits(b), b.Now) {
-		place(b, request)
+		decide(b, request)
 		return
 	}
 	refuse(b, request, job.ReasonOverload, b.RetryAfter(request))
@@ -346,7 +347,7 @@
 	b.Emit(output.Reply{Reply: reply})
 }
 
-// retryWaiting places requests that wait, in the order of their turns.
+// retryWaiting decides anew on requests that wait.
 func retryWaiting(b *board.Board) {
 	var waiting []*board.Request
 	for _, request := range b.Requests {
@@ -354,8 +355,8 @@
 			waiting = append(waiting, request)
 		}
 	}
-	slices.SortFunc(waiting, func(a, c *board.Request) int { return compareTurns(turnOf(b, a), turnOf(b, c)) })
+	slices.SortFunc(waiting, func(a, b *board.Request) int { return cmp.Compare(a.Request.Number, b.Request.Number) })
 	for _, request := range waiting {
-		place(b, request)
+		decide(b, request)
 	}
 }
--- a/internal/flow/share/share.go
+++ b/internal/flow/share/share.go
@@ -49,7 +49,11 @@
 	})
 	for _, waiting := range news.Waiting {
 		message.Waiting = append(message.Waiting, &newspb.Waiting{
-			Service: string(waiting.Service), Number: waiting.Number, DueInMillis: int32(waiting.DueAt - now),
+			Service:       string(waiting.Service),
+			Number:        waiting.Number,
+			PromptTokens:  uint32(waiting.PromptTokens),
+			DueInMillis:   int32(waiting.DueAt - now),
+			UntilInMillis: int32(waiting.UntilAt - now),
 		})
 	}
 	for fingerprint, count := range news.Crashes {
@@ -98,7 +102,11 @@
 	}
 	for _, told := range message.Waiting {
 		news.Waiting = append(news.Waiting, input.Waiting{
-			Service: ident.Service(told.Service), Number: told.Number, DueAt: now + clock.Millis(told.DueInMillis),
+			Service:      ident.Service(told.Service),
+			Number:       told.Number,
+			PromptTokens: int(told.PromptTokens),
+			DueAt:        now + clock.Millis(told.DueInMillis),
+			UntilAt:      now + clock.Millis(told.UntilInMillis),
 		})
 	}
 	for _, crash := range message.Crashes {
