Log lines are bounded and never block

Cause: the relay wrote each line to standard output itself; a reader that stops would have stopped requests, and a surge is not bounded. Ruled out: a level filter alone (decisions must be there when they are needed).

--- a/cmd/mustardhook/relay.go
+++ b/cmd/mustardhook/relay.go
@@ -24,7 +24,9 @@
 			if err != nil {
 				return err
 			}
-			logger := logs.New(cmd.OutOrStdout(), settings.LogLevel)
+			lines := logs.NewBounded(cmd.OutOrStdout())
+			defer func() { _ = lines.Close() }()
+			logger := logs.New(lines, settings.LogLevel)
 			store := platform.NewStore(settings.Publisher, proxy.NewClient())
 			relay := mustardhook.NewRelay(settings, platform.Dialect{}, store, mustardhook.WithRelayLogger(logger))
 			return relay.Run(cmd.Context())
