--- a/internal/flow/board/board.go
+++ b/internal/flow/board/board.go
@@ -66,6 +66,8 @@
 		Members int
 		Budget  *budget.Budget
 		Crashes map[uint64]*Crash
+		// Leases counts the leases that this life has asked for.
+		Leases int
 		// WorkChanged says that own work changed since it was last told.
 		WorkChanged bool
 		Stopping    bool
@@ -89,10 +91,14 @@
 		Refusals int
 		// PredictedFirst is when the first event was expected as it was sent.
 		PredictedFirst clock.Millis
+		// Usable is how many endpoints could get the request when it was last decided on.
+		Usable int
 		// Queued says that the request is a long prompt that waits for engines, and
 		// RoomAt since when this entry has seen room for it.
-		Queued    bool
-		RoomAt    clock.Millis
+		Queued bool
+		RoomAt clock.Millis
+		// NotBefore is when the request is tried again.
+		NotBefore clock.Millis
 		Begun     bool
 		Delivered bool
 	}
--- a/internal/flow/cost/cost.go
+++ b/internal/flow/cost/cost.go
@@ -31,6 +31,9 @@
 		UnreadMillis float64
 		// UnreadTokens is how many tokens of prompts wait to be read.
 		UnreadTokens int
+		// Bearable is how long a part may be that is read here without making the
+		// events of the writers late.
+		Bearable float64
 		// MemoryTokens is the memory that is taken up at the end of all work.
 		MemoryTokens int
 	}
@@ -38,20 +41,22 @@
 
 // LoadOf sums up the work at an endpoint.
 func LoadOf(engine *plan.Engine, endpoint *pool.Endpoint, now clock.Millis) Load {
-	var load Load
+	load := Load{Bearable: math.Inf(1)}
 	for _, work := range endpoint.Work {
-		if !work.Helping {
-			load.MemoryTokens += work.PromptTokens + work.OutputTokens
-		}
+		load.MemoryTokens += work.MemoryTokens
 		if work.Writing {
 			load.Writers++
-			load.ContextTokens += work.PromptTokens + work.OutputTokens/2
+			load.ContextTokens += work.MemoryTokens
+			if work.Gap > 0 {
+				load.Bearable = min(load.Bearable, float64(work.Gap))
+			}
 			continue
 		}
 		load.Readers++
 		load.UnreadTokens += work.PromptTokens / max(work.Parts, 1)
 		load.UnreadMillis += unread(engine, work, now)
 	}
+	load.Bearable -= StrideMillis(engine, load)
 	return load
 }
 
--- a/internal/flow/job/job.go
+++ b/internal/flow/job/job.go
@@ -82,19 +82,43 @@
 		Helpers []Helper
 		// Predicted is the expected time to the first event.
 		Predicted clock.Millis
+		Basis     Basis
 		// FirstWithin and NextWithin bound the silence before the first event of a
 		// stream and between two events; a longer one means a dead endpoint.
 		FirstWithin clock.Millis
 		NextWithin  clock.Millis
 	}
 
+	// Basis is what a decision on a request rested on; it is logged.
+	Basis struct {
+		Route       string
+		PlanVersion plan.Version
+		// Usable counts the endpoints that could get the request, Entries the other
+		// entries whose work is known.
+		Usable  int
+		Entries int
+		// ListAge is for how long the list of endpoints could not be read.
+		ListAge clock.Millis
+	}
+
 	// Helper is an endpoint that reads a part of a prompt and, with a lease, keeps
 	// a part of its memory.
 	Helper struct {
 		Endpoint ident.Endpoint
 		Address  string
-		// Lease names memory that was reserved there; empty for none.
+		// Lease names memory that is reserved there; empty for none.
+		Lease string
+		// LeaseTokens is how much memory is reserved.
+		LeaseTokens int
+	}
+
+	// Order asks an endpoint to reserve memory, or to release it.
+	Order struct {
 		Lease string
+		// Tokens is how much to reserve; zero releases the lease.
+		Tokens int
+		// Span is how long the lease holds unless it is renewed.
+		Span clock.Millis
 	}
 
 	// Reply ends a request without an endpoint's answer.
@@ -104,6 +128,7 @@
 		Status int
 		// RetryAfter is when it is worth asking again; zero for no hint.
 		RetryAfter clock.Millis
+		Basis      Basis
 	}
 
 	// Result says how a send ended.
@@ -121,6 +146,8 @@
 		Refused bool
 		Moved   bool
 		Closing bool
+		// Unreserved says that an endpoint had no memory for a lease.
+		Unreserved bool
 		// Unreached says that no connection could be opened.
 		Unreached bool
 		Err       error
--- /dev/null
+++ b/internal/flow/parts/load_test.go
@@ -0,0 +1,162 @@
+package parts
+
+import (
+	"net/http"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"mustardhook/internal/core/clock"
+	"mustardhook/internal/core/ident"
+	"mustardhook/internal/flow/input"
+	"mustardhook/internal/flow/job"
+	"mustardhook/internal/flow/output"
+	"mustardhook/internal/flow/pool"
+)
+
+func workOf(entry ident.Entry, endpoint ident.Endpoint, count int) map[ident.Endpoint]map[pool.WorkID]pool.Work {
+	works := map[pool.WorkID]pool.Work{}
+	for i := range count {
+		works[pool.WorkID{Entry: entry, Number: uint64(i)}] = pool.Work{PromptTokens: 5000, MemoryTokens: 6600, Parts: 1}
+	}
+	return map[ident.Endpoint]map[pool.WorkID]pool.Work{endpoint: works}
+}
+
+// Answers a surge of long prompts beside short ones: a long prompt is read in
+// parts, and the engines that write short answers read none of a long one whole.
+func TestLongPromptIsReadInParts(t *testing.T) {
+	w := newWorld(t).serve(16)
+	_, got := w.ask("/long/1", 154000, 15000)
+	send := requireSend(t, got)
+	require.GreaterOrEqual(t, len(send.Helpers), 8)
+	require.Empty(t, send.Helpers[0].Lease)
+}
+
+// Answers a surge of short prompts: they share a lane, apart from the engines that
+// read long prompts.
+func TestShortPromptsStayInTheirLane(t *testing.T) {
+	w := newWorld(t).serve(16)
+	_, got := w.ask("/long/1", 154000, 15000)
+	long := requireSend(t, got)
+	reads := map[ident.Endpoint]bool{long.Endpoint: true}
+	for _, helper := range long.Helpers {
+		reads[helper.Endpoint] = true
+	}
+	used := map[ident.Endpoint]bool{}
+	for range 10 {
+		_, got := w.ask("/short/1", 5000, 10000)
+		send := requireSend(t, got)
+		used[send.Endpoint] = true
+		require.False(t, reads[send.Endpoint], "short prompt among parts of a long one")
+	}
+	require.LessOrEqual(t, len(used), 3)
+}
+
+// Answers two entries that send at once: the prompt that is due first goes first.
+func TestPromptWaitsForAnEarlierTurnElsewhere(t *testing.T) {
+	w := newWorld(t).serve(16)
+	earlier := input.Waiting{
+		Service: engines, Number: 1, PromptTokens: 100000, DueAt: w.board.Now + 500, UntilAt: w.board.Now + 9000,
+	}
+	w.hear("entry-2", "south", func(n *input.News) { n.Waiting = []input.Waiting{earlier} })
+	number, got := w.ask("/long/1", 154000, 15000)
+	require.Nil(t, got)
+	w.outputs = nil
+	w.hear("entry-2", "south", nil)
+	requireSend(t, w.of(number, w.outputs))
+}
+
+// Answers news that is lost: a prompt with room does not wait for ever.
+func TestPromptDoesNotWaitForASilentEntry(t *testing.T) {
+	w := newWorld(t).serve(16)
+	earlier := input.Waiting{Service: engines, Number: 1, PromptTokens: 100000, DueAt: w.board.Now + 500, UntilAt: w.board.Now + 9000}
+	w.hear("entry-2", "south", func(n *input.News) { n.Waiting = []input.Waiting{earlier} })
+	number, got := w.ask("/long/1", 154000, 15000)
+	require.Nil(t, got)
+	w.outputs = nil
+	w.pass(1000)
+	requireSend(t, w.of(number, w.outputs))
+}
+
+// Answers parts that pile up: a second long prompt waits until the engines have
+// little left to read of the first.
+func TestSecondLongPromptWaitsForTheFirst(t *testing.T) {
+	w := newWorld(t).serve(16)
+	first, got := w.ask("/long/1", 250000, 15000)
+	requireSend(t, got)
+	second, got := w.ask("/long/2", 250000, 15000)
+	require.Nil(t, got)
+	w.outputs = nil
+	w.step(input.EventCame{Number: first})
+	w.pass(50)
+	requireSend(t, w.of(second, w.outputs))
+}
+
+// Answers sustained overload of long prompts: what can't be served in its caller's
+// time is refused at once, with a time to come back.
+func TestLongPromptOutOfReachIsRefusedAtOnce(t *testing.T) {
+	w := newWorld(t).serve(4)
+	var refused *job.Reply
+	for range 40 {
+		_, got := w.ask("/long/1", 250000, 15000)
+		if reply, is := got.(output.Reply); is {
+			refused = &reply.Reply
+		}
+	}
+	require.NotNil(t, refused)
+	require.Equal(t, http.StatusServiceUnavailable, refused.Status)
+	require.Positive(t, refused.RetryAfter)
+	require.LessOrEqual(t, refused.RetryAfter, clock.Millis(5000))
+}
+
+// Answers a surge of short prompts beyond all slots: the first to find no room is
+// refused at once, one that came back is let in behind the others.
+func TestShortPromptWithoutRoomIsRefusedOnce(t *testing.T) {
+	w := newWorld(t).serve(4)
+	w.hear("entry-2", "south", func(n *input.News) {
+		n.Work = map[ident.Endpoint]map[pool.WorkID]pool.Work{}
+		for _, name := range []ident.Endpoint{"engine-00", "engine-01", "engine-02", "engine-03"} {
+			n.Work[name] = workOf("entry-2", name, 16)[name]
+		}
+	})
+	_, got := w.ask("/short/1", 5000, 10000)
+	requireReply(t, got, job.ReasonOverload, http.StatusServiceUnavailable)
+	_, got = w.ask("/short/1", 5000, 6500)
+	requireSend(t, got)
+}
+
+// Answers prompts over one engine's memory: helpers keep a part of it under leases
+// that together with the first engine hold all of it.
+func TestGiantPromptDividesItsMemory(t *testing.T) {
+	w := newWorld(t).serve(16)
+	number, got := w.ask("/long/1", 540000, 15000)
+	send := requireSend(t, got)
+	leased := 0
+	for _, helper := range send.Helpers {
+		leased += helper.LeaseTokens
+		require.Equal(t, helper.LeaseTokens > 0, helper.Lease != "")
+		require.LessOrEqual(t, helper.LeaseTokens, engineOf().MemoryTokens)
+	}
+	require.LessOrEqual(t, 540000+1600-leased, engineOf().MemoryTokens)
+	w.step(input.EventCame{Number: number})
+	held := 0
+	for _, endpoint := range w.board.Pool.Of(engines) {
+		held += endpoint.MemoryTokens()
+	}
+	require.Equal(t, 540000+1600, held)
+	w.end(job.Result{Number: number, End: job.EndWhole, Status: 200, Delivered: true})
+	for _, endpoint := range w.board.Pool.Of(engines) {
+		require.Empty(t, endpoint.Work)
+	}
+}
+
+// Memory that was not free is asked for again after a pause.
+func TestGiantPromptAsksAgainForMemory(t *testing.T) {
+	w := newWorld(t).serve(16)
+	number, got := w.ask("/long/1", 540000, 15000)
+	requireSend(t, got)
+	require.Nil(t, w.end(job.Result{Number: number, End: job.EndNotRun, Unreserved: true}))
+	w.outputs = nil
+	w.pass(300)
+	requireSend(t, w.of(number, w.outputs))
+}
--- /dev/null
+++ b/internal/flow/parts/requests_test.go
@@ -0,0 +1,210 @@
+package parts
+
+import (
+	"net/http"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"mustardhook/internal/core/clock"
+	"mustardhook/internal/flow/input"
+	"mustardhook/internal/flow/job"
+	"mustardhook/internal/flow/output"
+	"mustardhook/internal/flow/pool"
+)
+
+func requireReply(t *testing.T, got output.Output, reason job.Reason, status int) job.Reply {
+	t.Helper()
+	reply, is := got.(output.Reply)
+	require.True(t, is, "got %T %+v", got, got)
+	require.Equal(t, reason, reply.Reply.Reason)
+	require.Equal(t, status, reply.Reply.Status)
+	return reply.Reply
+}
+
+func requireSend(t *testing.T, got output.Output) job.Send {
+	t.Helper()
+	send, is := got.(output.Send)
+	require.True(t, is, "got %T %+v", got, got)
+	return send.Send
+}
+
+func TestRefusalsBeforeAnyRoute(t *testing.T) {
+	w := newWorld(t)
+	_, got := w.ask("/book/1", 0, 1500)
+	requireReply(t, got, job.ReasonNoPlan, http.StatusServiceUnavailable)
+	w.serve(4)
+	_, got = w.ask("/nowhere/1", 0, 1500)
+	requireReply(t, got, job.ReasonNoRoute, http.StatusNotFound)
+	emitted := w.step(input.RequestCame{Request: job.Request{Number: 900, Host: host, Path: "/book/", Key: "stolen"}})
+	requireReply(t, w.of(900, emitted), job.ReasonBadKey, http.StatusUnauthorized)
+}
+
+// A booking whose answer is lost may have run: it is never sent again, and the
+// answer promises nothing.
+func TestLostBookingIsNotSentAgain(t *testing.T) {
+	w := newWorld(t).serve(4)
+	number, got := w.ask("/book/1", 0, 1500)
+	requireSend(t, got)
+	got = w.end(job.Result{Number: number, End: job.EndBroken})
+	requireReply(t, got, job.ReasonBroken, http.StatusBadGateway)
+}
+
+// A booking that an endpoint did not run goes to another endpoint, and when none
+// runs it the refusal says that it has not run.
+func TestBookingThatDidNotRunGoesElsewhere(t *testing.T) {
+	w := newWorld(t).serve(4)
+	number, got := w.ask("/book/1", 0, 1500)
+	first := requireSend(t, got)
+	second := requireSend(t, w.end(job.Result{Number: number, End: job.EndNotRun, Refused: true}))
+	require.NotEqual(t, first.Endpoint, second.Endpoint)
+	third := requireSend(t, w.end(job.Result{Number: number, End: job.EndNotRun, Unreached: true}))
+	require.NotContains(t, []any{first.Endpoint, second.Endpoint}, third.Endpoint)
+	reply := requireReply(t, w.end(job.Result{Number: number, End: job.EndNotRun}), job.ReasonOverload,
+		http.StatusServiceUnavailable)
+	require.Positive(t, reply.RetryAfter)
+}
+
+func TestFailedReadGoesElsewhereOnce(t *testing.T) {
+	w := newWorld(t).serve(4)
+	number, got := w.ask("/read/1", 0, 1500)
+	first := requireSend(t, got)
+	second := requireSend(t, w.end(job.Result{Number: number, End: job.EndWhole, Status: 500}))
+	require.NotEqual(t, first.Endpoint, second.Endpoint)
+	got = w.end(job.Result{Number: number, End: job.EndWhole, Status: 500})
+	require.IsType(t, output.Deliver{}, got)
+}
+
+func TestBrokenStreamResumesOnlyWhereItMay(t *testing.T) {
+	w := newWorld(t).serve(4)
+	number, got := w.ask("/short/1", 5000, 10000)
+	first := requireSend(t, got)
+	w.step(input.EventCame{Number: number})
+	second := requireSend(t, w.end(job.Result{Number: number, End: job.EndBroken, Delivered: true}))
+	require.NotEqual(t, first.Endpoint, second.Endpoint)
+	require.IsType(t, output.Abort{}, w.end(job.Result{Number: number, End: job.EndBroken, Delivered: true}))
+
+	number, got = w.ask("/fixed/1", 5000, 10000)
+	requireSend(t, got)
+	requireReply(t, w.end(job.Result{Number: number, End: job.EndBroken}), job.ReasonBroken, http.StatusBadGateway)
+}
+
+// After a run that broke, a refusal elsewhere can't be passed on as "not run".
+func TestRefusalAfterARunPromisesNothing(t *testing.T) {
+	w := newWorld(t).serve(2)
+	number, got := w.ask("/read/1", 0, 1500)
+	requireSend(t, got)
+	requireSend(t, w.end(job.Result{Number: number, End: job.EndBroken}))
+	got = w.end(job.Result{Number: number, End: job.EndNotRun})
+	for range 3 {
+		if _, is := got.(output.Send); is {
+			got = w.end(job.Result{Number: number, End: job.EndNotRun})
+		}
+	}
+	requireReply(t, got, job.ReasonOverload, http.StatusBadGateway)
+}
+
+func TestRetriesAreBounded(t *testing.T) {
+	w := newWorld(t).serve(4)
+	sends := 0
+	for range 300 {
+		number, got := w.ask("/read/1", 0, 1500)
+		for {
+			if _, is := got.(output.Send); !is {
+				break
+			}
+			sends++
+			got = w.end(job.Result{Number: number, End: job.EndBroken})
+		}
+	}
+	require.LessOrEqual(t, float64(sends-300), 0.2*300+200)
+}
+
+// A request that was running when two endpoints ended is not sent to a third.
+func TestCrashingRequestIsConvicted(t *testing.T) {
+	w := newWorld(t).serve(6)
+	ask := func() output.Output {
+		w.numbers++
+		asked := job.Request{
+			Number: w.numbers, Host: host, Path: "/short/1", Key: knownKey, PromptTokens: 5000, Deadline: 10000,
+			Fingerprint: 77,
+		}
+		return w.of(w.numbers, w.step(input.RequestCame{Request: asked}))
+	}
+	got := ask()
+	for range 2 {
+		send := requireSend(t, got)
+		got = w.end(job.Result{Number: send.Number, End: job.EndBroken})
+		w.step(input.EndpointGone{Name: send.Endpoint})
+		if _, isSent := got.(output.Send); !isSent {
+			got = ask()
+		}
+	}
+	requireReply(t, ask(), job.ReasonCrashes, http.StatusServiceUnavailable)
+}
+
+func TestPlanNeverGoesBack(t *testing.T) {
+	w := newWorld(t).serve(4)
+	w.step(input.PlanRead{Plan: planOf(9)})
+	w.step(input.PlanRead{Plan: planOf(7)})
+	require.EqualValues(t, 9, w.board.Plan.Version)
+}
+
+func TestNewerPlanOfAPeerIsFetched(t *testing.T) {
+	w := newWorld(t).serve(4)
+	w.hear("entry-2", "south", func(n *input.News) { n.PlanVersion = 6 })
+	emitted := w.step(input.Ticked{})
+	require.Contains(t, emitted, output.FetchPlan{Address: "10.9.0.1:9000"})
+}
+
+// While a failure domain is cut off, one failure there takes all of it out of use.
+func TestSilentDomainIsLeftOutAfterOneFailure(t *testing.T) {
+	w := newWorld(t).serve(6)
+	w.hear("entry-2", "south", nil)
+	w.pass(1500)
+	endpoint := w.board.Pool.Find("engine-01")
+	require.EqualValues(t, "south", endpoint.Domain)
+	failed := false
+	for range 40 {
+		number, got := w.ask("/short/1", 5000, 10000)
+		send := requireSend(t, got)
+		isSouth := w.board.Pool.Find(send.Endpoint).Domain == "south"
+		require.False(t, failed && isSouth, "sent to the cut domain")
+		if isSouth {
+			w.end(job.Result{Number: number, End: job.EndNotRun, Unreached: true})
+			failed = true
+		}
+	}
+	require.True(t, failed)
+}
+
+// A domain whose entries speak is not condemned by one failed endpoint.
+func TestSpeakingDomainIsNotCondemned(t *testing.T) {
+	w := newWorld(t).serve(6)
+	w.hear("entry-2", "south", nil)
+	number, got := w.ask("/short/1", 5000, 10000)
+	requireSend(t, got)
+	w.board.Requests[number].Endpoint = "engine-01"
+	w.end(job.Result{Number: number, End: job.EndNotRun, Unreached: true})
+	require.False(t, w.board.Pool.IsCut("south", w.board.Now))
+}
+
+func TestWorkOfSilentEntryIsForgotten(t *testing.T) {
+	w := newWorld(t).serve(4)
+	w.hear("entry-2", "south", func(n *input.News) {
+		n.Work = workOf("entry-2", "engine-00", 3)
+	})
+	require.Equal(t, 3, w.board.Pool.Find("engine-00").Leads())
+	w.pass(2500)
+	require.Zero(t, w.board.Pool.Find("engine-00").Leads())
+}
+
+func TestRequestEndsByItsRoutesTimeout(t *testing.T) {
+	w := newWorld(t).serve(0)
+	w.step(input.PlanRead{Plan: planOf(6)})
+	w.step(input.EndpointRead{Entry: pool.Listed{Name: "desk-0", Service: desk, Address: "10.2.0.0:80", Slots: 6}})
+	number, got := w.ask("/book/1", 0, 60000)
+	send := requireSend(t, got)
+	require.LessOrEqual(t, send.Left, clock.Millis(800))
+	requireReply(t, w.end(job.Result{Number: number, End: job.EndTimeout}), job.ReasonTimeout, http.StatusGatewayTimeout)
+}
--- a/internal/flow/peers/peers.go
+++ b/internal/flow/peers/peers.go
@@ -32,30 +32,41 @@
 	knownLimit = 6
 )
 
-type controller struct {
-	sequence uint64
-	toldAt   clock.Millis
-	seededAt clock.Millis
-	port     string
-}
+type (
+	// listener takes news before others decide on them.
+	listener struct{ *teller }
 
-// NewController returns the controller of other entries. Datagrams go to the
-// same port on every instance.
-func NewController(port string) board.Controller { return &controller{port: port} }
+	// teller tells of what others have decided.
+	teller struct {
+		sequence uint64
+		toldAt   clock.Millis
+		seededAt clock.Millis
+		port     string
+	}
+)
+
+// NewControllers returns the controllers that take and that tell news. Datagrams
+// go to the same port on every instance.
+func NewControllers(port string) (listens, tells board.Controller) {
+	tell := &teller{port: port}
+	return listener{tell}, tell
+}
 
 // Step handles one input.
-func (c *controller) Step(b *board.Board, happened input.Input) {
+func (l listener) Step(b *board.Board, happened input.Input) {
 	switch happened := happened.(type) {
 	case input.NewsCame:
-		c.take(b, happened)
+		l.take(b, happened)
 	case input.Ticked:
 		forget(b)
 		fetch(b)
 	}
-	c.tell(b)
 }
 
-func (c *controller) take(b *board.Board, came input.NewsCame) {
+// Step handles one input.
+func (c *teller) Step(b *board.Board, _ input.Input) { c.tell(b) }
+
+func (c *teller) take(b *board.Board, came input.NewsCame) {
 	news := came.News
 	if news.Entry == b.Self {
 		return
@@ -85,7 +96,7 @@
 }
 
 // meet tells an entry that was heard of and is not known.
-func (c *controller) meet(b *board.Board, address string) {
+func (c *teller) meet(b *board.Board, address string) {
 	if address == b.Address {
 		return
 	}
@@ -138,7 +149,7 @@
 	}
 }
 
-func (c *controller) tell(b *board.Board) {
+func (c *teller) tell(b *board.Board) {
 	since := b.Now - c.toldAt
 	if since < BatchSpan || !b.WorkChanged && since < RoundSpan {
 		return
@@ -159,7 +170,7 @@
 	b.WorkChanged = false
 }
 
-func (c *controller) newsAddress(address string) string {
+func (c *teller) newsAddress(address string) string {
 	host, _, err := net.SplitHostPort(address)
 	if err != nil {
 		return address
@@ -167,7 +178,7 @@
 	return net.JoinHostPort(host, c.port)
 }
 
-func (c *controller) news(b *board.Board) input.News {
+func (c *teller) news(b *board.Board) input.News {
 	c.sequence++
 	news := input.News{
 		Entry: b.Self, Life: b.Life, Sequence: c.sequence, Domain: b.Domain, Address: b.Address,
--- a/internal/flow/place/choose.go
+++ b/internal/flow/place/choose.go
@@ -28,8 +28,10 @@
 	// choice is where a request goes: no lead means that it waits, or with
 	// retryAfter that it is refused.
 	choice struct {
-		lead       *pool.Endpoint
-		helpers    []*pool.Endpoint
+		lead    *pool.Endpoint
+		helpers []*pool.Endpoint
+		// leases holds the memory that helpers keep, by endpoint.
+		leases     map[*pool.Endpoint]int
 		urgency    int
 		first      clock.Millis
 		isFull     bool
@@ -55,10 +57,11 @@
 			fresh = append(fresh, endpoint)
 		}
 	}
-	if len(fresh) > 0 {
-		return fresh
+	if len(fresh) == 0 {
+		fresh = tried
 	}
-	return tried
+	request.Usable = len(fresh)
+	return fresh
 }
 
 // chooseService takes the endpoint with the least work for its slots.
--- a/internal/flow/place/engine.go
+++ b/internal/flow/place/engine.go
@@ -43,6 +43,17 @@
 	// foreignPenalty is what a short prompt's place in the long lane costs, in
 	// milliseconds: its events would wait for parts of long prompts.
 	foreignPenalty = 200
+	// leastGiantLane is the fewest engines that read a prompt over one engine's
+	// memory together.
+	leastGiantLane = 3
+	// holdParts is the part of its objective that a giant prompt waits for spare
+	// engines.
+	holdParts = 8
+	// maxHolders is the most helpers that keep a part of a prompt's memory.
+	maxHolders = 4
+	// memoryMargin is the part of an engine's memory that is left for errors of the
+	// estimate.
+	memoryMargin = 0.03
 	// jitter keeps entries that decide at one instant from choosing alike.
 	jitter = 0.05
 
@@ -66,13 +77,13 @@
 func chooseEngine(b *board.Board, request *board.Request, engine *plan.Engine) choice {
 	prompt := request.Request.PromptTokens
 	need := prompt + outputTokens(request.Request)
-	if need > engine.MemoryTokens {
-		return choice{reason: job.ReasonTooLong, retryAfter: FullWait}
-	}
 	candidates := survey(b, request, engine)
 	if len(candidates) == 0 {
 		return choice{reason: job.ReasonNoEndpoint, retryAfter: FullWait}
 	}
+	if need > engine.MemoryTokens*min(len(candidates), maxHolders+1) {
+		return choice{reason: job.ReasonTooLong, retryAfter: FullWait}
+	}
 	short, long := lanes(candidates)
 	if cost.ReadMillis(engine, prompt, 1) <= longRead {
 		found := cheapest(b, engine, short, long, prompt, need)
@@ -164,6 +175,19 @@
 		slices.SortStableFunc(rest, func(a, b *candidate) int { return cmp.Compare(a.load.Writers, b.load.Writers) })
 		members = append(members, rest[:min(parts-len(members), len(rest))]...)
 	}
+	isGiant := need > wholeShare(engine)
+	spared := spare(engine, members, prompt, parts)
+	isSpared := isOnTime(b, engine, spared, request, parts)
+	if isSpared {
+		members = spared
+	}
+	line := queueOf(b, engine, request, len(members))
+	if isGiant && (!isSpared && !request.HasComeBack() || len(spared) < leastGiantLane || len(line) > 1) {
+		return holdBriefly(b, request)
+	}
+	if isGiant {
+		members = spared
+	}
 	parts = min(parts, len(members))
 	for _, found := range members {
 		found.price = cost.FirstMillis(engine, found.load, prompt, parts) * (1 + jitter*b.Random.Float64())
@@ -179,7 +203,7 @@
 			unread = max(unread, found.load.UnreadMillis)
 		}
 	}
-	own := queueOf(b, engine, request, len(members)).placeOf(b, request)
+	own := line.placeOf(b, request)
 	switch {
 	case own.startAt > b.Now+(request.UntilAt()-b.Now)/2:
 		return choice{reason: job.ReasonOverload, retryAfter: b.RetryAfter(request)}
@@ -189,9 +213,47 @@
 	case !mayGo(b, request, own):
 		return choice{}
 	}
+	if isGiant {
+		return divide(engine, members, result, need)
+	}
 	return result
 }
 
+// holdBriefly lets a giant prompt wait for a moment with spare engines, and then
+// refuses it: it takes as much reading as ten others.
+func holdBriefly(b *board.Board, request *board.Request) choice {
+	if b.Now-request.CameAt > request.Route.Objective/holdParts {
+		return choice{reason: job.ReasonOverload, retryAfter: b.RetryAfter(request)}
+	}
+	return choice{}
+}
+
+// spare leaves out engines whose writers would pause too long while they read an
+// equal part of the prompt.
+func spare(engine *plan.Engine, members []*candidate, prompt, parts int) []*candidate {
+	spared := slices.Clone(members)
+	for {
+		part := cost.ReadMillis(engine, prompt, min(parts, len(spared)))
+		before := len(spared)
+		spared = slices.DeleteFunc(spared, func(c *candidate) bool { return c.load.Bearable < part })
+		if len(spared) == before || len(spared) == 0 {
+			return spared
+		}
+	}
+}
+
+// isOnTime reports whether the engines read the prompt until it is due.
+func isOnTime(b *board.Board, engine *plan.Engine, members []*candidate, request *board.Request, parts int) bool {
+	parts = min(parts, len(members))
+	for _, found := range members {
+		first := cost.FirstMillis(engine, found.load, request.Request.PromptTokens, parts)
+		if b.Now+clock.Millis(first) > request.DueAt() {
+			return false
+		}
+	}
+	return len(members) > 0
+}
+
 // mayGo reports whether it is the prompt's turn, or it has waited for its turn
 // too long while there was room.
 func mayGo(b *board.Board, request *board.Request, own place) bool {
@@ -212,3 +274,40 @@
 	}
 	return slices.MinFunc(members, func(a, b *candidate) int { return cmp.Compare(price(a), price(b)) })
 }
+
+// wholeShare is the largest prompt and answer that one engine keeps alone.
+func wholeShare(engine *plan.Engine) int {
+	return int(float64(engine.MemoryTokens) * (1 - memoryMargin))
+}
+
+// divide lets helpers keep parts of a memory that is too large for one engine. It
+// takes the engines with the most room, as few as will do, or waits for room.
+func divide(engine *plan.Engine, members []*candidate, found choice, need int) choice {
+	free := func(c *candidate) int { return wholeShare(engine) - c.load.MemoryTokens }
+	byRoom := slices.Clone(members)
+	slices.SortStableFunc(byRoom, func(a, b *candidate) int { return cmp.Compare(free(b), free(a)) })
+	room := 0
+	holders := 0
+	for holders < len(byRoom) && holders <= maxHolders && room < need {
+		room += max(free(byRoom[holders]), 0)
+		holders++
+	}
+	if room < need {
+		return choice{}
+	}
+	divided := choice{lead: byRoom[0].endpoint, first: found.first, leases: map[*pool.Endpoint]int{}}
+	rest := need - free(byRoom[0])
+	for _, holder := range byRoom[1:holders] {
+		leased := min(max(need/holders, rest), free(holder))
+		divided.leases[holder.endpoint] = leased
+		divided.helpers = append(divided.helpers, holder.endpoint)
+		rest -= leased
+	}
+	for _, reader := range append([]*pool.Endpoint{found.lead}, found.helpers...) {
+		isIn := reader == divided.lead || slices.Contains(divided.helpers, reader)
+		if !isIn && len(divided.helpers) < maxHelpers {
+			divided.helpers = append(divided.helpers, reader)
+		}
+	}
+	return divided
+}
--- a/internal/flow/place/place.go
+++ b/internal/flow/place/place.go
@@ -4,10 +4,12 @@
 
 import (
 	"cmp"
+	"fmt"
 	"net/http"
 	"slices"
 
 	"mustardhook/internal/core/clock"
+	"mustardhook/internal/core/ident"
 	"mustardhook/internal/flow/board"
 	"mustardhook/internal/flow/budget"
 	"mustardhook/internal/flow/crash"
@@ -28,6 +30,8 @@
 	// SilentDomain is how long all entries of a failure domain must be silent for a
 	// failed endpoint there to condemn the domain; they speak twice a second.
 	SilentDomain = 1100 * clock.Millis(1)
+	// LeaseRetry is when memory is asked for again that was not free.
+	LeaseRetry = 200 * clock.Millis(1)
 	// CrashWait is when a request that crashes endpoints may come again.
 	CrashWait = 60 * clock.Second
 )
@@ -111,6 +115,9 @@
 		timeout(b, request)
 		return
 	}
+	if b.Now < request.NotBefore {
+		return
+	}
 	if crash.IsConvicted(b, request.Request.Fingerprint) {
 		refuse(b, request, job.ReasonCrashes, CrashWait)
 		return
@@ -139,9 +146,12 @@
 		Number: request.Request.Number, Endpoint: found.lead.Name, Address: found.lead.Address,
 		Organisation: request.Organisation, Left: left, Urgency: found.urgency, Stream: request.Route.IsStream(),
 		FirstWithin: left, NextWithin: left, Predicted: found.first,
+		Basis: basisOf(b, request),
 	}
+	var gap clock.Millis
 	if stream, is := request.Route.Repeat.(plan.Stream); is {
 		wanted.FirstWithin, wanted.NextWithin = silences(b, found, stream)
+		gap = stream.GapObjective
 	}
 	request.Endpoint = found.lead.Name
 	request.SentAt = b.Now
@@ -150,20 +160,45 @@
 	request.Queued = false
 	work := pool.Work{
 		PromptTokens: request.Request.PromptTokens, OutputTokens: outputTokens(request.Request),
-		Parts: 1 + len(found.helpers), Since: b.Now, ReadAt: b.Now + found.first,
+		Parts: 1 + len(found.helpers), Since: b.Now, ReadAt: b.Now + found.first, Gap: gap,
 	}
+	work.MemoryTokens = work.PromptTokens + work.OutputTokens
 	id := b.Own(request.Request.Number)
-	found.lead.Work[id] = work
-	work.Helping = true
 	for _, helper := range found.helpers {
-		helper.Work[id] = work
+		leased := found.leases[helper]
+		work.MemoryTokens -= leased
+		part := work
+		part.Helping = true
+		part.MemoryTokens = leased
+		helper.Work[id] = part
 		request.Helpers = append(request.Helpers, helper.Name)
-		wanted.Helpers = append(wanted.Helpers, job.Helper{Endpoint: helper.Name, Address: helper.Address})
+		wanted.Helpers = append(wanted.Helpers, helperOf(b, request, helper, leased))
 	}
+	found.lead.Work[id] = work
 	b.WorkChanged = true
 	b.Emit(output.Send{Send: wanted})
 }
 
+func basisOf(b *board.Board, request *board.Request) job.Basis {
+	basis := job.Basis{
+		Route: request.Route.Name, PlanVersion: b.Plan.Version, Usable: request.Usable, Entries: len(b.Peers),
+	}
+	if b.SourceLostAt != 0 {
+		basis.ListAge = b.Now - b.SourceLostAt
+	}
+	return basis
+}
+
+func helperOf(b *board.Board, request *board.Request, helper *pool.Endpoint, leased int) job.Helper {
+	named := job.Helper{Endpoint: helper.Name, Address: helper.Address}
+	if leased > 0 {
+		b.Leases++
+		named.Lease = fmt.Sprintf("%s-%x-%d", b.Self, b.Life, b.Leases)
+		named.LeaseTokens = leased
+	}
+	return named
+}
+
 // outputTokens estimates the length of an answer.
 func outputTokens(asked job.Request) int {
 	if asked.OutputGuess > 0 {
@@ -178,7 +213,7 @@
 		return
 	}
 	request.Begun = true
-	endHelp(b, request)
+	endReading(b, request)
 	if lead := b.Pool.Find(request.Endpoint); lead != nil {
 		id := b.Own(number)
 		if work, found := lead.Work[id]; found {
@@ -191,6 +226,26 @@
 	b.WorkChanged = true
 }
 
+// endReading frees the helpers that only read; those that keep memory go on until
+// the end of the answer.
+func endReading(b *board.Board, request *board.Request) {
+	id := b.Own(request.Request.Number)
+	request.Helpers = slices.DeleteFunc(request.Helpers, func(name ident.Endpoint) bool {
+		helper := b.Pool.Find(name)
+		if helper == nil {
+			return true
+		}
+		work := helper.Work[id]
+		if work.MemoryTokens == 0 {
+			delete(helper.Work, id)
+			return true
+		}
+		work.Writing = true
+		helper.Work[id] = work
+		return false
+	})
+}
+
 func endHelp(b *board.Board, request *board.Request) {
 	for _, name := range request.Helpers {
 		if helper := b.Pool.Find(name); helper != nil {
@@ -235,6 +290,12 @@
 		request.Runs++
 		answered(b, request, result)
 	case job.EndNotRun:
+		if result.Unreserved {
+			request.Tried = nil
+			request.Queued = true
+			request.NotBefore = b.Now + LeaseRetry
+			return
+		}
 		request.Refusals++
 		notRun(b, request)
 	case job.EndBroken:
@@ -339,6 +400,7 @@
 
 func end(b *board.Board, request *board.Request, reply job.Reply) {
 	reply.Number = request.Request.Number
+	reply.Basis = basisOf(b, request)
 	forget(b, request)
 	if request.Delivered {
 		b.Emit(output.Abort{Number: reply.Number, Reason: reply.Reason})
--- a/internal/flow/pool/pool.go
+++ b/internal/flow/pool/pool.go
@@ -70,6 +70,10 @@
 		Helping bool
 		// Writing says that the answer has begun.
 		Writing bool
+		// Gap is the longest pause between events that its caller expects.
+		Gap clock.Millis
+		// MemoryTokens is the memory that the work takes up here at its end.
+		MemoryTokens int
 		// Since is when the work was sent, ReadAt when its part of the prompt is
 		// expected to be read.
 		Since  clock.Millis
@@ -258,9 +262,7 @@
 func (e *Endpoint) MemoryTokens() int {
 	tokens := 0
 	for _, work := range e.Work {
-		if !work.Helping {
-			tokens += work.PromptTokens + work.OutputTokens
-		}
+		tokens += work.MemoryTokens
 	}
 	return tokens
 }
--- a/internal/flow/port/port.go
+++ b/internal/flow/port/port.go
@@ -22,6 +22,8 @@
 		SendHeader(from http.Header, send job.Send, after string) http.Header
 		// ReadAnswer says what the head of an endpoint's answer means.
 		ReadAnswer(response *http.Response) AnswerHead
+		// Order returns the call that carries an order to an endpoint.
+		Order(order job.Order) (path string, body []byte, err error)
 		// EventID returns the id of one event of a stream; empty if it has none.
 		EventID(event []byte) string
 	}
--- a/internal/flow/proxy/proxy.go
+++ b/internal/flow/proxy/proxy.go
@@ -199,10 +199,21 @@
 	p.logger.Part("source").Warn("Published entry can't be read.", "key", key, "err", err)
 }
 
+// sendLog writes the line of the decision to send a request.
+func (p *Proxy) sendLog(s *session, send job.Send) {
+	p.logger.Part("place").Info("Request sent.", "request", s.request.Name, "endpoint", send.Endpoint,
+		"helpers", len(send.Helpers), "predicted", send.Predicted, "waited", time.Since(s.began).Milliseconds(),
+		"left", send.Left, "route", send.Basis.Route, "plan", uint64(send.Basis.PlanVersion),
+		"usable", send.Basis.Usable, "entries", send.Basis.Entries, "listAge", send.Basis.ListAge)
+}
+
 // finishLog writes the line that ends a request.
-func (p *Proxy) finishLog(s *session, outcome string, reason job.Reason, status int) {
-	p.logger.Part("request").Info(outcome, "request", s.request.Name, "reason", reason, "status", status,
-		"endpoint", s.lastEndpoint, "sends", s.sends, "millis", time.Since(s.began).Milliseconds(),
-		"first", s.firstAfter.Milliseconds(), "predicted", int64(s.predicted), "longestGap", s.longestGap.Milliseconds(),
-		"promptTokens", s.request.PromptTokens)
+func (p *Proxy) finishLog(s *session, outcome string, reason job.Reason, status int, more ...any) {
+	pairs := []any{
+		"request", s.request.Name, "reason", reason, "status", status, "endpoint", s.lastEndpoint, "sends", s.sends,
+		"millis", time.Since(s.began).Milliseconds(), "first", s.firstAfter.Milliseconds(),
+		"predicted", int64(s.predicted), "longestGap", s.longestGap.Milliseconds(),
+		"promptTokens", s.request.PromptTokens,
+	}
+	p.logger.Part("request").Info(outcome, append(pairs, more...)...)
 }
--- a/internal/flow/proxy/send.go
+++ b/internal/flow/proxy/send.go
@@ -58,6 +58,14 @@
 	timeout := time.Now().Add(wanted.Left.Span() + timeoutSlack)
 	ctx, cancel := context.WithDeadline(s.head.Context(), timeout)
 	defer cancel()
+	leases, err := s.reserve(ctx, wanted.Helpers)
+	defer leases.end()
+	if err != nil {
+		result.Err = err
+		result.Unreached = false
+		result.Unreserved = true
+		return s.blameCaller(result)
+	}
 	conn, err := dialer().DialContext(ctx, "tcp4", wanted.Address)
 	if err != nil {
 		result.Err = err
--- a/internal/flow/proxy/session.go
+++ b/internal/flow/proxy/session.go
@@ -135,6 +135,7 @@
 			s.sends++
 			s.lastEndpoint = string(wanted.Send.Endpoint)
 			s.predicted = wanted.Send.Predicted
+			s.proxy.sendLog(s, wanted.Send)
 			result := s.send(wanted.Send)
 			s.proxy.Step(input.SendEnded{Result: result})
 			if result.End == job.EndCallerGone {
@@ -195,7 +196,10 @@
 	if err != nil && !errors.Is(err, http.ErrBodyNotAllowed) {
 		s.proxy.logger.Part("request").Info("Refusal was not taken.", "request", s.request.Name, "err", err)
 	}
-	s.proxy.finishLog(s, "Request refused.", reply.Reason, reply.Status)
+	basis := reply.Basis
+	s.proxy.finishLog(s, "Request refused.", reply.Reason, reply.Status, "retryAfter", reply.RetryAfter,
+		"route", basis.Route, "plan", uint64(basis.PlanVersion), "usable", basis.Usable, "entries", basis.Entries,
+		"listAge", basis.ListAge)
 }
 
 func copyHeader(to, from http.Header) {
--- a/internal/flow/share/share.go
+++ b/internal/flow/share/share.go
@@ -41,6 +41,8 @@
 				Writing:      work.Writing,
 				AgeMillis:    uint32(max(now-work.Since, 0)),
 				ReadInMillis: int32(work.ReadAt - now),
+				MemoryTokens: uint32(work.MemoryTokens),
+				GapMillis:    uint32(work.Gap),
 			})
 		}
 	}
@@ -96,6 +98,8 @@
 			Parts:        int(told.Parts),
 			Helping:      told.Helping,
 			Writing:      told.Writing,
+			MemoryTokens: int(told.MemoryTokens),
+			Gap:          clock.Millis(told.GapMillis),
 			Since:        now - clock.Millis(told.AgeMillis),
 			ReadAt:       now + clock.Millis(told.ReadInMillis),
 		}
--- a/relay.go
+++ b/relay.go
@@ -5,25 +5,13 @@
 	"math/rand/v2"
 	"strconv"
 
-	"mustardhook/internal/flow/board"
-	"mustardhook/internal/flow/crash"
-	"mustardhook/internal/flow/intake"
-	"mustardhook/internal/flow/peers"
-	"mustardhook/internal/flow/place"
+	"mustardhook/internal/flow/parts"
 	"mustardhook/internal/flow/port"
 	"mustardhook/internal/flow/proxy"
 	"mustardhook/internal/flow/setup"
 	"mustardhook/internal/serve/logs"
 )
 
-// The priorities of the relay's controllers; lower numbers run first.
-const (
-	priorityCrash  = 100
-	priorityIntake = 200
-	priorityPlace  = 300
-	priorityPeers  = 400
-)
-
 type (
 	// Relay is one instance that relays callers' requests to endpoints as they are,
 	// driven by the configuration that a platform publishes.
@@ -65,11 +53,6 @@
 func (r *relay) Run(ctx context.Context) error {
 	return proxy.New(proxy.Parts{
 		Settings: r.settings, Dialect: r.dialect, Source: r.source, Logger: r.logger,
-		Controllers: []board.Registration{
-			{Priority: priorityCrash, Controller: crash.NewController()},
-			{Priority: priorityIntake, Controller: intake.NewController()},
-			{Priority: priorityPlace, Controller: place.NewController()},
-			{Priority: priorityPeers, Controller: peers.NewController(strconv.Itoa(r.settings.NewsPort))},
-		},
+		Controllers: parts.Controllers(strconv.Itoa(r.settings.NewsPort)),
 	}).Run(ctx, r.seed)
 }
