Cut failure domains are noticed sooner

Ruled out: condemning a domain for silence alone (its entries may just be dead). Change: entries speak each 300 ms, 700 ms of silence count, dialling ends at 250 ms.

--- a/internal/flow/peers/peers.go
+++ b/internal/flow/peers/peers.go
@@ -17,7 +17,7 @@
 
 const (
 	// RoundSpan is the time between two tellings when nothing changed.
-	RoundSpan = 500 * clock.Millis(1)
+	RoundSpan = 300 * clock.Millis(1)
 	// BatchSpan is the shortest time between two tellings of changes.
 	BatchSpan = 25 * clock.Millis(1)
 	// SilentSpan is how long an entry must be silent for its work to be forgotten.
--- a/internal/flow/place/place.go
+++ b/internal/flow/place/place.go
@@ -28,8 +28,8 @@
 	// MinLeft is the least time left that is worth a send.
 	MinLeft = 20 * clock.Millis(1)
 	// SilentDomain is how long all entries of a failure domain must be silent for a
-	// failed endpoint there to condemn the domain; they speak twice a second.
-	SilentDomain = 1100 * clock.Millis(1)
+	// failed endpoint there to condemn the domain; they speak three times a second.
+	SilentDomain = 700 * clock.Millis(1)
 	// LeaseRetry is when memory is asked for again that was not free.
 	LeaseRetry = 200 * clock.Millis(1)
 	// CrashWait is when a request that crashes endpoints may come again.
--- a/internal/flow/proxy/dial.go
+++ b/internal/flow/proxy/dial.go
@@ -11,7 +11,7 @@
 
 const (
 	// dialTimeout bounds opening a connection; instances are milliseconds apart.
-	dialTimeout = 400 * time.Millisecond
+	dialTimeout = 250 * time.Millisecond
 	// keepAliveSpan is the time between probes of a silent connection, and
 	// keepAliveCount how many go unanswered before it is closed.
 	keepAliveSpan  = 1 * time.Second
