Shorter news: marks in place of names, one message a request, brief tellings

A life numbered by the time of day could also fall behind after a jump, and the entry would not be heard. Ruled out: longer pauses between tellings (they cost worth at once).

--- a/internal/flow/input/input.go
+++ b/internal/flow/input/input.go
@@ -90,14 +90,15 @@
 
 	// News is what an entry tells others; it replaces what it said before.
 	News struct {
-		Entry       ident.Entry
-		Life        uint64
-		Sequence    uint64
+		Entry    ident.Entry
+		Life     uint64
+		Sequence uint64
+		// Domain and Address are empty in brief news; they don't change in a life.
 		Domain      ident.Domain
 		Address     string
 		PlanVersion plan.Version
 		Leaving     bool
-		Work        map[ident.Endpoint]map[pool.WorkID]pool.Work
+		Work        map[pool.Mark]map[pool.WorkID]pool.Work
 		// Waiting are the long prompts that wait for engines.
 		Waiting []Waiting
 		Known   []string
--- a/internal/flow/parts/load_test.go
+++ b/internal/flow/parts/load_test.go
@@ -14,12 +14,12 @@
 	"mustardhook/internal/flow/pool"
 )
 
-func workOf(entry ident.Entry, endpoint ident.Endpoint, count int) map[ident.Endpoint]map[pool.WorkID]pool.Work {
+func workOf(entry ident.Entry, endpoint ident.Endpoint, count int) map[pool.Mark]map[pool.WorkID]pool.Work {
 	works := map[pool.WorkID]pool.Work{}
 	for i := range count {
 		works[pool.WorkID{Entry: entry, Number: uint64(i)}] = pool.Work{PromptTokens: 5000, MemoryTokens: 6600, Parts: 1}
 	}
-	return map[ident.Endpoint]map[pool.WorkID]pool.Work{endpoint: works}
+	return map[pool.Mark]map[pool.WorkID]pool.Work{pool.MarkOf(endpoint): works}
 }
 
 // Answers a surge of long prompts beside short ones: a long prompt is read in
@@ -114,9 +114,9 @@
 func TestShortPromptWithoutRoomIsRefusedOnce(t *testing.T) {
 	w := newWorld(t).serve(4)
 	w.hear("entry-2", "south", func(n *input.News) {
-		n.Work = map[ident.Endpoint]map[pool.WorkID]pool.Work{}
+		n.Work = map[pool.Mark]map[pool.WorkID]pool.Work{}
 		for _, name := range []ident.Endpoint{"engine-00", "engine-01", "engine-02", "engine-03"} {
-			n.Work[name] = workOf("entry-2", name, 16)[name]
+			n.Work[pool.MarkOf(name)] = workOf("entry-2", name, 16)[pool.MarkOf(name)]
 		}
 	})
 	_, got := w.ask("/short/1", 5000, 10000)
--- a/internal/flow/parts/requests_test.go
+++ b/internal/flow/parts/requests_test.go
@@ -208,3 +208,20 @@
 	require.LessOrEqual(t, send.Left, clock.Millis(800))
 	requireReply(t, w.end(job.Result{Number: number, End: job.EndTimeout}), job.ReasonTimeout, http.StatusGatewayTimeout)
 }
+
+// A process that starts again after the time of day jumped back is heard.
+func TestLowerLifeIsHeardAfterASilence(t *testing.T) {
+	w := newWorld(t).serve(4)
+	tell := func(life uint64) {
+		w.hear("entry-2", "south", func(n *input.News) {
+			n.Life = life
+			n.Work = workOf("entry-2", "engine-00", int(life))
+		})
+	}
+	tell(9)
+	tell(4)
+	require.Equal(t, 9, w.board.Pool.Find("engine-00").Leads())
+	w.pass(1000)
+	tell(4)
+	require.Equal(t, 4, w.board.Pool.Find("engine-00").Leads())
+}
--- a/internal/flow/peers/peers.go
+++ b/internal/flow/peers/peers.go
@@ -29,7 +29,13 @@
 	// SeedSpan is the time between two tellings to the seeds.
 	SeedSpan = 2 * clock.Second
 
-	knownLimit = 6
+	// LifeSpan is how long a silence must be before news of a lower life counts; a
+	// process takes longer to start again.
+	LifeSpan = 800 * clock.Millis(1)
+	// WholeSpan is the time between two tellings of what seldom changes.
+	WholeSpan = 1 * clock.Second
+
+	knownLimit = 3
 )
 
 type (
@@ -40,8 +46,10 @@
 	teller struct {
 		sequence uint64
 		toldAt   clock.Millis
-		seededAt clock.Millis
-		port     string
+		// toldAllAt is when whole news was last told to all.
+		toldAllAt clock.Millis
+		seededAt  clock.Millis
+		port      string
 	}
 )
 
@@ -72,22 +80,27 @@
 		return
 	}
 	peer := b.Peers[news.Entry]
+	if peer == nil && news.Address == "" {
+		// Whole news follows soon.
+		return
+	}
 	if peer == nil {
 		b.Note("Entry found.", "entry", news.Entry, "failureDomain", news.Domain)
 		peer = &board.Peer{}
 		b.Peers[news.Entry] = peer
 		b.WorkChanged = true
+		c.toldAllAt = 0
 	}
-	isOlder := news.Life < peer.News.Life || news.Life == peer.News.Life && news.Sequence <= peer.News.Sequence
-	if isOlder {
+	if isOld(b, peer, news) {
 		return
 	}
+	if news.Address == "" {
+		news.Domain = peer.News.Domain
+		news.Address = peer.News.Address
+	}
 	peer.News = news
 	peer.NewsFrom = came.From
 	peer.LastHeard = b.Now
-	if news.Leaving && len(news.Work) == 0 {
-		peer.News.Work = nil
-	}
 	b.Pool.ReplaceWork(news.Entry, news.Work)
 	for _, address := range news.Known {
 		c.meet(b, address)
@@ -95,6 +108,15 @@
 	b.Members = max(b.Members, live(b)+1)
 }
 
+// isOld reports whether the news was overtaken. Lives are numbered by the time of
+// day, which may jump back: a lower one is taken for new after a silence.
+func isOld(b *board.Board, peer *board.Peer, news input.News) bool {
+	if news.Life == peer.News.Life {
+		return news.Sequence <= peer.News.Sequence
+	}
+	return news.Life < peer.News.Life && b.Now-peer.LastHeard < LifeSpan
+}
+
 // meet tells an entry that was heard of and is not known.
 func (c *teller) meet(b *board.Board, address string) {
 	if address == b.Address {
@@ -105,7 +127,7 @@
 			return
 		}
 	}
-	b.Emit(output.Tell{Addresses: []string{c.newsAddress(address)}, News: c.news(b)})
+	b.Emit(output.Tell{Addresses: []string{c.newsAddress(address)}, News: c.news(b, true)})
 }
 
 func live(b *board.Board) int {
@@ -158,14 +180,18 @@
 	for _, peer := range b.Peers {
 		addresses = append(addresses, c.newsAddress(peer.News.Address))
 	}
-	if len(b.Peers) == 0 || b.Now-c.seededAt >= SeedSpan {
+	isWhole := b.Now-c.toldAllAt >= WholeSpan
+	if isWhole {
+		c.toldAllAt = b.Now
+	}
+	if isWhole && (len(b.Peers) == 0 || b.Now-c.seededAt >= SeedSpan) {
 		c.seededAt = b.Now
 		for _, seed := range b.Seeds {
 			addresses = append(addresses, c.newsAddress(seed))
 		}
 	}
 	slices.Sort(addresses)
-	b.Emit(output.Tell{Addresses: slices.Compact(addresses), News: c.news(b)})
+	b.Emit(output.Tell{Addresses: slices.Compact(addresses), News: c.news(b, isWhole)})
 	c.toldAt = b.Now
 	b.WorkChanged = false
 }
@@ -178,11 +204,11 @@
 	return net.JoinHostPort(host, c.port)
 }
 
-func (c *teller) news(b *board.Board) input.News {
+func (c *teller) news(b *board.Board, isWhole bool) input.News {
 	c.sequence++
 	news := input.News{
-		Entry: b.Self, Life: b.Life, Sequence: c.sequence, Domain: b.Domain, Address: b.Address,
-		PlanVersion: b.Plan.Version, Leaving: b.Stopping, Work: ownWork(b), Crashes: map[uint64]int{},
+		Entry: b.Self, Life: b.Life, Sequence: c.sequence, PlanVersion: b.Plan.Version, Leaving: b.Stopping,
+		Work: ownWork(b), Crashes: map[uint64]int{},
 	}
 	for _, number := range slices.Sorted(maps.Keys(b.Requests)) {
 		if request := b.Requests[number]; request.Queued {
@@ -194,6 +220,11 @@
 			news.Crashes[fingerprint] = count
 		}
 	}
+	if !isWhole {
+		return news
+	}
+	news.Domain = b.Domain
+	news.Address = b.Address
 	names := slices.Sorted(maps.Keys(b.Peers))
 	for range min(knownLimit, len(names)) {
 		peer := b.Peers[names[b.Random.IntN(len(names))]]
@@ -204,8 +235,8 @@
 	return news
 }
 
-func ownWork(b *board.Board) map[ident.Endpoint]map[pool.WorkID]pool.Work {
-	own := map[ident.Endpoint]map[pool.WorkID]pool.Work{}
+func ownWork(b *board.Board) map[pool.Mark]map[pool.WorkID]pool.Work {
+	own := map[pool.Mark]map[pool.WorkID]pool.Work{}
 	add := func(name ident.Endpoint, id pool.WorkID) {
 		endpoint := b.Pool.Find(name)
 		if endpoint == nil {
@@ -215,10 +246,10 @@
 		if !found {
 			return
 		}
-		if own[name] == nil {
-			own[name] = map[pool.WorkID]pool.Work{}
+		if own[endpoint.Mark()] == nil {
+			own[endpoint.Mark()] = map[pool.WorkID]pool.Work{}
 		}
-		own[name][id] = work
+		own[endpoint.Mark()][id] = work
 	}
 	for number, request := range b.Requests {
 		add(request.Endpoint, b.Own(number))
--- a/internal/flow/pool/pool.go
+++ b/internal/flow/pool/pool.go
@@ -6,6 +6,8 @@
 	"maps"
 	"slices"
 
+	"github.com/cespare/xxhash/v2"
+
 	"mustardhook/internal/core/clock"
 	"mustardhook/internal/core/ident"
 )
@@ -35,6 +37,10 @@
 		Born uint64
 	}
 
+	// Mark is a short hash of an endpoint's name. Entries tell one another marks in
+	// place of names; a clash only misplaces a piece of work.
+	Mark uint32
+
 	// Endpoint is one endpoint with what is known of its load and health.
 	Endpoint struct {
 		Listed
@@ -49,8 +55,8 @@
 		RestUntil clock.Millis
 		// Work is what runs here, of this entry and of its peers.
 		Work map[WorkID]Work
-		// Pace is how much slower than described the endpoint answers; 1 is nominal.
-		Pace float64
+
+		mark Mark
 	}
 
 	// WorkID names a piece of work: the entry that sent it and its number there.
@@ -141,7 +147,7 @@
 func (p *Pool) Put(entry Listed) {
 	known := p.endpoints[entry.Name]
 	if known == nil || known.Born != entry.Born || known.Address != entry.Address {
-		p.endpoints[entry.Name] = &Endpoint{Listed: entry, Work: map[WorkID]Work{}, Pace: 1}
+		p.endpoints[entry.Name] = &Endpoint{Listed: entry, Work: map[WorkID]Work{}, mark: MarkOf(entry.Name)}
 		return
 	}
 	known.Listed = entry
@@ -212,13 +218,21 @@
 }
 
 // ReplaceWork puts what an entry says it runs in place of what it said before.
-func (p *Pool) ReplaceWork(entry ident.Entry, work map[ident.Endpoint]map[WorkID]Work) {
+func (p *Pool) ReplaceWork(entry ident.Entry, work map[Mark]map[WorkID]Work) {
 	for _, endpoint := range p.endpoints {
 		maps.DeleteFunc(endpoint.Work, func(id WorkID, _ Work) bool { return id.Entry == entry })
-		maps.Copy(endpoint.Work, work[endpoint.Name])
+		if len(work) > 0 {
+			maps.Copy(endpoint.Work, work[endpoint.mark])
+		}
 	}
 }
 
+// MarkOf returns the mark of a name.
+func MarkOf(name ident.Endpoint) Mark { return Mark(xxhash.Sum64String(string(name))) }
+
+// Mark returns the mark of the endpoint's name.
+func (e *Endpoint) Mark() Mark { return e.mark }
+
 // IsUsable reports whether new work may be sent to the endpoint.
 func (e *Endpoint) IsUsable(now clock.Millis) bool {
 	isListed := e.GoneAt == 0 || now < e.DoubtUntil
--- a/internal/flow/share/share.go
+++ b/internal/flow/share/share.go
@@ -3,6 +3,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 
 	"google.golang.org/protobuf/proto"
@@ -29,26 +30,7 @@
 		Leaving:     news.Leaving,
 		Known:       news.Known,
 	}
-	for endpoint, works := range news.Work {
-		for id, work := range works {
-			message.Work = append(message.Work, &newspb.Work{
-				Endpoint:     string(endpoint),
-				Number:       id.Number,
-				PromptTokens: uint32(work.PromptTokens),
-				OutputTokens: uint32(work.OutputTokens),
-				Parts:        uint32(work.Parts),
-				Helping:      work.Helping,
-				Writing:      work.Writing,
-				AgeMillis:    uint32(max(now-work.Since, 0)),
-				ReadInMillis: int32(work.ReadAt - now),
-				MemoryTokens: uint32(work.MemoryTokens),
-				GapMillis:    uint32(work.Gap),
-			})
-		}
-	}
-	slices.SortFunc(message.Work, func(a, b *newspb.Work) int {
-		return cmp.Or(cmp.Compare(a.Number, b.Number), cmp.Compare(a.Endpoint, b.Endpoint))
-	})
+	message.Work = encodeWork(news.Work, now)
 	for _, waiting := range news.Waiting {
 		message.Waiting = append(message.Waiting, &newspb.Waiting{
 			Service:       string(waiting.Service),
@@ -84,25 +66,11 @@
 		PlanVersion: plan.Version(message.PlanVersion),
 		Leaving:     message.Leaving,
 		Known:       message.Known,
-		Work:        map[ident.Endpoint]map[pool.WorkID]pool.Work{},
+		Work:        map[pool.Mark]map[pool.WorkID]pool.Work{},
 		Crashes:     map[uint64]int{},
 	}
 	for _, told := range message.Work {
-		endpoint := ident.Endpoint(told.Endpoint)
-		if news.Work[endpoint] == nil {
-			news.Work[endpoint] = map[pool.WorkID]pool.Work{}
-		}
-		news.Work[endpoint][pool.WorkID{Entry: news.Entry, Number: told.Number}] = pool.Work{
-			PromptTokens: int(told.PromptTokens),
-			OutputTokens: int(told.OutputTokens),
-			Parts:        int(told.Parts),
-			Helping:      told.Helping,
-			Writing:      told.Writing,
-			MemoryTokens: int(told.MemoryTokens),
-			Gap:          clock.Millis(told.GapMillis),
-			Since:        now - clock.Millis(told.AgeMillis),
-			ReadAt:       now + clock.Millis(told.ReadInMillis),
-		}
+		decodeWork(news, told, now)
 	}
 	for _, told := range message.Waiting {
 		news.Waiting = append(news.Waiting, input.Waiting{
@@ -118,3 +86,71 @@
 	}
 	return news, nil
 }
+
+// encodeWork joins the pieces of each request into one message.
+func encodeWork(work map[pool.Mark]map[pool.WorkID]pool.Work, now clock.Millis) []*newspb.Work {
+	requests := map[uint64]*newspb.Work{}
+	for _, mark := range slices.Sorted(maps.Keys(work)) {
+		for id, piece := range work[mark] {
+			told := requests[id.Number]
+			if told == nil {
+				told = &newspb.Work{
+					Number:       id.Number,
+					PromptTokens: uint32(piece.PromptTokens),
+					OutputTokens: uint32(piece.OutputTokens),
+					Parts:        uint32(piece.Parts),
+					AgeMillis:    uint32(max(now-piece.Since, 0)),
+					ReadInMillis: int32(piece.ReadAt - now),
+					GapMillis:    uint32(piece.Gap),
+				}
+				requests[id.Number] = told
+			}
+			// All pieces of a request write, or none does.
+			told.Writing = piece.Writing
+			if piece.Helping {
+				told.Helpers = append(told.Helpers, uint32(mark))
+				told.HelperMemory = append(told.HelperMemory, uint32(piece.MemoryTokens))
+				continue
+			}
+			told.Lead = uint32(mark)
+			told.MemoryTokens = uint32(piece.MemoryTokens)
+		}
+	}
+	all := make([]*newspb.Work, 0, len(requests))
+	for _, number := range slices.Sorted(maps.Keys(requests)) {
+		told := requests[number]
+		if !slices.ContainsFunc(told.HelperMemory, func(tokens uint32) bool { return tokens > 0 }) {
+			told.HelperMemory = nil
+		}
+		all = append(all, told)
+	}
+	return all
+}
+
+func decodeWork(news input.News, told *newspb.Work, now clock.Millis) {
+	id := pool.WorkID{Entry: news.Entry, Number: told.Number}
+	put := func(mark uint32, memory uint32, helping bool) {
+		if news.Work[pool.Mark(mark)] == nil {
+			news.Work[pool.Mark(mark)] = map[pool.WorkID]pool.Work{}
+		}
+		news.Work[pool.Mark(mark)][id] = pool.Work{
+			PromptTokens: int(told.PromptTokens),
+			OutputTokens: int(told.OutputTokens),
+			Parts:        int(told.Parts),
+			Helping:      helping,
+			Writing:      told.Writing,
+			MemoryTokens: int(memory),
+			Gap:          clock.Millis(told.GapMillis),
+			Since:        now - clock.Millis(told.AgeMillis),
+			ReadAt:       now + clock.Millis(told.ReadInMillis),
+		}
+	}
+	put(told.Lead, told.MemoryTokens, false)
+	for i, mark := range told.Helpers {
+		memory := uint32(0)
+		if i < len(told.HelperMemory) {
+			memory = told.HelperMemory[i]
+		}
+		put(mark, memory, true)
+	}
+}
--- a/internal/flow/share/share_test.go
+++ b/internal/flow/share/share_test.go
@@ -20,20 +20,28 @@
 	news := input.News{
 		Entry: ident.Entry(name.Draw(t, "entry")), Life: rapid.Uint64().Draw(t, "life"), Sequence: 3, Domain: "d",
 		Address: "10.0.0.1:9", PlanVersion: plan.Version(count.Draw(t, "version")), Leaving: rapid.Bool().Draw(t, "leaving"),
-		Work: map[ident.Endpoint]map[pool.WorkID]pool.Work{}, Crashes: map[uint64]int{},
+		Work: map[pool.Mark]map[pool.WorkID]pool.Work{}, Crashes: map[uint64]int{},
 	}
-	for range rapid.IntRange(0, 5).Draw(t, "works") {
-		endpoint := ident.Endpoint(name.Draw(t, "endpoint"))
-		if news.Work[endpoint] == nil {
-			news.Work[endpoint] = map[pool.WorkID]pool.Work{}
-		}
-		id := pool.WorkID{Entry: news.Entry, Number: rapid.Uint64().Draw(t, "number")}
-		news.Work[endpoint][id] = pool.Work{
+	for number := range rapid.IntRange(0, 5).Draw(t, "works") {
+		id := pool.WorkID{Entry: news.Entry, Number: uint64(number)}
+		work := pool.Work{
 			PromptTokens: count.Draw(t, "prompt"), OutputTokens: count.Draw(t, "output"), Parts: 3,
-			Helping: rapid.Bool().Draw(t, "helping"), Writing: rapid.Bool().Draw(t, "writing"),
-			MemoryTokens: count.Draw(t, "memory"), Gap: 250, Since: now - clock.Millis(count.Draw(t, "age")),
+			Writing: rapid.Bool().Draw(t, "writing"), MemoryTokens: count.Draw(t, "memory"), Gap: 250,
+			Since:  now - clock.Millis(count.Draw(t, "age")),
 			ReadAt: now + clock.Millis(rapid.IntRange(-10000, 10000).Draw(t, "readIn")),
 		}
+		put := func(mark pool.Mark, work pool.Work) {
+			if news.Work[mark] == nil {
+				news.Work[mark] = map[pool.WorkID]pool.Work{}
+			}
+			news.Work[mark][id] = work
+		}
+		put(pool.Mark(number), work)
+		for helper := range rapid.IntRange(0, 4).Draw(t, "helpers") {
+			work.Helping = true
+			work.MemoryTokens = count.Draw(t, "helperMemory")
+			put(pool.Mark(100+helper), work)
+		}
 	}
 	for range rapid.IntRange(0, 3).Draw(t, "waiting") {
 		news.Waiting = append(news.Waiting, input.Waiting{
