Relay keeps to the instance's memory and descriptors, and reads settings anew

Cause: connections and memory were not bounded by the settings' limits, and a notice of changed settings was ignored. Ruled out: reading addresses anew (ports are bound at the start). Change: callers' connections are limited to a share of the descriptors, the collector aims at a share of the memory, SIGHUP takes the bounds of the settings.

--- a/cmd/mustardhook/relay.go
+++ b/cmd/mustardhook/relay.go
@@ -1,7 +1,10 @@
 package main
 
 import (
+	"context"
 	"os"
+	"os/signal"
+	"syscall"
 
 	"github.com/go-faster/errors"
 	"github.com/spf13/cobra"
@@ -29,6 +32,7 @@
 			logger := logs.New(lines, settings.LogLevel)
 			store := platform.NewStore(settings.Publisher, proxy.NewClient())
 			relay := mustardhook.NewRelay(settings, platform.Dialect{}, store, mustardhook.WithRelayLogger(logger))
+			go reload(cmd.Context(), file, relay, logger)
 			return relay.Run(cmd.Context())
 		},
 	}
@@ -43,3 +47,24 @@
 	}
 	return setup.Parse(file, text)
 }
+
+// reload reads the settings anew at each SIGHUP. Settings with a fault change
+// nothing.
+func reload(ctx context.Context, file string, relay mustardhook.Relay, logger logs.Logger) {
+	changed := make(chan os.Signal, 1)
+	signal.Notify(changed, syscall.SIGHUP)
+	defer signal.Stop(changed)
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-changed:
+		}
+		settings, err := readRelaySettings(file)
+		if err != nil {
+			logger.Part("entry").Warn("Settings can't be read; the old ones stay.", "err", err)
+			continue
+		}
+		relay.Reload(settings)
+	}
+}
--- a/internal/flow/input/input.go
+++ b/internal/flow/input/input.go
@@ -39,6 +39,9 @@
 		Grace clock.Millis
 	}
 
+	// SettingsRead brings changed settings.
+	SettingsRead struct{ Settings Settings }
+
 	// Ticked comes every tick.
 	Ticked struct{}
 
@@ -119,6 +122,7 @@
 )
 
 func (Started) isInput()      {}
+func (SettingsRead) isInput() {}
 func (Ticked) isInput()       {}
 func (PlanRead) isInput()     {}
 func (ListRead) isInput()     {}
--- a/internal/flow/intake/intake.go
+++ b/internal/flow/intake/intake.go
@@ -19,6 +19,8 @@
 // Step handles one input.
 func (c *controller) Step(b *board.Board, happened input.Input) {
 	switch happened := happened.(type) {
+	case input.SettingsRead:
+		b.Settings = happened.Settings
 	case input.PlanRead:
 		takePlan(b, happened)
 	case input.ListRead:
--- a/internal/flow/proxy/run.go
+++ b/internal/flow/proxy/run.go
@@ -4,12 +4,16 @@
 	"context"
 	"net"
 	"net/http"
+	"runtime/debug"
 	"strconv"
 	"time"
 
 	"github.com/go-faster/errors"
+	"golang.org/x/net/netutil"
 
+	"mustardhook/internal/core/clock"
 	"mustardhook/internal/flow/input"
+	"mustardhook/internal/flow/setup"
 )
 
 const (
@@ -20,6 +24,15 @@
 	// noticeSpan is how long a stopped entry still accepts: the balancer takes an
 	// entry out after two questions, one a second, that found it not ready.
 	noticeSpan = 2500 * time.Millisecond
+	// memoryShare is the part of the instance's memory that the collector aims at.
+	memoryShare = 0.7
+	megabyte    = 1 << 20
+	// reservedDescriptors are kept for files; of the others callers may hold
+	// callerShare, since each of them may need another one for its send.
+	reservedDescriptors = 200
+	callerShare         = 0.45
+
+	portCallers = "callers"
 	// drainPoll is the time between two looks whether all requests have ended.
 	drainPoll = 20 * time.Millisecond
 	// exitMargin is left of the grace for the end of the process.
@@ -43,6 +56,13 @@
 // Unwrap returns the cause.
 func (e *ListenError) Unwrap() error { return e.Err }
 
+// Reload takes changed settings: the bounds of retries and of the stop. Addresses
+// are taken at the next start.
+func (p *Proxy) Reload(settings setup.Settings) {
+	p.Step(input.SettingsRead{Settings: settings.Core})
+	p.logger.Part("entry").Info("Settings read anew.", "grace", settings.Core.Grace)
+}
+
 // Run serves until the context ends, then finishes the requests in flight.
 func (p *Proxy) Run(ctx context.Context, seed uint64) error {
 	defer p.group.Wait()
@@ -53,7 +73,8 @@
 	}
 	defer func() { _ = news.conn.Close() }()
 	p.news = news
-	callers, err := p.listen("callers", p.settings.Callers, p)
+	debug.SetMemoryLimit(int64(float64(p.settings.Limits.MemoryMegabytes) * megabyte * memoryShare))
+	callers, err := p.listen(portCallers, p.settings.Callers, p)
 	if err != nil {
 		return err
 	}
@@ -92,6 +113,10 @@
 	if err != nil {
 		return nil, &ListenError{name, address, err}
 	}
+	if name == portCallers {
+		most := int(float64(p.settings.Limits.Descriptors-reservedDescriptors) * callerShare)
+		listener = netutil.LimitListener(listener, max(most, 1))
+	}
 	server := &http.Server{Handler: handler, ReadHeaderTimeout: headTimeout, IdleTimeout: callerIdle}
 	p.spawn(func() {
 		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
@@ -105,7 +130,7 @@
 // finishes what runs within the grace.
 func (p *Proxy) stop(callers *http.Server) {
 	p.logger.Part("entry").Info("Entry stops.", "active", p.active.Load())
-	deadline := time.Now().Add(p.settings.Core.Grace.Span() - exitMargin)
+	deadline := time.Now().Add(p.grace().Span() - exitMargin)
 	p.Step(input.StopAsked{})
 	callers.SetKeepAlivesEnabled(false)
 	time.Sleep(noticeSpan)
@@ -126,3 +151,9 @@
 func (p *Proxy) metricsHandler() http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { p.metrics.write(w) })
 }
+
+func (p *Proxy) grace() clock.Millis {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	return p.board.Settings.Grace
+}
--- a/relay.go
+++ b/relay.go
@@ -19,17 +19,17 @@
 		// Run serves until the context ends, then finishes all requests in flight
 		// and returns. An error means that a port could not be opened.
 		Run(ctx context.Context) error
+		// Reload takes changed settings; addresses are taken at the next start.
+		Reload(settings setup.Settings)
 	}
 
 	// RelayOption sets up a relay.
 	RelayOption func(*relay)
 
 	relay struct {
-		settings setup.Settings
-		dialect  port.Dialect
-		source   port.Source
-		logger   logs.Logger
-		seed     uint64
+		*proxy.Proxy
+		logger logs.Logger
+		seed   uint64
 	}
 )
 
@@ -42,17 +42,16 @@
 // NewRelay returns a relay that has not started. The dialect translates requests
 // and answers, the source reads published state.
 func NewRelay(settings setup.Settings, dialect port.Dialect, source port.Source, options ...RelayOption) Relay {
-	r := &relay{settings: settings, dialect: dialect, source: source, logger: logs.Discard(), seed: rand.Uint64()}
+	r := &relay{logger: logs.Discard(), seed: rand.Uint64()}
 	for _, option := range options {
 		option(r)
 	}
+	r.Proxy = proxy.New(proxy.Parts{
+		Settings: settings, Dialect: dialect, Source: source, Logger: r.logger,
+		Controllers: parts.Controllers(strconv.Itoa(settings.NewsPort)),
+	})
 	return r
 }
 
 // Run serves until the context ends.
-func (r *relay) Run(ctx context.Context) error {
-	return proxy.New(proxy.Parts{
-		Settings: r.settings, Dialect: r.dialect, Source: r.source, Logger: r.logger,
-		Controllers: parts.Controllers(strconv.Itoa(r.settings.NewsPort)),
-	}).Run(ctx, r.seed)
-}
+func (r *relay) Run(ctx context.Context) error { return r.Proxy.Run(ctx, r.seed) }
