--- a/internal/flow/board/board.go
+++ b/internal/flow/board/board.go
@@ -52,6 +52,8 @@
 		PlanDocument []byte
 		// PlanAt is when the plan came in force.
 		PlanAt clock.Millis
+		// BehindAt is since when others have a newer plan; zero while nobody has.
+		BehindAt clock.Millis
 		// ListRead says that the list of endpoints was read in this life.
 		ListRead bool
 		// SourceLostAt is when reads of published state began to fail; zero while
--- a/internal/flow/input/input.go
+++ b/internal/flow/input/input.go
@@ -102,6 +102,8 @@
 		PlanVersion plan.Version
 		Leaving     bool
 		Work        map[pool.Mark]map[pool.WorkID]pool.Work
+		// Left are endpoints that the entry found to leave lately.
+		Left []pool.Mark
 		// Waiting are the long prompts that wait for engines.
 		Waiting []Waiting
 		Known   []string
--- a/internal/flow/intake/intake.go
+++ b/internal/flow/intake/intake.go
@@ -28,7 +28,7 @@
 		b.ListRead = true
 		b.Note("List of endpoints read.", "endpoints", len(happened.List))
 	case input.EndpointRead:
-		b.Pool.Put(happened.Entry)
+		b.Pool.Put(happened.Entry, b.Now)
 		b.Note("Endpoint changed.", "endpoint", happened.Entry.Name, "leaving", happened.Entry.Leaving)
 	case input.EndpointGone:
 		b.Pool.Remove(happened.Name, b.Now)
--- a/internal/flow/job/job.go
+++ b/internal/flow/job/job.go
@@ -142,10 +142,9 @@
 		// Blamed is the address that the endpoint names as the cause.
 		Blamed string
 		// Refused says that the endpoint had no room; Moved that another endpoint
-		// has its address; Closing that the endpoint is leaving.
+		// has its address.
 		Refused bool
 		Moved   bool
-		Closing bool
 		// Unreserved says that an endpoint had no memory for a lease.
 		Unreserved bool
 		// Unreached says that no connection could be opened.
--- a/internal/flow/peers/peers.go
+++ b/internal/flow/peers/peers.go
@@ -26,6 +26,12 @@
 	ForgetSpan = 60 * clock.Second
 	// FetchSpan is the time between two calls for a newer configuration.
 	FetchSpan = 300 * clock.Millis(1)
+	// BehindSpan is how long an entry waits for published state to bring a
+	// configuration that others have; changes must be in force within 2 s.
+	BehindSpan = 300 * clock.Millis(1)
+	// Lookouts is how many entries read published state often; one of them may be cut
+	// off and one may have ended.
+	Lookouts = 3
 	// SeedSpan is the time between two tellings to the seeds.
 	SeedSpan = 2 * clock.Second
 
@@ -36,6 +42,7 @@
 	WholeSpan = 1 * clock.Second
 
 	knownLimit = 3
+	lookoutKey = "lookout"
 )
 
 type (
@@ -102,6 +109,7 @@
 	peer.NewsFrom = came.From
 	peer.LastHeard = b.Now
 	b.Pool.ReplaceWork(news.Entry, news.Work)
+	b.Pool.TellLeft(news.Left, b.Now)
 	for _, address := range news.Known {
 		c.meet(b, address)
 	}
@@ -158,6 +166,16 @@
 // fetch asks one entry that has a newer configuration for it. The published
 // state itself usually brings it first.
 func fetch(b *board.Board) {
+	if !isBehind(b) {
+		b.BehindAt = 0
+		return
+	}
+	if b.BehindAt == 0 {
+		b.BehindAt = b.Now
+	}
+	if b.Now-b.BehindAt < BehindSpan && !b.Plan.IsZero() {
+		return
+	}
 	for _, name := range slices.Sorted(maps.Keys(b.Peers)) {
 		peer := b.Peers[name]
 		if peer.News.PlanVersion <= b.Plan.Version || b.Now-peer.LastHeard > SilentSpan {
@@ -171,6 +189,27 @@
 	}
 }
 
+// IsLookout reports whether the entry is one of the few that read published state
+// often for all others, which hear from them what they missed.
+func IsLookout(b *board.Board) bool {
+	names := []ident.Entry{b.Self}
+	for name, peer := range b.Peers {
+		if b.Now-peer.LastHeard <= SilentSpan && !peer.News.Leaving {
+			names = append(names, name)
+		}
+	}
+	return slices.Contains(ident.Rank(lookoutKey, names)[:min(Lookouts, len(names))], b.Self)
+}
+
+func isBehind(b *board.Board) bool {
+	for _, peer := range b.Peers {
+		if peer.News.PlanVersion > b.Plan.Version && b.Now-peer.LastHeard <= SilentSpan {
+			return true
+		}
+	}
+	return false
+}
+
 func (c *teller) tell(b *board.Board) {
 	since := b.Now - c.toldAt
 	if since < BatchSpan || !b.WorkChanged && since < RoundSpan {
@@ -208,7 +247,7 @@
 	c.sequence++
 	news := input.News{
 		Entry: b.Self, Life: b.Life, Sequence: c.sequence, PlanVersion: b.Plan.Version, Leaving: b.Stopping,
-		Work: ownWork(b), Crashes: map[uint64]int{},
+		Work: ownWork(b), Left: b.Pool.Left(b.Now), Crashes: map[uint64]int{},
 	}
 	for _, number := range slices.Sorted(maps.Keys(b.Requests)) {
 		if request := b.Requests[number]; request.Queued {
--- a/internal/flow/pool/pool.go
+++ b/internal/flow/pool/pool.go
@@ -20,6 +20,10 @@
 	// failure doubles it, up to LongestRest.
 	FirstRest   = 400 * clock.Millis(1)
 	LongestRest = 4 * clock.Second
+	// TellSpan is how long others are told that an endpoint leaves, and ToldSpan how
+	// long that counts with them; their own list should agree by then.
+	TellSpan = 3 * clock.Second
+	ToldSpan = 4 * clock.Second
 	// FailuresToRest is how many failures in a row take an endpoint out of use.
 	FailuresToRest = 2
 )
@@ -48,14 +52,18 @@
 		GoneAt clock.Millis
 		// DoubtUntil is how long a vanished entry is still taken to be alive.
 		DoubtUntil clock.Millis
-		// Closing says that an answer announced the end of the endpoint.
-		Closing bool
 
 		Failures  int
 		RestUntil clock.Millis
 		// Work is what runs here, of this entry and of its peers.
 		Work map[WorkID]Work
 
+		// LeftAt is when the endpoint was found to leave; zero while it stays. Others
+		// are told for TellSpan.
+		LeftAt clock.Millis
+		// ToldUntil is until when the word of another entry that it leaves counts.
+		ToldUntil clock.Millis
+
 		mark Mark
 	}
 
@@ -144,8 +152,13 @@
 }
 
 // Put takes a published entry.
-func (p *Pool) Put(entry Listed) {
+func (p *Pool) Put(entry Listed, now clock.Millis) {
 	known := p.endpoints[entry.Name]
+	defer func() {
+		if put := p.endpoints[entry.Name]; put.Leaving && put.LeftAt == 0 {
+			put.LeftAt = now
+		}
+	}()
 	if known == nil || known.Born != entry.Born || known.Address != entry.Address {
 		p.endpoints[entry.Name] = &Endpoint{Listed: entry, Work: map[WorkID]Work{}, mark: MarkOf(entry.Name)}
 		return
@@ -163,6 +176,9 @@
 		return
 	}
 	known.GoneAt = now
+	if p.lost == 0 && known.LeftAt == 0 {
+		known.LeftAt = now
+	}
 	switch {
 	case p.lost != 0:
 		known.DoubtUntil = now + DoubtSpan
@@ -177,7 +193,7 @@
 	listed := make(map[ident.Endpoint]bool, len(list))
 	for _, entry := range list {
 		listed[entry.Name] = true
-		p.Put(entry)
+		p.Put(entry, now)
 	}
 	for name := range p.endpoints {
 		if !listed[name] {
@@ -236,7 +252,31 @@
 // IsUsable reports whether new work may be sent to the endpoint.
 func (e *Endpoint) IsUsable(now clock.Millis) bool {
 	isListed := e.GoneAt == 0 || now < e.DoubtUntil
-	return isListed && !e.Leaving && !e.Closing && now >= e.RestUntil
+	return isListed && !e.Leaving && now >= e.RestUntil && now >= e.ToldUntil
+}
+
+// Left returns the marks of endpoints that were found to leave lately.
+func (p *Pool) Left(now clock.Millis) []Mark {
+	var left []Mark
+	for _, endpoint := range p.endpoints {
+		if endpoint.LeftAt != 0 && now-endpoint.LeftAt <= TellSpan {
+			left = append(left, endpoint.mark)
+		}
+	}
+	slices.Sort(left)
+	return left
+}
+
+// TellLeft takes the word of another entry that endpoints leave.
+func (p *Pool) TellLeft(left []Mark, now clock.Millis) {
+	if len(left) == 0 {
+		return
+	}
+	for _, endpoint := range p.endpoints {
+		if slices.Contains(left, endpoint.mark) {
+			endpoint.ToldUntil = now + ToldSpan
+		}
+	}
 }
 
 // Failed notes a send that failed by the endpoint's fault.
--- a/internal/flow/port/port.go
+++ b/internal/flow/port/port.go
@@ -38,8 +38,6 @@
 		NotRun bool
 		// Moved says that another endpoint has the address.
 		Moved bool
-		// Closing says that the endpoint is leaving.
-		Closing bool
 		// Blamed is the address of an endpoint that is the cause; may be empty.
 		Blamed string
 	}
@@ -61,6 +59,8 @@
 		EndpointRead(entry pool.Listed)
 		// EndpointGone says that an entry was removed from the list.
 		EndpointGone(name ident.Endpoint)
+		// IsLookout reports whether the entry reads often for the others.
+		IsLookout() bool
 		// SourceLost says that a read failed, SourceBack that reads succeed again.
 		SourceLost(err error)
 		SourceBack()
--- a/internal/flow/proxy/proxy.go
+++ b/internal/flow/proxy/proxy.go
@@ -20,6 +20,7 @@
 	"mustardhook/internal/flow/input"
 	"mustardhook/internal/flow/job"
 	"mustardhook/internal/flow/output"
+	"mustardhook/internal/flow/peers"
 	"mustardhook/internal/flow/plan"
 	"mustardhook/internal/flow/pool"
 	"mustardhook/internal/flow/port"
@@ -188,6 +189,13 @@
 // EndpointGone says that an entry was removed from the list.
 func (p *Proxy) EndpointGone(name ident.Endpoint) { p.Step(input.EndpointGone{Name: name}) }
 
+// IsLookout reports whether the entry reads published state often for the others.
+func (p *Proxy) IsLookout() bool {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	return peers.IsLookout(p.board)
+}
+
 // SourceLost says that a read failed.
 func (p *Proxy) SourceLost(err error) { p.Step(input.SourceLost{Reason: err.Error()}) }
 
--- a/internal/flow/proxy/send.go
+++ b/internal/flow/proxy/send.go
@@ -13,7 +13,6 @@
 
 	"mustardhook/internal/flow/input"
 	"mustardhook/internal/flow/job"
-	"mustardhook/internal/flow/port"
 )
 
 const (
@@ -106,7 +105,7 @@
 	case head.NotRun:
 		return job.Result{
 			End: job.EndNotRun, Status: response.StatusCode, Blamed: head.Blamed, Moved: head.Moved,
-			Refused: !head.Moved, Closing: head.Closing,
+			Refused: !head.Moved,
 		}
 	case head.Request != "" && head.Request != x.session.request.Name:
 		return x.broken(&AnswerError{"it answers another request"})
@@ -115,9 +114,9 @@
 	case response.Header.Get("Content-Encoding") != "":
 		return x.broken(&AnswerError{"it is encoded"})
 	case x.send.Stream && response.StatusCode == http.StatusOK:
-		return x.stream(response, head)
+		return x.stream(response)
 	}
-	return x.whole(response, head)
+	return x.whole(response)
 }
 
 // broken is the end of a send that may have run.
@@ -163,18 +162,18 @@
 }
 
 // whole holds an answer until it is complete.
-func (x *exchange) whole(response *http.Response, head port.AnswerHead) job.Result {
+func (x *exchange) whole(response *http.Response) job.Result {
 	body, err := io.ReadAll(io.LimitReader(response.Body, answerBytes))
 	if err != nil {
 		return x.broken(errors.Wrap(err, "read answer"))
 	}
 	x.session.answer = &answer{response.StatusCode, response.Header, body}
-	return job.Result{End: job.EndWhole, Status: response.StatusCode, Closing: head.Closing}
+	return job.Result{End: job.EndWhole, Status: response.StatusCode}
 }
 
 // stream passes whole events on as they come. Events that the caller has, from an
 // earlier send, are never passed again.
-func (x *exchange) stream(response *http.Response, head port.AnswerHead) job.Result {
+func (x *exchange) stream(response *http.Response) job.Result {
 	events := bufio.NewReaderSize(response.Body, readBuffer)
 	var event []byte
 	isFirst := true
@@ -185,7 +184,7 @@
 			continue
 		}
 		if errors.Is(err, io.EOF) {
-			return x.streamEnded(response, head, event)
+			return x.streamEnded(response, event)
 		}
 		if err != nil {
 			return x.broken(errors.Wrap(err, "read event"))
@@ -213,12 +212,12 @@
 }
 
 // streamEnded tells a complete stream from one that ended early.
-func (x *exchange) streamEnded(response *http.Response, head port.AnswerHead, rest []byte) job.Result {
+func (x *exchange) streamEnded(response *http.Response, rest []byte) job.Result {
 	if len(strings.TrimSpace(string(rest))) > 0 {
 		return x.broken(&AnswerError{"it ended inside an event"})
 	}
 	if !x.session.opened {
 		return x.broken(&AnswerError{"it ended without an event"})
 	}
-	return job.Result{End: job.EndWhole, Status: response.StatusCode, Closing: head.Closing}
+	return job.Result{End: job.EndWhole, Status: response.StatusCode}
 }
--- a/internal/flow/share/share.go
+++ b/internal/flow/share/share.go
@@ -31,6 +31,9 @@
 		Known:       news.Known,
 	}
 	message.Work = encodeWork(news.Work, now)
+	for _, mark := range news.Left {
+		message.Left = append(message.Left, uint32(mark))
+	}
 	for _, waiting := range news.Waiting {
 		message.Waiting = append(message.Waiting, &newspb.Waiting{
 			Service:       string(waiting.Service),
@@ -72,6 +75,9 @@
 	for _, told := range message.Work {
 		decodeWork(news, told, now)
 	}
+	for _, mark := range message.Left {
+		news.Left = append(news.Left, pool.Mark(mark))
+	}
 	for _, told := range message.Waiting {
 		news.Waiting = append(news.Waiting, input.Waiting{
 			Service:      ident.Service(told.Service),
--- a/internal/flow/share/share_test.go
+++ b/internal/flow/share/share_test.go
@@ -43,6 +43,9 @@
 			put(pool.Mark(100+helper), work)
 		}
 	}
+	if rapid.Bool().Draw(t, "left") {
+		news.Left = []pool.Mark{7, 9}
+	}
 	for range rapid.IntRange(0, 3).Draw(t, "waiting") {
 		news.Waiting = append(news.Waiting, input.Waiting{
 			Service: "s", Number: rapid.Uint64().Draw(t, "number"), PromptTokens: count.Draw(t, "prompt"),
