A stopped entry refuses what it could not finish

Ruled out: the balancer alone (with most of a zone's entries stopped it goes on using all of them). Change: after 2.5 s a stopped entry refuses new requests, with a time to come back.

--- a/internal/flow/board/board.go
+++ b/internal/flow/board/board.go
@@ -73,6 +73,7 @@
 		// WorkChanged says that own work changed since it was last told.
 		WorkChanged bool
 		Stopping    bool
+		StoppingAt  clock.Millis
 
 		outputs []output.Output
 	}
--- a/internal/flow/job/job.go
+++ b/internal/flow/job/job.go
@@ -35,6 +35,7 @@
 	ReasonBroken     Reason = "answerLost"
 	ReasonTimeout    Reason = "timeout"
 	ReasonBodyLimit  Reason = "bodyLimit"
+	ReasonStopping   Reason = "stopping"
 	ReasonBadRequest Reason = "badRequest"
 )
 
--- a/internal/flow/parts/requests_test.go
+++ b/internal/flow/parts/requests_test.go
@@ -254,3 +254,16 @@
 	}
 	require.Equal(t, peers.Lookouts, lookouts)
 }
+
+// A stopped entry takes requests until the balancer has noticed, and refuses those
+// that it could not finish.
+func TestStoppedEntryRefusesWhatComesLate(t *testing.T) {
+	w := newWorld(t).serve(4)
+	w.step(input.StopAsked{})
+	_, got := w.ask("/short/1", 5000, 10000)
+	requireSend(t, got)
+	w.pass(3000)
+	_, got = w.ask("/short/2", 5000, 10000)
+	reply := requireReply(t, got, job.ReasonStopping, http.StatusServiceUnavailable)
+	require.Positive(t, reply.RetryAfter)
+}
--- a/internal/flow/place/place.go
+++ b/internal/flow/place/place.go
@@ -30,6 +30,12 @@
 	// SilentDomain is how long all entries of a failure domain must be silent for a
 	// failed endpoint there to condemn the domain; they speak three times a second.
 	SilentDomain = 700 * clock.Millis(1)
+	// NoticeSpan is how long a stopped entry takes requests: the balancer takes it out
+	// after two questions, one a second, that found it not ready.
+	NoticeSpan = 2500 * clock.Millis(1)
+	// StoppedWait is when a caller that was refused by a stopped entry should come
+	// again; another entry serves it at once.
+	StoppedWait = 50 * clock.Millis(1)
 	// LeaseRetry is when memory is asked for again that was not free.
 	LeaseRetry = 200 * clock.Millis(1)
 	// CrashWait is when a request that crashes endpoints may come again.
@@ -56,6 +62,7 @@
 		}
 	case input.StopAsked:
 		b.Stopping = true
+		b.StoppingAt = b.Now
 		b.WorkChanged = true
 	}
 	retryWaiting(b)
@@ -72,6 +79,12 @@
 	if asked.Deadline > 0 {
 		span = min(span, asked.Deadline)
 	}
+	if b.Stopping && b.Now-b.StoppingAt > NoticeSpan {
+		reply := job.Reply{Reason: job.ReasonStopping, Status: http.StatusServiceUnavailable, RetryAfter: StoppedWait}
+		reply.Number = asked.Number
+		b.Emit(output.Reply{Reply: reply})
+		return
+	}
 	request := &board.Request{Placed: placed, CameAt: b.Now, EndsAt: b.Now + span}
 	b.Requests[asked.Number] = request
 	b.Budget.Count(placed.Service, limits(b), b.Now)
--- a/internal/flow/proxy/run.go
+++ b/internal/flow/proxy/run.go
@@ -13,6 +13,7 @@
 
 	"mustardhook/internal/core/clock"
 	"mustardhook/internal/flow/input"
+	"mustardhook/internal/flow/place"
 	"mustardhook/internal/flow/setup"
 )
 
@@ -21,9 +22,6 @@
 	// callerIdle how long its connection may stay idle.
 	headTimeout = 5 * time.Second
 	callerIdle  = 60 * time.Second
-	// noticeSpan is how long a stopped entry still accepts: the balancer takes an
-	// entry out after two questions, one a second, that found it not ready.
-	noticeSpan = 2500 * time.Millisecond
 	// memoryShare is the part of the instance's memory that the collector aims at.
 	memoryShare = 0.7
 	megabyte    = 1 << 20
@@ -133,7 +131,7 @@
 	deadline := time.Now().Add(p.grace().Span() - exitMargin)
 	p.Step(input.StopAsked{})
 	callers.SetKeepAlivesEnabled(false)
-	time.Sleep(noticeSpan)
+	time.Sleep(place.NoticeSpan.Span())
 	for p.active.Load() > 0 && time.Now().Before(deadline) {
 		time.Sleep(drainPoll)
 	}
