Early answers are read while a body is being sent; silent reads go elsewhere

Cause: an endpoint that refused before it had read a long body was taken for one whose answer was lost, and a read waited for a silent endpoint until its time was over. Ruled out: larger buffers (an endpoint that closes resets what is still sent).

--- a/internal/flow/place/place.go
+++ b/internal/flow/place/place.go
@@ -161,6 +161,10 @@
 		FirstWithin: left, NextWithin: left, Predicted: found.first,
 		Basis: basisOf(b, request),
 	}
+	if _, is := request.Route.Repeat.(plan.Idempotent); is && request.Runs+1 < request.Route.Attempts {
+		// There is time to ask another endpoint when the first stays silent.
+		wanted.FirstWithin = min(left, SilenceFactor*request.Route.Objective)
+	}
 	var gap clock.Millis
 	if stream, is := request.Route.Repeat.(plan.Stream); is {
 		wanted.FirstWithin, wanted.NextWithin = silences(b, found, stream)
--- a/internal/flow/proxy/send.go
+++ b/internal/flow/proxy/send.go
@@ -91,13 +91,15 @@
 }
 
 func (x *exchange) run() job.Result {
-	if err := x.write(); err != nil {
-		return x.broken(err)
-	}
+	// An endpoint may answer before it has read a long body, so both go on at once.
+	written := make(chan error, 1)
+	x.session.proxy.spawn(func() { written <- x.write() })
 	x.silence(x.send.FirstWithin.Span())
 	response, err := http.ReadResponse(x.reader, x.session.head)
 	if err != nil {
-		return x.broken(err)
+		// Ends a write that still waits.
+		_ = x.conn.Close()
+		return x.broken(errors.Join(err, <-written))
 	}
 	defer func() { _ = response.Body.Close() }()
 	head := x.session.proxy.dialect.ReadAnswer(response)
