A cut is no sign of a crashing request

Ruled out: silence of the domain as the test (single paths are cut too). Change: only a refused connection, or the list, shows that an endpoint ended. Measured: TestCutIsNoCrash fails before and passes after.

--- a/internal/flow/crash/crash.go
+++ b/internal/flow/crash/crash.go
@@ -79,7 +79,7 @@
 		return
 	}
 	switch {
-	case result.Unreached:
+	case result.Dead:
 		c.confirm(b, request.Endpoint)
 	case result.End == job.EndBroken:
 		found := suspicion{request.Request.Fingerprint, b.Now}
--- a/internal/flow/job/job.go
+++ b/internal/flow/job/job.go
@@ -150,6 +150,8 @@
 		Unreserved bool
 		// Unreached says that no connection could be opened.
 		Unreached bool
+		// Dead says that the connection was refused: the endpoint's process is gone.
+		Dead bool
 		Err       error
 	}
 )
--- a/internal/flow/parts/load_test.go
+++ b/internal/flow/parts/load_test.go
@@ -58,11 +58,11 @@
 	earlier := input.Waiting{
 		Service: engines, Number: 1, PromptTokens: 100000, DueAt: w.board.Now + 500, UntilAt: w.board.Now + 9000,
 	}
-	w.hear("entry-2", "south", func(n *input.News) { n.Waiting = []input.Waiting{earlier} })
+	w.hear("entry-2", func(n *input.News) { n.Waiting = []input.Waiting{earlier} })
 	number, got := w.ask("/long/1", 154000, 15000)
 	require.Nil(t, got)
 	w.outputs = nil
-	w.hear("entry-2", "south", nil)
+	w.hear("entry-2", nil)
 	requireSend(t, w.of(number, w.outputs))
 }
 
@@ -70,7 +70,7 @@
 func TestPromptDoesNotWaitForASilentEntry(t *testing.T) {
 	w := newWorld(t).serve(16)
 	earlier := input.Waiting{Service: engines, Number: 1, PromptTokens: 100000, DueAt: w.board.Now + 500, UntilAt: w.board.Now + 9000}
-	w.hear("entry-2", "south", func(n *input.News) { n.Waiting = []input.Waiting{earlier} })
+	w.hear("entry-2", func(n *input.News) { n.Waiting = []input.Waiting{earlier} })
 	number, got := w.ask("/long/1", 154000, 15000)
 	require.Nil(t, got)
 	w.outputs = nil
@@ -113,7 +113,7 @@
 // refused at once, one that came back is let in behind the others.
 func TestShortPromptWithoutRoomIsRefusedOnce(t *testing.T) {
 	w := newWorld(t).serve(4)
-	w.hear("entry-2", "south", func(n *input.News) {
+	w.hear("entry-2", func(n *input.News) {
 		n.Work = map[pool.Mark]map[pool.WorkID]pool.Work{}
 		for _, name := range []ident.Endpoint{"engine-00", "engine-01", "engine-02", "engine-03"} {
 			n.Work[pool.MarkOf(name)] = workOf("entry-2", name, 16)[pool.MarkOf(name)]
--- a/internal/flow/parts/requests_test.go
+++ b/internal/flow/parts/requests_test.go
@@ -155,7 +155,7 @@
 
 func TestNewerPlanOfAPeerIsFetched(t *testing.T) {
 	w := newWorld(t).serve(4)
-	w.hear("entry-2", "south", func(n *input.News) { n.PlanVersion = 6 })
+	w.hear("entry-2", func(n *input.News) { n.PlanVersion = 6 })
 	w.pass(300)
 	require.NotContains(t, w.outputs, output.FetchPlan{Address: "10.9.0.1:9000"})
 	w.pass(400)
@@ -165,7 +165,7 @@
 // While a failure domain is cut off, one failure there takes all of it out of use.
 func TestSilentDomainIsLeftOutAfterOneFailure(t *testing.T) {
 	w := newWorld(t).serve(6)
-	w.hear("entry-2", "south", nil)
+	w.hear("entry-2", nil)
 	w.pass(1500)
 	endpoint := w.board.Pool.Find("engine-01")
 	require.EqualValues(t, "south", endpoint.Domain)
@@ -186,7 +186,7 @@
 // A domain whose entries speak is not condemned by one failed endpoint.
 func TestSpeakingDomainIsNotCondemned(t *testing.T) {
 	w := newWorld(t).serve(6)
-	w.hear("entry-2", "south", nil)
+	w.hear("entry-2", nil)
 	number, got := w.ask("/short/1", 5000, 10000)
 	requireSend(t, got)
 	w.board.Requests[number].Endpoint = "engine-01"
@@ -196,7 +196,7 @@
 
 func TestWorkOfSilentEntryIsForgotten(t *testing.T) {
 	w := newWorld(t).serve(4)
-	w.hear("entry-2", "south", func(n *input.News) {
+	w.hear("entry-2", func(n *input.News) {
 		n.Work = workOf("entry-2", "engine-00", 3)
 	})
 	require.Equal(t, 3, w.board.Pool.Find("engine-00").Leads())
@@ -218,7 +218,7 @@
 func TestLowerLifeIsHeardAfterASilence(t *testing.T) {
 	w := newWorld(t).serve(4)
 	tell := func(life uint64) {
-		w.hear("entry-2", "south", func(n *input.News) {
+		w.hear("entry-2", func(n *input.News) {
 			n.Life = life
 			n.Work = workOf("entry-2", "engine-00", int(life))
 		})
@@ -245,7 +245,7 @@
 		w.board.Self = self
 		for _, name := range names {
 			if name != self {
-				w.hear(name, "south", nil)
+				w.hear(name, nil)
 			}
 		}
 		if peers.IsLookout(w.board) {
@@ -267,3 +267,18 @@
 	reply := requireReply(t, got, job.ReasonStopping, http.StatusServiceUnavailable)
 	require.Positive(t, reply.RetryAfter)
 }
+
+// Endpoints that can't be reached any more are no sign of a crashing request.
+func TestCutIsNoCrash(t *testing.T) {
+	w := newWorld(t).serve(6)
+	for range 4 {
+		number, got := w.ask("/short/1", 5000, 10000)
+		first := requireSend(t, got)
+		w.board.Requests[number].Request.Fingerprint = 77
+		if _, isSent := w.end(job.Result{Number: number, End: job.EndBroken}).(output.Send); isSent {
+			w.board.Requests[number].Endpoint = first.Endpoint
+			w.end(job.Result{Number: number, End: job.EndNotRun, Unreached: true})
+		}
+	}
+	require.Empty(t, w.board.Crashes)
+}
--- a/internal/flow/parts/world_test.go
+++ b/internal/flow/parts/world_test.go
@@ -160,11 +160,11 @@
 	return w.of(result.Number, w.step(input.SendEnded{Result: result}))
 }
 
-// hear brings news of another entry.
-func (w *world) hear(entry ident.Entry, domain ident.Domain, change func(*input.News)) {
+// hear brings news of another entry, of the south.
+func (w *world) hear(entry ident.Entry, change func(*input.News)) {
 	w.told[entry]++
 	news := input.News{
-		Entry: entry, Life: 1, Sequence: w.told[entry], Domain: domain, Address: "10.9.0.1:9000", PlanVersion: 5,
+		Entry: entry, Life: 1, Sequence: w.told[entry], Domain: "south", Address: "10.9.0.1:9000", PlanVersion: 5,
 	}
 	if change != nil {
 		change(&news)
--- a/internal/flow/place/choose.go
+++ b/internal/flow/place/choose.go
@@ -21,7 +21,10 @@
 	// FullWait is when it is worth asking again while all endpoints are full.
 	FullWait = 500 * clock.Millis(1)
 
-	urgencies = 10
+	// busyJitter keeps entries that decide at one instant apart, and foreignLoad is
+	// what the way to another failure domain counts, both as a part of an endpoint.
+	busyJitter  = 0.1
+	foreignLoad = 0.1
 )
 
 type (
@@ -69,9 +72,9 @@
 	best := choice{reason: job.ReasonNoEndpoint, retryAfter: FullWait}
 	least := math.Inf(1)
 	for _, endpoint := range usable(b, request) {
-		load := float64(endpoint.Leads())/float64(max(endpoint.Slots, 1)) + b.Random.Float64()*0.1
+		load := float64(endpoint.Leads())/float64(max(endpoint.Slots, 1)) + b.Random.Float64()*busyJitter
 		if endpoint.Domain != b.Domain {
-			load += 0.1
+			load += foreignLoad
 		}
 		if load < least {
 			least = load
--- a/internal/flow/place/place.go
+++ b/internal/flow/place/place.go
@@ -189,7 +189,7 @@
 		part.MemoryTokens = leased
 		helper.Work[id] = part
 		request.Helpers = append(request.Helpers, helper.Name)
-		wanted.Helpers = append(wanted.Helpers, helperOf(b, request, helper, leased))
+		wanted.Helpers = append(wanted.Helpers, helperOf(b, helper, leased))
 	}
 	found.lead.Work[id] = work
 	b.WorkChanged = true
@@ -206,7 +206,7 @@
 	return basis
 }
 
-func helperOf(b *board.Board, request *board.Request, helper *pool.Endpoint, leased int) job.Helper {
+func helperOf(b *board.Board, helper *pool.Endpoint, leased int) job.Helper {
 	named := job.Helper{Endpoint: helper.Name, Address: helper.Address}
 	if leased > 0 {
 		b.Leases++
--- a/internal/flow/pool/pool.go
+++ b/internal/flow/pool/pool.go
@@ -17,12 +17,14 @@
 	// could not be read stays in use: live endpoints are listed again within 2 s.
 	DoubtSpan = 1900 * clock.Millis(1)
 	// FirstRest is the first pause after failures at an endpoint; each further
-	// failure doubles it, up to LongestRest.
-	FirstRest   = 400 * clock.Millis(1)
+	// failure doubles it.
+	FirstRest = 400 * clock.Millis(1)
+	// LongestRest bounds the pause: a runner that crashed is back after seconds.
 	LongestRest = 4 * clock.Second
-	// TellSpan is how long others are told that an endpoint leaves, and ToldSpan how
-	// long that counts with them; their own list should agree by then.
+	// TellSpan is how long others are told that an endpoint leaves.
 	TellSpan = 3 * clock.Second
+	// ToldSpan is how long the word of another entry counts; the own list should
+	// agree by then.
 	ToldSpan = 4 * clock.Second
 	// FailuresToRest is how many failures in a row take an endpoint out of use.
 	FailuresToRest = 2
--- a/internal/flow/proxy/send.go
+++ b/internal/flow/proxy/send.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"syscall"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -68,6 +69,7 @@
 	conn, err := dialer().DialContext(ctx, "tcp4", wanted.Address)
 	if err != nil {
 		result.Err = err
+		result.Dead = errors.Is(err, syscall.ECONNREFUSED)
 		return s.blameCaller(result)
 	}
 	defer func() { _ = conn.Close() }()
