--- a/internal/flow/job/job.go
+++ b/internal/flow/job/job.go
@@ -152,7 +152,7 @@
 		Unreached bool
 		// Dead says that the connection was refused: the endpoint's process is gone.
 		Dead bool
-		Err       error
+		Err  error
 	}
 )
 
--- a/internal/flow/parts/requests_test.go
+++ b/internal/flow/parts/requests_test.go
@@ -282,3 +282,16 @@
 	}
 	require.Empty(t, w.board.Crashes)
 }
+
+// A request that lasts longer than its route allows says nothing of its endpoint.
+func TestLongRequestsDoNotRestTheirEndpoints(t *testing.T) {
+	w := newWorld(t).serve(4)
+	for range 9 {
+		number, got := w.ask("/book/1", 0, 1500)
+		requireSend(t, got)
+		w.end(job.Result{Number: number, End: job.EndTimeout})
+	}
+	for _, endpoint := range w.board.Pool.Of(desk) {
+		require.True(t, endpoint.IsUsable(w.board.Now))
+	}
+}
--- a/internal/flow/place/place.go
+++ b/internal/flow/place/place.go
@@ -72,6 +72,7 @@
 	placed, refusal := match(b, asked)
 	if refusal != nil {
 		refusal.Number = asked.Number
+		refusal.Basis.PlanVersion = b.Plan.Version
 		b.Emit(output.Reply{Reply: *refusal})
 		return
 	}
@@ -337,7 +338,7 @@
 	case result.Moved, result.Unreached, result.Blamed != "":
 		endpoint.Unreachable(b.Now)
 		suspectDomain(b, endpoint)
-	case result.End == job.EndBroken, result.End == job.EndTimeout:
+	case result.End == job.EndBroken:
 		endpoint.Failed(b.Now)
 		suspectDomain(b, endpoint)
 	case result.End == job.EndWhole:
