--- a/internal/flow/board/board.go
+++ b/internal/flow/board/board.go
@@ -70,10 +70,12 @@
 		Crashes map[uint64]*Crash
 		// Leases counts the leases that this life has asked for.
 		Leases int
-		// WorkChanged says that own work changed since it was last told.
-		WorkChanged bool
-		Stopping    bool
-		StoppingAt  clock.Millis
+		// WorkChanged says that own work changed since it was last told, ShortChanged
+		// that only short prompts did.
+		WorkChanged  bool
+		ShortChanged bool
+		Stopping     bool
+		StoppingAt   clock.Millis
 
 		outputs []output.Output
 	}
--- a/internal/flow/peers/peers.go
+++ b/internal/flow/peers/peers.go
@@ -20,6 +20,8 @@
 	RoundSpan = 300 * clock.Millis(1)
 	// BatchSpan is the shortest time between two tellings of changes.
 	BatchSpan = 25 * clock.Millis(1)
+	// ShortSpan is the shortest time between two tellings of short prompts alone.
+	ShortSpan = 50 * clock.Millis(1)
 	// SilentSpan is how long an entry must be silent for its work to be forgotten.
 	SilentSpan = 2 * clock.Second
 	// ForgetSpan is how long a silent entry is still told news.
@@ -211,8 +213,14 @@
 }
 
 func (c *teller) tell(b *board.Board) {
-	since := b.Now - c.toldAt
-	if since < BatchSpan || !b.WorkChanged && since < RoundSpan {
+	span := RoundSpan
+	switch {
+	case b.WorkChanged:
+		span = BatchSpan
+	case b.ShortChanged:
+		span = ShortSpan
+	}
+	if b.Now-c.toldAt < span {
 		return
 	}
 	addresses := make([]string, 0, len(b.Peers)+len(b.Seeds))
@@ -233,6 +241,7 @@
 	b.Emit(output.Tell{Addresses: slices.Compact(addresses), News: c.news(b, isWhole)})
 	c.toldAt = b.Now
 	b.WorkChanged = false
+	b.ShortChanged = false
 }
 
 func (c *teller) newsAddress(address string) string {
--- a/internal/flow/place/place.go
+++ b/internal/flow/place/place.go
@@ -12,6 +12,7 @@
 	"mustardhook/internal/core/ident"
 	"mustardhook/internal/flow/board"
 	"mustardhook/internal/flow/budget"
+	"mustardhook/internal/flow/cost"
 	"mustardhook/internal/flow/crash"
 	"mustardhook/internal/flow/input"
 	"mustardhook/internal/flow/job"
@@ -193,7 +194,7 @@
 		wanted.Helpers = append(wanted.Helpers, helperOf(b, helper, leased))
 	}
 	found.lead.Work[id] = work
-	b.WorkChanged = true
+	changed(b, request)
 	b.Emit(output.Send{Send: wanted})
 }
 
@@ -241,7 +242,7 @@
 		lead.Succeeded()
 		b.Pool.Reached(lead.Domain)
 	}
-	b.WorkChanged = true
+	changed(b, request)
 }
 
 // endReading frees the helpers that only read; those that keep memory go on until
@@ -281,7 +282,20 @@
 	}
 	request.Endpoint = ""
 	request.Begun = false
-	b.WorkChanged = true
+	changed(b, request)
+}
+
+// changed notes that other entries should hear of the request: of a long prompt
+// at once, since it moves lanes and turns, of others when there is more to tell.
+func changed(b *board.Board, request *board.Request) {
+	engine := b.Plan.Services[request.Service].Engine
+	switch {
+	case engine == nil:
+	case cost.ReadMillis(engine, request.Request.PromptTokens, 1) > longRead:
+		b.WorkChanged = true
+	default:
+		b.ShortChanged = true
+	}
 }
 
 func forget(b *board.Board, request *board.Request) {
