--- a/internal/flow/board/board.go
+++ b/internal/flow/board/board.go
@@ -9,8 +9,8 @@
 	"mustardhook/internal/core/cycle"
 	"mustardhook/internal/core/ident"
 	"mustardhook/internal/flow/budget"
+	"mustardhook/internal/flow/call"
 	"mustardhook/internal/flow/input"
-	"mustardhook/internal/flow/job"
 	"mustardhook/internal/flow/output"
 	"mustardhook/internal/flow/plan"
 	"mustardhook/internal/flow/pool"
@@ -82,7 +82,7 @@
 
 	// Request is a caller's request that is not answered yet.
 	Request struct {
-		job.Placed
+		call.Placed
 		CameAt clock.Millis
 		EndsAt clock.Millis
 		// Endpoint runs the current send; empty while the request waits.
--- a/internal/flow/job/job.go
+++ b/internal/flow/call/call.go
@@ -1,6 +1,6 @@
-// Package job holds the vocabulary of relayed requests: what a caller asks for,
+// Package call holds the vocabulary of relayed requests: what a caller asks for,
 // a send to an endpoint, how the send ended and what the caller is told.
-package job
+package call
 
 import (
 	"mustardhook/internal/core/clock"
--- a/internal/flow/crash/crash.go
+++ b/internal/flow/crash/crash.go
@@ -8,8 +8,8 @@
 	"mustardhook/internal/core/clock"
 	"mustardhook/internal/core/ident"
 	"mustardhook/internal/flow/board"
+	"mustardhook/internal/flow/call"
 	"mustardhook/internal/flow/input"
-	"mustardhook/internal/flow/job"
 )
 
 const (
@@ -73,7 +73,7 @@
 	}
 }
 
-func (c *controller) ended(b *board.Board, result job.Result) {
+func (c *controller) ended(b *board.Board, result call.Result) {
 	request := b.Requests[result.Number]
 	if request == nil || request.Endpoint == "" {
 		return
@@ -81,10 +81,10 @@
 	switch {
 	case result.Dead:
 		c.confirm(b, request.Endpoint)
-	case result.End == job.EndBroken:
+	case result.End == call.EndBroken:
 		found := suspicion{request.Request.Fingerprint, b.Now}
 		c.broken[request.Endpoint] = append(c.broken[request.Endpoint], found)
-	case result.End == job.EndWhole:
+	case result.End == call.EndWhole:
 		delete(b.Crashes, request.Request.Fingerprint)
 	}
 }
--- a/internal/flow/input/input.go
+++ b/internal/flow/input/input.go
@@ -5,7 +5,7 @@
 import (
 	"mustardhook/internal/core/clock"
 	"mustardhook/internal/core/ident"
-	"mustardhook/internal/flow/job"
+	"mustardhook/internal/flow/call"
 	"mustardhook/internal/flow/plan"
 	"mustardhook/internal/flow/pool"
 )
@@ -67,13 +67,13 @@
 	SourceBack struct{}
 
 	// RequestCame is a caller's request, read whole.
-	RequestCame struct{ Request job.Request }
+	RequestCame struct{ Request call.Request }
 
 	// EventCame says that the first event of a stream was passed on.
 	EventCame struct{ Number uint64 }
 
 	// SendEnded says how a send ended.
-	SendEnded struct{ Result job.Result }
+	SendEnded struct{ Result call.Result }
 
 	// CallerGone says that a caller left while its request was not sent.
 	CallerGone struct{ Number uint64 }
--- a/internal/flow/newspb/news.twirp.go
+++ b/internal/flow/newspb/news.twirp.go
@@ -6,23 +6,36 @@
 
 package newspb
 
-import context "context"
-import fmt "fmt"
-import http "net/http"
-import io "io"
-import json "encoding/json"
-import strconv "strconv"
-import strings "strings"
-
-import protojson "google.golang.org/protobuf/encoding/protojson"
-import proto "google.golang.org/protobuf/proto"
-import twirp "github.com/twitchtv/twirp"
-import ctxsetters "github.com/twitchtv/twirp/ctxsetters"
-
-import bytes "bytes"
-import errors "errors"
-import path "path"
-import url "net/url"
+import (
+	context "context"
+	fmt "fmt"
+
+	http "net/http"
+
+	io "io"
+
+	json "encoding/json"
+
+	strconv "strconv"
+
+	strings "strings"
+
+	protojson "google.golang.org/protobuf/encoding/protojson"
+
+	proto "google.golang.org/protobuf/proto"
+
+	twirp "github.com/twitchtv/twirp"
+
+	ctxsetters "github.com/twitchtv/twirp/ctxsetters"
+
+	bytes "bytes"
+
+	errors "errors"
+
+	path "path"
+
+	url "net/url"
+)
 
 // Version compatibility assertion.
 // If the constant is not defined in the package, that likely means
--- a/internal/flow/output/output.go
+++ b/internal/flow/output/output.go
@@ -3,8 +3,8 @@
 package output
 
 import (
+	"mustardhook/internal/flow/call"
 	"mustardhook/internal/flow/input"
-	"mustardhook/internal/flow/job"
 )
 
 type (
@@ -12,19 +12,19 @@
 	Output interface{ isOutput() }
 
 	// Send starts a send of a request.
-	Send struct{ Send job.Send }
+	Send struct{ Send call.Send }
 
 	// Deliver ends a request with the answer that the endpoint gave.
 	Deliver struct{ Number uint64 }
 
 	// Reply ends a request without an endpoint's answer.
-	Reply struct{ Reply job.Reply }
+	Reply struct{ Reply call.Reply }
 
 	// Abort ends a request whose answer can't be made whole, so that the caller
 	// sees it broken.
 	Abort struct {
 		Number uint64
-		Reason job.Reason
+		Reason call.Reason
 	}
 
 	// Tell sends news to other entries.
--- a/internal/flow/parts/load_test.go
+++ b/internal/flow/parts/load_test.go
@@ -8,8 +8,8 @@
 
 	"mustardhook/internal/core/clock"
 	"mustardhook/internal/core/ident"
+	"mustardhook/internal/flow/call"
 	"mustardhook/internal/flow/input"
-	"mustardhook/internal/flow/job"
 	"mustardhook/internal/flow/output"
 	"mustardhook/internal/flow/pool"
 )
@@ -96,7 +96,7 @@
 // time is refused at once, with a time to come back.
 func TestLongPromptOutOfReachIsRefusedAtOnce(t *testing.T) {
 	w := newWorld(t).serve(4)
-	var refused *job.Reply
+	var refused *call.Reply
 	for range 40 {
 		_, got := w.ask("/long/1", 250000, 15000)
 		if reply, is := got.(output.Reply); is {
@@ -120,7 +120,7 @@
 		}
 	})
 	_, got := w.ask("/short/1", 5000, 10000)
-	requireReply(t, got, job.ReasonOverload, http.StatusServiceUnavailable)
+	requireReply(t, got, call.ReasonOverload, http.StatusServiceUnavailable)
 	_, got = w.ask("/short/1", 5000, 6500)
 	requireSend(t, got)
 }
@@ -144,7 +144,7 @@
 		held += endpoint.MemoryTokens()
 	}
 	require.Equal(t, 540000+1600, held)
-	w.end(job.Result{Number: number, End: job.EndWhole, Status: 200, Delivered: true})
+	w.end(call.Result{Number: number, End: call.EndWhole, Status: 200, Delivered: true})
 	for _, endpoint := range w.board.Pool.Of(engines) {
 		require.Empty(t, endpoint.Work)
 	}
@@ -155,7 +155,7 @@
 	w := newWorld(t).serve(16)
 	number, got := w.ask("/long/1", 540000, 15000)
 	requireSend(t, got)
-	require.Nil(t, w.end(job.Result{Number: number, End: job.EndNotRun, Unreserved: true}))
+	require.Nil(t, w.end(call.Result{Number: number, End: call.EndNotRun, Unreserved: true}))
 	w.outputs = nil
 	w.pass(300)
 	requireSend(t, w.of(number, w.outputs))
--- a/internal/flow/parts/requests_test.go
+++ b/internal/flow/parts/requests_test.go
@@ -9,14 +9,14 @@
 
 	"mustardhook/internal/core/clock"
 	"mustardhook/internal/core/ident"
+	"mustardhook/internal/flow/call"
 	"mustardhook/internal/flow/input"
-	"mustardhook/internal/flow/job"
 	"mustardhook/internal/flow/output"
 	"mustardhook/internal/flow/peers"
 	"mustardhook/internal/flow/pool"
 )
 
-func requireReply(t *testing.T, got output.Output, reason job.Reason, status int) job.Reply {
+func requireReply(t *testing.T, got output.Output, reason call.Reason, status int) call.Reply {
 	t.Helper()
 	reply, is := got.(output.Reply)
 	require.True(t, is, "got %T %+v", got, got)
@@ -25,7 +25,7 @@
 	return reply.Reply
 }
 
-func requireSend(t *testing.T, got output.Output) job.Send {
+func requireSend(t *testing.T, got output.Output) call.Send {
 	t.Helper()
 	send, is := got.(output.Send)
 	require.True(t, is, "got %T %+v", got, got)
@@ -35,12 +35,12 @@
 func TestRefusalsBeforeAnyRoute(t *testing.T) {
 	w := newWorld(t)
 	_, got := w.ask("/book/1", 0, 1500)
-	requireReply(t, got, job.ReasonNoPlan, http.StatusServiceUnavailable)
+	requireReply(t, got, call.ReasonNoPlan, http.StatusServiceUnavailable)
 	w.serve(4)
 	_, got = w.ask("/nowhere/1", 0, 1500)
-	requireReply(t, got, job.ReasonNoRoute, http.StatusNotFound)
-	emitted := w.step(input.RequestCame{Request: job.Request{Number: 900, Host: host, Path: "/book/", Key: "stolen"}})
-	requireReply(t, w.of(900, emitted), job.ReasonBadKey, http.StatusUnauthorized)
+	requireReply(t, got, call.ReasonNoRoute, http.StatusNotFound)
+	emitted := w.step(input.RequestCame{Request: call.Request{Number: 900, Host: host, Path: "/book/", Key: "stolen"}})
+	requireReply(t, w.of(900, emitted), call.ReasonBadKey, http.StatusUnauthorized)
 }
 
 // A booking whose answer is lost may have run: it is never sent again, and the
@@ -49,8 +49,8 @@
 	w := newWorld(t).serve(4)
 	number, got := w.ask("/book/1", 0, 1500)
 	requireSend(t, got)
-	got = w.end(job.Result{Number: number, End: job.EndBroken})
-	requireReply(t, got, job.ReasonBroken, http.StatusBadGateway)
+	got = w.end(call.Result{Number: number, End: call.EndBroken})
+	requireReply(t, got, call.ReasonBroken, http.StatusBadGateway)
 }
 
 // A booking that an endpoint did not run goes to another endpoint, and when none
@@ -59,11 +59,11 @@
 	w := newWorld(t).serve(4)
 	number, got := w.ask("/book/1", 0, 1500)
 	first := requireSend(t, got)
-	second := requireSend(t, w.end(job.Result{Number: number, End: job.EndNotRun, Refused: true}))
+	second := requireSend(t, w.end(call.Result{Number: number, End: call.EndNotRun, Refused: true}))
 	require.NotEqual(t, first.Endpoint, second.Endpoint)
-	third := requireSend(t, w.end(job.Result{Number: number, End: job.EndNotRun, Unreached: true}))
+	third := requireSend(t, w.end(call.Result{Number: number, End: call.EndNotRun, Unreached: true}))
 	require.NotContains(t, []any{first.Endpoint, second.Endpoint}, third.Endpoint)
-	reply := requireReply(t, w.end(job.Result{Number: number, End: job.EndNotRun}), job.ReasonOverload,
+	reply := requireReply(t, w.end(call.Result{Number: number, End: call.EndNotRun}), call.ReasonOverload,
 		http.StatusServiceUnavailable)
 	require.Positive(t, reply.RetryAfter)
 }
@@ -72,9 +72,9 @@
 	w := newWorld(t).serve(4)
 	number, got := w.ask("/read/1", 0, 1500)
 	first := requireSend(t, got)
-	second := requireSend(t, w.end(job.Result{Number: number, End: job.EndWhole, Status: 500}))
+	second := requireSend(t, w.end(call.Result{Number: number, End: call.EndWhole, Status: 500}))
 	require.NotEqual(t, first.Endpoint, second.Endpoint)
-	got = w.end(job.Result{Number: number, End: job.EndWhole, Status: 500})
+	got = w.end(call.Result{Number: number, End: call.EndWhole, Status: 500})
 	require.IsType(t, output.Deliver{}, got)
 }
 
@@ -83,13 +83,13 @@
 	number, got := w.ask("/short/1", 5000, 10000)
 	first := requireSend(t, got)
 	w.step(input.EventCame{Number: number})
-	second := requireSend(t, w.end(job.Result{Number: number, End: job.EndBroken, Delivered: true}))
+	second := requireSend(t, w.end(call.Result{Number: number, End: call.EndBroken, Delivered: true}))
 	require.NotEqual(t, first.Endpoint, second.Endpoint)
-	require.IsType(t, output.Abort{}, w.end(job.Result{Number: number, End: job.EndBroken, Delivered: true}))
+	require.IsType(t, output.Abort{}, w.end(call.Result{Number: number, End: call.EndBroken, Delivered: true}))
 
 	number, got = w.ask("/fixed/1", 5000, 10000)
 	requireSend(t, got)
-	requireReply(t, w.end(job.Result{Number: number, End: job.EndBroken}), job.ReasonBroken, http.StatusBadGateway)
+	requireReply(t, w.end(call.Result{Number: number, End: call.EndBroken}), call.ReasonBroken, http.StatusBadGateway)
 }
 
 // After a run that broke, a refusal elsewhere can't be passed on as "not run".
@@ -97,14 +97,14 @@
 	w := newWorld(t).serve(2)
 	number, got := w.ask("/read/1", 0, 1500)
 	requireSend(t, got)
-	requireSend(t, w.end(job.Result{Number: number, End: job.EndBroken}))
-	got = w.end(job.Result{Number: number, End: job.EndNotRun})
+	requireSend(t, w.end(call.Result{Number: number, End: call.EndBroken}))
+	got = w.end(call.Result{Number: number, End: call.EndNotRun})
 	for range 3 {
 		if _, is := got.(output.Send); is {
-			got = w.end(job.Result{Number: number, End: job.EndNotRun})
+			got = w.end(call.Result{Number: number, End: call.EndNotRun})
 		}
 	}
-	requireReply(t, got, job.ReasonOverload, http.StatusBadGateway)
+	requireReply(t, got, call.ReasonOverload, http.StatusBadGateway)
 }
 
 func TestRetriesAreBounded(t *testing.T) {
@@ -117,7 +117,7 @@
 				break
 			}
 			sends++
-			got = w.end(job.Result{Number: number, End: job.EndBroken})
+			got = w.end(call.Result{Number: number, End: call.EndBroken})
 		}
 	}
 	require.LessOrEqual(t, float64(sends-300), 0.2*300+200)
@@ -128,7 +128,7 @@
 	w := newWorld(t).serve(6)
 	ask := func() output.Output {
 		w.numbers++
-		asked := job.Request{
+		asked := call.Request{
 			Number: w.numbers, Host: host, Path: "/short/1", Key: knownKey, PromptTokens: 5000, Deadline: 10000,
 			Fingerprint: 77,
 		}
@@ -137,13 +137,13 @@
 	got := ask()
 	for range 2 {
 		send := requireSend(t, got)
-		got = w.end(job.Result{Number: send.Number, End: job.EndBroken})
+		got = w.end(call.Result{Number: send.Number, End: call.EndBroken})
 		w.step(input.EndpointGone{Name: send.Endpoint})
 		if _, isSent := got.(output.Send); !isSent {
 			got = ask()
 		}
 	}
-	requireReply(t, ask(), job.ReasonCrashes, http.StatusServiceUnavailable)
+	requireReply(t, ask(), call.ReasonCrashes, http.StatusServiceUnavailable)
 }
 
 func TestPlanNeverGoesBack(t *testing.T) {
@@ -176,7 +176,7 @@
 		isSouth := w.board.Pool.Find(send.Endpoint).Domain == "south"
 		require.False(t, failed && isSouth, "sent to the cut domain")
 		if isSouth {
-			w.end(job.Result{Number: number, End: job.EndNotRun, Unreached: true})
+			w.end(call.Result{Number: number, End: call.EndNotRun, Unreached: true})
 			failed = true
 		}
 	}
@@ -190,7 +190,7 @@
 	number, got := w.ask("/short/1", 5000, 10000)
 	requireSend(t, got)
 	w.board.Requests[number].Endpoint = "engine-01"
-	w.end(job.Result{Number: number, End: job.EndNotRun, Unreached: true})
+	w.end(call.Result{Number: number, End: call.EndNotRun, Unreached: true})
 	require.False(t, w.board.Pool.IsCut("south", w.board.Now))
 }
 
@@ -211,7 +211,7 @@
 	number, got := w.ask("/book/1", 0, 60000)
 	send := requireSend(t, got)
 	require.LessOrEqual(t, send.Left, clock.Millis(800))
-	requireReply(t, w.end(job.Result{Number: number, End: job.EndTimeout}), job.ReasonTimeout, http.StatusGatewayTimeout)
+	requireReply(t, w.end(call.Result{Number: number, End: call.EndTimeout}), call.ReasonTimeout, http.StatusGatewayTimeout)
 }
 
 // A process that starts again after the time of day jumped back is heard.
@@ -264,7 +264,7 @@
 	requireSend(t, got)
 	w.pass(3000)
 	_, got = w.ask("/short/2", 5000, 10000)
-	reply := requireReply(t, got, job.ReasonStopping, http.StatusServiceUnavailable)
+	reply := requireReply(t, got, call.ReasonStopping, http.StatusServiceUnavailable)
 	require.Positive(t, reply.RetryAfter)
 }
 
@@ -275,9 +275,9 @@
 		number, got := w.ask("/short/1", 5000, 10000)
 		first := requireSend(t, got)
 		w.board.Requests[number].Request.Fingerprint = 77
-		if _, isSent := w.end(job.Result{Number: number, End: job.EndBroken}).(output.Send); isSent {
+		if _, isSent := w.end(call.Result{Number: number, End: call.EndBroken}).(output.Send); isSent {
 			w.board.Requests[number].Endpoint = first.Endpoint
-			w.end(job.Result{Number: number, End: job.EndNotRun, Unreached: true})
+			w.end(call.Result{Number: number, End: call.EndNotRun, Unreached: true})
 		}
 	}
 	require.Empty(t, w.board.Crashes)
@@ -289,7 +289,7 @@
 	for range 9 {
 		number, got := w.ask("/book/1", 0, 1500)
 		requireSend(t, got)
-		w.end(job.Result{Number: number, End: job.EndTimeout})
+		w.end(call.Result{Number: number, End: call.EndTimeout})
 	}
 	for _, endpoint := range w.board.Pool.Of(desk) {
 		require.True(t, endpoint.IsUsable(w.board.Now))
--- a/internal/flow/parts/world_test.go
+++ b/internal/flow/parts/world_test.go
@@ -8,8 +8,8 @@
 	"mustardhook/internal/core/cycle"
 	"mustardhook/internal/core/ident"
 	"mustardhook/internal/flow/board"
+	"mustardhook/internal/flow/call"
 	"mustardhook/internal/flow/input"
-	"mustardhook/internal/flow/job"
 	"mustardhook/internal/flow/output"
 	"mustardhook/internal/flow/plan"
 	"mustardhook/internal/flow/pool"
@@ -124,7 +124,7 @@
 // ask brings a caller's request and returns its number and the outputs for it.
 func (w *world) ask(path string, tokens int, deadline clock.Millis) (uint64, output.Output) {
 	w.numbers++
-	asked := job.Request{
+	asked := call.Request{
 		Number: w.numbers, Name: ident.Request(fmt.Sprintf("r%d", w.numbers)), Host: host, Path: path, Key: knownKey,
 		Deadline: deadline, PromptTokens: tokens, OutputTokens: 1600, Fingerprint: w.numbers,
 	}
@@ -156,7 +156,7 @@
 	return nil
 }
 
-func (w *world) end(result job.Result) output.Output {
+func (w *world) end(result call.Result) output.Output {
 	return w.of(result.Number, w.step(input.SendEnded{Result: result}))
 }
 
--- a/internal/flow/place/choose.go
+++ b/internal/flow/place/choose.go
@@ -6,7 +6,7 @@
 
 	"mustardhook/internal/core/clock"
 	"mustardhook/internal/flow/board"
-	"mustardhook/internal/flow/job"
+	"mustardhook/internal/flow/call"
 	"mustardhook/internal/flow/plan"
 	"mustardhook/internal/flow/pool"
 )
@@ -38,7 +38,7 @@
 		urgency    int
 		first      clock.Millis
 		isFull     bool
-		reason     job.Reason
+		reason     call.Reason
 		retryAfter clock.Millis
 	}
 )
@@ -69,7 +69,7 @@
 
 // chooseService takes the endpoint with the least work for its slots.
 func chooseService(b *board.Board, request *board.Request) choice {
-	best := choice{reason: job.ReasonNoEndpoint, retryAfter: FullWait}
+	best := choice{reason: call.ReasonNoEndpoint, retryAfter: FullWait}
 	least := math.Inf(1)
 	for _, endpoint := range usable(b, request) {
 		load := float64(endpoint.Leads())/float64(max(endpoint.Slots, 1)) + b.Random.Float64()*busyJitter
--- a/internal/flow/place/engine.go
+++ b/internal/flow/place/engine.go
@@ -9,8 +9,8 @@
 
 	"mustardhook/internal/core/clock"
 	"mustardhook/internal/flow/board"
+	"mustardhook/internal/flow/call"
 	"mustardhook/internal/flow/cost"
-	"mustardhook/internal/flow/job"
 	"mustardhook/internal/flow/plan"
 	"mustardhook/internal/flow/pool"
 )
@@ -79,17 +79,17 @@
 	need := prompt + outputTokens(request.Request)
 	candidates := survey(b, request, engine)
 	if len(candidates) == 0 {
-		return choice{reason: job.ReasonNoEndpoint, retryAfter: FullWait}
+		return choice{reason: call.ReasonNoEndpoint, retryAfter: FullWait}
 	}
 	if need > engine.MemoryTokens*min(len(candidates), maxHolders+1) {
-		return choice{reason: job.ReasonTooLong, retryAfter: FullWait}
+		return choice{reason: call.ReasonTooLong, retryAfter: FullWait}
 	}
 	short, long := lanes(candidates)
 	if cost.ReadMillis(engine, prompt, 1) <= longRead {
 		found := cheapest(b, engine, short, long, prompt, need)
 		found.urgency = urgencyShort
 		if found.isFull && !request.HasComeBack() {
-			return choice{reason: job.ReasonOverload, retryAfter: b.RetryAfter(request)}
+			return choice{reason: call.ReasonOverload, retryAfter: b.RetryAfter(request)}
 		}
 		return found
 	}
@@ -135,7 +135,7 @@
 // cheapest takes the engine with the earliest predicted first event; those of
 // the other lane count for more.
 func cheapest(b *board.Board, engine *plan.Engine, own, other []*candidate, prompt, need int) choice {
-	best := choice{reason: job.ReasonNoEndpoint, retryAfter: FullWait}
+	best := choice{reason: call.ReasonNoEndpoint, retryAfter: FullWait}
 	least := math.Inf(1)
 	consider := func(found *candidate, penalty float64) {
 		first := cost.FirstMillis(engine, found.load, prompt, 1)
@@ -206,7 +206,7 @@
 	own := line.placeOf(b, request)
 	switch {
 	case own.startAt > b.Now+(request.UntilAt()-b.Now)/2:
-		return choice{reason: job.ReasonOverload, retryAfter: b.RetryAfter(request)}
+		return choice{reason: call.ReasonOverload, retryAfter: b.RetryAfter(request)}
 	case unread > releaseUnread:
 		request.RoomAt = 0
 		return choice{}
@@ -223,7 +223,7 @@
 // refuses it: it takes as much reading as ten others.
 func holdBriefly(b *board.Board, request *board.Request) choice {
 	if b.Now-request.CameAt > request.Route.Objective/holdParts {
-		return choice{reason: job.ReasonOverload, retryAfter: b.RetryAfter(request)}
+		return choice{reason: call.ReasonOverload, retryAfter: b.RetryAfter(request)}
 	}
 	return choice{}
 }
--- a/internal/flow/port/port.go
+++ b/internal/flow/port/port.go
@@ -8,7 +8,7 @@
 	"net/http"
 
 	"mustardhook/internal/core/ident"
-	"mustardhook/internal/flow/job"
+	"mustardhook/internal/flow/call"
 	"mustardhook/internal/flow/plan"
 	"mustardhook/internal/flow/pool"
 )
@@ -17,13 +17,13 @@
 	// Dialect translates requests of callers and answers of endpoints.
 	Dialect interface {
 		// ReadRequest reads the head of a caller's request.
-		ReadRequest(head *http.Request) (job.Request, error)
+		ReadRequest(head *http.Request) (call.Request, error)
 		// SendHeader returns the header for a send, from the caller's header.
-		SendHeader(from http.Header, send job.Send, after string) http.Header
+		SendHeader(from http.Header, send call.Send, after string) http.Header
 		// ReadAnswer says what the head of an endpoint's answer means.
 		ReadAnswer(response *http.Response) AnswerHead
 		// Order returns the call that carries an order to an endpoint.
-		Order(order job.Order) (path string, body []byte, err error)
+		Order(order call.Order) (path string, body []byte, err error)
 		// EventID returns the id of one event of a stream; empty if it has none.
 		EventID(event []byte) string
 	}
--- a/internal/flow/proxy/lease.go
+++ b/internal/flow/proxy/lease.go
@@ -12,7 +12,7 @@
 	"github.com/go-faster/errors"
 
 	"mustardhook/internal/core/clock"
-	"mustardhook/internal/flow/job"
+	"mustardhook/internal/flow/call"
 )
 
 const (
@@ -32,7 +32,7 @@
 	// leases are the reserved memory of one send.
 	leases struct {
 		session *session
-		held    []job.Helper
+		held    []call.Helper
 		cancel  context.CancelFunc
 	}
 
@@ -50,10 +50,10 @@
 
 // reserve takes all leases of a send or none. Endpoints are asked in the order of
 // their names, so that two sends never wait for one another.
-func (s *session) reserve(ctx context.Context, helpers []job.Helper) (*leases, error) {
+func (s *session) reserve(ctx context.Context, helpers []call.Helper) (*leases, error) {
 	taken := &leases{session: s}
-	wanted := slices.DeleteFunc(slices.Clone(helpers), func(h job.Helper) bool { return h.Lease == "" })
-	slices.SortFunc(wanted, func(a, b job.Helper) int { return cmp.Compare(a.Endpoint, b.Endpoint) })
+	wanted := slices.DeleteFunc(slices.Clone(helpers), func(h call.Helper) bool { return h.Lease == "" })
+	slices.SortFunc(wanted, func(a, b call.Helper) int { return cmp.Compare(a.Endpoint, b.Endpoint) })
 	for _, helper := range wanted {
 		// An order without an answer may have been carried out, so it is released too.
 		taken.held = append(taken.held, helper)
@@ -97,7 +97,7 @@
 	}
 }
 
-func (l *leases) release(helper job.Helper) {
+func (l *leases) release(helper call.Helper) {
 	// The caller may be gone; the release goes out all the same.
 	ctx := l.session.proxy.lifetime
 	var err error
@@ -111,10 +111,10 @@
 }
 
 // order reserves or renews memory at an endpoint, or with no tokens releases it.
-func (s *session) order(ctx context.Context, helper job.Helper, tokens int) error {
+func (s *session) order(ctx context.Context, helper call.Helper, tokens int) error {
 	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
-	path, body, err := s.proxy.dialect.Order(job.Order{Lease: helper.Lease, Tokens: tokens, Span: leaseSpan})
+	path, body, err := s.proxy.dialect.Order(call.Order{Lease: helper.Lease, Tokens: tokens, Span: leaseSpan})
 	if err != nil {
 		return errors.Wrap(err, "encode order")
 	}
--- a/internal/flow/proxy/proxy.go
+++ b/internal/flow/proxy/proxy.go
@@ -17,8 +17,8 @@
 	"mustardhook/internal/core/cycle"
 	"mustardhook/internal/core/ident"
 	"mustardhook/internal/flow/board"
+	"mustardhook/internal/flow/call"
 	"mustardhook/internal/flow/input"
-	"mustardhook/internal/flow/job"
 	"mustardhook/internal/flow/output"
 	"mustardhook/internal/flow/peers"
 	"mustardhook/internal/flow/plan"
@@ -208,7 +208,7 @@
 }
 
 // sendLog writes the line of the decision to send a request.
-func (p *Proxy) sendLog(s *session, send job.Send) {
+func (p *Proxy) sendLog(s *session, send call.Send) {
 	p.logger.Part("place").Info("Request sent.", "request", s.request.Name, "endpoint", send.Endpoint,
 		"helpers", len(send.Helpers), "predicted", send.Predicted, "waited", time.Since(s.began).Milliseconds(),
 		"left", send.Left, "route", send.Basis.Route, "plan", uint64(send.Basis.PlanVersion),
@@ -216,7 +216,7 @@
 }
 
 // finishLog writes the line that ends a request.
-func (p *Proxy) finishLog(s *session, outcome string, reason job.Reason, status int, more ...any) {
+func (p *Proxy) finishLog(s *session, outcome string, reason call.Reason, status int, more ...any) {
 	pairs := []any{
 		"request", s.request.Name, "reason", reason, "status", status, "endpoint", s.lastEndpoint, "sends", s.sends,
 		"millis", time.Since(s.began).Milliseconds(), "first", s.firstAfter.Milliseconds(),
--- a/internal/flow/proxy/send.go
+++ b/internal/flow/proxy/send.go
@@ -12,8 +12,8 @@
 
 	"github.com/go-faster/errors"
 
+	"mustardhook/internal/flow/call"
 	"mustardhook/internal/flow/input"
-	"mustardhook/internal/flow/job"
 )
 
 const (
@@ -34,7 +34,7 @@
 	// exchange is one send on its own connection.
 	exchange struct {
 		session *session
-		send    job.Send
+		send    call.Send
 		conn    net.Conn
 		reader  *bufio.Reader
 		timeout time.Time
@@ -52,9 +52,9 @@
 
 // send runs one send on a connection of its own, so that an answer is never
 // another request's and nothing is repeated unasked.
-func (s *session) send(wanted job.Send) job.Result {
+func (s *session) send(wanted call.Send) call.Result {
 	s.proxy.metrics.sends.Inc(1)
-	result := job.Result{Number: wanted.Number, End: job.EndNotRun, Unreached: true}
+	result := call.Result{Number: wanted.Number, End: call.EndNotRun, Unreached: true}
 	timeout := time.Now().Add(wanted.Left.Span() + timeoutSlack)
 	ctx, cancel := context.WithDeadline(s.head.Context(), timeout)
 	defer cancel()
@@ -83,16 +83,16 @@
 }
 
 // blameCaller tells a send that ended by the caller's leave from one that failed.
-func (s *session) blameCaller(result job.Result) job.Result {
+func (s *session) blameCaller(result call.Result) call.Result {
 	var caller *CallerError
-	if result.End != job.EndWhole && (s.head.Context().Err() != nil || errors.As(result.Err, &caller)) {
-		result.End = job.EndCallerGone
+	if result.End != call.EndWhole && (s.head.Context().Err() != nil || errors.As(result.Err, &caller)) {
+		result.End = call.EndCallerGone
 		result.Unreached = false
 	}
 	return result
 }
 
-func (x *exchange) run() job.Result {
+func (x *exchange) run() call.Result {
 	// An endpoint may answer before it has read a long body, so both go on at once.
 	written := make(chan error, 1)
 	x.session.proxy.spawn(func() { written <- x.write() })
@@ -107,8 +107,8 @@
 	head := x.session.proxy.dialect.ReadAnswer(response)
 	switch {
 	case head.NotRun:
-		return job.Result{
-			End: job.EndNotRun, Status: response.StatusCode, Blamed: head.Blamed, Moved: head.Moved,
+		return call.Result{
+			End: call.EndNotRun, Status: response.StatusCode, Blamed: head.Blamed, Moved: head.Moved,
 			Refused: !head.Moved,
 		}
 	case head.Request != "" && head.Request != x.session.request.Name:
@@ -124,12 +124,12 @@
 }
 
 // broken is the end of a send that may have run.
-func (x *exchange) broken(err error) job.Result {
-	end := job.EndBroken
+func (x *exchange) broken(err error) call.Result {
+	end := call.EndBroken
 	if time.Now().After(x.timeout.Add(-timeoutSlack)) {
-		end = job.EndTimeout
+		end = call.EndTimeout
 	}
-	return job.Result{End: end, Err: err}
+	return call.Result{End: end, Err: err}
 }
 
 // silence bounds the time until the next byte of the endpoint.
@@ -166,18 +166,18 @@
 }
 
 // whole holds an answer until it is complete.
-func (x *exchange) whole(response *http.Response) job.Result {
+func (x *exchange) whole(response *http.Response) call.Result {
 	body, err := io.ReadAll(io.LimitReader(response.Body, answerBytes))
 	if err != nil {
 		return x.broken(errors.Wrap(err, "read answer"))
 	}
 	x.session.answer = &answer{response.StatusCode, response.Header, body}
-	return job.Result{End: job.EndWhole, Status: response.StatusCode}
+	return call.Result{End: call.EndWhole, Status: response.StatusCode}
 }
 
 // stream passes whole events on as they come. Events that the caller has, from an
 // earlier send, are never passed again.
-func (x *exchange) stream(response *http.Response) job.Result {
+func (x *exchange) stream(response *http.Response) call.Result {
 	events := bufio.NewReaderSize(response.Body, readBuffer)
 	var event []byte
 	isFirst := true
@@ -197,7 +197,7 @@
 			continue
 		}
 		if err := x.passEvent(response, event, isFirst); err != nil {
-			return job.Result{End: job.EndCallerGone, Err: &CallerError{err}}
+			return call.Result{End: call.EndCallerGone, Err: &CallerError{err}}
 		}
 		if isFirst {
 			isFirst = false
@@ -216,12 +216,12 @@
 }
 
 // streamEnded tells a complete stream from one that ended early.
-func (x *exchange) streamEnded(response *http.Response, rest []byte) job.Result {
+func (x *exchange) streamEnded(response *http.Response, rest []byte) call.Result {
 	if len(strings.TrimSpace(string(rest))) > 0 {
 		return x.broken(&AnswerError{"it ended inside an event"})
 	}
 	if !x.session.opened {
 		return x.broken(&AnswerError{"it ended without an event"})
 	}
-	return job.Result{End: job.EndWhole, Status: response.StatusCode}
+	return call.Result{End: call.EndWhole, Status: response.StatusCode}
 }
--- a/internal/flow/proxy/session.go
+++ b/internal/flow/proxy/session.go
@@ -11,8 +11,8 @@
 	"github.com/go-faster/errors"
 
 	"mustardhook/internal/core/clock"
+	"mustardhook/internal/flow/call"
 	"mustardhook/internal/flow/input"
-	"mustardhook/internal/flow/job"
 	"mustardhook/internal/flow/output"
 )
 
@@ -32,7 +32,7 @@
 	// session is one request of a caller.
 	session struct {
 		proxy   *Proxy
-		request job.Request
+		request call.Request
 		head    *http.Request
 		body    []byte
 		writer  http.ResponseWriter
@@ -77,7 +77,7 @@
 	request.Number = p.numbers.Add(1)
 	s.request = request
 	if err != nil {
-		s.reply(job.Reply{Reason: job.ReasonBadRequest, Status: http.StatusBadRequest})
+		s.reply(call.Reply{Reason: call.ReasonBadRequest, Status: http.StatusBadRequest})
 		return
 	}
 	if !s.readBody() {
@@ -91,7 +91,7 @@
 }
 
 // fingerprint is equal for requests of one caller with equal path and body.
-func fingerprint(request job.Request, body []byte) uint64 {
+func fingerprint(request call.Request, body []byte) uint64 {
 	digest := xxhash.New()
 	_, _ = digest.WriteString(request.Host + "\x00" + request.Path + "\x00" + request.Key + "\x00")
 	_, _ = digest.Write(body)
@@ -112,7 +112,7 @@
 		panic(http.ErrAbortHandler)
 	}
 	if int64(len(body)) > limit {
-		s.reply(job.Reply{Reason: job.ReasonBodyLimit, Status: http.StatusRequestEntityTooLarge})
+		s.reply(call.Reply{Reason: call.ReasonBodyLimit, Status: http.StatusRequestEntityTooLarge})
 		return false
 	}
 	s.body = body
@@ -138,11 +138,11 @@
 			s.proxy.sendLog(s, wanted.Send)
 			result := s.send(wanted.Send)
 			s.proxy.Step(input.SendEnded{Result: result})
-			if result.End == job.EndCallerGone {
+			if result.End == call.EndCallerGone {
 				s.proxy.finishLog(s, "Caller left.", "", 0)
 				return
 			}
-			if result.End != job.EndWhole {
+			if result.End != call.EndWhole {
 				s.proxy.logger.Part("send").Info("Send failed.", "request", s.request.Name, "end", result.End,
 					"endpoint", wanted.Send.Endpoint, "status", result.Status, "err", result.Err)
 			}
@@ -181,7 +181,7 @@
 }
 
 // reply ends a request without an endpoint's answer.
-func (s *session) reply(reply job.Reply) {
+func (s *session) reply(reply call.Reply) {
 	s.proxy.metrics.refused.Inc(1)
 	header := s.writer.Header()
 	if reply.RetryAfter > 0 {
