Silence alone ends no answer

Ruled out: a longer limit (callers give up after 2 s, so it would save nothing). Change: between events silence counts only with a sign that the endpoint is dead; a request that has run is not refused for want of room.

--- a/internal/flow/parts/load_test.go
+++ b/internal/flow/parts/load_test.go
@@ -160,3 +160,18 @@
 	w.pass(300)
 	requireSend(t, w.of(number, w.outputs))
 }
+
+// A stream that broke is not refused for want of room: its caller has a part of it.
+func TestBrokenStreamIsNotRefusedWithoutRoom(t *testing.T) {
+	w := newWorld(t).serve(4)
+	number, got := w.ask("/short/1", 5000, 10000)
+	requireSend(t, got)
+	w.step(input.EventCame{Number: number})
+	w.hear("entry-2", func(n *input.News) {
+		n.Work = map[pool.Mark]map[pool.WorkID]pool.Work{}
+		for _, name := range []ident.Endpoint{"engine-00", "engine-01", "engine-02", "engine-03"} {
+			n.Work[pool.MarkOf(name)] = workOf("entry-2", name, 16)[pool.MarkOf(name)]
+		}
+	})
+	requireSend(t, w.end(call.Result{Number: number, End: call.EndBroken, Delivered: true}))
+}
--- a/internal/flow/place/choose.go
+++ b/internal/flow/place/choose.go
@@ -43,7 +43,9 @@
 	}
 )
 
-func silences(_ *board.Board, found choice, stream plan.Stream) (first, next clock.Millis) {
+// silences returns how long an endpoint may be silent before its first event, and
+// between two before its entry looks for signs that it is dead.
+func silences(found choice, stream plan.Stream) (first, next clock.Millis) {
 	return max(LeastSilence, SilenceFactor*found.first), max(LeastSilence, SilenceFactor*stream.GapObjective)
 }
 
--- a/internal/flow/place/end.go
+++ b/internal/flow/place/end.go
@@ -4,6 +4,7 @@
 	"net/http"
 
 	"mustardhook/internal/core/clock"
+	"mustardhook/internal/core/ident"
 	"mustardhook/internal/flow/board"
 	"mustardhook/internal/flow/call"
 	"mustardhook/internal/flow/output"
@@ -75,6 +76,14 @@
 	}
 }
 
+// IsDoubtful reports whether there are signs that the endpoint is dead or out of
+// reach. Silence alone is none: an engine may read a long part.
+func IsDoubtful(b *board.Board, name ident.Endpoint) bool {
+	endpoint := b.Pool.Find(name)
+	return endpoint == nil || b.Now < endpoint.RestUntil || b.Pool.IsCut(endpoint.Domain, b.Now) ||
+		endpoint.Domain != b.Domain && b.IsSilent(endpoint.Domain, SilentDomain)
+}
+
 // suspectDomain takes a failed endpoint of another failure domain for a sign that
 // the domain can't be reached when its entries are silent too.
 func suspectDomain(b *board.Board, endpoint *pool.Endpoint) {
--- a/internal/flow/place/engine.go
+++ b/internal/flow/place/engine.go
@@ -88,7 +88,7 @@
 	if cost.ReadMillis(engine, prompt, 1) <= longRead {
 		found := cheapest(b, engine, short, long, prompt, need)
 		found.urgency = urgencyShort
-		if found.isFull && !request.HasComeBack() {
+		if found.isFull && !request.HasComeBack() && request.Runs == 0 {
 			return choice{reason: call.ReasonOverload, retryAfter: b.RetryAfter(request)}
 		}
 		return found
@@ -205,7 +205,7 @@
 	}
 	own := line.placeOf(b, request)
 	switch {
-	case own.startAt > b.Now+(request.UntilAt()-b.Now)/2:
+	case request.Runs == 0 && own.startAt > b.Now+(request.UntilAt()-b.Now)/2:
 		return choice{reason: call.ReasonOverload, retryAfter: b.RetryAfter(request)}
 	case unread > releaseUnread:
 		request.RoomAt = 0
@@ -222,7 +222,7 @@
 // holdBriefly lets a giant prompt wait for a moment with spare engines, and then
 // refuses it: it takes as much reading as ten others.
 func holdBriefly(b *board.Board, request *board.Request) choice {
-	if b.Now-request.CameAt > request.Route.Objective/holdParts {
+	if request.Runs == 0 && b.Now-request.CameAt > request.Route.Objective/holdParts {
 		return choice{reason: call.ReasonOverload, retryAfter: b.RetryAfter(request)}
 	}
 	return choice{}
--- a/internal/flow/place/send.go
+++ b/internal/flow/place/send.go
@@ -22,14 +22,17 @@
 		FirstWithin: left, NextWithin: left, Predicted: found.first,
 		Basis: basisOf(b, request),
 	}
-	if _, is := request.Route.Repeat.(plan.Idempotent); is && request.Runs+1 < request.Route.Attempts {
+	mayGoElsewhere := request.Route.MayRepeat() && request.Runs+1 < request.Route.Attempts
+	if mayGoElsewhere && !request.Route.IsStream() {
 		// There is time to ask another endpoint when the first stays silent.
 		wanted.FirstWithin = min(left, SilenceFactor*request.Route.Objective)
 	}
 	var gap clock.Millis
 	if stream, is := request.Route.Repeat.(plan.Stream); is {
-		wanted.FirstWithin, wanted.NextWithin = silences(b, found, stream)
 		gap = stream.GapObjective
+		if mayGoElsewhere {
+			wanted.FirstWithin, wanted.NextWithin = silences(found, stream)
+		}
 	}
 	request.Endpoint = found.lead.Name
 	request.SentAt = b.Now
--- a/internal/flow/proxy/proxy.go
+++ b/internal/flow/proxy/proxy.go
@@ -21,6 +21,7 @@
 	"mustardhook/internal/flow/input"
 	"mustardhook/internal/flow/output"
 	"mustardhook/internal/flow/peers"
+	"mustardhook/internal/flow/place"
 	"mustardhook/internal/flow/plan"
 	"mustardhook/internal/flow/pool"
 	"mustardhook/internal/flow/port"
@@ -150,6 +151,13 @@
 	return p.board.IsReady()
 }
 
+func (p *Proxy) isDoubtful(name ident.Endpoint) bool {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	p.board.Now = max(Now(), p.board.Now)
+	return place.IsDoubtful(p.board, name)
+}
+
 func (p *Proxy) planDocument() (plan.Version, []byte) {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
--- a/internal/flow/proxy/send.go
+++ b/internal/flow/proxy/send.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strings"
 	"syscall"
 	"time"
@@ -22,6 +23,9 @@
 	// timeoutSlack lets an endpoint's own answer at its deadline come through.
 	timeoutSlack = 60 * time.Millisecond
 	readBuffer   = 8 << 10
+	// silencePoll is the time between two looks for signs that a silent endpoint is
+	// dead.
+	silencePoll = 100 * time.Millisecond
 )
 
 type (
@@ -38,6 +42,8 @@
 		conn    net.Conn
 		reader  *bufio.Reader
 		timeout time.Time
+		// isStreaming says that events are read; silence alone does not end them.
+		isStreaming bool
 	}
 )
 
@@ -75,7 +81,8 @@
 	defer func() { _ = conn.Close() }()
 	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
 	defer stop()
-	x := &exchange{session: s, send: wanted, conn: conn, reader: bufio.NewReaderSize(conn, readBuffer), timeout: timeout}
+	x := &exchange{session: s, send: wanted, conn: conn, timeout: timeout}
+	x.reader = bufio.NewReaderSize(x, readBuffer)
 	result = x.run()
 	result.Number = wanted.Number
 	result.Delivered = s.opened
@@ -141,6 +148,19 @@
 	_ = x.conn.SetReadDeadline(next)
 }
 
+// Read reads from the connection. Once events have come, it goes on after a
+// silence unless there are signs that the endpoint is dead.
+func (x *exchange) Read(buffer []byte) (int, error) {
+	for {
+		count, err := x.conn.Read(buffer)
+		isSilence := errors.Is(err, os.ErrDeadlineExceeded) && time.Now().Before(x.timeout)
+		if count > 0 || !isSilence || !x.isStreaming || x.session.proxy.isDoubtful(x.send.Endpoint) {
+			return count, err
+		}
+		x.silence(silencePoll)
+	}
+}
+
 func (x *exchange) write() error {
 	s := x.session
 	header := s.proxy.dialect.SendHeader(s.head.Header, x.send, s.lastEvent)
@@ -201,6 +221,7 @@
 		}
 		if isFirst {
 			isFirst = false
+			x.isStreaming = true
 			x.session.proxy.Step(input.EventCame{Number: x.send.Number})
 		}
 		event = event[:0]
