--- a/internal/flow/parts/load_test.go
+++ b/internal/flow/parts/load_test.go
@@ -14,10 +14,11 @@
 	"mustardhook/internal/flow/pool"
 )
 
-func workOf(entry ident.Entry, endpoint ident.Endpoint, count int) map[pool.Mark]map[pool.WorkID]pool.Work {
+// workOf is short work of the entry that hear brings news of in most tests.
+func workOf(endpoint ident.Endpoint, count int) map[pool.Mark]map[pool.WorkID]pool.Work {
 	works := map[pool.WorkID]pool.Work{}
 	for i := range count {
-		works[pool.WorkID{Entry: entry, Number: uint64(i)}] = pool.Work{PromptTokens: 5000, MemoryTokens: 6600, Parts: 1}
+		works[pool.WorkID{Entry: "entry-2", Number: uint64(i)}] = pool.Work{PromptTokens: 5000, MemoryTokens: 6600, Parts: 1}
 	}
 	return map[pool.Mark]map[pool.WorkID]pool.Work{pool.MarkOf(endpoint): works}
 }
@@ -116,7 +117,7 @@
 	w.hear("entry-2", func(n *input.News) {
 		n.Work = map[pool.Mark]map[pool.WorkID]pool.Work{}
 		for _, name := range []ident.Endpoint{"engine-00", "engine-01", "engine-02", "engine-03"} {
-			n.Work[pool.MarkOf(name)] = workOf("entry-2", name, 16)[pool.MarkOf(name)]
+			n.Work[pool.MarkOf(name)] = workOf(name, 16)[pool.MarkOf(name)]
 		}
 	})
 	_, got := w.ask("/short/1", 5000, 10000)
@@ -170,7 +171,7 @@
 	w.hear("entry-2", func(n *input.News) {
 		n.Work = map[pool.Mark]map[pool.WorkID]pool.Work{}
 		for _, name := range []ident.Endpoint{"engine-00", "engine-01", "engine-02", "engine-03"} {
-			n.Work[pool.MarkOf(name)] = workOf("entry-2", name, 16)[pool.MarkOf(name)]
+			n.Work[pool.MarkOf(name)] = workOf(name, 16)[pool.MarkOf(name)]
 		}
 	})
 	requireSend(t, w.end(call.Result{Number: number, End: call.EndBroken, Delivered: true}))
--- a/internal/flow/parts/requests_test.go
+++ b/internal/flow/parts/requests_test.go
@@ -197,7 +197,7 @@
 func TestWorkOfSilentEntryIsForgotten(t *testing.T) {
 	w := newWorld(t).serve(4)
 	w.hear("entry-2", func(n *input.News) {
-		n.Work = workOf("entry-2", "engine-00", 3)
+		n.Work = workOf("engine-00", 3)
 	})
 	require.Equal(t, 3, w.board.Pool.Find("engine-00").Leads())
 	w.pass(2500)
@@ -220,7 +220,7 @@
 	tell := func(life uint64) {
 		w.hear("entry-2", func(n *input.News) {
 			n.Life = life
-			n.Work = workOf("entry-2", "engine-00", int(life))
+			n.Work = workOf("engine-00", int(life))
 		})
 	}
 	tell(9)
