--- a/cmd/mustardhook/process_test.go
+++ b/cmd/mustardhook/process_test.go
@@ -90,6 +90,10 @@
 	f.t.Cleanup(func() {
 		_ = p.command.Process.Signal(syscall.SIGCONT)
 		_ = p.command.Process.Kill()
+		if f.t.Failed() {
+			<-p.done
+			f.t.Logf("%s %v wrote: %s", name, arguments, p.stderr)
+		}
 	})
 	return p
 }
--- a/internal/fake/stack/stack.go
+++ b/internal/fake/stack/stack.go
@@ -6,8 +6,10 @@
 	"context"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"time"
 
@@ -40,6 +42,12 @@
 
 	readySpan  = 20 * time.Millisecond
 	readyTries = 500
+
+	// lowestPort and highestPort bound the ports of stand-ins, below the range that
+	// Linux gives to connections (32768 and more).
+	lowestPort  = 20000
+	highestPort = 32000
+	portTries   = 20
 )
 
 type (
@@ -279,13 +287,21 @@
 	return setup.Parse("stack", []byte(text))
 }
 
-// FreeAddresses returns loopback addresses whose ports nobody uses.
+// FreeAddresses returns loopback addresses whose ports nobody uses. The ports lie
+// below those that the system gives to connections, which could take them before
+// a process listens there.
 func FreeAddresses(count int) ([]string, error) {
 	var addresses []string
-	for range count {
-		listener, err := net.Listen("tcp", "127.0.0.1:0")
+	var failed error
+	for tries := 0; len(addresses) < count; tries++ {
+		if tries > portTries*count {
+			return nil, errors.Wrap(failed, "find port")
+		}
+		port := lowestPort + rand.IntN(highestPort-lowestPort)
+		listener, err := net.Listen("tcp", net.JoinHostPort("127.0.0.1", strconv.Itoa(port)))
 		if err != nil {
-			return nil, errors.Wrap(err, "find port")
+			failed = err
+			continue
 		}
 		defer func() { _ = listener.Close() }()
 		addresses = append(addresses, listener.Addr().String())
