--- a/cmd/mustardhook/process_test.go
+++ b/cmd/mustardhook/process_test.go
@@ -90,8 +90,14 @@
 	f.t.Cleanup(func() {
 		_ = p.command.Process.Signal(syscall.SIGCONT)
 		_ = p.command.Process.Kill()
-		if f.t.Failed() {
-			<-p.done
+		if !f.t.Failed() {
+			return
+		}
+		select {
+		case err := <-p.done:
+			f.t.Logf("%s %v ended with %v and wrote: %s", name, arguments, err, p.stderr)
+		case <-time.After(time.Second):
+			// The test itself has waited for the end of the process.
 			f.t.Logf("%s %v wrote: %s", name, arguments, p.stderr)
 		}
 	})
