--- a/internal/flow/board/board.go
+++ b/internal/flow/board/board.go
@@ -50,8 +50,6 @@
 
 		Plan         plan.Plan
 		PlanDocument []byte
-		// PlanAt is when the plan came in force.
-		PlanAt clock.Millis
 		// BehindAt is since when others have a newer plan; zero while nobody has.
 		BehindAt clock.Millis
 		// ListRead says that the list of endpoints was read in this life.
@@ -87,15 +85,12 @@
 		EndsAt clock.Millis
 		// Endpoint runs the current send; empty while the request waits.
 		Endpoint ident.Endpoint
-		SentAt   clock.Millis
 		Helpers  []ident.Endpoint
 		Tried    []ident.Endpoint
 		// Runs counts sends that may have run.
 		Runs int
 		// Refusals counts sends that did not run.
 		Refusals int
-		// PredictedFirst is when the first event was expected as it was sent.
-		PredictedFirst clock.Millis
 		// Usable is how many endpoints could get the request when it was last decided on.
 		Usable int
 		// Queued says that the request is a long prompt that waits for engines, and
@@ -111,7 +106,6 @@
 	// Peer is another entry.
 	Peer struct {
 		News      input.News
-		NewsFrom  string
 		LastHeard clock.Millis
 		FetchedAt clock.Millis
 	}
--- a/internal/flow/input/input.go
+++ b/internal/flow/input/input.go
@@ -79,14 +79,7 @@
 	CallerGone struct{ Number uint64 }
 
 	// NewsCame brings what another entry tells.
-	NewsCame struct {
-		News News
-		// From is the address that the datagram came from.
-		From string
-	}
-
-	// PeerFailed says that another entry did not hand out its configuration.
-	PeerFailed struct{ Address string }
+	NewsCame struct{ News News }
 
 	// StopAsked says that the entry must finish its work and end.
 	StopAsked struct{}
@@ -137,5 +130,4 @@
 func (SendEnded) isInput()    {}
 func (CallerGone) isInput()   {}
 func (NewsCame) isInput()     {}
-func (PeerFailed) isInput()   {}
 func (StopAsked) isInput()    {}
--- a/internal/flow/intake/intake.go
+++ b/internal/flow/intake/intake.go
@@ -58,6 +58,5 @@
 	b.Note("Configuration in force.", "version", uint64(read.Plan.Version), "before", uint64(b.Plan.Version))
 	b.Plan = read.Plan
 	b.PlanDocument = read.Document
-	b.PlanAt = b.Now
 	b.WorkChanged = true
 }
--- a/internal/flow/peers/peers.go
+++ b/internal/flow/peers/peers.go
@@ -108,7 +108,6 @@
 		news.Address = peer.News.Address
 	}
 	peer.News = news
-	peer.NewsFrom = came.From
 	peer.LastHeard = b.Now
 	b.Pool.ReplaceWork(news.Entry, news.Work)
 	b.Pool.TellLeft(news.Left, b.Now)
--- a/internal/flow/place/send.go
+++ b/internal/flow/place/send.go
@@ -35,8 +35,6 @@
 		}
 	}
 	request.Endpoint = found.lead.Name
-	request.SentAt = b.Now
-	request.PredictedFirst = found.first
 	request.Helpers = nil
 	request.Queued = false
 	work := pool.Work{
--- a/internal/flow/proxy/news.go
+++ b/internal/flow/proxy/news.go
@@ -82,7 +82,7 @@
 			n.logger.Warn("Datagram can't be decoded.", "from", from, "err", err)
 			continue
 		}
-		step(input.NewsCame{News: news, From: from.String()})
+		step(input.NewsCame{News: news})
 	}
 }
 
