Test processes share no ports: TestProcessBookings and TestProcessEngines traced

Cause: tests of real processes took random ports, closed them and started processes there; another test process could take the same port in between. Reproduced with four copies of the tests side by side: 'standin: open port: bind: address already in use' of the platform, then 'entries are synced: not within 15s' (TestProcessBookings). Ruled out: ports of the kernel's own range for connections (they were left before). Change: a package that reserves blocks of ports, each locked by a listener while the process lives.

--- a/cmd/mustardhook/cost_test.go
+++ b/cmd/mustardhook/cost_test.go
@@ -18,6 +18,7 @@
 
 	"mustardhook/internal/core/event"
 	"mustardhook/internal/fake/host"
+	"mustardhook/internal/fake/ports"
 	"mustardhook/internal/fake/stack"
 	"mustardhook/internal/tool/bench"
 	"mustardhook/internal/wire/admin"
@@ -85,7 +86,7 @@
 	engines, err := host.Start("", stub{gap: gap})
 	require.NoError(t.t, err)
 	t.t.Cleanup(engines.Close)
-	addresses, err := stack.FreeAddresses(2 + 3*l.entries)
+	addresses, err := ports.Free(2 + 3*l.entries)
 	require.NoError(t.t, err)
 	t.address, t.services = addresses[0], addresses[1]
 	t.start("standin", "service", "--listen", t.services)
--- a/cmd/mustardhook/process_test.go
+++ b/cmd/mustardhook/process_test.go
@@ -20,6 +20,7 @@
 	"github.com/stretchr/testify/require"
 
 	"mustardhook/internal/fake/engine"
+	"mustardhook/internal/fake/ports"
 	"mustardhook/internal/fake/stack"
 	"mustardhook/internal/tool/client"
 	"mustardhook/internal/tool/demo"
@@ -124,7 +125,7 @@
 	f := newEmptyFleet(t)
 	f.tickets = filepath.Join(f.folder, "tickets")
 	require.NoError(t, os.Mkdir(f.tickets, 0o755))
-	addresses, err := stack.FreeAddresses(5 + 3*processEntries)
+	addresses, err := ports.Free(5 + 3*processEntries)
 	require.NoError(t, err)
 	f.address, f.services, f.engines = addresses[0], addresses[1], addresses[2:5]
 	f.file(f.first())
--- a/internal/fake/stack/stack.go
+++ b/internal/fake/stack/stack.go
@@ -6,10 +6,7 @@
 	"context"
 	"fmt"
 	"io"
-	"math/rand/v2"
-	"net"
 	"net/http"
-	"strconv"
 	"strings"
 	"time"
 
@@ -26,6 +23,7 @@
 	"mustardhook/internal/fake/engine"
 	"mustardhook/internal/fake/host"
 	"mustardhook/internal/fake/motor"
+	"mustardhook/internal/fake/ports"
 	"mustardhook/internal/serve/logs"
 	"mustardhook/internal/wire/admin"
 	"mustardhook/internal/wire/setup"
@@ -42,12 +40,6 @@
 
 	readySpan  = 20 * time.Millisecond
 	readyTries = 500
-
-	// lowestPort and highestPort bound the ports of stand-ins, below the range that
-	// Linux gives to connections (32768 and more).
-	lowestPort  = 20000
-	highestPort = 32000
-	portTries   = 20
 )
 
 type (
@@ -276,7 +268,7 @@
 
 // NewSettings returns the settings of the i-th entry with free ports.
 func (s *Stack) NewSettings(i int) (setup.Settings, error) {
-	addresses, err := FreeAddresses(3)
+	addresses, err := ports.Free(3)
 	if err != nil {
 		return setup.Settings{}, err
 	}
@@ -287,28 +279,6 @@
 	return setup.Parse("stack", []byte(text))
 }
 
-// FreeAddresses returns loopback addresses whose ports nobody uses. The ports lie
-// below those that the system gives to connections, which could take them before
-// a process listens there.
-func FreeAddresses(count int) ([]string, error) {
-	var addresses []string
-	var failed error
-	for tries := 0; len(addresses) < count; tries++ {
-		if tries > portTries*count {
-			return nil, errors.Wrap(failed, "find port")
-		}
-		port := lowestPort + rand.IntN(highestPort-lowestPort)
-		listener, err := net.Listen("tcp", net.JoinHostPort("127.0.0.1", strconv.Itoa(port)))
-		if err != nil {
-			failed = err
-			continue
-		}
-		defer func() { _ = listener.Close() }()
-		addresses = append(addresses, listener.Addr().String())
-	}
-	return addresses, nil
-}
-
 // Start runs the entry.
 func (e *Entry) Start(logger logs.Logger, seed uint64) {
 	ctx, cancel := context.WithCancel(context.Background())
