Entries tell one another by way of a hub in each failure domain; hubs read published state

Ruled out: fewer tellings alone (placement needs news within 100 ms); a fixed set of entries that pass news on (none may be set aside). Change: the live entry with the most processor share passes news on in its failure domain and to the hubs of the others; silent hubs are left out after 0.7 s; any entry that is asked passes on. Hubs read published state, others take it from them and read themselves when nobody confirmed it for 1.4 s. The pace of reads moved from platform/ into the product (internal/flow/reader); the adapter only translates. Changes are told when their span has passed instead of at the next tick. Tests without network: fleet_test.go plays 30 and 120 entries in virtual time: datagrams grow with the entries, work is known elsewhere within 100 ms, hubs are replaced.

--- a/internal/flow/board/board.go
+++ b/internal/flow/board/board.go
@@ -45,6 +45,8 @@
 		Life     uint64
 		Domain   ident.Domain
 		Address  string
+		// Capacity is the processor share of the entry, in thousandths of a core.
+		Capacity int
 		Settings input.Settings
 		Random   *rand.Rand
 
@@ -52,8 +54,12 @@
 		PlanDocument []byte
 		// BehindAt is since when others have a newer plan; zero while nobody has.
 		BehindAt clock.Millis
-		// ListRead says that the list of endpoints was read in this life.
-		ListRead bool
+		// ListRead says that the list of endpoints was read in this life, ListRevision
+		// of which revision of the published state it is.
+		ListRead     bool
+		ListRevision uint64
+		// ConfirmedAt is when this entry last read published state whole.
+		ConfirmedAt clock.Millis
 		// SourceLostAt is when reads of published state began to fail; zero while
 		// they succeed.
 		SourceLostAt clock.Millis
@@ -68,12 +74,10 @@
 		Crashes map[uint64]*Crash
 		// Leases counts the leases that this life has asked for.
 		Leases int
-		// WorkChanged says that own work changed since it was last told, ShortChanged
-		// that only short prompts did.
-		WorkChanged  bool
-		ShortChanged bool
-		Stopping     bool
-		StoppingAt   clock.Millis
+		// WorkChanged says that what others are told changed since it was last told.
+		WorkChanged bool
+		Stopping    bool
+		StoppingAt  clock.Millis
 
 		outputs []output.Output
 	}
@@ -105,9 +109,13 @@
 
 	// Peer is another entry.
 	Peer struct {
-		News      input.News
+		News input.News
+		// LastHeard is when anybody last heard the entry, DirectAt when this one did.
 		LastHeard clock.Millis
-		FetchedAt clock.Millis
+		DirectAt  clock.Millis
+		// MutedUntil is until when the entry is not asked to pass news on.
+		MutedUntil clock.Millis
+		FetchedAt  clock.Millis
 	}
 
 	// Crash is a request that was running when endpoints ended.
@@ -198,6 +206,7 @@
 	b.Life = started.Life
 	b.Domain = started.Domain
 	b.Address = started.Address
+	b.Capacity = started.Capacity
 	b.Seeds = started.Seeds
 	b.Settings = started.Settings
 	b.Random = rand.New(rand.NewPCG(started.Seed, stream))
--- a/internal/flow/crash/crash.go
+++ b/internal/flow/crash/crash.go
@@ -65,8 +65,10 @@
 			c.confirm(b, happened.Entry.Name)
 		}
 	case input.NewsCame:
-		for fingerprint, count := range happened.News.Crashes {
-			note(b, fingerprint, happened.News.Entry, count)
+		for _, news := range happened.Batch.News {
+			for fingerprint, count := range news.Crashes {
+				note(b, fingerprint, news.Entry, count)
+			}
 		}
 	case input.Ticked:
 		c.forget(b)
--- a/internal/flow/input/input.go
+++ b/internal/flow/input/input.go
@@ -18,9 +18,11 @@
 	Started struct {
 		Self ident.Entry
 		// Life grows with every life of the entry.
-		Life     uint64
-		Domain   ident.Domain
-		Address  string
+		Life    uint64
+		Domain  ident.Domain
+		Address string
+		// Capacity is the processor share of the entry, in thousandths of a core.
+		Capacity int
 		Seeds    []string
 		Seed     uint64
 		Settings Settings
@@ -45,20 +47,41 @@
 	// Ticked comes every tick.
 	Ticked struct{}
 
+	// Woke comes when a span that was asked for has passed.
+	Woke struct{}
+
 	// PlanRead brings a published configuration and its document.
 	PlanRead struct {
 		Plan     plan.Plan
 		Document []byte
 	}
 
-	// ListRead brings the whole list of endpoints.
-	ListRead struct{ List []pool.Listed }
+	// ListRead brings the whole list of endpoints as of the revision.
+	ListRead struct {
+		List     []pool.Listed
+		Revision uint64
+	}
+
+	// ListTold brings the list that another entry has.
+	ListTold struct {
+		List     []pool.Known
+		Revision uint64
+	}
 
 	// EndpointRead brings one changed entry of the list.
-	EndpointRead struct{ Entry pool.Listed }
+	EndpointRead struct {
+		Entry    pool.Listed
+		Revision uint64
+	}
 
 	// EndpointGone says that an entry of the list was removed.
-	EndpointGone struct{ Name ident.Endpoint }
+	EndpointGone struct {
+		Name     ident.Endpoint
+		Revision uint64
+	}
+
+	// Confirmed says that all published changes up to now were read.
+	Confirmed struct{}
 
 	// SourceLost says that published state can't be read.
 	SourceLost struct{ Reason string }
@@ -78,27 +101,47 @@
 	// CallerGone says that a caller left while its request was not sent.
 	CallerGone struct{ Number uint64 }
 
-	// NewsCame brings what another entry tells.
-	NewsCame struct{ News News }
+	// NewsCame brings a datagram of another entry.
+	NewsCame struct{ Batch Batch }
 
 	// StopAsked says that the entry must finish its work and end.
 	StopAsked struct{}
 
+	// Batch is one datagram between entries.
+	Batch struct {
+		Sender ident.Entry
+		// PassOn asks the receiver to pass the news on within its failure domain.
+		PassOn bool
+		News   []News
+		// Alive are entries that the sender knows to live, with the last sign of each.
+		Alive map[EntryMark]clock.Millis
+	}
+
+	// EntryMark is a short hash of an entry's name.
+	EntryMark uint32
+
 	// News is what an entry tells others; it replaces what it said before.
 	News struct {
 		Entry    ident.Entry
 		Life     uint64
 		Sequence uint64
-		// Domain and Address are empty in brief news; they don't change in a life.
-		Domain      ident.Domain
-		Address     string
-		PlanVersion plan.Version
+		// Domain, Address and Capacity are empty in brief news; they don't change in a
+		// life.
+		Domain       ident.Domain
+		Address      string
+		Capacity     int
+		PlanVersion  plan.Version
+		ListRevision uint64
+		// ConfirmedAt is when the entry itself last read published state whole; zero
+		// when it never did.
+		ConfirmedAt clock.Millis
 		Leaving     bool
 		Work        map[pool.Mark]map[pool.WorkID]pool.Work
 		// Left are endpoints that the entry found to leave lately.
 		Left []pool.Mark
 		// Waiting are the long prompts that wait for engines.
 		Waiting []Waiting
+		// Known are addresses of entries that pass news on.
 		Known   []string
 		Crashes map[uint64]int
 	}
@@ -116,11 +159,23 @@
 	}
 )
 
+// Brief returns the news without what seldom changes.
+func (n News) Brief() News {
+	n.Domain = ""
+	n.Address = ""
+	n.Capacity = 0
+	n.Known = nil
+	return n
+}
+
 func (Started) isInput()      {}
 func (SettingsRead) isInput() {}
 func (Ticked) isInput()       {}
+func (Woke) isInput()         {}
 func (PlanRead) isInput()     {}
 func (ListRead) isInput()     {}
+func (ListTold) isInput()     {}
+func (Confirmed) isInput()    {}
 func (EndpointRead) isInput() {}
 func (EndpointGone) isInput() {}
 func (SourceLost) isInput()   {}
--- a/internal/flow/intake/intake.go
+++ b/internal/flow/intake/intake.go
@@ -24,15 +24,30 @@
 	case input.PlanRead:
 		takePlan(b, happened)
 	case input.ListRead:
-		b.Pool.Replace(happened.List, b.Now)
-		b.ListRead = true
-		b.Note("List of endpoints read.", "endpoints", len(happened.List))
+		if moves(b, happened.Revision) || !b.ListRead {
+			b.Pool.Replace(happened.List, b.Now)
+			b.ListRead = true
+			b.Note("List of endpoints read.", "endpoints", len(happened.List), "revision", happened.Revision)
+		}
+	case input.ListTold:
+		if moves(b, happened.Revision) {
+			b.Pool.ReplaceKnown(happened.List, b.Now)
+			b.ListRead = true
+			b.Note("List of endpoints told.", "endpoints", len(happened.List), "revision", happened.Revision)
+		}
 	case input.EndpointRead:
-		b.Pool.Put(happened.Entry, b.Now)
-		b.Note("Endpoint changed.", "endpoint", happened.Entry.Name, "leaving", happened.Entry.Leaving)
+		if !b.Pool.Has(happened.Entry) && moves(b, happened.Revision) {
+			b.Pool.Put(happened.Entry, b.Now)
+			b.Note("Endpoint changed.", "endpoint", happened.Entry.Name, "leaving", happened.Entry.Leaving)
+		}
 	case input.EndpointGone:
-		b.Pool.Remove(happened.Name, b.Now)
-		b.Note("Endpoint gone from the list.", "endpoint", happened.Name)
+		if moves(b, happened.Revision) {
+			b.Pool.Remove(happened.Name, b.Now)
+			b.Note("Endpoint gone from the list.", "endpoint", happened.Name)
+		}
+	case input.Confirmed:
+		b.ConfirmedAt = b.Now
+		b.WorkChanged = true
 	case input.SourceLost:
 		if b.SourceLostAt == 0 {
 			b.SourceLostAt = b.Now
@@ -51,6 +66,17 @@
 	}
 }
 
+// moves takes the list to the revision. What is older than the list, which may
+// have come from another entry, changes nothing.
+func moves(b *board.Board, revision uint64) bool {
+	if revision <= b.ListRevision {
+		return false
+	}
+	b.ListRevision = revision
+	b.WorkChanged = true
+	return true
+}
+
 func takePlan(b *board.Board, read input.PlanRead) {
 	if read.Plan.Version <= b.Plan.Version {
 		return
--- a/internal/flow/output/output.go
+++ b/internal/flow/output/output.go
@@ -3,8 +3,10 @@
 package output
 
 import (
+	"mustardhook/internal/core/clock"
 	"mustardhook/internal/flow/call"
 	"mustardhook/internal/flow/input"
+	"mustardhook/internal/flow/plan"
 )
 
 type (
@@ -27,14 +29,22 @@
 		Reason call.Reason
 	}
 
-	// Tell sends news to other entries.
+	// Tell sends a datagram to other entries.
 	Tell struct {
 		Addresses []string
-		News      input.News
+		Batch     input.Batch
 	}
 
-	// FetchPlan asks another entry for its configuration.
-	FetchPlan struct{ Address string }
+	// Wake asks for an input after the span.
+	Wake struct{ After clock.Millis }
+
+	// FetchPublished asks another entry for published state that is newer than what
+	// this one has.
+	FetchPublished struct {
+		Address      string
+		PlanVersion  plan.Version
+		ListRevision uint64
+	}
 
 	// Note is a log line about a change of what the entry believes.
 	Note struct {
@@ -43,10 +53,11 @@
 	}
 )
 
-func (Send) isOutput()      {}
-func (Deliver) isOutput()   {}
-func (Reply) isOutput()     {}
-func (Abort) isOutput()     {}
-func (Tell) isOutput()      {}
-func (FetchPlan) isOutput() {}
-func (Note) isOutput()      {}
+func (Send) isOutput()           {}
+func (Deliver) isOutput()        {}
+func (Reply) isOutput()          {}
+func (Abort) isOutput()          {}
+func (Tell) isOutput()           {}
+func (Wake) isOutput()           {}
+func (FetchPublished) isOutput() {}
+func (Note) isOutput()           {}
--- a/internal/flow/peers/peers.go
+++ b/internal/flow/peers/peers.go
@@ -1,71 +1,36 @@
-// Package peers holds the controller of the other entries: who is there, what
-// each of them runs, and who has a newer configuration.
+// Package peers holds the controllers of the other entries: who is there, what
+// each of them runs, who passes news on and who reads published state.
 package peers
 
 import (
-	"maps"
-	"net"
-	"slices"
+	"github.com/cespare/xxhash/v2"
 
 	"mustardhook/internal/core/clock"
 	"mustardhook/internal/core/ident"
 	"mustardhook/internal/flow/board"
 	"mustardhook/internal/flow/input"
 	"mustardhook/internal/flow/output"
-	"mustardhook/internal/flow/pool"
 )
 
 const (
-	// RoundSpan is the time between two tellings when nothing changed.
-	RoundSpan = 300 * clock.Millis(1)
-	// BatchSpan is the shortest time between two tellings of changes.
-	BatchSpan = 25 * clock.Millis(1)
-	// ShortSpan is the shortest time between two tellings of short prompts alone.
-	ShortSpan = 50 * clock.Millis(1)
 	// SilentSpan is how long an entry must be silent for its work to be forgotten.
 	SilentSpan = 2 * clock.Second
 	// ForgetSpan is how long a silent entry is still told news.
 	ForgetSpan = 60 * clock.Second
-	// FetchSpan is the time between two calls for a newer configuration.
-	FetchSpan = 300 * clock.Millis(1)
-	// BehindSpan is how long an entry waits for published state to bring a
-	// configuration that others have; changes must be in force within 2 s.
-	BehindSpan = 300 * clock.Millis(1)
-	// Lookouts is how many entries read published state often; one of them may be cut
-	// off and one may have ended.
-	Lookouts = 3
-	// SeedSpan is the time between two tellings to the seeds.
-	SeedSpan = 2 * clock.Second
-
 	// LifeSpan is how long a silence must be before news of a lower life counts; a
 	// process takes longer to start again.
 	LifeSpan = 800 * clock.Millis(1)
-	// WholeSpan is the time between two tellings of what seldom changes.
-	WholeSpan = 1 * clock.Second
-
-	knownLimit = 3
-	lookoutKey = "lookout"
 )
 
 type (
 	// listener takes news before others decide on them.
 	listener struct{ *teller }
-
-	// teller tells of what others have decided.
-	teller struct {
-		sequence uint64
-		toldAt   clock.Millis
-		// toldAllAt is when whole news was last told to all.
-		toldAllAt clock.Millis
-		seededAt  clock.Millis
-		port      string
-	}
 )
 
 // NewControllers returns the controllers that take and that tell news. Datagrams
 // go to the same port on every instance.
 func NewControllers(port string) (listens, tells board.Controller) {
-	tell := &teller{port: port}
+	tell := &teller{port: port, changed: map[ident.Entry]change{}}
 	return listener{tell}, tell
 }
 
@@ -73,7 +38,7 @@
 func (l listener) Step(b *board.Board, happened input.Input) {
 	switch happened := happened.(type) {
 	case input.NewsCame:
-		l.take(b, happened)
+		l.takeBatch(b, happened.Batch)
 	case input.Ticked:
 		forget(b)
 		fetch(b)
@@ -83,8 +48,22 @@
 // Step handles one input.
 func (c *teller) Step(b *board.Board, _ input.Input) { c.tell(b) }
 
-func (c *teller) take(b *board.Board, came input.NewsCame) {
-	news := came.News
+func (c *teller) takeBatch(b *board.Board, batch input.Batch) {
+	if batch.PassOn {
+		c.askedAt = b.Now
+	}
+	for _, news := range batch.News {
+		c.take(b, batch, news)
+	}
+	if sender := b.Peers[batch.Sender]; sender != nil {
+		sender.DirectAt = b.Now
+		sender.MutedUntil = 0
+	}
+	takeAlive(b, batch.Alive)
+	b.Members = max(b.Members, live(b)+1)
+}
+
+func (c *teller) take(b *board.Board, batch input.Batch, news input.News) {
 	if news.Entry == b.Self {
 		return
 	}
@@ -93,28 +72,63 @@
 		// Whole news follows soon.
 		return
 	}
-	if peer == nil {
+	isNew := peer == nil
+	if isNew {
 		b.Note("Entry found.", "entry", news.Entry, "failureDomain", news.Domain)
 		peer = &board.Peer{}
 		b.Peers[news.Entry] = peer
 		b.WorkChanged = true
-		c.toldAllAt = 0
 	}
-	if isOld(b, peer, news) {
+	if !isNew && isOld(b, peer, news) {
 		return
 	}
 	if news.Address == "" {
 		news.Domain = peer.News.Domain
 		news.Address = peer.News.Address
+		news.Capacity = peer.News.Capacity
 	}
+	before := peer.News
 	peer.News = news
 	peer.LastHeard = b.Now
-	b.Pool.ReplaceWork(news.Entry, news.Work)
+	b.Pool.ReplaceWork(news.Entry, before.Work, news.Work)
 	b.Pool.TellLeft(news.Left, b.Now)
+	isDirect := batch.Sender == news.Entry
+	if batch.PassOn && (isNew || saysMore(before, news)) {
+		c.note(news.Entry, change{isDirect: isDirect, isWhole: isNew || before.Life != news.Life})
+	}
+	if isDirect && (isNew || before.Life != news.Life) {
+		c.introduce(b, news)
+	}
 	for _, address := range news.Known {
 		c.meet(b, address)
 	}
-	b.Members = max(b.Members, live(b)+1)
+}
+
+// saysMore reports whether others should hear of the news: idle entries say the
+// same again and again.
+func saysMore(before, news input.News) bool {
+	isBusy := func(n input.News) bool {
+		return len(n.Work) > 0 || len(n.Waiting) > 0 || len(n.Crashes) > 0 || len(n.Left) > 0
+	}
+	return isBusy(news) || isBusy(before) || before.PlanVersion != news.PlanVersion || before.Leaving != news.Leaving ||
+		before.ListRevision != news.ListRevision || news.ConfirmedAt > before.ConfirmedAt
+}
+
+// takeAlive takes how long ago others heard of entries.
+func takeAlive(b *board.Board, alive map[input.EntryMark]clock.Millis) {
+	if len(alive) == 0 {
+		return
+	}
+	for name, peer := range b.Peers {
+		if at, found := alive[MarkOf(name)]; found {
+			peer.LastHeard = max(peer.LastHeard, at)
+		}
+	}
+}
+
+// MarkOf returns the mark of an entry's name.
+func MarkOf(name ident.Entry) input.EntryMark {
+	return input.EntryMark(xxhash.Sum64String(string(name)))
 }
 
 // isOld reports whether the news was overtaken. Lives are numbered by the time of
@@ -136,13 +150,27 @@
 			return
 		}
 	}
-	b.Emit(output.Tell{Addresses: []string{c.newsAddress(address)}, News: c.news(b, true)})
+	batch := input.Batch{Sender: b.Self, PassOn: true, News: []input.News{c.news(b, true)}}
+	b.Emit(output.Tell{Addresses: []string{c.newsAddress(address)}, Batch: batch})
 }
 
+// introduce tells an entry that has just started of all that live.
+func (c *teller) introduce(b *board.Board, newcomer input.News) {
+	known := []input.News{c.news(b, true)}
+	for name, peer := range b.Peers {
+		if name != newcomer.Entry && isLive(b, peer) {
+			known = append(known, peer.News)
+		}
+	}
+	c.send(b, []string{c.newsAddress(newcomer.Address)}, input.Batch{Sender: b.Self, News: known})
+}
+
+func isLive(b *board.Board, peer *board.Peer) bool { return b.Now-peer.LastHeard <= SilentSpan }
+
 func live(b *board.Board) int {
 	count := 0
 	for _, peer := range b.Peers {
-		if b.Now-peer.LastHeard <= SilentSpan {
+		if isLive(b, peer) {
 			count++
 		}
 	}
@@ -151,158 +179,14 @@
 
 func forget(b *board.Board) {
 	for name, peer := range b.Peers {
-		silence := b.Now - peer.LastHeard
-		if silence > SilentSpan && peer.News.Work != nil {
+		if !isLive(b, peer) && peer.News.Work != nil {
+			b.Pool.ReplaceWork(name, peer.News.Work, nil)
 			peer.News.Work = nil
 			peer.News.Waiting = nil
-			b.Pool.ReplaceWork(name, nil)
 			b.Note("Entry is silent.", "entry", name)
 		}
-		if silence > ForgetSpan {
+		if b.Now-peer.LastHeard > ForgetSpan {
 			delete(b.Peers, name)
 		}
 	}
 }
-
-// fetch asks one entry that has a newer configuration for it. The published
-// state itself usually brings it first.
-func fetch(b *board.Board) {
-	if !isBehind(b) {
-		b.BehindAt = 0
-		return
-	}
-	if b.BehindAt == 0 {
-		b.BehindAt = b.Now
-	}
-	if b.Now-b.BehindAt < BehindSpan && !b.Plan.IsZero() {
-		return
-	}
-	for _, name := range slices.Sorted(maps.Keys(b.Peers)) {
-		peer := b.Peers[name]
-		if peer.News.PlanVersion <= b.Plan.Version || b.Now-peer.LastHeard > SilentSpan {
-			continue
-		}
-		if b.Now-peer.FetchedAt >= FetchSpan {
-			peer.FetchedAt = b.Now
-			b.Emit(output.FetchPlan{Address: peer.News.Address})
-			return
-		}
-	}
-}
-
-// IsLookout reports whether the entry is one of the few that read published state
-// often for all others, which hear from them what they missed.
-func IsLookout(b *board.Board) bool {
-	names := []ident.Entry{b.Self}
-	for name, peer := range b.Peers {
-		if b.Now-peer.LastHeard <= SilentSpan && !peer.News.Leaving {
-			names = append(names, name)
-		}
-	}
-	return slices.Contains(ident.Rank(lookoutKey, names)[:min(Lookouts, len(names))], b.Self)
-}
-
-func isBehind(b *board.Board) bool {
-	for _, peer := range b.Peers {
-		if peer.News.PlanVersion > b.Plan.Version && b.Now-peer.LastHeard <= SilentSpan {
-			return true
-		}
-	}
-	return false
-}
-
-func (c *teller) tell(b *board.Board) {
-	span := RoundSpan
-	switch {
-	case b.WorkChanged:
-		span = BatchSpan
-	case b.ShortChanged:
-		span = ShortSpan
-	}
-	if b.Now-c.toldAt < span {
-		return
-	}
-	addresses := make([]string, 0, len(b.Peers)+len(b.Seeds))
-	for _, peer := range b.Peers {
-		addresses = append(addresses, c.newsAddress(peer.News.Address))
-	}
-	isWhole := b.Now-c.toldAllAt >= WholeSpan
-	if isWhole {
-		c.toldAllAt = b.Now
-	}
-	if isWhole && (len(b.Peers) == 0 || b.Now-c.seededAt >= SeedSpan) {
-		c.seededAt = b.Now
-		for _, seed := range b.Seeds {
-			addresses = append(addresses, c.newsAddress(seed))
-		}
-	}
-	slices.Sort(addresses)
-	b.Emit(output.Tell{Addresses: slices.Compact(addresses), News: c.news(b, isWhole)})
-	c.toldAt = b.Now
-	b.WorkChanged = false
-	b.ShortChanged = false
-}
-
-func (c *teller) newsAddress(address string) string {
-	host, _, err := net.SplitHostPort(address)
-	if err != nil {
-		return address
-	}
-	return net.JoinHostPort(host, c.port)
-}
-
-func (c *teller) news(b *board.Board, isWhole bool) input.News {
-	c.sequence++
-	news := input.News{
-		Entry: b.Self, Life: b.Life, Sequence: c.sequence, PlanVersion: b.Plan.Version, Leaving: b.Stopping,
-		Work: ownWork(b), Left: b.Pool.Left(b.Now), Crashes: map[uint64]int{},
-	}
-	for _, number := range slices.Sorted(maps.Keys(b.Requests)) {
-		if request := b.Requests[number]; request.Queued {
-			news.Waiting = append(news.Waiting, request.Waiting())
-		}
-	}
-	for fingerprint, known := range b.Crashes {
-		if count := known.Counts[b.Self]; count > 0 {
-			news.Crashes[fingerprint] = count
-		}
-	}
-	if !isWhole {
-		return news
-	}
-	news.Domain = b.Domain
-	news.Address = b.Address
-	names := slices.Sorted(maps.Keys(b.Peers))
-	for range min(knownLimit, len(names)) {
-		peer := b.Peers[names[b.Random.IntN(len(names))]]
-		if b.Now-peer.LastHeard <= SilentSpan {
-			news.Known = append(news.Known, peer.News.Address)
-		}
-	}
-	return news
-}
-
-func ownWork(b *board.Board) map[pool.Mark]map[pool.WorkID]pool.Work {
-	own := map[pool.Mark]map[pool.WorkID]pool.Work{}
-	add := func(name ident.Endpoint, id pool.WorkID) {
-		endpoint := b.Pool.Find(name)
-		if endpoint == nil {
-			return
-		}
-		work, found := endpoint.Work[id]
-		if !found {
-			return
-		}
-		if own[endpoint.Mark()] == nil {
-			own[endpoint.Mark()] = map[pool.WorkID]pool.Work{}
-		}
-		own[endpoint.Mark()][id] = work
-	}
-	for number, request := range b.Requests {
-		add(request.Endpoint, b.Own(number))
-		for _, helper := range request.Helpers {
-			add(helper, b.Own(number))
-		}
-	}
-	return own
-}
--- a/internal/flow/place/queue.go
+++ b/internal/flow/place/queue.go
@@ -17,7 +17,7 @@
 	// earlier; their entries may see the engines otherwise, or be gone.
 	TurnSpan = 300 * clock.Millis(1)
 	// freshNews is how old news of another entry's waiting prompts may be.
-	freshNews = 700 * clock.Millis(1)
+	freshNews = 1000 * clock.Millis(1)
 	// readShare is the part of its time that an engine of the long lane reads; in
 	// the rest it writes.
 	readShare = 0.8
--- a/internal/flow/place/send.go
+++ b/internal/flow/place/send.go
@@ -8,7 +8,6 @@
 	"mustardhook/internal/core/ident"
 	"mustardhook/internal/flow/board"
 	"mustardhook/internal/flow/call"
-	"mustardhook/internal/flow/cost"
 	"mustardhook/internal/flow/output"
 	"mustardhook/internal/flow/plan"
 	"mustardhook/internal/flow/pool"
@@ -145,15 +144,9 @@
 	changed(b, request)
 }
 
-// changed notes that other entries should hear of the request: of a long prompt
-// at once, since it moves lanes and turns, of others when there is more to tell.
+// changed notes that other entries should hear of the request.
 func changed(b *board.Board, request *board.Request) {
-	engine := b.Plan.Services[request.Service].Engine
-	switch {
-	case engine == nil:
-	case cost.ReadMillis(engine, request.Request.PromptTokens, 1) > longRead:
+	if b.Plan.Services[request.Service].Engine != nil {
 		b.WorkChanged = true
-	default:
-		b.ShortChanged = true
 	}
 }
--- a/internal/flow/pool/pool.go
+++ b/internal/flow/pool/pool.go
@@ -43,6 +43,14 @@
 		Born uint64
 	}
 
+	// Known is an endpoint of the list as an entry passes it on.
+	Known struct {
+		Listed
+		// Doubt is how long an endpoint that vanished from the list is still taken to
+		// be alive; zero while it is listed.
+		Doubt clock.Millis
+	}
+
 	// Mark is a short hash of an endpoint's name. Entries tell one another marks in
 	// place of names; a clash only misplaces a piece of work.
 	Mark uint32
@@ -170,6 +178,12 @@
 	known.DoubtUntil = 0
 }
 
+// Has reports whether the entry is listed just so.
+func (p *Pool) Has(entry Listed) bool {
+	known := p.endpoints[entry.Name]
+	return known != nil && known.GoneAt == 0 && known.Listed == entry
+}
+
 // Remove takes the news that an entry vanished from the list. While reads fail
 // and shortly after, it may be back, and stays in use as long as it answers.
 func (p *Pool) Remove(name ident.Endpoint, now clock.Millis) {
@@ -204,6 +218,40 @@
 	}
 }
 
+// ReplaceKnown takes the list that another entry has.
+func (p *Pool) ReplaceKnown(list []Known, now clock.Millis) {
+	known := make(map[ident.Endpoint]bool, len(list))
+	for _, entry := range list {
+		known[entry.Name] = true
+		p.Put(entry.Listed, now)
+		if entry.Doubt > 0 {
+			put := p.endpoints[entry.Name]
+			put.GoneAt = now
+			put.DoubtUntil = now + entry.Doubt
+		}
+	}
+	for name := range p.endpoints {
+		if !known[name] {
+			p.Remove(name, now)
+		}
+	}
+}
+
+// Known returns the list to pass on, in order of the names.
+func (p *Pool) Known(now clock.Millis) []Known {
+	var list []Known
+	for _, name := range slices.Sorted(maps.Keys(p.endpoints)) {
+		endpoint := p.endpoints[name]
+		switch {
+		case endpoint.GoneAt == 0:
+			list = append(list, Known{Listed: endpoint.Listed})
+		case now < endpoint.DoubtUntil:
+			list = append(list, Known{Listed: endpoint.Listed, Doubt: endpoint.DoubtUntil - now})
+		}
+	}
+	return list
+}
+
 // Lost takes the news that the list can't be read.
 func (p *Pool) Lost(now clock.Millis) {
 	if p.lost == 0 {
@@ -236,12 +284,17 @@
 }
 
 // ReplaceWork puts what an entry says it runs in place of what it said before.
-func (p *Pool) ReplaceWork(entry ident.Entry, work map[Mark]map[WorkID]Work) {
+func (p *Pool) ReplaceWork(entry ident.Entry, before, work map[Mark]map[WorkID]Work) {
+	if len(before) == 0 && len(work) == 0 {
+		return
+	}
 	for _, endpoint := range p.endpoints {
-		maps.DeleteFunc(endpoint.Work, func(id WorkID, _ Work) bool { return id.Entry == entry })
-		if len(work) > 0 {
-			maps.Copy(endpoint.Work, work[endpoint.mark])
+		for id := range before[endpoint.mark] {
+			if id.Entry == entry {
+				delete(endpoint.Work, id)
+			}
 		}
+		maps.Copy(endpoint.Work, work[endpoint.mark])
 	}
 }
 
--- a/internal/flow/port/port.go
+++ b/internal/flow/port/port.go
@@ -6,11 +6,13 @@
 import (
 	"context"
 	"net/http"
+	"strconv"
 
+	"mustardhook/internal/core/clock"
 	"mustardhook/internal/core/ident"
 	"mustardhook/internal/flow/call"
+	"mustardhook/internal/flow/input"
 	"mustardhook/internal/flow/plan"
-	"mustardhook/internal/flow/pool"
 )
 
 type (
@@ -42,29 +44,36 @@
 		Blamed string
 	}
 
-	// Source reads published state until the context ends.
+	// Source reads published state.
 	Source interface {
-		Run(ctx context.Context, sink Sink)
+		// ReadAll reads everything that is published.
+		ReadAll(ctx context.Context) (Read, error)
+		// Follow waits for changes after the revision, for the span at most. It fails
+		// with a ForgottenError when they can't be read any more.
+		Follow(ctx context.Context, after uint64, wait clock.Millis) (Read, error)
 		// DecodePlan reads a published configuration; peers pass it on as it is.
 		DecodePlan(document []byte) (plan.Plan, error)
 	}
 
-	// Sink takes published state.
-	Sink interface {
-		// PlanRead brings a configuration and the document that it was read from.
-		PlanRead(read plan.Plan, document []byte)
-		// ListRead brings the whole list of endpoints.
-		ListRead(list []pool.Listed)
-		// EndpointRead brings one changed entry of the list.
-		EndpointRead(entry pool.Listed)
-		// EndpointGone says that an entry was removed from the list.
-		EndpointGone(name ident.Endpoint)
-		// IsLookout reports whether the entry reads often for the others.
-		IsLookout() bool
-		// SourceLost says that a read failed, SourceBack that reads succeed again.
-		SourceLost(err error)
-		SourceBack()
-		// BadEntry reports an unreadable entry.
-		BadEntry(key string, err error)
+	// Read is what a source read, in its order.
+	Read struct {
+		Inputs []input.Input
+		// Bad are published entries that can't be read; they name nothing to use.
+		Bad      []BadEntry
+		Revision uint64
 	}
+
+	// BadEntry is an entry that can't be read.
+	BadEntry struct {
+		Key string
+		Err error
+	}
+
+	// ForgottenError says that the source has dropped the history after a revision.
+	ForgottenError struct{ After uint64 }
 )
+
+// Error names the revision.
+func (e *ForgottenError) Error() string {
+	return "changes after revision " + strconv.FormatUint(e.After, 10) + " are gone"
+}
--- a/internal/flow/proxy/news.go
+++ b/internal/flow/proxy/news.go
@@ -48,7 +48,7 @@
 }
 
 func (n *newsSocket) tell(wanted output.Tell, now clock.Millis) {
-	text, err := share.Encode(wanted.News, now)
+	text, err := share.Encode(wanted.Batch, now)
 	if err != nil {
 		n.logger.Warn("News can't be encoded.", "err", err)
 		return
@@ -77,35 +77,52 @@
 			n.logger.Debug("Datagram was not read.", "err", err)
 			continue
 		}
-		news, err := share.Decode(buffer[:count], Now())
+		batch, err := share.Decode(buffer[:count], Now())
 		if err != nil {
 			n.logger.Warn("Datagram can't be decoded.", "from", from, "err", err)
 			continue
 		}
-		step(input.NewsCame{News: news})
+		step(input.NewsCame{Batch: batch})
 	}
 }
 
-// GetPlan hands out the newest configuration that this entry knows.
-func (p *Proxy) GetPlan(context.Context, *newspb.PlanAsk) (*newspb.PlanGive, error) {
-	version, document := p.planDocument()
-	return &newspb.PlanGive{Version: uint64(version), Document: document}, nil
+// GetPublished hands out the published state that this entry knows.
+func (p *Proxy) GetPublished(_ context.Context, ask *newspb.PublishedAsk) (*newspb.PublishedGive, error) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	b := p.board
+	given := &newspb.PublishedGive{PlanVersion: uint64(b.Plan.Version), ListRevision: b.ListRevision}
+	if given.PlanVersion > ask.GetPlanVersion() {
+		given.Document = b.PlanDocument
+	}
+	if given.ListRevision > ask.GetListRevision() {
+		given.Endpoints = share.EncodeList(b.Pool.Known(b.Now))
+	}
+	return given, nil
 }
 
 func (p *Proxy) peerHandler() http.Handler { return newspb.NewShareServer(p) }
 
-// fetchPlan takes the configuration that another entry knows.
-func (p *Proxy) fetchPlan(address string) {
+// fetchPublished takes the published state that another entry knows.
+func (p *Proxy) fetchPublished(wanted output.FetchPublished) {
+	logger := p.logger.Part("share")
 	ctx, cancel := context.WithTimeout(p.lifetime, fetchTimeout)
 	defer cancel()
-	given, err := newspb.NewShareProtobufClient("http://"+address, p.peers).GetPlan(ctx, &newspb.PlanAsk{})
+	ask := &newspb.PublishedAsk{PlanVersion: uint64(wanted.PlanVersion), ListRevision: wanted.ListRevision}
+	given, err := newspb.NewShareProtobufClient("http://"+wanted.Address, p.peers).GetPublished(ctx, ask)
 	if err != nil {
-		p.logger.Part("share").Warn("Entry gave no configuration.", "address", address, "err", err)
+		logger.Warn("Entry gave no published state.", "address", wanted.Address, "err", err)
+		return
+	}
+	if len(given.GetEndpoints()) > 0 {
+		p.Step(input.ListTold{List: share.DecodeList(given.GetEndpoints()), Revision: given.GetListRevision()})
+	}
+	if len(given.GetDocument()) == 0 {
 		return
 	}
 	read, err := p.source.DecodePlan(given.GetDocument())
 	if err != nil {
-		p.logger.Part("share").Warn("Configuration of an entry can't be read.", "address", address, "err", err)
+		logger.Warn("Configuration of an entry can't be read.", "address", wanted.Address, "err", err)
 		return
 	}
 	p.Step(input.PlanRead{Plan: read, Document: given.GetDocument()})
--- a/internal/flow/proxy/proxy.go
+++ b/internal/flow/proxy/proxy.go
@@ -20,10 +20,8 @@
 	"mustardhook/internal/flow/call"
 	"mustardhook/internal/flow/input"
 	"mustardhook/internal/flow/output"
-	"mustardhook/internal/flow/peers"
 	"mustardhook/internal/flow/place"
 	"mustardhook/internal/flow/plan"
-	"mustardhook/internal/flow/pool"
 	"mustardhook/internal/flow/port"
 	"mustardhook/internal/flow/setup"
 	"mustardhook/internal/serve/logs"
@@ -128,8 +126,10 @@
 		p.post(wanted.Number, wanted)
 	case output.Tell:
 		p.news.tell(wanted, now)
-	case output.FetchPlan:
-		p.spawn(func() { p.fetchPlan(wanted.Address) })
+	case output.Wake:
+		time.AfterFunc(wanted.After.Span(), func() { p.Step(input.Woke{}) })
+	case output.FetchPublished:
+		p.spawn(func() { p.fetchPublished(wanted) })
 	case output.Note:
 		p.logger.Part("core").Info(wanted.Text, wanted.Pairs...)
 	}
@@ -158,12 +158,6 @@
 	return place.IsDoubtful(p.board, name)
 }
 
-func (p *Proxy) planDocument() (plan.Version, []byte) {
-	p.mutex.Lock()
-	defer p.mutex.Unlock()
-	return p.board.Plan.Version, p.board.PlanDocument
-}
-
 func (p *Proxy) limits() plan.Limits {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
@@ -183,38 +177,6 @@
 	}
 }
 
-// PlanRead brings a configuration of the source.
-func (p *Proxy) PlanRead(read plan.Plan, document []byte) {
-	p.Step(input.PlanRead{Plan: read, Document: document})
-}
-
-// ListRead brings the whole list of endpoints.
-func (p *Proxy) ListRead(list []pool.Listed) { p.Step(input.ListRead{List: list}) }
-
-// EndpointRead brings one changed entry of the list.
-func (p *Proxy) EndpointRead(entry pool.Listed) { p.Step(input.EndpointRead{Entry: entry}) }
-
-// EndpointGone says that an entry was removed from the list.
-func (p *Proxy) EndpointGone(name ident.Endpoint) { p.Step(input.EndpointGone{Name: name}) }
-
-// IsLookout reports whether the entry reads published state often for the others.
-func (p *Proxy) IsLookout() bool {
-	p.mutex.Lock()
-	defer p.mutex.Unlock()
-	return peers.IsLookout(p.board)
-}
-
-// SourceLost says that a read failed.
-func (p *Proxy) SourceLost(err error) { p.Step(input.SourceLost{Reason: err.Error()}) }
-
-// SourceBack says that reads succeed again.
-func (p *Proxy) SourceBack() { p.Step(input.SourceBack{}) }
-
-// BadEntry logs an unreadable entry.
-func (p *Proxy) BadEntry(key string, err error) {
-	p.logger.Part("source").Warn("Published entry can't be read.", "key", key, "err", err)
-}
-
 // sendLog writes the line of the decision to send a request.
 func (p *Proxy) sendLog(s *session, send call.Send) {
 	p.logger.Part("place").Info("Request sent.", "request", s.request.Name, "endpoint", send.Endpoint,
--- a/internal/flow/proxy/run.go
+++ b/internal/flow/proxy/run.go
@@ -94,11 +94,12 @@
 	}
 	p.Step(input.Started{
 		Self: p.settings.Entry, Life: uint64(time.Now().UnixNano()), Domain: p.settings.Domain,
-		Address: p.settings.Peers, Seeds: p.settings.Seeds, Seed: seed, Settings: p.settings.Core,
+		Address: p.settings.Peers, Capacity: p.settings.Limits.ProcessorThousandths, Seeds: p.settings.Seeds, Seed: seed,
+		Settings: p.settings.Core,
 	})
 	p.spawn(func() { p.news.listen(p.Step) })
 	p.spawn(p.tick)
-	p.spawn(func() { p.source.Run(p.lifetime, p) })
+	p.spawn(p.readPublished)
 	p.logger.Part("entry").Info("Entry serves.", "callers", p.settings.Callers)
 	<-ctx.Done()
 	p.stop(callers)
--- a/internal/flow/setup/setup.go
+++ b/internal/flow/setup/setup.go
@@ -18,11 +18,13 @@
 	DefaultRetryRatio  = 0.2
 	DefaultRetrySlack  = 100
 	DefaultRetryWindow = 10 * clock.Second
+	DefaultProcessor   = 1000
 	DefaultStall       = 1500 * clock.Millis(1)
 	DefaultGrace       = 8 * clock.Second
 
 	maxCount = 1 << 30
 	maxPort  = 65535
+	thousand = 1000
 )
 
 type (
@@ -50,6 +52,9 @@
 	Limits struct {
 		MemoryMegabytes int
 		Descriptors     int
+		// ProcessorThousandths is the processor share, in thousandths of a core. Entries
+		// with more of it do more for others.
+		ProcessorThousandths int
 	}
 )
 
@@ -90,12 +95,17 @@
 
 func readLimits(limits *strict.Object) Limits {
 	if limits == nil {
-		return Limits{DefaultMemory, DefaultDescriptors}
+		return Limits{DefaultMemory, DefaultDescriptors, DefaultProcessor}
 	}
 	defer limits.Done()
+	share := float64(DefaultProcessor) / thousand
+	if limits.Has("processorShare") {
+		share = limits.Float("processorShare", 0, maxCount)
+	}
 	return Limits{
-		MemoryMegabytes: int(limits.Int("memoryMegabytes", 16, maxCount, DefaultMemory)),
-		Descriptors:     int(limits.Int("descriptors", 64, maxCount, DefaultDescriptors)),
+		ProcessorThousandths: int(share * thousand),
+		MemoryMegabytes:      int(limits.Int("memoryMegabytes", 16, maxCount, DefaultMemory)),
+		Descriptors:          int(limits.Int("descriptors", 64, maxCount, DefaultDescriptors)),
 	}
 }
 
--- a/internal/flow/share/share.go
+++ b/internal/flow/share/share.go
@@ -5,6 +5,7 @@
 	"cmp"
 	"maps"
 	"slices"
+	"strconv"
 
 	"google.golang.org/protobuf/proto"
 
@@ -18,17 +19,106 @@
 	"mustardhook/internal/flow/pool"
 )
 
-// Encode returns the datagram of the news as of the instant.
-func Encode(news input.News, now clock.Millis) ([]byte, error) {
+// AliveError says that a datagram gives other counts of marks and of ages.
+type AliveError struct{ Marks, Ages int }
+
+// Error names both counts.
+func (e *AliveError) Error() string {
+	return "datagram has " + strconv.Itoa(e.Marks) + " marks and " + strconv.Itoa(e.Ages) + " ages"
+}
+
+// Encode returns the datagram of the batch as of the instant.
+func Encode(batch input.Batch, now clock.Millis) ([]byte, error) {
+	message := &newspb.Batch{Sender: string(batch.Sender), PassOn: batch.PassOn}
+	for _, news := range batch.News {
+		message.News = append(message.News, encodeNews(news, now))
+	}
+	for _, mark := range slices.Sorted(maps.Keys(batch.Alive)) {
+		message.Alive = append(message.Alive, uint32(mark))
+		message.AliveAgeMillis = append(message.AliveAgeMillis, uint32(max(now-batch.Alive[mark], 0)))
+	}
+	text, err := proto.Marshal(message)
+	if err != nil {
+		return nil, errors.Wrap(err, "encode batch")
+	}
+	return text, nil
+}
+
+// Decode reads a datagram that came at the instant.
+func Decode(text []byte, now clock.Millis) (input.Batch, error) {
+	var message newspb.Batch
+	if err := proto.Unmarshal(text, &message); err != nil {
+		return input.Batch{}, errors.Wrap(err, "decode batch")
+	}
+	if len(message.Alive) != len(message.AliveAgeMillis) {
+		return input.Batch{}, &AliveError{len(message.Alive), len(message.AliveAgeMillis)}
+	}
+	batch := input.Batch{Sender: ident.Entry(message.Sender), PassOn: message.PassOn}
+	for _, news := range message.News {
+		batch.News = append(batch.News, decodeNews(news, now))
+	}
+	if len(message.Alive) > 0 {
+		batch.Alive = map[input.EntryMark]clock.Millis{}
+	}
+	for i, mark := range message.Alive {
+		batch.Alive[input.EntryMark(mark)] = now - clock.Millis(message.AliveAgeMillis[i])
+	}
+	return batch, nil
+}
+
+// EncodeList maps the list of endpoints.
+func EncodeList(list []pool.Known) []*newspb.Endpoint {
+	told := make([]*newspb.Endpoint, 0, len(list))
+	for _, entry := range list {
+		told = append(told, &newspb.Endpoint{
+			Name:        string(entry.Name),
+			Service:     string(entry.Service),
+			Address:     entry.Address,
+			Domain:      string(entry.Domain),
+			Slots:       uint32(entry.Slots),
+			Leaving:     entry.Leaving,
+			Born:        entry.Born,
+			DoubtMillis: uint32(entry.Doubt),
+		})
+	}
+	return told
+}
+
+// DecodeList maps a list of endpoints that another entry gave.
+func DecodeList(told []*newspb.Endpoint) []pool.Known {
+	list := make([]pool.Known, 0, len(told))
+	for _, entry := range told {
+		list = append(list, pool.Known{
+			Listed: pool.Listed{
+				Name:    ident.Endpoint(entry.Name),
+				Service: ident.Service(entry.Service),
+				Address: entry.Address,
+				Domain:  ident.Domain(entry.Domain),
+				Slots:   int(entry.Slots),
+				Leaving: entry.Leaving,
+				Born:    entry.Born,
+			},
+			Doubt: clock.Millis(entry.DoubtMillis),
+		})
+	}
+	return list
+}
+
+func encodeNews(news input.News, now clock.Millis) *newspb.News {
 	message := &newspb.News{
-		Entry:       string(news.Entry),
-		Life:        news.Life,
-		Sequence:    news.Sequence,
-		Domain:      string(news.Domain),
-		Address:     news.Address,
-		PlanVersion: uint64(news.PlanVersion),
-		Leaving:     news.Leaving,
-		Known:       news.Known,
+		Entry:        string(news.Entry),
+		Life:         news.Life,
+		Sequence:     news.Sequence,
+		Domain:       string(news.Domain),
+		Address:      news.Address,
+		PlanVersion:  uint64(news.PlanVersion),
+		Leaving:      news.Leaving,
+		Known:        news.Known,
+		Capacity:     uint32(news.Capacity),
+		ListRevision: news.ListRevision,
+	}
+	if news.ConfirmedAt != 0 {
+		message.ConfirmedAgeMillis = uint64(max(now-news.ConfirmedAt, 0)) + 1
 	}
 	message.Work = encodeWork(news.Work, now)
 	for _, mark := range news.Left {
@@ -47,30 +137,26 @@
 		message.Crashes = append(message.Crashes, &newspb.Crash{Fingerprint: fingerprint, Count: uint32(count)})
 	}
 	slices.SortFunc(message.Crashes, func(a, b *newspb.Crash) int { return cmp.Compare(a.Fingerprint, b.Fingerprint) })
-	text, err := proto.Marshal(message)
-	if err != nil {
-		return nil, errors.Wrap(err, "encode news")
-	}
-	return text, nil
+	return message
 }
 
-// Decode reads a datagram that came at the instant.
-func Decode(text []byte, now clock.Millis) (input.News, error) {
-	var message newspb.News
-	if err := proto.Unmarshal(text, &message); err != nil {
-		return input.News{}, errors.Wrap(err, "decode news")
-	}
+func decodeNews(message *newspb.News, now clock.Millis) input.News {
 	news := input.News{
-		Entry:       ident.Entry(message.Entry),
-		Life:        message.Life,
-		Sequence:    message.Sequence,
-		Domain:      ident.Domain(message.Domain),
-		Address:     message.Address,
-		PlanVersion: plan.Version(message.PlanVersion),
-		Leaving:     message.Leaving,
-		Known:       message.Known,
-		Work:        map[pool.Mark]map[pool.WorkID]pool.Work{},
-		Crashes:     map[uint64]int{},
+		Entry:        ident.Entry(message.Entry),
+		Life:         message.Life,
+		Sequence:     message.Sequence,
+		Domain:       ident.Domain(message.Domain),
+		Address:      message.Address,
+		PlanVersion:  plan.Version(message.PlanVersion),
+		Leaving:      message.Leaving,
+		Known:        message.Known,
+		Capacity:     int(message.Capacity),
+		ListRevision: message.ListRevision,
+		Work:         map[pool.Mark]map[pool.WorkID]pool.Work{},
+		Crashes:      map[uint64]int{},
+	}
+	if message.ConfirmedAgeMillis > 0 {
+		news.ConfirmedAt = now - clock.Millis(message.ConfirmedAgeMillis-1)
 	}
 	for _, told := range message.Work {
 		decodeWork(news, told, now)
@@ -90,7 +176,7 @@
 	for _, crash := range message.Crashes {
 		news.Crashes[crash.Fingerprint] = int(crash.Count)
 	}
-	return news, nil
+	return news
 }
 
 // encodeWork joins the pieces of each request into one message.
