One fetch of published state at a time, from a random entry that has it

Each tick an entry that was behind asked the next entry for the whole document, all of them the hub first, over links of 14 Mbit/s. Ruled out: parsing (5 ms of processor time), the store (the hubs had it in time). Change: one call at a time, 1.5 s at most, to a random entry of the own failure domain that has it, so that those that got it give it on. Test: each entry asks once while a document is on its way (TestListReachesAll).

--- a/internal/flow/board/board.go
+++ b/internal/flow/board/board.go
@@ -54,6 +54,8 @@
 		PlanDocument []byte
 		// BehindAt is since when others have a newer plan; zero while nobody has.
 		BehindAt clock.Millis
+		// FetchUntil is until when no other entry is asked for published state.
+		FetchUntil clock.Millis
 		// ListRead says that the list of endpoints was read in this life, ListRevision
 		// of which revision of the published state it is.
 		ListRead     bool
@@ -115,7 +117,6 @@
 		DirectAt  clock.Millis
 		// MutedUntil is until when the entry is not asked to pass news on.
 		MutedUntil clock.Millis
-		FetchedAt  clock.Millis
 	}
 
 	// Crash is a request that was running when endpoints ended.
--- a/internal/flow/input/input.go
+++ b/internal/flow/input/input.go
@@ -80,6 +80,9 @@
 		Revision uint64
 	}
 
+	// FetchEnded says that a call for published state of another entry has ended.
+	FetchEnded struct{}
+
 	// Confirmed says that all published changes up to now were read.
 	Confirmed struct{}
 
@@ -175,6 +178,7 @@
 func (PlanRead) isInput()     {}
 func (ListRead) isInput()     {}
 func (ListTold) isInput()     {}
+func (FetchEnded) isInput()   {}
 func (Confirmed) isInput()    {}
 func (EndpointRead) isInput() {}
 func (EndpointGone) isInput() {}
--- a/internal/flow/parts/fleet_test.go
+++ b/internal/flow/parts/fleet_test.go
@@ -19,6 +19,8 @@
 	fleetTick = 5 * clock.Millis(1)
 	// hop is the time of a datagram on its way.
 	hop = 5 * clock.Millis(1)
+	// fetchTime is how long a large document takes over the link of a small instance.
+	fetchTime = 200 * clock.Millis(1)
 )
 
 type (
@@ -30,16 +32,24 @@
 		byHost  map[string]*fleetEntry
 		onWay   []datagram
 		wakes   []wake
-		// sent and fetched count datagrams and calls for published state.
-		sent    int
-		fetched int
+		calls   []fetching
+		// sent counts datagrams.
+		sent int
 	}
 
 	fleetEntry struct {
 		*world
 		host   string
 		isDown bool
-		sent   int
+		// sent and fetched count datagrams and calls for published state.
+		sent    int
+		fetched int
+	}
+
+	// fetching is a call for published state of another entry.
+	fetching struct {
+		at       clock.Millis
+		from, to *fleetEntry
 	}
 
 	wake struct {
@@ -64,7 +74,7 @@
 	return f
 }
 
-func (f *fleet) start(i int) *fleetEntry {
+func (f *fleet) start(i int) {
 	domains := []ident.Domain{"north", "south", "harbour"}
 	w := newWorld(f.t)
 	w.board.Now = f.now
@@ -84,11 +94,10 @@
 	entry := &fleetEntry{world: w, host: host}
 	if before := f.byHost[host]; before != nil {
 		*before = *entry
-		return before
+		return
 	}
 	f.byHost[host] = entry
 	f.entries = append(f.entries, entry)
-	return entry
 }
 
 func (f *fleet) collect(entry *fleetEntry, emitted []output.Output) {
@@ -103,12 +112,10 @@
 		case output.Wake:
 			f.wakes = append(f.wakes, wake{f.now + wanted.After, entry})
 		case output.FetchPublished:
-			f.fetched++
+			entry.fetched++
 			host, _, _ := strings.Cut(wanted.Address, ":")
 			if other := f.byHost[host]; other != nil && !other.isDown {
-				told := input.ListTold{List: other.board.Pool.Known(f.now), Revision: other.board.ListRevision}
-				f.collect(entry, entry.step(told))
-				f.collect(entry, entry.step(input.PlanRead{Plan: other.board.Plan}))
+				f.calls = append(f.calls, fetching{f.now + fetchTime, entry, other})
 			}
 		}
 	}
@@ -134,6 +141,7 @@
 		}
 		f.onWay = append(f.onWay, later...)
 		f.wake()
+		f.answer()
 		for _, entry := range f.entries {
 			if entry.isDown {
 				continue
@@ -163,6 +171,24 @@
 	}
 }
 
+func (f *fleet) answer() {
+	waiting := f.calls
+	f.calls = nil
+	for _, made := range waiting {
+		switch {
+		case made.at > f.now:
+			f.calls = append(f.calls, made)
+		case !made.from.isDown:
+			made.from.board.Now = f.now
+			given := made.to.board
+			told := input.ListTold{List: given.Pool.Known(f.now), Revision: given.ListRevision}
+			f.collect(made.from, made.from.step(told))
+			f.collect(made.from, made.from.step(input.PlanRead{Plan: given.Plan}))
+			f.collect(made.from, made.from.step(input.FetchEnded{}))
+		}
+	}
+}
+
 func (f *fleet) roles() map[peers.Role]int {
 	found := map[peers.Role]int{}
 	for _, entry := range f.entries {
@@ -191,7 +217,7 @@
 // ask brings a caller's request to the entry.
 func (f *fleet) ask(entry *fleetEntry, path string, tokens int) (uint64, output.Output) {
 	entry.outputs = nil
-	number, got := entry.world.ask(path, tokens, 10*clock.Second)
+	number, got := entry.ask(path, tokens, 10*clock.Second)
 	f.collect(entry, entry.outputs)
 	return number, got
 }
@@ -304,14 +330,21 @@
 func TestListReachesAll(t *testing.T) {
 	f := newFleet(t, 30)
 	f.pass(4 * clock.Second)
+	for _, entry := range f.entries {
+		entry.fetched = 0
+	}
 	hub := f.entries[0]
 	leaving := pool.Listed{Name: "engine-03", Service: engines, Address: "10.1.0.3:80", Slots: 16, Leaving: true, Born: 1}
 	f.collect(hub, hub.step(input.EndpointRead{Entry: leaving, Revision: 20}))
-	f.pass(600)
+	f.pass(1000)
 	for _, entry := range f.entries {
 		require.True(t, entry.board.Pool.Find("engine-03").Leaving, entry.board.Self)
 		require.Equal(t, uint64(20), entry.board.ListRevision)
 	}
+	// Every entry asks once: documents of a megabyte fill the links of small instances.
+	for _, entry := range f.entries {
+		require.LessOrEqual(t, entry.fetched, 1)
+	}
 	late := leaving
 	late.Leaving = false
 	hub.step(input.EndpointRead{Entry: late, Revision: 15})
--- a/internal/flow/peers/fetch.go
+++ b/internal/flow/peers/fetch.go
@@ -10,8 +10,11 @@
 )
 
 const (
-	// FetchSpan is the time between two calls for newer published state to one entry.
-	FetchSpan = 300 * clock.Millis(1)
+	// FetchLimit bounds a call for newer published state; one is made at a time, since
+	// documents of a megabyte fill the links of small instances.
+	FetchLimit = 1500 * clock.Millis(1)
+	// FetchSpan is the least time between two calls that brought nothing new.
+	FetchSpan = 100 * clock.Millis(1)
 	// BehindSpan is how long a reader of published state waits for what others have
 	// already read; changes must be in force within 2 s.
 	BehindSpan = 300 * clock.Millis(1)
@@ -31,38 +34,35 @@
 	if RoleOf(b) != RoleNone && b.Now-b.BehindAt < BehindSpan && !b.Plan.IsZero() {
 		return
 	}
-	for _, peer := range newer {
-		if b.Now-peer.FetchedAt >= FetchSpan {
-			peer.FetchedAt = b.Now
-			b.Emit(output.FetchPublished{
-				Address: peer.News.Address, PlanVersion: b.Plan.Version, ListRevision: b.ListRevision,
-			})
-			return
-		}
+	if b.Now < b.FetchUntil {
+		return
 	}
+	b.FetchUntil = b.Now + FetchLimit
+	// A random one of those that have it: each entry that got a document gives it to
+	// others in its turn, so that no link carries it to all.
+	from := newer[b.Random.IntN(len(newer))]
+	b.Emit(output.FetchPublished{
+		Address: from.News.Address, PlanVersion: b.Plan.Version, ListRevision: b.ListRevision,
+	})
 }
 
-// sources returns the live entries that have newer published state, the one that
-// was heard directly last first: the own hub, usually.
+// sources returns the live entries that have newer published state, those of the
+// own failure domain if there are any.
 func sources(b *board.Board) []*board.Peer {
-	var newer []*board.Peer
+	var near, far []*board.Peer
 	for _, name := range slices.Sorted(maps.Keys(b.Peers)) {
 		peer := b.Peers[name]
 		isNewer := peer.News.PlanVersion > b.Plan.Version || peer.News.ListRevision > b.ListRevision
-		if isNewer && isLive(b, peer) {
-			newer = append(newer, peer)
+		switch {
+		case !isNewer || !isLive(b, peer):
+		case peer.News.Domain == b.Domain:
+			near = append(near, peer)
+		default:
+			far = append(far, peer)
 		}
 	}
-	slices.SortStableFunc(newer, func(x, y *board.Peer) int {
-		if x.News.Domain != y.News.Domain {
-			if x.News.Domain == b.Domain {
-				return -1
-			}
-			if y.News.Domain == b.Domain {
-				return 1
-			}
-		}
-		return int(y.DirectAt - x.DirectAt)
-	})
-	return newer
+	if len(near) > 0 {
+		return near
+	}
+	return far
 }
--- a/internal/flow/peers/peers.go
+++ b/internal/flow/peers/peers.go
@@ -39,6 +39,8 @@
 	switch happened := happened.(type) {
 	case input.NewsCame:
 		l.takeBatch(b, happened.Batch)
+	case input.FetchEnded:
+		b.FetchUntil = b.Now + FetchSpan
 	case input.Ticked:
 		forget(b)
 		fetch(b)
--- a/internal/flow/proxy/news.go
+++ b/internal/flow/proxy/news.go
@@ -5,7 +5,6 @@
 	"net"
 	"net/http"
 	"strconv"
-	"time"
 
 	"github.com/go-faster/errors"
 
@@ -13,6 +12,7 @@
 	"mustardhook/internal/flow/input"
 	"mustardhook/internal/flow/newspb"
 	"mustardhook/internal/flow/output"
+	"mustardhook/internal/flow/peers"
 	"mustardhook/internal/flow/share"
 	"mustardhook/internal/serve/logs"
 )
@@ -20,7 +20,6 @@
 const (
 	// datagramBytes is the largest datagram that UDP carries.
 	datagramBytes = 65507
-	fetchTimeout  = 1 * time.Second
 )
 
 type (
@@ -105,8 +104,9 @@
 
 // fetchPublished takes the published state that another entry knows.
 func (p *Proxy) fetchPublished(wanted output.FetchPublished) {
+	defer p.Step(input.FetchEnded{})
 	logger := p.logger.Part("share")
-	ctx, cancel := context.WithTimeout(p.lifetime, fetchTimeout)
+	ctx, cancel := context.WithTimeout(p.lifetime, peers.FetchLimit.Span())
 	defer cancel()
 	ask := &newspb.PublishedAsk{PlanVersion: uint64(wanted.PlanVersion), ListRevision: wanted.ListRevision}
 	given, err := newspb.NewShareProtobufClient("http://"+wanted.Address, p.peers).GetPublished(ctx, ask)
