The lane of short prompts grows by the slots of its engines

Cause: on cork grown engines have 12 slots, not 16; with nine short prompts for each engine of the lane some had more than 12 at once, and the others waited for a whole answer: 90th percentile of the first event 500 to 900 ms at a median of 170. Change: 0.55 of the slots in place of nine (the same on 16 slots).

--- a/internal/flow/place/engine.go
+++ b/internal/flow/place/engine.go
@@ -28,9 +28,9 @@
 	releaseUnread = 100.0
 	// maxHelpers is the most endpoints that may help to read a prompt.
 	maxHelpers = 16
-	// shortsPerEngine is how many short requests an engine of the short lane takes
-	// on before the lane grows.
-	shortsPerEngine = 9
+	// shortShare is the part of its slots that an engine of the short lane takes on
+	// before the lane grows; a request beyond the slots waits for a whole answer.
+	shortShare = 0.55
 	// shortSpan is how long a short request takes on an engine that is not held up.
 	shortSpan = 1600 * clock.Millis(1)
 	// spareShorts is room in the short lane for requests to come.
@@ -92,7 +92,7 @@
 	if need > engine.MemoryTokens*min(len(candidates), maxHolders+1) {
 		return choice{reason: call.ReasonTooLong, retryAfter: FullWait}
 	}
-	short, long := lanes(candidates)
+	short, long := lanes(engine, candidates)
 	if cost.ReadMillis(engine, prompt, 1) <= longRead {
 		found := cheapest(b, engine, short, long, prompt, need)
 		found.urgency = urgencyShort
@@ -130,12 +130,13 @@
 
 // lanes divides the engines between short and long prompts by the short ones that
 // came lately: those that are held up must not make their lane larger.
-func lanes(candidates []*candidate) (short, long []*candidate) {
+func lanes(engine *plan.Engine, candidates []*candidate) (short, long []*candidate) {
 	shorts := 0
 	for _, found := range candidates {
 		shorts += found.shorts
 	}
-	size := max((shorts+spareShorts+shortsPerEngine-1)/shortsPerEngine, leastShortLane)
+	perEngine := max(int(shortShare*float64(engine.Slots)+0.5), 1)
+	size := max((shorts+spareShorts+perEngine-1)/perEngine, leastShortLane)
 	size = min(size, max(len(candidates)-leastLongLane, 1))
 	return candidates[:size], candidates[size:]
 }
