--- a/internal/flow/parts/fleet_test.go
+++ b/internal/flow/parts/fleet_test.go
@@ -309,7 +309,7 @@
 	w := newWorld(t).serve(4)
 	require.Equal(t, peers.RoleHub, peers.RoleOf(w.board), "alone")
 	hear := func(age clock.Millis) {
-		w.hear("entry-2", func(n *input.News) {
+		w.hear("entry-9", func(n *input.News) {
 			n.Domain = "north"
 			n.Capacity = 800
 			n.ConfirmedAt = w.board.Now - age
--- a/internal/flow/peers/role.go
+++ b/internal/flow/peers/role.go
@@ -7,11 +7,12 @@
 
 const (
 	// FirstReader is how long published state may be unconfirmed before an entry that
-	// is no hub reads it: longer than a hub's watch and the way of its word. The next
-	// ones in line follow after ReaderSpan each, all of them after LastReader.
+	// is no hub reads it: longer than a hub's watch and the way of its word.
 	FirstReader = 1400 * clock.Millis(1)
-	ReaderSpan  = 100 * clock.Millis(1)
-	LastReader  = 2 * clock.Second
+	// ReaderSpan is how much later each entry behind it in line follows.
+	ReaderSpan = 100 * clock.Millis(1)
+	// LastReader is when all of them read.
+	LastReader = 2 * clock.Second
 
 	// RoleNone leaves the reading of published state to others.
 	RoleNone Role = iota
--- a/internal/flow/peers/tell.go
+++ b/internal/flow/peers/tell.go
@@ -21,9 +21,10 @@
 	// SeedSpan is the time between two tellings to seeds that were not heard of.
 	SeedSpan = 2 * clock.Second
 	// OwnWholeSpan is the time between two tellings of what seldom changes of the
-	// entry itself, WholeSpan that of all others.
+	// entry itself.
 	OwnWholeSpan = 1 * clock.Second
-	WholeSpan    = 5 * clock.Second
+	// WholeSpan is the time between two tellings of what seldom changes of all others.
+	WholeSpan = 5 * clock.Second
 	// AskedSpan is how long an entry passes news on after it was asked to.
 	AskedSpan = 1 * clock.Second
 
--- a/internal/flow/proxy/read.go
+++ b/internal/flow/proxy/read.go
@@ -35,9 +35,7 @@
 			return
 		case errors.As(err, &forgotten):
 			p.logger.Part("source").Info("History of published state is gone; all is read anew.", "after", next.After)
-			p.mutex.Lock()
-			state.Forgotten(p.board)
-			p.mutex.Unlock()
+			state.Forgotten()
 		default:
 			p.Step(input.SourceLost{Reason: err.Error()})
 			p.sleep(state.Failed(role, random))
--- a/internal/flow/reader/reader.go
+++ b/internal/flow/reader/reader.go
@@ -12,9 +12,9 @@
 	// WatchSpan is how long one read waits for changes. A read may never be answered,
 	// and changes must be in force within 2 s.
 	WatchSpan = 900 * clock.Millis(1)
-	// WatchAnswer is how long the answer may take beyond that, WholeAnswer that of a
-	// read of everything.
+	// WatchAnswer is how long the answer may take beyond that.
 	WatchAnswer = 500 * clock.Millis(1)
+	// WholeAnswer is how long a read of everything may take.
 	WholeAnswer = 1500 * clock.Millis(1)
 	// GatherPause is the time between two reads: changes that come together share a
 	// call, and each call is paid for. It is a tenth of the time within which changes
@@ -22,10 +22,11 @@
 	GatherPause = 200 * clock.Millis(1)
 	// IdlePause is the time between two looks whether the entry should read.
 	IdlePause = 100 * clock.Millis(1)
-	// FirstPause and LongestPause bound the exponential pauses of a hub between failed
-	// reads. Other entries pause up to LongestSpare: they learn from the hub.
-	FirstPause   = 100 * clock.Millis(1)
+	// FirstPause is the first pause after a failed read; each further one doubles.
+	FirstPause = 100 * clock.Millis(1)
+	// LongestPause bounds the pauses of a hub.
 	LongestPause = 1 * clock.Second
+	// LongestSpare bounds those of other entries, which learn from their hub.
 	LongestSpare = 4 * clock.Second
 )
 
@@ -36,7 +37,9 @@
 		Revision uint64
 		// IsLost says that the last read failed.
 		IsLost bool
-		pause  clock.Millis
+		// isForgotten says that everything must be read anew.
+		isForgotten bool
+		pause       clock.Millis
 	}
 
 	// Next says what to do next: to read, or only to pause.
@@ -57,7 +60,7 @@
 	if peers.RoleOf(b) == peers.RoleNone {
 		return Next{Pause: IdlePause}
 	}
-	if r.Revision == 0 && b.ListRevision == 0 || b.Plan.IsZero() {
+	if r.isForgotten || r.Revision == 0 && b.ListRevision == 0 || b.Plan.IsZero() {
 		return Next{IsRead: true, Limit: WholeAnswer}
 	}
 	return Next{
@@ -70,15 +73,13 @@
 func (r *Reader) Succeeded(revision uint64) clock.Millis {
 	r.Revision = max(r.Revision, revision)
 	r.IsLost = false
+	r.isForgotten = false
 	r.pause = 0
 	return GatherPause
 }
 
 // Forgotten notes that changes after the revision can't be read any more.
-func (r *Reader) Forgotten(b *board.Board) {
-	r.Revision = 0
-	b.ListRevision = 0
-}
+func (r *Reader) Forgotten() { r.isForgotten = true }
 
 // Failed returns the pause after a failed read.
 func (r *Reader) Failed(role peers.Role, random float64) clock.Millis {
