Endpoints that fail requests of several entries are left out

Ruled out: counting failures at one entry over a longer span (11 requests in 5.6 s over 54 engines). Change: entries tell how many of their requests each endpoint failed in the last 3 s (broken off, silent, unreached, or answered with 5xx); three failures at two entries or more take it out for 2 s, doubling to 8 s. Six tenths of a service's endpoints stay in use whatever is told. Test: TestEndpointThatFailsManyEntriesIsLeftOut.

--- a/internal/flow/input/input.go
+++ b/internal/flow/input/input.go
@@ -142,6 +142,8 @@
 		Work        map[pool.Mark]map[pool.WorkID]pool.Work
 		// Left are endpoints that the entry found to leave lately.
 		Left []pool.Mark
+		// Failed counts the requests of the entry that endpoints failed lately.
+		Failed map[pool.Mark]int
 		// Waiting are the long prompts that wait for engines.
 		Waiting []Waiting
 		// Known are addresses of entries that pass news on.
--- a/internal/flow/parts/load_test.go
+++ b/internal/flow/parts/load_test.go
@@ -1,6 +1,7 @@
 package parts
 
 import (
+	"fmt"
 	"net/http"
 	"testing"
 
@@ -176,3 +177,38 @@
 	})
 	requireSend(t, w.end(call.Result{Number: number, End: call.EndBroken, Delivered: true}))
 }
+
+// Answers endpoints that fail part of their requests while they serve others: no
+// entry sees enough failures by itself, all of them together do.
+func TestEndpointThatFailsManyEntriesIsLeftOut(t *testing.T) {
+	w := newWorld(t).serve(6)
+	tell := func(entry ident.Entry, failed map[pool.Mark]int) {
+		w.hear(entry, func(n *input.News) { n.Failed = failed })
+	}
+	mark := pool.MarkOf("engine-00")
+	tell("entry-2", map[pool.Mark]int{mark: 5})
+	w.pass(100)
+	require.True(t, w.board.Pool.Find("engine-00").IsUsable(w.board.Now), "one entry's links may be at fault")
+	tell("entry-3", map[pool.Mark]int{mark: 1})
+	w.pass(100)
+	require.False(t, w.board.Pool.Find("engine-00").IsUsable(w.board.Now))
+	tell("entry-2", nil)
+	tell("entry-3", nil)
+	w.pass(pool.FirstOut)
+	require.True(t, w.board.Pool.Find("engine-00").IsUsable(w.board.Now))
+
+	all := map[pool.Mark]int{}
+	for i := range 6 {
+		all[pool.MarkOf(ident.Endpoint(fmt.Sprintf("engine-%02d", i)))] = 4
+	}
+	tell("entry-2", all)
+	tell("entry-3", all)
+	w.pass(100)
+	usable := 0
+	for _, endpoint := range w.board.Pool.Of(engines) {
+		if endpoint.IsUsable(w.board.Now) {
+			usable++
+		}
+	}
+	require.GreaterOrEqual(t, usable, 4, "when most fail, the cause lies elsewhere")
+}
--- a/internal/flow/peers/peers.go
+++ b/internal/flow/peers/peers.go
@@ -42,6 +42,9 @@
 	case input.FetchEnded:
 		b.FetchUntil = b.Now + FetchSpan
 	case input.Ticked:
+		for _, name := range b.Pool.TakeOut(b.Now) {
+			b.Note("Endpoint fails requests of several entries.", "endpoint", name)
+		}
 		forget(b)
 		fetch(b)
 	}
@@ -94,6 +97,9 @@
 	peer.LastHeard = b.Now
 	b.Pool.ReplaceWork(news.Entry, before.Work, news.Work)
 	b.Pool.TellLeft(news.Left, b.Now)
+	if len(before.Failed) > 0 || len(news.Failed) > 0 {
+		b.Pool.TellFailing(news.Entry, news.Failed, b.Now)
+	}
 	isDirect := batch.Sender == news.Entry
 	if batch.PassOn && (isNew || saysMore(before, news)) {
 		c.note(news.Entry, change{isDirect: isDirect, isWhole: isNew || before.Life != news.Life})
@@ -110,7 +116,7 @@
 // same again and again.
 func saysMore(before, news input.News) bool {
 	isBusy := func(n input.News) bool {
-		return len(n.Work) > 0 || len(n.Waiting) > 0 || len(n.Crashes) > 0 || len(n.Left) > 0
+		return len(n.Work) > 0 || len(n.Waiting) > 0 || len(n.Crashes) > 0 || len(n.Left) > 0 || len(n.Failed) > 0
 	}
 	return isBusy(news) || isBusy(before) || before.PlanVersion != news.PlanVersion || before.Leaving != news.Leaving ||
 		before.ListRevision != news.ListRevision || news.ConfirmedAt > before.ConfirmedAt
--- a/internal/flow/place/end.go
+++ b/internal/flow/place/end.go
@@ -72,6 +72,9 @@
 		b.Pool.Reached(endpoint.Domain)
 		if result.Status < http.StatusInternalServerError {
 			endpoint.Succeeded()
+		} else {
+			endpoint.Erred(b.Now)
+			b.WorkChanged = true
 		}
 	}
 }
--- /dev/null
+++ b/internal/flow/pool/grey.go
@@ -0,0 +1,121 @@
+package pool
+
+import (
+	"slices"
+
+	"mustardhook/internal/core/clock"
+	"mustardhook/internal/core/ident"
+)
+
+const (
+	// FailureSpan is how long a failure counts among those of all entries: some times
+	// the silence after which a request is taken to have failed.
+	FailureSpan = 3 * clock.Second
+	// OutFailures is how many failures at all entries take an endpoint out of use, and
+	// outEntries how many entries must have seen some: the fault of one entry's own
+	// links is none of the endpoint.
+	OutFailures = 3
+	outEntries  = 2
+	// FirstOut is the first time out of use; it doubles up to LongestOut.
+	FirstOut   = 2 * clock.Second
+	LongestOut = 8 * clock.Second
+	// leastInUse is the part of a service's endpoints that stay in use whatever is told
+	// of them: when most of them fail, the cause lies elsewhere.
+	leastInUse = 0.6
+)
+
+// toldFailures is what another entry tells of its failures at an endpoint.
+type toldFailures struct {
+	count int
+	at    clock.Millis
+}
+
+// Erred notes a failed request, whatever was the cause.
+func (e *Endpoint) Erred(now clock.Millis) { e.recent = append(e.recent, now) }
+
+// Failing returns the failures of own requests lately, by endpoint.
+func (p *Pool) Failing(now clock.Millis) map[Mark]int {
+	var failing map[Mark]int
+	for _, endpoint := range p.endpoints {
+		endpoint.forgetFailures(now)
+		if len(endpoint.recent) == 0 {
+			continue
+		}
+		if failing == nil {
+			failing = map[Mark]int{}
+		}
+		failing[endpoint.mark] = len(endpoint.recent)
+	}
+	return failing
+}
+
+// TellFailing takes the failures that another entry saw lately.
+func (p *Pool) TellFailing(entry ident.Entry, failing map[Mark]int, now clock.Millis) {
+	for _, endpoint := range p.endpoints {
+		count := failing[endpoint.mark]
+		if count == 0 {
+			delete(endpoint.told, entry)
+			continue
+		}
+		if endpoint.told == nil {
+			endpoint.told = map[ident.Entry]toldFailures{}
+		}
+		endpoint.told[entry] = toldFailures{count, now}
+	}
+}
+
+// TakeOut takes endpoints out of use that failed requests of several entries, and
+// returns their names. Such an endpoint may serve some requests well, so that no
+// entry alone sees enough of its failures.
+func (p *Pool) TakeOut(now clock.Millis) []ident.Endpoint {
+	var out []ident.Endpoint
+	for name, endpoint := range p.endpoints {
+		if now < endpoint.outUntil || !endpoint.failsEntries(now) || !p.canSpare(endpoint.Service, now) {
+			continue
+		}
+		if now-endpoint.outUntil > LongestOut {
+			endpoint.outs = 0
+		}
+		endpoint.outUntil = now + min(FirstOut<<min(endpoint.outs, 10), LongestOut)
+		endpoint.outs++
+		// What was seen before the time out must not take it out again.
+		endpoint.recent = nil
+		endpoint.told = nil
+		out = append(out, name)
+	}
+	slices.Sort(out)
+	return out
+}
+
+func (e *Endpoint) failsEntries(now clock.Millis) bool {
+	e.forgetFailures(now)
+	total, entries := len(e.recent), 0
+	if total > 0 {
+		entries++
+	}
+	for _, told := range e.told {
+		if now-told.at <= FailureSpan {
+			total += told.count
+			entries++
+		}
+	}
+	return total >= OutFailures && entries >= outEntries
+}
+
+func (e *Endpoint) forgetFailures(now clock.Millis) {
+	e.recent = slices.DeleteFunc(e.recent, func(at clock.Millis) bool { return now-at > FailureSpan })
+}
+
+func (p *Pool) canSpare(service ident.Service, now clock.Millis) bool {
+	listed, used := 0, 0
+	for _, endpoint := range p.endpoints {
+		if endpoint.Service != service || endpoint.GoneAt != 0 {
+			continue
+		}
+		listed++
+		if now >= endpoint.outUntil {
+			used++
+		}
+	}
+	return float64(used-1) >= leastInUse*float64(listed)
+}
--- a/internal/flow/pool/pool.go
+++ b/internal/flow/pool/pool.go
@@ -74,6 +74,14 @@
 		// ToldUntil is until when the word of another entry that it leaves counts.
 		ToldUntil clock.Millis
 
+		// recent are the last failures of own requests, told what others tell of theirs.
+		recent []clock.Millis
+		told   map[ident.Entry]toldFailures
+		// outUntil is until when the endpoint is out of use for what all entries saw of
+		// it, and outs how often that happened in a row.
+		outUntil clock.Millis
+		outs     int
+
 		mark Mark
 	}
 
@@ -307,7 +315,7 @@
 // IsUsable reports whether new work may be sent to the endpoint.
 func (e *Endpoint) IsUsable(now clock.Millis) bool {
 	isListed := e.GoneAt == 0 || now < e.DoubtUntil
-	return isListed && !e.Leaving && now >= e.RestUntil && now >= e.ToldUntil
+	return isListed && !e.Leaving && now >= e.RestUntil && now >= e.ToldUntil && now >= e.outUntil
 }
 
 // Left returns the marks of endpoints that were found to leave lately.
@@ -336,6 +344,7 @@
 
 // Failed notes a send that failed by the endpoint's fault.
 func (e *Endpoint) Failed(now clock.Millis) {
+	e.Erred(now)
 	e.Failures++
 	if e.Failures < FailuresToRest {
 		return
--- a/internal/flow/share/share.go
+++ b/internal/flow/share/share.go
@@ -124,6 +124,10 @@
 	for _, mark := range news.Left {
 		message.Left = append(message.Left, uint32(mark))
 	}
+	for _, mark := range slices.Sorted(maps.Keys(news.Failed)) {
+		message.Failed = append(message.Failed, uint32(mark))
+		message.FailedCount = append(message.FailedCount, uint32(news.Failed[mark]))
+	}
 	for _, waiting := range news.Waiting {
 		message.Waiting = append(message.Waiting, &newspb.Waiting{
 			Service:       string(waiting.Service),
@@ -164,6 +168,14 @@
 	for _, mark := range message.Left {
 		news.Left = append(news.Left, pool.Mark(mark))
 	}
+	if len(message.Failed) > 0 {
+		news.Failed = map[pool.Mark]int{}
+	}
+	for i, mark := range message.Failed {
+		if i < len(message.FailedCount) {
+			news.Failed[pool.Mark(mark)] = int(message.FailedCount[i])
+		}
+	}
 	for _, told := range message.Waiting {
 		news.Waiting = append(news.Waiting, input.Waiting{
 			Service:      ident.Service(told.Service),
