--- a/internal/flow/pool/grey.go
+++ b/internal/flow/pool/grey.go
@@ -16,8 +16,9 @@
 	// links is none of the endpoint.
 	OutFailures = 3
 	outEntries  = 2
-	// FirstOut is the first time out of use; it doubles up to LongestOut.
-	FirstOut   = 2 * clock.Second
+	// FirstOut is the first time out of use; each further one doubles.
+	FirstOut = 2 * clock.Second
+	// LongestOut bounds the times out of use.
 	LongestOut = 8 * clock.Second
 	// leastInUse is the part of a service's endpoints that stay in use whatever is told
 	// of them: when most of them fail, the cause lies elsewhere.
