--- a/internal/flow/peers/peers.go
+++ b/internal/flow/peers/peers.go
@@ -72,27 +72,49 @@
 	if news.Entry == b.Self {
 		return
 	}
-	peer := b.Peers[news.Entry]
-	if peer == nil && news.Address == "" {
-		// Whole news follows soon.
+	peer, isNew := peerOf(b, news)
+	if peer == nil || !isNew && isOld(b, peer, news) {
 		return
 	}
-	isNew := peer == nil
-	if isNew {
-		b.Note("Entry found.", "entry", news.Entry, "failureDomain", news.Domain)
-		peer = &board.Peer{}
-		b.Peers[news.Entry] = peer
-		b.WorkChanged = true
+	before := peer.News
+	hear(b, peer, news)
+	isStarted := isNew || before.Life != news.Life
+	isDirect := batch.Sender == news.Entry
+	if batch.PassOn && (isStarted || saysMore(before, news)) {
+		c.note(news.Entry, change{isDirect: isDirect, isWhole: isStarted})
 	}
-	if !isNew && isOld(b, peer, news) {
-		return
+	if isDirect && isStarted {
+		c.introduce(b, news)
+	}
+	for _, address := range news.Known {
+		c.meet(b, address)
+	}
+}
+
+// peerOf returns the entry that the news is of; nil when it is not known and the
+// news is brief: whole news follows soon.
+func peerOf(b *board.Board, news input.News) (peer *board.Peer, isNew bool) {
+	if known := b.Peers[news.Entry]; known != nil {
+		return known, false
 	}
 	if news.Address == "" {
-		news.Domain = peer.News.Domain
-		news.Address = peer.News.Address
-		news.Capacity = peer.News.Capacity
+		return nil, false
 	}
+	b.Note("Entry found.", "entry", news.Entry, "failureDomain", news.Domain)
+	peer = &board.Peer{}
+	b.Peers[news.Entry] = peer
+	b.WorkChanged = true
+	return peer, true
+}
+
+// hear puts the news in place of what the entry said before.
+func hear(b *board.Board, peer *board.Peer, news input.News) {
 	before := peer.News
+	if news.Address == "" {
+		news.Domain = before.Domain
+		news.Address = before.Address
+		news.Capacity = before.Capacity
+	}
 	peer.News = news
 	peer.LastHeard = b.Now
 	b.Pool.ReplaceWork(news.Entry, before.Work, news.Work)
@@ -100,16 +122,6 @@
 	if len(before.Failed) > 0 || len(news.Failed) > 0 {
 		b.Pool.TellFailing(news.Entry, news.Failed, b.Now)
 	}
-	isDirect := batch.Sender == news.Entry
-	if batch.PassOn && (isNew || saysMore(before, news)) {
-		c.note(news.Entry, change{isDirect: isDirect, isWhole: isNew || before.Life != news.Life})
-	}
-	if isDirect && (isNew || before.Life != news.Life) {
-		c.introduce(b, news)
-	}
-	for _, address := range news.Known {
-		c.meet(b, address)
-	}
 }
 
 // saysMore reports whether others should hear of the news: idle entries say the
--- a/internal/flow/peers/tell.go
+++ b/internal/flow/peers/tell.go
@@ -80,26 +80,7 @@
 		return
 	}
 	isRound := b.Now-c.roundAt >= RoundSpan
-	hub, found := c.ownHub(b)
-	isHub := !found || hub.isSelf
-	isAsked := b.Now-c.askedAt <= AskedSpan && c.askedAt != 0
-	isChanged := isRound || b.WorkChanged
-	var own []input.News
-	if isChanged {
-		isWhole := b.Now-c.ownWholeAt >= OwnWholeSpan
-		if isWhole {
-			c.ownWholeAt = b.Now
-		}
-		own = append(own, c.news(b, isWhole))
-	}
-	if !isHub && isChanged {
-		c.send(b, []string{c.newsAddress(hub.address)}, input.Batch{Sender: b.Self, PassOn: true, News: own})
-	}
-	if isHub || isAsked {
-		c.passOn(b, own, isHub, isRound)
-	} else {
-		clear(c.changed)
-	}
+	c.distribute(b, c.ownNews(b, isRound), isRound)
 	c.tellSeeds(b)
 	c.toldAt = b.Now
 	if isRound {
@@ -108,6 +89,34 @@
 	b.WorkChanged = false
 }
 
+// ownNews returns the news of the entry itself; none when there is nothing new.
+func (c *teller) ownNews(b *board.Board, isRound bool) []input.News {
+	if !isRound && !b.WorkChanged {
+		return nil
+	}
+	isWhole := b.Now-c.ownWholeAt >= OwnWholeSpan
+	if isWhole {
+		c.ownWholeAt = b.Now
+	}
+	return []input.News{c.news(b, isWhole)}
+}
+
+// distribute tells the own hub, and passes news on as the hub or when another
+// entry takes this one for it.
+func (c *teller) distribute(b *board.Board, own []input.News, isRound bool) {
+	hub, found := c.ownHub(b)
+	isHub := !found || hub.isSelf
+	if !isHub {
+		c.send(b, []string{c.newsAddress(hub.address)}, input.Batch{Sender: b.Self, PassOn: true, News: own})
+	}
+	isAsked := c.askedAt != 0 && b.Now-c.askedAt <= AskedSpan
+	if !isHub && !isAsked {
+		clear(c.changed)
+		return
+	}
+	c.passOn(b, own, isHub, isRound)
+}
+
 // wake asks for a step when what is pending may be told.
 func (c *teller) wake(b *board.Board, isPending bool) {
 	if isPending && c.wakeAt <= b.Now {
@@ -119,14 +128,8 @@
 // passOn tells the own failure domain of all that changed, and the hubs of the
 // others of what changed in it.
 func (c *teller) passOn(b *board.Board, own []input.News, isHub, isRound bool) {
-	isWhole := isRound && isHub && b.Now-c.wholeAt >= WholeSpan
-	if isWhole {
-		c.wholeAt = b.Now
-		for name, peer := range b.Peers {
-			if isLive(b, peer) {
-				c.note(name, change{isDirect: peer.News.Domain == b.Domain, isWhole: true})
-			}
-		}
+	if isRound && isHub && b.Now-c.wholeAt >= WholeSpan {
+		c.noteAll(b)
 	}
 	inside := input.Batch{Sender: b.Self, News: slices.Clone(own)}
 	outside := input.Batch{Sender: b.Self, PassOn: true}
@@ -165,6 +168,16 @@
 	c.send(b, hubs, outside)
 }
 
+// noteAll has all that live told whole, for entries that missed who they are.
+func (c *teller) noteAll(b *board.Board) {
+	c.wholeAt = b.Now
+	for name, peer := range b.Peers {
+		if isLive(b, peer) {
+			c.note(name, change{isDirect: peer.News.Domain == b.Domain, isWhole: true})
+		}
+	}
+}
+
 func alive(b *board.Board, holds func(*board.Peer) bool) map[input.EntryMark]clock.Millis {
 	found := map[input.EntryMark]clock.Millis{}
 	for name, peer := range b.Peers {
