--- a/internal/flow/pool/failing.go
+++ b/internal/flow/pool/failing.go
@@ -79,7 +79,7 @@
 		}
 		endpoint.outUntil = now + min(FirstOut<<min(endpoint.outs, 10), LongestOut)
 		endpoint.outs++
-		// What was seen before the time out must not take it out again.
+		// What others go on telling for FailureSpan may take the endpoint out once more.
 		endpoint.recent = nil
 		endpoint.told = nil
 		out = append(out, name)
