--- a/internal/flow/parts/load_test.go
+++ b/internal/flow/parts/load_test.go
@@ -212,3 +212,39 @@
 	}
 	require.GreaterOrEqual(t, usable, 4, "when most fail, the cause lies elsewhere")
 }
+
+// Answers a short fault: entries go on telling of it for FailureSpan, and the
+// endpoint must not be taken out a second time for the same failures.
+func TestOneFaultTakesAnEndpointOutOnce(t *testing.T) {
+	w := newWorld(t).serve(6)
+	mark := pool.MarkOf("engine-00")
+	tell := func(failed map[pool.Mark]int) {
+		for _, entry := range []ident.Entry{"entry-2", "entry-3"} {
+			w.hear(entry, func(n *input.News) { n.Failed = failed })
+		}
+	}
+	const step = 250 * clock.Millis(1)
+	for told := clock.Millis(0); told < pool.FailureSpan; told += step {
+		tell(map[pool.Mark]int{mark: 2})
+		w.pass(step)
+	}
+	tell(nil)
+	w.pass(2 * step)
+	require.True(t, w.board.Pool.Find("engine-00").IsUsable(w.board.Now))
+}
+
+// Answers a failure domain that is cut off and comes back: its endpoints are used
+// again at once, whatever failed behind the cut.
+func TestFailuresBehindACutDoNotOutlastIt(t *testing.T) {
+	w := newWorld(t).serve(6)
+	w.board.Pool.Cut("south", w.board.Now)
+	for _, entry := range []ident.Entry{"entry-2", "entry-3"} {
+		w.hear(entry, func(n *input.News) {
+			n.Domain = "north"
+			n.Failed = map[pool.Mark]int{pool.MarkOf("engine-01"): 4}
+		})
+	}
+	w.pass(100)
+	w.board.Pool.Reached("south")
+	require.True(t, w.board.Pool.Find("engine-01").IsUsable(w.board.Now))
+}
