One fault takes an endpoint out once, and a cut takes out failure domains only

Ruled out: forgetting what is told at the end of the time out (it is told again at once). Change: the first time out is longer than failures are told, what is told meanwhile does not count, and failures in a failure domain that is cut off are forgotten.

--- a/internal/flow/pool/failing.go
+++ b/internal/flow/pool/failing.go
@@ -16,8 +16,9 @@
 	// links is none of the endpoint.
 	OutFailures = 3
 	outEntries  = 2
-	// FirstOut is the first time out of use; each further one doubles.
-	FirstOut = 2 * clock.Second
+	// FirstOut is the first time out of use, until nobody tells of the failures any
+	// more; each further one doubles.
+	FirstOut = FailureSpan + 200*clock.Millis(1)
 	// LongestOut bounds the times out of use.
 	LongestOut = 8 * clock.Second
 	// leastInUse is the part of a service's endpoints that stay in use whatever is told
@@ -54,7 +55,7 @@
 func (p *Pool) TellFailing(entry ident.Entry, failing map[Mark]int, now clock.Millis) {
 	for _, endpoint := range p.endpoints {
 		count := failing[endpoint.mark]
-		if count == 0 {
+		if count == 0 || now < endpoint.outUntil {
 			delete(endpoint.told, entry)
 			continue
 		}
@@ -71,7 +72,12 @@
 func (p *Pool) TakeOut(now clock.Millis) []ident.Endpoint {
 	var out []ident.Endpoint
 	for name, endpoint := range p.endpoints {
-		if now < endpoint.outUntil || !endpoint.failsEntries(now) || !p.canSpare(endpoint.Service, now) {
+		switch {
+		case now < endpoint.outUntil, !endpoint.failsEntries(now), !p.canSpare(endpoint.Service, now):
+			continue
+		case p.IsCut(endpoint.Domain, now):
+			// The failure domain is out of use as a whole, and comes back as one.
+			endpoint.forgive()
 			continue
 		}
 		if now-endpoint.outUntil > LongestOut {
@@ -79,15 +85,19 @@
 		}
 		endpoint.outUntil = now + min(FirstOut<<min(endpoint.outs, 10), LongestOut)
 		endpoint.outs++
-		// What others go on telling for FailureSpan may take the endpoint out once more.
-		endpoint.recent = nil
-		endpoint.told = nil
+		endpoint.forgive()
 		out = append(out, name)
 	}
 	slices.Sort(out)
 	return out
 }
 
+// forgive forgets the failures so far.
+func (e *Endpoint) forgive() {
+	e.recent = nil
+	e.told = nil
+}
+
 func (e *Endpoint) failsEntries(now clock.Millis) bool {
 	e.forgetFailures(now)
 	total, entries := len(e.recent), 0
