--- a/internal/flow/peers/role.go
+++ b/internal/flow/peers/role.go
@@ -13,7 +13,10 @@
 	ReaderSpan = 100 * clock.Millis(1)
 	// LastReader is when all of them read.
 	LastReader = 2 * clock.Second
+)
 
+// Whether an entry reads published state.
+const (
 	// RoleNone leaves the reading of published state to others.
 	RoleNone Role = iota
 	// RoleSpare reads since nobody else has confirmed published state for a while.
