--- a/internal/flow/peers/hub.go
+++ b/internal/flow/peers/hub.go
@@ -63,9 +63,9 @@
 	})
 }
 
-// ownHub returns the entry that passes news on within the own failure domain, and
-// tries the next one when it is silent.
-func (c *teller) ownHub(b *board.Board) (member, bool) {
+// chooseHub returns the entry that passes news on within the own failure domain.
+// One that is silent is left out for MuteSpan, and the next one is taken.
+func (c *teller) chooseHub(b *board.Board) (member, bool) {
 	for _, hub := range candidates(b, b.Domain) {
 		if hub.isSelf {
 			c.hub = hub.name
--- a/internal/flow/peers/peers.go
+++ b/internal/flow/peers/peers.go
@@ -9,7 +9,6 @@
 	"mustardhook/internal/core/ident"
 	"mustardhook/internal/flow/board"
 	"mustardhook/internal/flow/input"
-	"mustardhook/internal/flow/output"
 )
 
 const (
@@ -170,8 +169,7 @@
 			return
 		}
 	}
-	batch := input.Batch{Sender: b.Self, PassOn: true, News: []input.News{c.news(b, true)}}
-	b.Emit(output.Tell{Addresses: []string{c.newsAddress(address)}, Batch: batch})
+	c.introduceSelf(b, []string{c.newsAddress(address)})
 }
 
 // introduce tells an entry that has just started of all that live.
--- a/internal/flow/peers/tell.go
+++ b/internal/flow/peers/tell.go
@@ -104,7 +104,7 @@
 // distribute tells the own hub, and passes news on as the hub or when another
 // entry takes this one for it.
 func (c *teller) distribute(b *board.Board, own []input.News, isRound bool) {
-	hub, found := c.ownHub(b)
+	hub, found := c.chooseHub(b)
 	isHub := !found || hub.isSelf
 	if !isHub {
 		c.send(b, []string{c.newsAddress(hub.address)}, input.Batch{Sender: b.Self, PassOn: true, News: own})
@@ -207,10 +207,15 @@
 	}
 	c.seededAt = b.Now
 	if len(unknown) > 0 {
-		c.send(b, unknown, input.Batch{Sender: b.Self, PassOn: true, News: []input.News{c.news(b, true)}})
+		c.introduceSelf(b, unknown)
 	}
 }
 
+// introduceSelf makes the entry known to others, which pass it on.
+func (c *teller) introduceSelf(b *board.Board, addresses []string) {
+	c.send(b, addresses, input.Batch{Sender: b.Self, PassOn: true, News: []input.News{c.news(b, true)}})
+}
+
 // send emits the batch in datagrams of bounded size.
 func (c *teller) send(b *board.Board, addresses []string, batch input.Batch) {
 	if len(addresses) == 0 || len(batch.News) == 0 && len(batch.Alive) == 0 {
@@ -272,8 +277,8 @@
 	for _, found := range foreignHubs(b) {
 		known = append(known, found.address)
 	}
-	if hub, found := c.ownHub(b); found && !hub.isSelf {
-		known = append(known, hub.address)
+	if hub := b.Peers[c.hub]; hub != nil {
+		known = append(known, hub.News.Address)
 	}
 	slices.Sort(known)
 	return known
