A told list settles what has left, whether the entry can read the list or not

The hub of its failure domain could not read the store from 16.6 to 25.4 s; it took revision 42 from another entry in time, but spared the removed endpoint for 1.9 s as one whose own list may be incomplete, and handed that doubt on with its next list, so that an entry that had already dropped the endpoint took it back. Ruled out: the watch (both other hubs had the removal 0.17 s after the acknowledgement), the way of the list (all had revision 42 within 0.35 s after that), the processor. Change: doubts come with the list of who has them; own failures to read spare nothing that a told list lacks; a told doubt brings back no endpoint that is gone. Test: TestToldListSettlesWhatHasLeft failed before.

--- a/internal/flow/parts/requests_test.go
+++ b/internal/flow/parts/requests_test.go
@@ -268,3 +268,28 @@
 		require.True(t, endpoint.IsUsable(w.board.Now))
 	}
 }
+
+// An entry that can't read the list itself still learns from others what has left:
+// their lists say which endpoints are in doubt. It must not spare others, nor hand
+// on a doubt that brings back what is gone elsewhere.
+func TestToldListSettlesWhatHasLeft(t *testing.T) {
+	w := newWorld(t).serve(4)
+	w.step(input.SourceLost{Reason: "test"})
+	var without []pool.Known
+	for _, known := range w.board.Pool.Known(w.board.Now) {
+		if known.Name != "desk-0" {
+			without = append(without, known)
+		}
+	}
+	w.step(input.ListTold{List: without, Revision: 11})
+	require.False(t, w.board.Pool.Find("desk-0").IsUsable(w.board.Now))
+	require.Equal(t, without, w.board.Pool.Known(w.board.Now))
+
+	gone := pool.Listed{Name: "desk-0", Service: desk, Address: "10.2.0.0:80", Domain: "north", Slots: 6, Born: 1}
+	inDoubt := append(without, pool.Known{Listed: gone, Doubt: 900})
+	w.step(input.ListTold{List: inDoubt, Revision: 12})
+	require.False(t, w.board.Pool.Find("desk-0").IsUsable(w.board.Now))
+	back := append(without, pool.Known{Listed: gone})
+	w.step(input.ListTold{List: back, Revision: 13})
+	require.True(t, w.board.Pool.Find("desk-0").IsUsable(w.board.Now))
+}
--- a/internal/flow/pool/pool.go
+++ b/internal/flow/pool/pool.go
@@ -226,25 +226,47 @@
 	}
 }
 
-// ReplaceKnown takes the list that another entry has.
+// ReplaceKnown takes the list that another entry has. Its doubts come with it:
+// whether this entry can read the list itself does not matter.
 func (p *Pool) ReplaceKnown(list []Known, now clock.Millis) {
 	known := make(map[ident.Endpoint]bool, len(list))
 	for _, entry := range list {
 		known[entry.Name] = true
-		p.Put(entry.Listed, now)
 		if entry.Doubt > 0 {
-			put := p.endpoints[entry.Name]
-			put.GoneAt = now
-			put.DoubtUntil = now + entry.Doubt
+			p.doubt(entry, now)
+			continue
 		}
+		p.Put(entry.Listed, now)
 	}
-	for name := range p.endpoints {
+	for name, endpoint := range p.endpoints {
 		if !known[name] {
-			p.Remove(name, now)
+			endpoint.settle(now)
 		}
 	}
 }
 
+// doubt takes another entry's doubt about an endpoint that is listed here. It
+// brings back none that is gone.
+func (p *Pool) doubt(entry Known, now clock.Millis) {
+	known := p.endpoints[entry.Name]
+	if known == nil || known.GoneAt != 0 {
+		return
+	}
+	known.GoneAt = now
+	known.DoubtUntil = now + entry.Doubt
+}
+
+// settle takes the news that the endpoint is gone beyond doubt.
+func (e *Endpoint) settle(now clock.Millis) {
+	if e.GoneAt == 0 {
+		e.GoneAt = now
+	}
+	if e.LeftAt == 0 {
+		e.LeftAt = now
+	}
+	e.DoubtUntil = 0
+}
+
 // Known returns the list to pass on, in order of the names.
 func (p *Pool) Known(now clock.Millis) []Known {
 	var list []Known
