Slow engines are asked for their pace, and get little

Ruled out: taking late first events for slowness by themselves: they also come from work that was not told yet. They only lead to a question. Change: an entry whose first event is much later than predicted asks the engines of the request for their reports, at most once in 1.5 s each, and tells the pace to all. Slow engines are asked until they recover, their predictions are scaled, long prompts leave them out and short ones go there last. The product has a port for reports, platform/ translates it. Tests fail with a pace that is always 1.

--- a/internal/flow/input/input.go
+++ b/internal/flow/input/input.go
@@ -101,6 +101,12 @@
 	// SendEnded says how a send ended.
 	SendEnded struct{ Result call.Result }
 
+	// PaceReported brings the pace that an endpoint reported.
+	PaceReported struct {
+		Endpoint ident.Endpoint
+		Factor   float64
+	}
+
 	// CallerGone says that a caller left while its request was not sent.
 	CallerGone struct{ Number uint64 }
 
@@ -144,6 +150,8 @@
 		Left []pool.Mark
 		// Failed counts the requests of the entry that endpoints failed lately.
 		Failed map[pool.Mark]int
+		// Paces are what endpoints reported to the entry lately.
+		Paces map[pool.Mark]pool.Pace
 		// Waiting are the long prompts that wait for engines.
 		Waiting []Waiting
 		// Known are addresses of entries that pass news on.
@@ -189,6 +197,7 @@
 func (RequestCame) isInput()  {}
 func (EventCame) isInput()    {}
 func (SendEnded) isInput()    {}
+func (PaceReported) isInput() {}
 func (CallerGone) isInput()   {}
 func (NewsCame) isInput()     {}
 func (StopAsked) isInput()    {}
--- a/internal/flow/output/output.go
+++ b/internal/flow/output/output.go
@@ -4,6 +4,7 @@
 
 import (
 	"mustardhook/internal/core/clock"
+	"mustardhook/internal/core/ident"
 	"mustardhook/internal/flow/call"
 	"mustardhook/internal/flow/input"
 	"mustardhook/internal/flow/plan"
@@ -46,6 +47,12 @@
 		ListRevision uint64
 	}
 
+	// AskPace asks an endpoint for a report of its pace.
+	AskPace struct {
+		Endpoint ident.Endpoint
+		Address  string
+	}
+
 	// Note is a log line about a change of what the entry believes.
 	Note struct {
 		Text  string
@@ -60,4 +67,5 @@
 func (Tell) isOutput()           {}
 func (Wake) isOutput()           {}
 func (FetchPublished) isOutput() {}
+func (AskPace) isOutput()        {}
 func (Note) isOutput()           {}
--- a/internal/flow/parts/parts.go
+++ b/internal/flow/parts/parts.go
@@ -6,6 +6,7 @@
 	"mustardhook/internal/flow/board"
 	"mustardhook/internal/flow/crash"
 	"mustardhook/internal/flow/intake"
+	"mustardhook/internal/flow/pace"
 	"mustardhook/internal/flow/peers"
 	"mustardhook/internal/flow/place"
 )
@@ -16,6 +17,7 @@
 	PriorityCrash  = 100
 	PriorityIntake = 200
 	PriorityListen = 250
+	PriorityPace   = 275
 	PriorityPlace  = 300
 	PriorityTell   = 400
 )
@@ -28,6 +30,7 @@
 		{Priority: PriorityCrash, Controller: crash.NewController()},
 		{Priority: PriorityIntake, Controller: intake.NewController()},
 		{Priority: PriorityListen, Controller: listens},
+		{Priority: PriorityPace, Controller: pace.NewController()},
 		{Priority: PriorityPlace, Controller: place.NewController()},
 		{Priority: PriorityTell, Controller: tells},
 	}
--- a/internal/flow/peers/peers.go
+++ b/internal/flow/peers/peers.go
@@ -118,6 +118,9 @@
 	peer.LastHeard = b.Now
 	b.Pool.ReplaceWork(news.Entry, before.Work, news.Work)
 	b.Pool.TellLeft(news.Left, b.Now)
+	for _, name := range b.Pool.TellPaces(news.Paces, b.Now) {
+		b.Note("Pace of endpoint told.", "endpoint", name, "pace", b.Pool.Find(name).Pace(b.Now), "entry", news.Entry)
+	}
 	if len(before.Failed) > 0 || len(news.Failed) > 0 {
 		b.Pool.TellFailing(news.Entry, news.Failed, b.Now)
 	}
@@ -127,7 +130,8 @@
 // same again and again.
 func saysMore(before, news input.News) bool {
 	isBusy := func(n input.News) bool {
-		return len(n.Work) > 0 || len(n.Waiting) > 0 || len(n.Crashes) > 0 || len(n.Left) > 0 || len(n.Failed) > 0
+		return len(n.Work) > 0 || len(n.Waiting) > 0 || len(n.Crashes) > 0 || len(n.Left) > 0 ||
+			len(n.Failed) > 0 || len(n.Paces) > 0
 	}
 	return isBusy(news) || isBusy(before) || before.PlanVersion != news.PlanVersion || before.Leaving != news.Leaving ||
 		before.ListRevision != news.ListRevision || news.ConfirmedAt > before.ConfirmedAt
--- a/internal/flow/peers/tell.go
+++ b/internal/flow/peers/tell.go
@@ -248,6 +248,7 @@
 		Entry: b.Self, Life: b.Life, Sequence: c.sequence, PlanVersion: b.Plan.Version, ListRevision: b.ListRevision,
 		ConfirmedAt: b.ConfirmedAt, Leaving: b.Stopping, Work: ownWork(b), Left: b.Pool.Left(b.Now),
 		Failed:  b.Pool.Failing(b.Now),
+		Paces:   b.Pool.Reported(b.Now),
 		Crashes: map[uint64]int{},
 	}
 	for _, number := range slices.Sorted(maps.Keys(b.Requests)) {
--- a/internal/flow/place/engine.go
+++ b/internal/flow/place/engine.go
@@ -71,12 +71,14 @@
 	// candidate is an engine with what it runs.
 	candidate struct {
 		endpoint *pool.Endpoint
-		load     cost.Load
-		shorts   int
-		order    uint64
-		price    float64
-		first    clock.Millis
-		isFull   bool
+		// engine is how the endpoint works at its present pace.
+		engine *plan.Engine
+		load   cost.Load
+		shorts int
+		order  uint64
+		price  float64
+		first  clock.Millis
+		isFull bool
 	}
 )
 
@@ -92,9 +94,10 @@
 	if need > engine.MemoryTokens*min(len(candidates), maxHolders+1) {
 		return choice{reason: call.ReasonTooLong, retryAfter: FullWait}
 	}
-	short, long := lanes(engine, candidates)
+	sound, slow := splitSlow(candidates, b.Now)
+	short, long := lanes(engine, sound)
 	if cost.ReadMillis(engine, prompt, 1) <= longRead {
-		found := cheapest(b, engine, short, long, prompt, need)
+		found := cheapest(b, short, slices.Concat(long, slow), prompt, need)
 		found.urgency = urgencyShort
 		if found.isFull && !request.HasComeBack() && request.Runs == 0 {
 			return choice{reason: call.ReasonOverload, retryAfter: b.RetryAfter(request)}
@@ -114,9 +117,11 @@
 func survey(b *board.Board, request *board.Request, engine *plan.Engine) []*candidate {
 	var candidates []*candidate
 	for _, endpoint := range usable(b, request) {
-		found := &candidate{
-			endpoint: endpoint, load: cost.LoadOf(engine, endpoint, b.Now), order: xxhash.Sum64String(string(endpoint.Name)),
+		found := &candidate{endpoint: endpoint, engine: engine, order: xxhash.Sum64String(string(endpoint.Name))}
+		if pace := endpoint.Pace(b.Now); pace > 1 {
+			found.engine = engine.WithPace(pace)
 		}
+		found.load = cost.LoadOf(found.engine, endpoint, b.Now)
 		for _, work := range endpoint.Work {
 			if !work.Helping && !isLong(engine, work) && b.Now-work.Since < shortSpan {
 				found.shorts++
@@ -128,6 +133,23 @@
 	return candidates
 }
 
+// splitSlow keeps engines apart that report a slow pace: a part of a long prompt
+// that is read there holds up all others, and short prompts go there last. When
+// most are slow, the pace tells nothing apart.
+func splitSlow(candidates []*candidate, now clock.Millis) (sound, slow []*candidate) {
+	for _, found := range candidates {
+		if found.endpoint.Pace(now) >= pool.SlowPace {
+			slow = append(slow, found)
+			continue
+		}
+		sound = append(sound, found)
+	}
+	if len(sound) <= len(slow) {
+		return candidates, nil
+	}
+	return sound, slow
+}
+
 // lanes divides the engines between short and long prompts by the short ones that
 // came lately: those that are held up must not make their lane larger.
 func lanes(engine *plan.Engine, candidates []*candidate) (short, long []*candidate) {
@@ -145,13 +167,13 @@
 // other lane count for more. Entries that decide within the time that news takes
 // see the same loads, so each takes one of as many engines as were likely chosen
 // in that time.
-func cheapest(b *board.Board, engine *plan.Engine, own, other []*candidate, prompt, need int) choice {
+func cheapest(b *board.Board, own, other []*candidate, prompt, need int) choice {
 	shorts := 0
 	consider := func(found *candidate, penalty float64) {
-		first := cost.FirstMillis(engine, found.load, prompt, 1)
+		first := cost.FirstMillis(found.engine, found.load, prompt, 1)
 		found.first = clock.Millis(first)
-		found.price = first + cost.StrideMillis(engine, found.load) + penalty
-		found.isFull = found.load.MemoryTokens+need > engine.MemoryTokens || found.endpoint.Leads() >= engine.Slots
+		found.price = first + cost.StrideMillis(found.engine, found.load) + penalty
+		found.isFull = found.load.MemoryTokens+need > found.engine.MemoryTokens || found.endpoint.Leads() >= found.engine.Slots
 		if found.isFull {
 			found.price += fullPenalty
 		}
@@ -193,7 +215,7 @@
 	}
 	isGiant := need > wholeShare(engine)
 	spared := spare(engine, members, prompt, parts)
-	isSpared := isOnTime(b, engine, spared, request, parts)
+	isSpared := isOnTime(b, spared, request, parts)
 	if isSpared {
 		members = spared
 	}
@@ -206,7 +228,7 @@
 	}
 	parts = min(parts, len(members))
 	for _, found := range members {
-		found.price = cost.FirstMillis(engine, found.load, prompt, parts) * (1 + jitter*b.Random.Float64())
+		found.price = cost.FirstMillis(found.engine, found.load, prompt, parts) * (1 + jitter*b.Random.Float64())
 	}
 	lead := leadOf(engine, members, need)
 	slices.SortStableFunc(members, func(a, b *candidate) int { return cmp.Compare(a.price, b.price) })
@@ -259,10 +281,10 @@
 }
 
 // isOnTime reports whether the engines read the prompt until it is due.
-func isOnTime(b *board.Board, engine *plan.Engine, members []*candidate, request *board.Request, parts int) bool {
+func isOnTime(b *board.Board, members []*candidate, request *board.Request, parts int) bool {
 	parts = min(parts, len(members))
 	for _, found := range members {
-		first := cost.FirstMillis(engine, found.load, request.Request.PromptTokens, parts)
+		first := cost.FirstMillis(found.engine, found.load, request.Request.PromptTokens, parts)
 		if b.Now+clock.Millis(first) > request.DueAt() {
 			return false
 		}
@@ -282,7 +304,7 @@
 // leadOf takes the engine that has the memory for the prompt and writes soonest.
 func leadOf(engine *plan.Engine, members []*candidate, need int) *candidate {
 	price := func(found *candidate) float64 {
-		total := found.price + cost.PassMillis(engine, found.load)*float64(engine.UsualAnswer)/float64(max(engine.Stride, 1))
+		total := found.price + cost.PassMillis(found.engine, found.load)*float64(engine.UsualAnswer)/float64(max(engine.Stride, 1))
 		if found.load.MemoryTokens+need > engine.MemoryTokens || found.endpoint.Leads() >= engine.Slots {
 			total += fullPenalty
 		}
--- a/internal/flow/plan/engine.go
+++ b/internal/flow/plan/engine.go
@@ -32,3 +32,15 @@
 		UsualAnswer int
 	}
 )
+
+// WithPace returns the engine as it is when all its work takes the factor times as
+// long.
+func (e Engine) WithPace(factor float64) *Engine {
+	e.StepMillis *= factor
+	e.WriterMillis *= factor
+	e.ContextMillis *= factor
+	e.PairMillis *= factor
+	e.HopMillis *= factor
+	e.ReadPerMilli /= factor
+	return &e
+}
--- a/internal/flow/pool/pool.go
+++ b/internal/flow/pool/pool.go
@@ -82,6 +82,12 @@
 		outUntil clock.Millis
 		outs     int
 
+		// pace is the newest known report of any entry, reported the newest one that
+		// this entry got itself, and askedAt when it last asked.
+		pace     Pace
+		reported Pace
+		askedAt  clock.Millis
+
 		mark Mark
 	}
 
--- a/internal/flow/port/port.go
+++ b/internal/flow/port/port.go
@@ -26,6 +26,11 @@
 		ReadAnswer(response *http.Response) AnswerHead
 		// Order returns the call that carries an order to an endpoint.
 		Order(order call.Order) (path string, body []byte, err error)
+		// ReportPath returns the path at which endpoints report on themselves.
+		ReportPath() string
+		// ReadPace reads the pace out of an endpoint's report: how many times as long as
+		// published its work takes.
+		ReadPace(report []byte) (float64, error)
 		// EventID returns the id of one event of a stream; empty if it has none.
 		EventID(event []byte) string
 	}
--- a/internal/flow/proxy/proxy.go
+++ b/internal/flow/proxy/proxy.go
@@ -130,6 +130,8 @@
 		time.AfterFunc(wanted.After.Span(), func() { p.Step(input.Woke{}) })
 	case output.FetchPublished:
 		p.spawn(func() { p.fetchPublished(wanted) })
+	case output.AskPace:
+		p.spawn(func() { p.askPace(wanted) })
 	case output.Note:
 		p.logger.Part("core").Info(wanted.Text, wanted.Pairs...)
 	}
--- a/internal/flow/share/share.go
+++ b/internal/flow/share/share.go
@@ -4,6 +4,7 @@
 import (
 	"cmp"
 	"maps"
+	"math"
 	"slices"
 	"strconv"
 
@@ -19,6 +20,9 @@
 	"mustardhook/internal/flow/pool"
 )
 
+// percent is how paces are told.
+const percent = 100
+
 // AliveError says that a datagram gives other counts of marks and of ages.
 type AliveError struct{ Marks, Ages int }
 
@@ -128,6 +132,14 @@
 		message.Failed = append(message.Failed, uint32(mark))
 		message.FailedCount = append(message.FailedCount, uint32(news.Failed[mark]))
 	}
+	for _, mark := range slices.Sorted(maps.Keys(news.Paces)) {
+		pace := news.Paces[mark]
+		message.Paces = append(message.Paces, &newspb.Pace{
+			Endpoint:  uint32(mark),
+			Percent:   uint32(math.Round(pace.Factor * percent)),
+			AgeMillis: uint32(max(now-pace.At, 0)),
+		})
+	}
 	for _, waiting := range news.Waiting {
 		message.Waiting = append(message.Waiting, &newspb.Waiting{
 			Service:       string(waiting.Service),
@@ -176,6 +188,15 @@
 			news.Failed[pool.Mark(mark)] = int(message.FailedCount[i])
 		}
 	}
+	if len(message.Paces) > 0 {
+		news.Paces = map[pool.Mark]pool.Pace{}
+	}
+	for _, told := range message.Paces {
+		news.Paces[pool.Mark(told.Endpoint)] = pool.Pace{
+			Factor: float64(told.Percent) / percent,
+			At:     now - clock.Millis(told.AgeMillis),
+		}
+	}
 	for _, told := range message.Waiting {
 		news.Waiting = append(news.Waiting, input.Waiting{
 			Service:      ident.Service(told.Service),
--- a/internal/flow/share/share_test.go
+++ b/internal/flow/share/share_test.go
@@ -51,6 +51,9 @@
 	if rapid.Bool().Draw(t, "failed") {
 		news.Failed = map[pool.Mark]int{3: 1, 8: count.Draw(t, "failures")}
 	}
+	if rapid.Bool().Draw(t, "paces") {
+		news.Paces = map[pool.Mark]pool.Pace{4: {Factor: 2.75, At: now - 40}}
+	}
 	for range rapid.IntRange(0, 3).Draw(t, "waiting") {
 		news.Waiting = append(news.Waiting, input.Waiting{
 			Service: "s", Number: rapid.Uint64().Draw(t, "number"), PromptTokens: count.Draw(t, "prompt"),
