--- a/internal/flow/board/board.go
+++ b/internal/flow/board/board.go
@@ -14,6 +14,7 @@
 	"mustardhook/internal/flow/output"
 	"mustardhook/internal/flow/plan"
 	"mustardhook/internal/flow/pool"
+	"mustardhook/internal/flow/tally"
 )
 
 const (
@@ -76,8 +77,12 @@
 		Crashes map[uint64]*Crash
 		// Leases counts the leases that this life has asked for.
 		Leases int
-		// WorkChanged says that what others are told changed since it was last told.
+		// Tally holds what all entries run.
+		Tally *tally.Tally
+		// WorkChanged says that the work of this entry changed since it was last told,
+		// NewsChanged that what else others are told did.
 		WorkChanged bool
+		NewsChanged bool
 		Stopping    bool
 		StoppingAt  clock.Millis
 
@@ -115,6 +120,8 @@
 		// LastHeard is when anybody last heard the entry, DirectAt when this one did.
 		LastHeard clock.Millis
 		DirectAt  clock.Millis
+		// Silent says that nothing was heard of the entry for long.
+		Silent bool
 		// MutedUntil is until when the entry is not asked to pass news on.
 		MutedUntil clock.Millis
 	}
@@ -187,9 +194,6 @@
 	}
 }
 
-// Own returns the name of a request's work at endpoints.
-func (b *Board) Own(number uint64) pool.WorkID { return pool.WorkID{Entry: b.Self, Number: number} }
-
 // EndsSoon reports whether the request has less than the span left.
 func (b *Board) EndsSoon(request *Request, span clock.Millis) bool {
 	return request.EndsAt-b.Now < span
@@ -210,6 +214,7 @@
 	b.Capacity = started.Capacity
 	b.Seeds = started.Seeds
 	b.Settings = started.Settings
+	b.Tally = tally.New(b.Self, b.Life)
 	b.Random = rand.New(rand.NewPCG(started.Seed, stream))
 }
 
--- a/internal/flow/cost/cost.go
+++ b/internal/flow/cost/cost.go
@@ -11,6 +11,11 @@
 )
 
 const (
+	// LongRead is the reading time in milliseconds from which a prompt is long.
+	LongRead = 110.0
+	// ShortSpan is how long a short request takes on an engine that is not held up.
+	ShortSpan = 1600 * clock.Millis(1)
+
 	million  = 1e6
 	thousand = 1e3
 	// halfPass is the part of a running pass that a new request waits for on average.
@@ -23,6 +28,8 @@
 type (
 	// Load sums up what an engine runs.
 	Load struct {
+		Leads   int
+		Shorts  int
 		Writers int
 		Readers int
 		// ContextTokens is the memory of the writers.
@@ -39,32 +46,56 @@
 	}
 )
 
-// LoadOf sums up the work at an endpoint.
+// IsLong reports whether a prompt takes so long to read that it is read in parts: a
+// pass that reads it whole makes others' events late.
+func IsLong(engine *plan.Engine, tokens int) bool { return ReadMillis(engine, tokens, 1) > LongRead }
+
+// SumOf returns one piece of work as a sum, at the published speed of the engine.
+func SumOf(engine *plan.Engine, work pool.Work, now clock.Millis) pool.Sum {
+	sum := pool.Sum{MemoryTokens: work.MemoryTokens}
+	if !work.Helping {
+		sum.Leads = 1
+		if !IsLong(engine, work.PromptTokens) && now-work.Since < ShortSpan {
+			sum.Shorts = 1
+		}
+	}
+	if work.Writing {
+		sum.Writers = 1
+		sum.ContextTokens = work.MemoryTokens
+		sum.LeastGap = work.Gap
+		return sum
+	}
+	sum.Readers = 1
+	sum.UnreadTokens = work.PromptTokens / max(work.Parts, 1)
+	sum.ReadMillis = int(math.Ceil(ReadMillis(engine, work.PromptTokens, work.Parts)))
+	sum.ReadBy = work.ReadAt
+	return sum
+}
+
+// LoadOf sums up the work at an endpoint. The engine is as published; the endpoint
+// may be slower.
 func LoadOf(engine *plan.Engine, endpoint *pool.Endpoint, now clock.Millis) Load {
-	load := Load{Bearable: math.Inf(1)}
+	sum := endpoint.Others
 	for _, work := range endpoint.Work {
-		load.MemoryTokens += work.MemoryTokens
-		if work.Writing {
-			load.Writers++
-			load.ContextTokens += work.MemoryTokens
-			if work.Gap > 0 {
-				load.Bearable = min(load.Bearable, float64(work.Gap))
-			}
-			continue
-		}
-		load.Readers++
-		load.UnreadTokens += work.PromptTokens / max(work.Parts, 1)
-		load.UnreadMillis += unread(engine, work, now)
+		sum = sum.Plus(SumOf(engine, work, now))
+	}
+	load := Load{
+		Leads: sum.Leads, Shorts: sum.Shorts, Writers: sum.Writers, Readers: sum.Readers,
+		ContextTokens: sum.ContextTokens, UnreadTokens: sum.UnreadTokens, MemoryTokens: sum.MemoryTokens,
+		UnreadMillis: unread(sum, now) * endpoint.Pace(now), Bearable: math.Inf(1),
+	}
+	if sum.LeastGap > 0 {
+		load.Bearable = float64(sum.LeastGap)
 	}
-	load.Bearable -= StrideMillis(engine, load)
+	load.Bearable -= StrideMillis(engine, load) * endpoint.Pace(now)
 	return load
 }
 
-// unread is the time to read what is left of a part. Predictions err, so that some
-// of it is left until the answer begins.
-func unread(engine *plan.Engine, work pool.Work, now clock.Millis) float64 {
-	whole := ReadMillis(engine, work.PromptTokens, work.Parts)
-	return min(max(float64(work.ReadAt-now), overdueShare*whole), whole)
+// unread is the time to read what is left. Predictions err, so that some of it is
+// left until the answers begin.
+func unread(sum pool.Sum, now clock.Millis) float64 {
+	whole := float64(sum.ReadMillis)
+	return min(max(float64(sum.ReadBy-now), overdueShare*whole), whole)
 }
 
 // ReadMillis is the time to read one of equal parts of a prompt, without writers.
--- a/internal/flow/crash/crash.go
+++ b/internal/flow/crash/crash.go
@@ -102,6 +102,7 @@
 			count += known.Counts[b.Self]
 		}
 		note(b, found.fingerprint, b.Self, count)
+		b.NewsChanged = true
 		b.Note("Request was running when an endpoint ended.", "fingerprint", found.fingerprint, "endpoint", name)
 	}
 	delete(c.broken, name)
--- a/internal/flow/input/input.go
+++ b/internal/flow/input/input.go
@@ -8,6 +8,7 @@
 	"mustardhook/internal/flow/call"
 	"mustardhook/internal/flow/plan"
 	"mustardhook/internal/flow/pool"
+	"mustardhook/internal/flow/tally"
 )
 
 type (
@@ -123,12 +124,13 @@
 		PassOn bool
 		News   []News
 		// Alive are entries that the sender knows to live, with the last sign of each.
-		Alive map[EntryMark]clock.Millis
+		Alive map[tally.Mark]clock.Millis
+		// Share is the sender's own work, told to its hub; nil when nothing changed.
+		Share *tally.Share
+		// Parts are the work of the entries that tell a hub.
+		Parts []tally.Part
 	}
 
-	// EntryMark is a short hash of an entry's name.
-	EntryMark uint32
-
 	// News is what an entry tells others; it replaces what it said before.
 	News struct {
 		Entry    ident.Entry
@@ -145,7 +147,6 @@
 		// when it never did.
 		ConfirmedAt clock.Millis
 		Leaving     bool
-		Work        map[pool.Mark]map[pool.WorkID]pool.Work
 		// Left are endpoints that the entry found to leave lately.
 		Left []pool.Mark
 		// Failed counts the requests of the entry that endpoints failed lately.
--- a/internal/flow/intake/intake.go
+++ b/internal/flow/intake/intake.go
@@ -47,7 +47,7 @@
 		}
 	case input.Confirmed:
 		b.ConfirmedAt = b.Now
-		b.WorkChanged = true
+		b.NewsChanged = true
 	case input.SourceLost:
 		if b.SourceLostAt == 0 {
 			b.SourceLostAt = b.Now
@@ -73,7 +73,7 @@
 		return false
 	}
 	b.ListRevision = revision
-	b.WorkChanged = true
+	b.NewsChanged = true
 	return true
 }
 
@@ -84,5 +84,5 @@
 	b.Note("Configuration in force.", "version", uint64(read.Plan.Version), "before", uint64(b.Plan.Version))
 	b.Plan = read.Plan
 	b.PlanDocument = read.Document
-	b.WorkChanged = true
+	b.NewsChanged = true
 }
--- a/internal/flow/pace/pace.go
+++ b/internal/flow/pace/pace.go
@@ -48,7 +48,7 @@
 	if lead == nil || request.Begun || b.Plan.Services[request.Service].Engine == nil {
 		return false
 	}
-	work, found := lead.Work[b.Own(request.Request.Number)]
+	work, found := lead.Work[request.Request.Number]
 	return found && b.Now-work.Since > lateFactor*(work.ReadAt-work.Since)+lateSpan
 }
 
@@ -73,5 +73,5 @@
 	if endpoint.TakeReport(report.Factor, b.Now) {
 		b.Note("Pace of endpoint changed.", "endpoint", endpoint.Name, "pace", report.Factor)
 	}
-	b.WorkChanged = true
+	b.NewsChanged = true
 }
--- a/internal/flow/parts/fleet_test.go
+++ b/internal/flow/parts/fleet_test.go
@@ -13,6 +13,7 @@
 	"mustardhook/internal/flow/output"
 	"mustardhook/internal/flow/peers"
 	"mustardhook/internal/flow/pool"
+	"mustardhook/internal/flow/tally"
 )
 
 const (
@@ -85,6 +86,7 @@
 	host := fmt.Sprintf("10.0.%d.%d", i%len(domains), i)
 	w.board.Self = ident.Entry(fmt.Sprintf("entry-%03d", i))
 	w.board.Life = uint64(f.now)
+	w.board.Tally = tally.New(w.board.Self, w.board.Life)
 	w.board.Domain = domains[i%len(domains)]
 	w.board.Address = host + ":9000"
 	w.board.Capacity = capacity
--- a/internal/flow/parts/load_test.go
+++ b/internal/flow/parts/load_test.go
@@ -10,18 +10,24 @@
 	"mustardhook/internal/core/clock"
 	"mustardhook/internal/core/ident"
 	"mustardhook/internal/flow/call"
+	"mustardhook/internal/flow/cost"
 	"mustardhook/internal/flow/input"
 	"mustardhook/internal/flow/output"
 	"mustardhook/internal/flow/pool"
+	"mustardhook/internal/flow/tally"
 )
 
-// workOf is short work of the entry that hear brings news of in most tests.
-func workOf(endpoint ident.Endpoint, count int) map[pool.Mark]map[pool.WorkID]pool.Work {
-	works := map[pool.WorkID]pool.Work{}
-	for i := range count {
-		works[pool.WorkID{Entry: "entry-2", Number: uint64(i)}] = pool.Work{PromptTokens: 5000, MemoryTokens: 6600, Parts: 1}
+// workOf is short work of other entries at the endpoints.
+func workOf(count int, endpoints ...ident.Endpoint) tally.Sums {
+	var sum pool.Sum
+	for range count {
+		sum = sum.Plus(cost.SumOf(engineOf(), pool.Work{PromptTokens: 5000, MemoryTokens: 6600, Parts: 1}, 10*clock.Second))
 	}
-	return map[pool.Mark]map[pool.WorkID]pool.Work{pool.MarkOf(endpoint): works}
+	sums := tally.Sums{}
+	for _, name := range endpoints {
+		sums[pool.MarkOf(name)] = sum
+	}
+	return sums
 }
 
 // Answers a surge of long prompts beside short ones: a long prompt is read in
@@ -115,12 +121,7 @@
 // refused at once, one that came back is let in behind the others.
 func TestShortPromptWithoutRoomIsRefusedOnce(t *testing.T) {
 	w := newWorld(t).serve(4)
-	w.hear("entry-2", func(n *input.News) {
-		n.Work = map[pool.Mark]map[pool.WorkID]pool.Work{}
-		for _, name := range []ident.Endpoint{"engine-00", "engine-01", "engine-02", "engine-03"} {
-			n.Work[pool.MarkOf(name)] = workOf(name, 16)[pool.MarkOf(name)]
-		}
-	})
+	w.hearWork("entry-2", workOf(16, "engine-00", "engine-01", "engine-02", "engine-03"))
 	_, got := w.ask("/short/1", 5000, 10000)
 	requireReply(t, got, call.ReasonOverload, http.StatusServiceUnavailable)
 	_, got = w.ask("/short/1", 5000, 6500)
@@ -169,12 +170,7 @@
 	number, got := w.ask("/short/1", 5000, 10000)
 	requireSend(t, got)
 	w.step(input.EventCame{Number: number})
-	w.hear("entry-2", func(n *input.News) {
-		n.Work = map[pool.Mark]map[pool.WorkID]pool.Work{}
-		for _, name := range []ident.Endpoint{"engine-00", "engine-01", "engine-02", "engine-03"} {
-			n.Work[pool.MarkOf(name)] = workOf(name, 16)[pool.MarkOf(name)]
-		}
-	})
+	w.hearWork("entry-2", workOf(16, "engine-00", "engine-01", "engine-02", "engine-03"))
 	requireSend(t, w.end(call.Result{Number: number, End: call.EndBroken, Delivered: true}))
 }
 
--- a/internal/flow/parts/requests_test.go
+++ b/internal/flow/parts/requests_test.go
@@ -10,7 +10,9 @@
 	"mustardhook/internal/flow/call"
 	"mustardhook/internal/flow/input"
 	"mustardhook/internal/flow/output"
+	"mustardhook/internal/flow/plan"
 	"mustardhook/internal/flow/pool"
+	"mustardhook/internal/flow/tally"
 )
 
 func requireReply(t *testing.T, got output.Output, reason call.Reason, status int) call.Reply {
@@ -193,9 +195,7 @@
 
 func TestWorkOfSilentEntryIsForgotten(t *testing.T) {
 	w := newWorld(t).serve(4)
-	w.hear("entry-2", func(n *input.News) {
-		n.Work = workOf("engine-00", 3)
-	})
+	w.hearWork("entry-2", workOf(3, "engine-00"))
 	require.Equal(t, 3, w.board.Pool.Find("engine-00").Leads())
 	w.pass(2500)
 	require.Zero(t, w.board.Pool.Find("engine-00").Leads())
@@ -217,15 +217,19 @@
 	tell := func(life uint64) {
 		w.hear("entry-2", func(n *input.News) {
 			n.Life = life
-			n.Work = workOf("engine-00", int(life))
+			n.PlanVersion = plan.Version(life)
 		})
+		part := tally.Part{Hub: tally.MarkOf("entry-2"), Life: life, Sequence: 1, Sums: workOf(int(life), "engine-00")}
+		w.step(input.NewsCame{Batch: input.Batch{Sender: "entry-2", Parts: []tally.Part{part}}})
 	}
 	tell(9)
 	tell(4)
 	require.Equal(t, 9, w.board.Pool.Find("engine-00").Leads())
+	require.EqualValues(t, 9, w.board.Peers["entry-2"].News.PlanVersion)
 	w.pass(1000)
 	tell(4)
 	require.Equal(t, 4, w.board.Pool.Find("engine-00").Leads())
+	require.EqualValues(t, 4, w.board.Peers["entry-2"].News.PlanVersion)
 }
 
 // A stopped entry takes requests until the balancer has noticed, and refuses those
--- a/internal/flow/parts/world_test.go
+++ b/internal/flow/parts/world_test.go
@@ -13,6 +13,7 @@
 	"mustardhook/internal/flow/output"
 	"mustardhook/internal/flow/plan"
 	"mustardhook/internal/flow/pool"
+	"mustardhook/internal/flow/tally"
 )
 
 const (
@@ -172,6 +173,13 @@
 	w.step(input.NewsCame{Batch: input.Batch{Sender: entry, News: []input.News{news}}})
 }
 
+// hearWork brings what another entry tells as a hub.
+func (w *world) hearWork(hub ident.Entry, sums tally.Sums) {
+	w.told[hub]++
+	part := tally.Part{Hub: tally.MarkOf(hub), Life: 1, Sequence: w.told[hub], IsWhole: true, Sums: sums}
+	w.step(input.NewsCame{Batch: input.Batch{Sender: hub, Parts: []tally.Part{part}}})
+}
+
 func resultOf(number uint64) call.Result {
 	return call.Result{Number: number, End: call.EndWhole, Status: 200}
 }
--- a/internal/flow/peers/peers.go
+++ b/internal/flow/peers/peers.go
@@ -3,12 +3,11 @@
 package peers
 
 import (
-	"github.com/cespare/xxhash/v2"
-
 	"mustardhook/internal/core/clock"
 	"mustardhook/internal/core/ident"
 	"mustardhook/internal/flow/board"
 	"mustardhook/internal/flow/input"
+	"mustardhook/internal/flow/tally"
 )
 
 const (
@@ -16,9 +15,6 @@
 	SilentSpan = 2 * clock.Second
 	// ForgetSpan is how long a silent entry is still told news.
 	ForgetSpan = 60 * clock.Second
-	// LifeSpan is how long a silence must be before news of a lower life counts; a
-	// process takes longer to start again.
-	LifeSpan = 800 * clock.Millis(1)
 )
 
 type (
@@ -38,6 +34,10 @@
 	switch happened := happened.(type) {
 	case input.NewsCame:
 		l.takeBatch(b, happened.Batch)
+	case input.ListRead, input.ListTold, input.EndpointRead:
+		for mark, endpoint := range b.Pool.All() {
+			endpoint.Others = b.Tally.Others(mark)
+		}
 	case input.FetchEnded:
 		b.FetchUntil = b.Now + FetchSpan
 	case input.Ticked:
@@ -46,6 +46,17 @@
 		}
 		forget(b)
 		fetch(b)
+		b.Tally.Expire(b.Now)
+	}
+	settle(b)
+}
+
+// settle puts what others are known to run to the endpoints.
+func settle(b *board.Board) {
+	for _, mark := range b.Tally.TakeChanged() {
+		if endpoint := b.Pool.All()[mark]; endpoint != nil {
+			endpoint.Others = b.Tally.Others(mark)
+		}
 	}
 }
 
@@ -61,8 +72,15 @@
 	}
 	if sender := b.Peers[batch.Sender]; sender != nil {
 		sender.DirectAt = b.Now
+		sender.LastHeard = b.Now
 		sender.MutedUntil = 0
 	}
+	if batch.Share != nil && batch.PassOn {
+		b.Tally.TakeShare(batch.Sender, *batch.Share, b.Now)
+	}
+	for _, part := range batch.Parts {
+		b.Tally.TakePart(part, b.Now)
+	}
 	takeAlive(b, batch.Alive)
 	b.Members = max(b.Members, live(b)+1)
 }
@@ -102,7 +120,7 @@
 	b.Note("Entry found.", "entry", news.Entry, "failureDomain", news.Domain)
 	peer = &board.Peer{}
 	b.Peers[news.Entry] = peer
-	b.WorkChanged = true
+	b.NewsChanged = true
 	return peer, true
 }
 
@@ -116,7 +134,7 @@
 	}
 	peer.News = news
 	peer.LastHeard = b.Now
-	b.Pool.ReplaceWork(news.Entry, before.Work, news.Work)
+	peer.Silent = false
 	b.Pool.TellLeft(news.Left, b.Now)
 	for _, name := range b.Pool.TellPaces(news.Paces, b.Now) {
 		b.Note("Pace of endpoint told.", "endpoint", name, "pace", b.Pool.Find(name).Pace(b.Now), "entry", news.Entry)
@@ -130,7 +148,7 @@
 // same again and again.
 func saysMore(before, news input.News) bool {
 	isBusy := func(n input.News) bool {
-		return len(n.Work) > 0 || len(n.Waiting) > 0 || len(n.Crashes) > 0 || len(n.Left) > 0 ||
+		return len(n.Waiting) > 0 || len(n.Crashes) > 0 || len(n.Left) > 0 ||
 			len(n.Failed) > 0 || len(n.Paces) > 0
 	}
 	return isBusy(news) || isBusy(before) || before.PlanVersion != news.PlanVersion || before.Leaving != news.Leaving ||
@@ -138,29 +156,24 @@
 }
 
 // takeAlive takes how long ago others heard of entries.
-func takeAlive(b *board.Board, alive map[input.EntryMark]clock.Millis) {
+func takeAlive(b *board.Board, alive map[tally.Mark]clock.Millis) {
 	if len(alive) == 0 {
 		return
 	}
 	for name, peer := range b.Peers {
-		if at, found := alive[MarkOf(name)]; found {
+		if at, found := alive[tally.MarkOf(name)]; found {
 			peer.LastHeard = max(peer.LastHeard, at)
 		}
 	}
 }
 
-// MarkOf returns the mark of an entry's name.
-func MarkOf(name ident.Entry) input.EntryMark {
-	return input.EntryMark(xxhash.Sum64String(string(name)))
-}
-
 // isOld reports whether the news was overtaken. Lives are numbered by the time of
 // day, which may jump back: a lower one is taken for new after a silence.
 func isOld(b *board.Board, peer *board.Peer, news input.News) bool {
 	if news.Life == peer.News.Life {
 		return news.Sequence <= peer.News.Sequence
 	}
-	return news.Life < peer.News.Life && b.Now-peer.LastHeard < LifeSpan
+	return news.Life < peer.News.Life && b.Now-peer.LastHeard < tally.LifeSpan
 }
 
 // meet tells an entry that was heard of and is not known.
@@ -184,7 +197,8 @@
 			known = append(known, peer.News)
 		}
 	}
-	c.send(b, []string{c.newsAddress(newcomer.Address)}, input.Batch{Sender: b.Self, News: known})
+	batch := input.Batch{Sender: b.Self, News: known, Parts: b.Tally.Whole()}
+	c.send(b, []string{c.newsAddress(newcomer.Address)}, batch)
 }
 
 func isLive(b *board.Board, peer *board.Peer) bool { return b.Now-peer.LastHeard <= SilentSpan }
@@ -201,9 +215,8 @@
 
 func forget(b *board.Board) {
 	for name, peer := range b.Peers {
-		if !isLive(b, peer) && peer.News.Work != nil {
-			b.Pool.ReplaceWork(name, peer.News.Work, nil)
-			peer.News.Work = nil
+		if !isLive(b, peer) && !peer.Silent {
+			peer.Silent = true
 			peer.News.Waiting = nil
 			b.Note("Entry is silent.", "entry", name)
 		}
--- a/internal/flow/peers/tell.go
+++ b/internal/flow/peers/tell.go
@@ -8,9 +8,11 @@
 	"mustardhook/internal/core/clock"
 	"mustardhook/internal/core/ident"
 	"mustardhook/internal/flow/board"
+	"mustardhook/internal/flow/cost"
 	"mustardhook/internal/flow/input"
 	"mustardhook/internal/flow/output"
-	"mustardhook/internal/flow/pool"
+	"mustardhook/internal/flow/plan"
+	"mustardhook/internal/flow/tally"
 )
 
 const (
@@ -28,6 +30,21 @@
 	// AskedSpan is how long an entry passes news on after it was asked to.
 	AskedSpan = 1 * clock.Second
 
+	// PartRate bounds what a hub tells an entry of work, in bytes a second: two thirds of
+	// what an entry may spend on control at the size that the project is made for.
+	PartRate = 6000
+	// PartBurst is how far what is told may be ahead of the rate, in the time that the
+	// rate takes for it: surges last seconds, and work must be known while it is new.
+	PartBurst = 1 * clock.Second
+	// WholePartsSpan is the least time between two tellings of all work, which mend what
+	// datagrams lost on their way.
+	WholePartsSpan = 2 * clock.Second
+
+	// wholePartsParts is how many times longer it is when there is much work, so that
+	// it takes a third of the rate.
+	wholePartsParts = 3
+	// sumBytes is the length of a sum in a datagram, most figures being small.
+	sumBytes = 16
 	// batchNews bounds the news of one datagram.
 	batchNews = 40
 )
@@ -53,6 +70,12 @@
 		askedAt clock.Millis
 		// changed are the entries whose news was not passed on yet.
 		changed map[ident.Entry]change
+		// isPassing says that the entry passes news on.
+		isPassing bool
+		// partsPaidAt is when what was told of work is within its rate, wholePartsAt when
+		// all work is told again.
+		partsPaidAt  clock.Millis
+		wholePartsAt clock.Millis
 	}
 
 	// change says how news came that must be passed on.
@@ -70,28 +93,25 @@
 }
 
 func (c *teller) tell(b *board.Board) {
-	isPending := b.WorkChanged || len(c.changed) > 0
-	span := RoundSpan
-	if isPending {
-		span = BatchSpan
-	}
-	if b.Now-c.toldAt < span {
+	isPending := b.WorkChanged || b.NewsChanged || len(c.changed) > 0 || c.isPassing && b.Tally.IsPending()
+	isRound := b.Now-c.roundAt >= RoundSpan
+	if !isRound && (!isPending || b.Now-c.toldAt < BatchSpan) {
 		c.wake(b, isPending)
 		return
 	}
-	isRound := b.Now-c.roundAt >= RoundSpan
-	c.distribute(b, c.ownNews(b, isRound), isRound)
+	c.distribute(b, isRound)
 	c.tellSeeds(b)
 	c.toldAt = b.Now
 	if isRound {
 		c.roundAt = b.Now
 	}
 	b.WorkChanged = false
+	b.NewsChanged = false
 }
 
 // ownNews returns the news of the entry itself; none when there is nothing new.
 func (c *teller) ownNews(b *board.Board, isRound bool) []input.News {
-	if !isRound && !b.WorkChanged {
+	if !isRound && !b.NewsChanged {
 		return nil
 	}
 	isWhole := b.Now-c.ownWholeAt >= OwnWholeSpan
@@ -103,20 +123,35 @@
 
 // distribute tells the own hub, and passes news on as the hub or when another
 // entry takes this one for it.
-func (c *teller) distribute(b *board.Board, own []input.News, isRound bool) {
+func (c *teller) distribute(b *board.Board, isRound bool) {
+	own := c.ownNews(b, isRound)
 	hub, found := c.chooseHub(b)
 	isHub := !found || hub.isSelf
-	if !isHub {
-		c.send(b, []string{c.newsAddress(hub.address)}, input.Batch{Sender: b.Self, PassOn: true, News: own})
+	if isHub {
+		b.Tally.Lead(ownWork(b))
+	} else {
+		b.Tally.Follow()
+		c.tellHub(b, hub, own, isRound)
 	}
 	isAsked := c.askedAt != 0 && b.Now-c.askedAt <= AskedSpan
-	if !isHub && !isAsked {
+	c.isPassing = isHub || isAsked || b.Tally.HasPart()
+	if !c.isPassing {
 		clear(c.changed)
+		b.Tally.Forgo()
 		return
 	}
 	c.passOn(b, own, isHub, isRound)
 }
 
+// tellHub tells the hub of the own work and news.
+func (c *teller) tellHub(b *board.Board, hub member, own []input.News, isRound bool) {
+	batch := input.Batch{Sender: b.Self, PassOn: true, News: own}
+	if share, isNew := b.Tally.Tell(hub.name, ownWork(b), isRound); isNew {
+		batch.Share = &share
+	}
+	c.send(b, []string{c.newsAddress(hub.address)}, batch)
+}
+
 // wake asks for a step when what is pending may be told.
 func (c *teller) wake(b *board.Board, isPending bool) {
 	if isPending && c.wakeAt <= b.Now {
@@ -155,17 +190,58 @@
 		inside.Alive = alive(b, func(*board.Peer) bool { return true })
 		outside.Alive = alive(b, func(peer *board.Peer) bool { return peer.News.Domain == b.Domain })
 	}
-	var members, hubs []string
+	c.addParts(b, &inside, &outside, isRound)
+	c.send(b, c.membersToTell(b), inside)
+	c.send(b, c.hubsToTell(b), outside)
+}
+
+// addParts adds the work of the own failure domain, and what other hubs told of
+// theirs. Datagrams are bounded in their rate: when much has changed, it is told less
+// often, and meanwhile rounds say only that the hub lives.
+func (c *teller) addParts(b *board.Board, inside, outside *input.Batch, isRound bool) {
+	scope := tally.ScopeChanged
+	switch {
+	case c.partsDebt(b.Now) > PartBurst:
+		if !isRound {
+			return
+		}
+		scope = tally.ScopeNone
+	case isRound && b.Now >= c.wholePartsAt:
+		scope = tally.ScopeWhole
+	}
+	own := b.Tally.OwnPart(scope)
+	outside.Parts = []tally.Part{own}
+	inside.Parts = append([]tally.Part{own}, b.Tally.PassOn(scope)...)
+	sums := 0
+	for _, part := range inside.Parts {
+		sums += len(part.Sums)
+	}
+	span := clock.Millis(sums*sumBytes) * clock.Second / PartRate
+	c.partsPaidAt = max(c.partsPaidAt, b.Now) + span
+	if scope == tally.ScopeWhole {
+		c.wholePartsAt = b.Now + max(WholePartsSpan, wholePartsParts*span)
+	}
+}
+
+// partsDebt is how far what was told of work is ahead of its rate.
+func (c *teller) partsDebt(now clock.Millis) clock.Millis { return max(c.partsPaidAt-now, 0) }
+
+func (c *teller) membersToTell(b *board.Board) []string {
+	var addresses []string
 	for _, found := range membersOf(b, b.Domain, func(*board.Peer) bool { return true }) {
 		if !found.isSelf {
-			members = append(members, c.newsAddress(found.address))
+			addresses = append(addresses, c.newsAddress(found.address))
 		}
 	}
+	return addresses
+}
+
+func (c *teller) hubsToTell(b *board.Board) []string {
+	var addresses []string
 	for _, found := range foreignHubs(b) {
-		hubs = append(hubs, c.newsAddress(found.address))
+		addresses = append(addresses, c.newsAddress(found.address))
 	}
-	c.send(b, members, inside)
-	c.send(b, hubs, outside)
+	return addresses
 }
 
 // noteAll has all that live told whole, for entries that missed who they are.
@@ -178,11 +254,11 @@
 	}
 }
 
-func alive(b *board.Board, holds func(*board.Peer) bool) map[input.EntryMark]clock.Millis {
-	found := map[input.EntryMark]clock.Millis{}
+func alive(b *board.Board, holds func(*board.Peer) bool) map[tally.Mark]clock.Millis {
+	found := map[tally.Mark]clock.Millis{}
 	for name, peer := range b.Peers {
 		if isLive(b, peer) && holds(peer) {
-			found[MarkOf(name)] = peer.LastHeard
+			found[tally.MarkOf(name)] = peer.LastHeard
 		}
 	}
 	return found
@@ -218,7 +294,8 @@
 
 // send emits the batch in datagrams of bounded size.
 func (c *teller) send(b *board.Board, addresses []string, batch input.Batch) {
-	if len(addresses) == 0 || len(batch.News) == 0 && len(batch.Alive) == 0 {
+	isEmpty := len(batch.News) == 0 && len(batch.Alive) == 0 && batch.Share == nil && len(batch.Parts) == 0
+	if len(addresses) == 0 || isEmpty {
 		return
 	}
 	slices.Sort(addresses)
@@ -231,6 +308,8 @@
 			return
 		}
 		batch.Alive = nil
+		batch.Share = nil
+		batch.Parts = nil
 	}
 }
 
@@ -246,7 +325,7 @@
 	c.sequence++
 	news := input.News{
 		Entry: b.Self, Life: b.Life, Sequence: c.sequence, PlanVersion: b.Plan.Version, ListRevision: b.ListRevision,
-		ConfirmedAt: b.ConfirmedAt, Leaving: b.Stopping, Work: ownWork(b), Left: b.Pool.Left(b.Now),
+		ConfirmedAt: b.ConfirmedAt, Leaving: b.Stopping, Left: b.Pool.Left(b.Now),
 		Failed:  b.Pool.Failing(b.Now),
 		Paces:   b.Pool.Reported(b.Now),
 		Crashes: map[uint64]int{},
@@ -285,26 +364,26 @@
 	return known
 }
 
-func ownWork(b *board.Board) map[pool.Mark]map[pool.WorkID]pool.Work {
-	own := map[pool.Mark]map[pool.WorkID]pool.Work{}
-	add := func(name ident.Endpoint, id pool.WorkID) {
+// ownWork sums up the work of the entry itself.
+func ownWork(b *board.Board) tally.Sums {
+	own := tally.Sums{}
+	add := func(engine *plan.Engine, name ident.Endpoint, number uint64) {
 		endpoint := b.Pool.Find(name)
 		if endpoint == nil {
 			return
 		}
-		work, found := endpoint.Work[id]
-		if !found {
-			return
-		}
-		if own[endpoint.Mark()] == nil {
-			own[endpoint.Mark()] = map[pool.WorkID]pool.Work{}
+		if work, found := endpoint.Work[number]; found {
+			own[endpoint.Mark()] = own[endpoint.Mark()].Plus(cost.SumOf(engine, work, b.Now))
 		}
-		own[endpoint.Mark()][id] = work
 	}
 	for number, request := range b.Requests {
-		add(request.Endpoint, b.Own(number))
+		engine := b.Plan.Services[request.Service].Engine
+		if engine == nil {
+			continue
+		}
+		add(engine, request.Endpoint, number)
 		for _, helper := range request.Helpers {
-			add(helper, b.Own(number))
+			add(engine, helper, number)
 		}
 	}
 	return own
--- a/internal/flow/place/end.go
+++ b/internal/flow/place/end.go
@@ -15,6 +15,7 @@
 	if request.Endpoint != "" {
 		release(b, request)
 	}
+	b.NewsChanged = b.NewsChanged || request.Queued
 	delete(b.Requests, request.Request.Number)
 }
 
@@ -38,6 +39,7 @@
 		if result.Unreserved {
 			request.Tried = nil
 			request.Queued = true
+			b.NewsChanged = true
 			request.NotBefore = b.Now + LeaseRetry
 			return
 		}
@@ -74,7 +76,7 @@
 			endpoint.Succeeded()
 		} else {
 			endpoint.Erred(b.Now)
-			b.WorkChanged = true
+			b.NewsChanged = true
 		}
 	}
 }
--- a/internal/flow/place/engine.go
+++ b/internal/flow/place/engine.go
@@ -5,8 +5,6 @@
 	"math"
 	"slices"
 
-	"github.com/cespare/xxhash/v2"
-
 	"mustardhook/internal/core/clock"
 	"mustardhook/internal/flow/board"
 	"mustardhook/internal/flow/call"
@@ -16,9 +14,6 @@
 )
 
 const (
-	// longRead is the reading time from which a prompt is long: it is read in
-	// parts, since a pass that reads it whole makes others' events late.
-	longRead = 110.0
 	// partRead is the reading time of a part that pauses of short answers bear.
 	partRead = 100.0
 	// bearableRead is the longest part that engines of the short lane read.
@@ -31,8 +26,6 @@
 	// shortShare is the part of its slots that an engine of the short lane takes on
 	// before the lane grows; a request beyond the slots waits for a whole answer.
 	shortShare = 0.55
-	// shortSpan is how long a short request takes on an engine that is not held up.
-	shortSpan = 1600 * clock.Millis(1)
 	// spareShorts is room in the short lane for requests to come.
 	spareShorts = 4
 	// leastShortLane and leastLongLane are the smallest sizes of the lanes.
@@ -96,7 +89,7 @@
 	}
 	sound, slow := splitSlow(candidates, b.Now)
 	short, long := lanes(engine, sound)
-	if cost.ReadMillis(engine, prompt, 1) <= longRead {
+	if !cost.IsLong(engine, prompt) {
 		found := cheapest(b, short, slices.Concat(long, slow), prompt, need)
 		found.urgency = urgencyShort
 		if found.isFull && !request.HasComeBack() && request.Runs == 0 {
@@ -109,27 +102,18 @@
 	return found
 }
 
-func isLong(engine *plan.Engine, work pool.Work) bool {
-	return cost.ReadMillis(engine, work.PromptTokens, 1) > longRead
-}
-
 // survey lists the usable engines in an order that all entries share.
 func survey(b *board.Board, request *board.Request, engine *plan.Engine) []*candidate {
-	var candidates []*candidate
-	for _, endpoint := range usable(b, request) {
-		found := &candidate{endpoint: endpoint, engine: engine, order: xxhash.Sum64String(string(endpoint.Name))}
+	endpoints := usable(b, request)
+	found := make([]candidate, len(endpoints))
+	candidates := make([]*candidate, len(endpoints))
+	for i, endpoint := range endpoints {
+		found[i] = candidate{endpoint: endpoint, engine: engine, load: cost.LoadOf(engine, endpoint, b.Now)}
 		if pace := endpoint.Pace(b.Now); pace > 1 {
-			found.engine = engine.WithPace(pace)
-		}
-		found.load = cost.LoadOf(found.engine, endpoint, b.Now)
-		for _, work := range endpoint.Work {
-			if !work.Helping && !isLong(engine, work) && b.Now-work.Since < shortSpan {
-				found.shorts++
-			}
+			found[i].engine = engine.WithPace(pace)
 		}
-		candidates = append(candidates, found)
+		candidates[i] = &found[i]
 	}
-	slices.SortFunc(candidates, func(a, b *candidate) int { return cmp.Compare(a.order, b.order) })
 	return candidates
 }
 
@@ -155,7 +139,7 @@
 func lanes(engine *plan.Engine, candidates []*candidate) (short, long []*candidate) {
 	shorts := 0
 	for _, found := range candidates {
-		shorts += found.shorts
+		shorts += found.load.Shorts
 	}
 	perEngine := max(int(shortShare*float64(engine.Slots)+0.5), 1)
 	size := max((shorts+spareShorts+perEngine-1)/perEngine, leastShortLane)
@@ -173,12 +157,12 @@
 		first := cost.FirstMillis(found.engine, found.load, prompt, 1)
 		found.first = clock.Millis(first)
 		found.price = first + cost.StrideMillis(found.engine, found.load) + penalty
-		found.isFull = found.load.MemoryTokens+need > found.engine.MemoryTokens || found.endpoint.Leads() >= found.engine.Slots
+		found.isFull = found.load.MemoryTokens+need > found.engine.MemoryTokens || found.load.Leads >= found.engine.Slots
 		if found.isFull {
 			found.price += fullPenalty
 		}
 		found.price *= 1 + jitter*b.Random.Float64()
-		shorts += found.shorts
+		shorts += found.load.Shorts
 	}
 	for _, found := range own {
 		consider(found, 0)
@@ -188,7 +172,7 @@
 	}
 	byPrice := slices.Concat(own, other)
 	slices.SortFunc(byPrice, func(a, b *candidate) int { return cmp.Compare(a.price, b.price) })
-	unseen := int(math.Round(float64(shorts) * float64(newsDelay) / float64(shortSpan)))
+	unseen := int(math.Round(float64(shorts) * float64(newsDelay) / float64(cost.ShortSpan)))
 	near := 1
 	for near < min(1+unseen, len(byPrice)) && byPrice[near].price <= byPrice[0].price+spreadMillis {
 		near++
@@ -305,7 +289,7 @@
 func leadOf(engine *plan.Engine, members []*candidate, need int) *candidate {
 	price := func(found *candidate) float64 {
 		total := found.price + cost.PassMillis(found.engine, found.load)*float64(engine.UsualAnswer)/float64(max(engine.Stride, 1))
-		if found.load.MemoryTokens+need > engine.MemoryTokens || found.endpoint.Leads() >= engine.Slots {
+		if found.load.MemoryTokens+need > engine.MemoryTokens || found.load.Leads >= engine.Slots {
 			total += fullPenalty
 		}
 		return total
--- a/internal/flow/place/place.go
+++ b/internal/flow/place/place.go
@@ -59,7 +59,7 @@
 	case input.StopAsked:
 		b.Stopping = true
 		b.StoppingAt = b.Now
-		b.WorkChanged = true
+		b.NewsChanged = true
 	}
 	retryWaiting(b)
 }
@@ -146,7 +146,7 @@
 		refuse(b, request, found.reason, found.retryAfter)
 	case !request.Queued:
 		request.Queued = true
-		b.WorkChanged = true
+		b.NewsChanged = true
 	}
 }
 
--- a/internal/flow/place/send.go
+++ b/internal/flow/place/send.go
@@ -35,13 +35,14 @@
 	}
 	request.Endpoint = found.lead.Name
 	request.Helpers = nil
+	b.NewsChanged = b.NewsChanged || request.Queued
 	request.Queued = false
 	work := pool.Work{
 		PromptTokens: request.Request.PromptTokens, OutputTokens: outputTokens(request.Request),
 		Parts: 1 + len(found.helpers), Since: b.Now, ReadAt: b.Now + found.first, Gap: gap,
 	}
 	work.MemoryTokens = work.PromptTokens + work.OutputTokens
-	id := b.Own(request.Request.Number)
+	id := request.Request.Number
 	for _, helper := range found.helpers {
 		leased := found.leases[helper]
 		work.MemoryTokens -= leased
@@ -93,10 +94,9 @@
 	request.Begun = true
 	endReading(b, request)
 	if lead := b.Pool.Find(request.Endpoint); lead != nil {
-		id := b.Own(number)
-		if work, found := lead.Work[id]; found {
+		if work, found := lead.Work[number]; found {
 			work.Writing = true
-			lead.Work[id] = work
+			lead.Work[number] = work
 		}
 		lead.Succeeded()
 		b.Pool.Reached(lead.Domain)
@@ -107,7 +107,7 @@
 // endReading frees the helpers that only read; those that keep memory go on until
 // the end of the answer.
 func endReading(b *board.Board, request *board.Request) {
-	id := b.Own(request.Request.Number)
+	id := request.Request.Number
 	request.Helpers = slices.DeleteFunc(request.Helpers, func(name ident.Endpoint) bool {
 		helper := b.Pool.Find(name)
 		if helper == nil {
@@ -127,7 +127,7 @@
 func endHelp(b *board.Board, request *board.Request) {
 	for _, name := range request.Helpers {
 		if helper := b.Pool.Find(name); helper != nil {
-			delete(helper.Work, b.Own(request.Request.Number))
+			delete(helper.Work, request.Request.Number)
 		}
 	}
 	request.Helpers = nil
@@ -137,7 +137,7 @@
 func release(b *board.Board, request *board.Request) {
 	endHelp(b, request)
 	if lead := b.Pool.Find(request.Endpoint); lead != nil {
-		delete(lead.Work, b.Own(request.Request.Number))
+		delete(lead.Work, request.Request.Number)
 	}
 	request.Endpoint = ""
 	request.Begun = false
--- a/internal/flow/pool/pace.go
+++ b/internal/flow/pool/pace.go
@@ -86,19 +86,17 @@
 // TellPaces takes the reports that another entry got; the newest one counts. It
 // returns the endpoints that were found to become slow or to recover.
 func (p *Pool) TellPaces(told map[Mark]Pace, now clock.Millis) []ident.Endpoint {
-	if len(told) == 0 {
-		return nil
-	}
 	var changed []ident.Endpoint
-	for name, endpoint := range p.endpoints {
-		pace, found := told[endpoint.mark]
-		if !found || pace.At <= endpoint.pace.At {
+	all := p.All()
+	for mark, pace := range told {
+		endpoint := all[mark]
+		if endpoint == nil || pace.At <= endpoint.pace.At {
 			continue
 		}
 		before := endpoint.Pace(now) >= SlowPace
 		endpoint.pace = pace
 		if before != (endpoint.Pace(now) >= SlowPace) {
-			changed = append(changed, name)
+			changed = append(changed, endpoint.Name)
 		}
 	}
 	return changed
--- a/internal/flow/pool/pool.go
+++ b/internal/flow/pool/pool.go
@@ -3,6 +3,7 @@
 package pool
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 
@@ -65,8 +66,10 @@
 
 		Failures  int
 		RestUntil clock.Millis
-		// Work is what runs here, of this entry and of its peers.
-		Work map[WorkID]Work
+		// Work is what runs here of this entry, by the number of the request, and Others
+		// what runs here of all other entries.
+		Work   map[uint64]Work
+		Others Sum
 
 		// LeftAt is when the endpoint was found to leave; zero while it stays. Others
 		// are told for TellSpan.
@@ -89,12 +92,9 @@
 		askedAt  clock.Millis
 
 		mark Mark
-	}
-
-	// WorkID names a piece of work: the entry that sent it and its number there.
-	WorkID struct {
-		Entry  ident.Entry
-		Number uint64
+		// order places the endpoint in an order that all entries share and that says
+		// nothing of it.
+		order uint64
 	}
 
 	// Work is a request, or the part of one, that an endpoint runs.
@@ -121,6 +121,9 @@
 	// Pool is all endpoints by name.
 	Pool struct {
 		endpoints map[ident.Endpoint]*Endpoint
+		// byMark and byService are made anew when endpoints come or go.
+		byMark    map[Mark]*Endpoint
+		byService map[ident.Service][]*Endpoint
 		// lost is when reads of the list began to fail; zero while they succeed.
 		lost clock.Millis
 		// backAt is when reads of the list last began to succeed again.
@@ -184,9 +187,19 @@
 		}
 	}()
 	if known == nil || known.Born != entry.Born || known.Address != entry.Address {
-		p.endpoints[entry.Name] = &Endpoint{Listed: entry, Work: map[WorkID]Work{}, mark: MarkOf(entry.Name)}
+		made := &Endpoint{
+			Listed: entry, Work: map[uint64]Work{}, mark: MarkOf(entry.Name), order: xxhash.Sum64String(string(entry.Name)),
+		}
+		if known != nil {
+			made.Others = known.Others
+		}
+		p.endpoints[entry.Name] = made
+		p.byMark = nil
 		return
 	}
+	if known.Service != entry.Service {
+		p.byMark = nil
+	}
 	known.Listed = entry
 	known.GoneAt = 0
 	known.DoubtUntil = 0
@@ -303,34 +316,42 @@
 
 // Sweep forgets endpoints that are gone and run nothing of ours.
 func (p *Pool) Sweep(now clock.Millis) {
+	before := len(p.endpoints)
 	maps.DeleteFunc(p.endpoints, func(_ ident.Endpoint, e *Endpoint) bool {
 		return e.GoneAt != 0 && now > e.DoubtUntil && len(e.Work) == 0
 	})
+	if len(p.endpoints) != before {
+		p.byMark = nil
+	}
 }
 
-// Of returns the endpoints of the service in order of their names.
+// Of returns the endpoints of the service, in an order that all entries share. The
+// caller must not change the slice.
 func (p *Pool) Of(service ident.Service) []*Endpoint {
-	var found []*Endpoint
-	for _, name := range slices.Sorted(maps.Keys(p.endpoints)) {
-		if endpoint := p.endpoints[name]; endpoint.Service == service {
-			found = append(found, endpoint)
-		}
-	}
-	return found
+	p.index()
+	return p.byService[service]
+}
+
+// All returns all endpoints by mark. The caller must not change the map.
+func (p *Pool) All() map[Mark]*Endpoint {
+	p.index()
+	return p.byMark
 }
 
-// ReplaceWork puts what an entry says it runs in place of what it said before.
-func (p *Pool) ReplaceWork(entry ident.Entry, before, work map[Mark]map[WorkID]Work) {
-	if len(before) == 0 && len(work) == 0 {
+func (p *Pool) index() {
+	if p.byMark != nil {
 		return
 	}
+	p.byMark = make(map[Mark]*Endpoint, len(p.endpoints))
+	p.byService = map[ident.Service][]*Endpoint{}
 	for _, endpoint := range p.endpoints {
-		for id := range before[endpoint.mark] {
-			if id.Entry == entry {
-				delete(endpoint.Work, id)
-			}
-		}
-		maps.Copy(endpoint.Work, work[endpoint.mark])
+		p.byMark[endpoint.mark] = endpoint
+		p.byService[endpoint.Service] = append(p.byService[endpoint.Service], endpoint)
+	}
+	for _, found := range p.byService {
+		slices.SortFunc(found, func(a, b *Endpoint) int {
+			return cmp.Or(cmp.Compare(a.order, b.order), cmp.Compare(a.Name, b.Name))
+		})
 	}
 }
 
@@ -360,11 +381,9 @@
 
 // TellLeft takes the word of another entry that endpoints leave.
 func (p *Pool) TellLeft(left []Mark, now clock.Millis) {
-	if len(left) == 0 {
-		return
-	}
-	for _, endpoint := range p.endpoints {
-		if slices.Contains(left, endpoint.mark) {
+	all := p.All()
+	for _, mark := range left {
+		if endpoint := all[mark]; endpoint != nil {
 			endpoint.ToldUntil = now + ToldSpan
 		}
 	}
@@ -395,7 +414,7 @@
 
 // Leads counts the requests that hold a slot here.
 func (e *Endpoint) Leads() int {
-	count := 0
+	count := e.Others.Leads
 	for _, work := range e.Work {
 		if !work.Helping {
 			count++
@@ -406,7 +425,7 @@
 
 // MemoryTokens is how many tokens the work here takes up at its end.
 func (e *Endpoint) MemoryTokens() int {
-	tokens := 0
+	tokens := e.Others.MemoryTokens
 	for _, work := range e.Work {
 		tokens += work.MemoryTokens
 	}
--- a/internal/flow/pool/pool_test.go
+++ b/internal/flow/pool/pool_test.go
@@ -49,7 +49,7 @@
 func TestSameNameNewLife(t *testing.T) {
 	p := New()
 	p.Put(listed("a"), 500)
-	p.Find("e-1").Work[WorkID{"x", 1}] = Work{}
+	p.Find("e-1").Work[1] = Work{}
 	p.Find("e-1").Unreachable(5000)
 	p.Put(listed("bb"), 500)
 	require.Empty(t, p.Find("e-1").Work)
--- a/internal/flow/share/share.go
+++ b/internal/flow/share/share.go
@@ -18,6 +18,7 @@
 	"mustardhook/internal/flow/newspb"
 	"mustardhook/internal/flow/plan"
 	"mustardhook/internal/flow/pool"
+	"mustardhook/internal/flow/tally"
 )
 
 // percent is how paces are told.
@@ -41,6 +42,10 @@
 		message.Alive = append(message.Alive, uint32(mark))
 		message.AliveAgeMillis = append(message.AliveAgeMillis, uint32(max(now-batch.Alive[mark], 0)))
 	}
+	message.Share = encodeShare(batch.Share, now)
+	for _, part := range batch.Parts {
+		message.Parts = append(message.Parts, encodePart(part, now))
+	}
 	text, err := proto.Marshal(message)
 	if err != nil {
 		return nil, errors.Wrap(err, "encode batch")
@@ -62,10 +67,13 @@
 		batch.News = append(batch.News, decodeNews(news, now))
 	}
 	if len(message.Alive) > 0 {
-		batch.Alive = map[input.EntryMark]clock.Millis{}
+		batch.Alive = map[tally.Mark]clock.Millis{}
 	}
 	for i, mark := range message.Alive {
-		batch.Alive[input.EntryMark(mark)] = now - clock.Millis(message.AliveAgeMillis[i])
+		batch.Alive[tally.Mark(mark)] = now - clock.Millis(message.AliveAgeMillis[i])
+	}
+	if err := decodeWork(&batch, &message, now); err != nil {
+		return input.Batch{}, err
 	}
 	return batch, nil
 }
@@ -124,7 +132,6 @@
 	if news.ConfirmedAt != 0 {
 		message.ConfirmedAgeMillis = uint64(max(now-news.ConfirmedAt, 0)) + 1
 	}
-	message.Work = encodeWork(news.Work, now)
 	for _, mark := range news.Left {
 		message.Left = append(message.Left, uint32(mark))
 	}
@@ -168,15 +175,11 @@
 		Known:        message.Known,
 		Capacity:     int(message.Capacity),
 		ListRevision: message.ListRevision,
-		Work:         map[pool.Mark]map[pool.WorkID]pool.Work{},
 		Crashes:      map[uint64]int{},
 	}
 	if message.ConfirmedAgeMillis > 0 {
 		news.ConfirmedAt = now - clock.Millis(message.ConfirmedAgeMillis-1)
 	}
-	for _, told := range message.Work {
-		decodeWork(news, told, now)
-	}
 	for _, mark := range message.Left {
 		news.Left = append(news.Left, pool.Mark(mark))
 	}
@@ -211,71 +214,3 @@
 	}
 	return news
 }
-
-// encodeWork joins the pieces of each request into one message.
-func encodeWork(work map[pool.Mark]map[pool.WorkID]pool.Work, now clock.Millis) []*newspb.Work {
-	requests := map[uint64]*newspb.Work{}
-	for _, mark := range slices.Sorted(maps.Keys(work)) {
-		for id, piece := range work[mark] {
-			told := requests[id.Number]
-			if told == nil {
-				told = &newspb.Work{
-					Number:       id.Number,
-					PromptTokens: uint32(piece.PromptTokens),
-					OutputTokens: uint32(piece.OutputTokens),
-					Parts:        uint32(piece.Parts),
-					AgeMillis:    uint32(max(now-piece.Since, 0)),
-					ReadInMillis: int32(piece.ReadAt - now),
-					GapMillis:    uint32(piece.Gap),
-				}
-				requests[id.Number] = told
-			}
-			// All pieces of a request write, or none does.
-			told.Writing = piece.Writing
-			if piece.Helping {
-				told.Helpers = append(told.Helpers, uint32(mark))
-				told.HelperMemory = append(told.HelperMemory, uint32(piece.MemoryTokens))
-				continue
-			}
-			told.Lead = uint32(mark)
-			told.MemoryTokens = uint32(piece.MemoryTokens)
-		}
-	}
-	all := make([]*newspb.Work, 0, len(requests))
-	for _, number := range slices.Sorted(maps.Keys(requests)) {
-		told := requests[number]
-		if !slices.ContainsFunc(told.HelperMemory, func(tokens uint32) bool { return tokens > 0 }) {
-			told.HelperMemory = nil
-		}
-		all = append(all, told)
-	}
-	return all
-}
-
-func decodeWork(news input.News, told *newspb.Work, now clock.Millis) {
-	id := pool.WorkID{Entry: news.Entry, Number: told.Number}
-	put := func(mark uint32, memory uint32, helping bool) {
-		if news.Work[pool.Mark(mark)] == nil {
-			news.Work[pool.Mark(mark)] = map[pool.WorkID]pool.Work{}
-		}
-		news.Work[pool.Mark(mark)][id] = pool.Work{
-			PromptTokens: int(told.PromptTokens),
-			OutputTokens: int(told.OutputTokens),
-			Parts:        int(told.Parts),
-			Helping:      helping,
-			Writing:      told.Writing,
-			MemoryTokens: int(memory),
-			Gap:          clock.Millis(told.GapMillis),
-			Since:        now - clock.Millis(told.AgeMillis),
-			ReadAt:       now + clock.Millis(told.ReadInMillis),
-		}
-	}
-	put(told.Lead, told.MemoryTokens, false)
-	for i, mark := range told.Helpers {
-		memory := uint32(0)
-		if i < len(told.HelperMemory) {
-			memory = told.HelperMemory[i]
-		}
-		put(mark, memory, true)
-	}
-}
--- a/internal/flow/share/share_test.go
+++ b/internal/flow/share/share_test.go
@@ -13,6 +13,7 @@
 	"mustardhook/internal/flow/newspb"
 	"mustardhook/internal/flow/plan"
 	"mustardhook/internal/flow/pool"
+	"mustardhook/internal/flow/tally"
 )
 
 func newsOf(t *rapid.T) input.News {
@@ -22,28 +23,7 @@
 	news := input.News{
 		Entry: ident.Entry(name.Draw(t, "entry")), Life: rapid.Uint64().Draw(t, "life"), Sequence: 3, Domain: "d",
 		Address: "10.0.0.1:9", Capacity: 134, ListRevision: 8, ConfirmedAt: now - 5, PlanVersion: plan.Version(count.Draw(t, "version")), Leaving: rapid.Bool().Draw(t, "leaving"),
-		Work: map[pool.Mark]map[pool.WorkID]pool.Work{}, Crashes: map[uint64]int{},
-	}
-	for number := range rapid.IntRange(0, 5).Draw(t, "works") {
-		id := pool.WorkID{Entry: news.Entry, Number: uint64(number)}
-		work := pool.Work{
-			PromptTokens: count.Draw(t, "prompt"), OutputTokens: count.Draw(t, "output"), Parts: 3,
-			Writing: rapid.Bool().Draw(t, "writing"), MemoryTokens: count.Draw(t, "memory"), Gap: 250,
-			Since:  now - clock.Millis(count.Draw(t, "age")),
-			ReadAt: now + clock.Millis(rapid.IntRange(-10000, 10000).Draw(t, "readIn")),
-		}
-		put := func(mark pool.Mark, work pool.Work) {
-			if news.Work[mark] == nil {
-				news.Work[mark] = map[pool.WorkID]pool.Work{}
-			}
-			news.Work[mark][id] = work
-		}
-		put(pool.Mark(number), work)
-		for helper := range rapid.IntRange(0, 4).Draw(t, "helpers") {
-			work.Helping = true
-			work.MemoryTokens = count.Draw(t, "helperMemory")
-			put(pool.Mark(100+helper), work)
-		}
+		Crashes: map[uint64]int{},
 	}
 	if rapid.Bool().Draw(t, "left") {
 		news.Left = []pool.Mark{7, 9}
@@ -64,6 +44,61 @@
 	return news
 }
 
+func sumsOf(t *rapid.T) tally.Sums {
+	const now = clock.Millis(1_000_000)
+	count := rapid.IntRange(0, 1000)
+	sums := tally.Sums{}
+	for range rapid.IntRange(0, 6).Draw(t, "endpoints") {
+		sum := pool.Sum{
+			Leads: count.Draw(t, "leads"), Shorts: count.Draw(t, "shorts"), Writers: count.Draw(t, "writers"),
+			Readers: count.Draw(t, "readers"), ContextTokens: tokenUnit * count.Draw(t, "context"),
+			MemoryTokens: tokenUnit * count.Draw(t, "memory"), UnreadTokens: tokenUnit * count.Draw(t, "unread"),
+			ReadMillis: count.Draw(t, "read"), LeastGap: gapUnit * clock.Millis(count.Draw(t, "gap")),
+		}
+		if sum.Readers > 0 {
+			sum.ReadBy = now + clock.Millis(rapid.IntRange(-10000, 10000).Draw(t, "readIn"))
+		}
+		sums[pool.Mark(rapid.Uint32().Draw(t, "endpoint"))] = sum
+	}
+	return sums
+}
+
+func TestWorkComesThrough(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const now = clock.Millis(1_000_000)
+		batch := input.Batch{Sender: "member"}
+		if rapid.Bool().Draw(t, "hasShare") {
+			batch.Share = &tally.Share{Life: 9, Sequence: 4, IsWhole: rapid.Bool().Draw(t, "whole"), Sums: sumsOf(t)}
+		}
+		for range rapid.IntRange(0, 3).Draw(t, "parts") {
+			part := tally.Part{
+				Hub: tally.Mark(rapid.Uint32().Draw(t, "hub")), Life: rapid.Uint64().Draw(t, "life"), Sequence: 3,
+				IsWhole: rapid.Bool().Draw(t, "isWhole"), Sums: sumsOf(t),
+			}
+			if rapid.Bool().Draw(t, "heard") {
+				part.Heard = map[tally.Mark]uint64{3: 9, 7: rapid.Uint64().Draw(t, "sequence")}
+			}
+			batch.Parts = append(batch.Parts, part)
+		}
+		text, err := Encode(batch, now)
+		require.NoError(t, err)
+		decoded, err := Decode(text, now)
+		require.NoError(t, err)
+		require.Equal(t, batch, decoded)
+	})
+}
+
+// Sums whose figures are not as many as their endpoints are refused with the field.
+func TestUnevenSumsAreRefused(t *testing.T) {
+	sums := &newspb.Sums{Endpoints: []uint32{1, 2}, Leads: []uint32{3}}
+	text, err := proto.Marshal(&newspb.Batch{Sender: "e", Parts: []*newspb.Part{{Hub: 1, Sums: sums}}})
+	require.NoError(t, err)
+	_, err = Decode(text, 0)
+	var uneven *SumsError
+	require.ErrorAs(t, err, &uneven)
+	require.NotEmpty(t, uneven.Field)
+}
+
 func TestNewsComesThrough(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		const now = clock.Millis(1_000_000)
@@ -73,9 +108,9 @@
 		}
 		for range rapid.IntRange(0, 3).Draw(t, "alive") {
 			if batch.Alive == nil {
-				batch.Alive = map[input.EntryMark]clock.Millis{}
+				batch.Alive = map[tally.Mark]clock.Millis{}
 			}
-			mark := input.EntryMark(rapid.Uint32().Draw(t, "mark"))
+			mark := tally.Mark(rapid.Uint32().Draw(t, "mark"))
 			batch.Alive[mark] = now - clock.Millis(rapid.IntRange(0, 2000).Draw(t, "aliveAge"))
 		}
 		text, err := Encode(batch, now)
--- /dev/null
+++ b/internal/flow/tally/part.go
@@ -0,0 +1,117 @@
+package tally
+
+import (
+	"maps"
+	"slices"
+
+	"mustardhook/internal/flow/pool"
+)
+
+// How much of a part is told.
+const (
+	// ScopeNone says only that the hub lives.
+	ScopeNone Scope = iota
+	// ScopeChanged tells what changed since it was last told.
+	ScopeChanged
+	// ScopeWhole tells all, so that what was lost on the way does no lasting harm.
+	ScopeWhole
+)
+
+// Scope says how much of a part is told.
+type Scope int
+
+// Forgo drops what would be passed on: another entry is the hub.
+func (t *Tally) Forgo() {
+	for _, part := range t.parts {
+		clear(part.unpassed)
+	}
+	clear(t.part.heard)
+}
+
+// IsPending reports whether there is something that a hub has to tell.
+func (t *Tally) IsPending() bool {
+	if len(t.part.unheard) > 0 {
+		return true
+	}
+	for _, part := range t.parts {
+		if len(part.unpassed) > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// HasPart reports whether others count work by the word of this entry.
+func (t *Tally) HasPart() bool { return len(t.part.told) > 0 || len(t.shares) > 0 }
+
+// OwnPart returns what to tell of the work of all entries that tell this one.
+func (t *Tally) OwnPart(scope Scope) Part {
+	p := &t.part
+	p.sequence++
+	part := Part{Hub: t.self, Life: t.life, Sequence: p.sequence, IsWhole: scope == ScopeWhole, Sums: Sums{}}
+	if scope == ScopeNone {
+		return part
+	}
+	for endpoint := range p.unheard {
+		if sum := t.partSum(endpoint); p.told[endpoint] != sum {
+			part.Sums[endpoint] = sum
+		}
+	}
+	clear(p.unheard)
+	p.told.apply(part.Sums)
+	if scope == ScopeWhole {
+		part.Sums = clone(p.told)
+	}
+	if len(p.heard) > 0 {
+		part.Heard = p.heard
+		p.heard = map[Mark]uint64{}
+	}
+	return part
+}
+
+func (t *Tally) partSum(endpoint pool.Mark) pool.Sum {
+	sum := t.part.own[endpoint]
+	for _, share := range t.shares {
+		if told, found := share.sums[endpoint]; found {
+			sum = sum.Plus(told)
+		}
+	}
+	return sum
+}
+
+// PassOn returns what other hubs told.
+func (t *Tally) PassOn(scope Scope) []Part {
+	var found []Part
+	for _, hub := range slices.Sorted(maps.Keys(t.parts)) {
+		known := t.parts[hub]
+		if !known.isNews {
+			continue
+		}
+		passed := Part{Hub: hub, Life: known.life, Sequence: known.sequence, IsWhole: scope == ScopeWhole, Sums: Sums{}}
+		switch scope {
+		case ScopeNone:
+		case ScopeChanged:
+			for endpoint := range known.unpassed {
+				passed.Sums[endpoint] = known.sums[endpoint]
+			}
+			clear(known.unpassed)
+		case ScopeWhole:
+			passed.Sums = clone(known.sums)
+			clear(known.unpassed)
+		}
+		known.isNews = false
+		found = append(found, passed)
+	}
+	return found
+}
+
+// Whole returns all parts, for an entry that has just started. They are no newer than
+// what was told.
+func (t *Tally) Whole() []Part {
+	own := Part{Hub: t.self, Life: t.life, Sequence: t.part.sequence, IsWhole: true, Sums: clone(t.part.told)}
+	found := []Part{own}
+	for hub, known := range t.parts {
+		found = append(found, Part{Hub: hub, Life: known.life, Sequence: known.sequence, IsWhole: true, Sums: clone(known.sums)})
+	}
+	return found
+}
--- /dev/null
+++ b/internal/flow/tally/share.go
@@ -0,0 +1,138 @@
+package tally
+
+import (
+	"mustardhook/internal/core/clock"
+	"mustardhook/internal/core/ident"
+	"mustardhook/internal/flow/pool"
+)
+
+// Tell returns what to tell the hub of the own work. It reports false when nothing
+// changed and the whole is not asked for. The first word to a hub is whole.
+func (t *Tally) Tell(hub ident.Entry, work Sums, isWhole bool) (Share, bool) {
+	o := &t.own
+	if mark := MarkOf(hub); mark != o.hub {
+		t.moveTo(mark)
+	}
+	if o.isStale {
+		isWhole = true
+		o.isStale = false
+	}
+	sums := o.told.changesTo(work)
+	if len(sums) == 0 && !isWhole {
+		return Share{}, false
+	}
+	o.sequence++
+	o.told = clone(work)
+	told := Share{Life: t.life, Sequence: o.sequence, IsWhole: isWhole, Sums: sums}
+	if isWhole {
+		told.Sums = clone(work)
+	}
+	o.unheard = append(o.unheard, told)
+	if len(o.unheard) > mostUnheard {
+		t.hear(o.unheard[0].Sequence)
+	}
+	return told, true
+}
+
+// Lead makes the entry itself a hub that tells its own work.
+func (t *Tally) Lead(work Sums) {
+	if t.own.hub != 0 {
+		t.moveTo(0)
+	}
+	t.setOwn(work)
+}
+
+// Follow takes the own work out of the part: another entry is the hub.
+func (t *Tally) Follow() { t.setOwn(nil) }
+
+func (t *Tally) setOwn(work Sums) {
+	for endpoint := range t.part.own.changesTo(work) {
+		t.part.unheard[endpoint] = true
+	}
+	t.part.own = clone(work)
+}
+
+// moveTo takes another entry for the hub, which has heard nothing yet.
+func (t *Tally) moveTo(hub Mark) {
+	for endpoint := range t.own.heard {
+		t.changed[endpoint] = true
+	}
+	t.own.hub = hub
+	t.own.forget()
+}
+
+// forget starts anew with a hub that has heard nothing.
+func (o *own) forget() {
+	o.hubLife = 0
+	o.told = Sums{}
+	o.heard = Sums{}
+	o.unheard = nil
+	o.isStale = true
+}
+
+// hear takes the word of the hub that it has put the own words into its part, up to
+// the sequence.
+func (t *Tally) hear(sequence uint64) {
+	o := &t.own
+	for len(o.unheard) > 0 && o.unheard[0].Sequence <= sequence {
+		word := o.unheard[0]
+		o.unheard = o.unheard[1:]
+		changes := word.Sums
+		if word.IsWhole {
+			changes = o.heard.changesTo(word.Sums)
+		}
+		for endpoint := range changes {
+			t.changed[endpoint] = true
+		}
+		o.heard.apply(changes)
+	}
+}
+
+// TakeShare takes what an entry tells this one as its hub.
+func (t *Tally) TakeShare(from ident.Entry, share Share, now clock.Millis) {
+	mark := MarkOf(from)
+	known := t.shares[mark]
+	if known == nil {
+		known = &account{sums: Sums{}}
+		t.shares[mark] = known
+	}
+	changed, isNew := known.take(share.Life, share.Sequence, share.IsWhole, share.Sums, now)
+	if !isNew {
+		return
+	}
+	t.touch(changed)
+	t.part.heard[mark] = share.Sequence
+}
+
+// TakePart takes what a hub tells.
+func (t *Tally) TakePart(part Part, now clock.Millis) {
+	if part.Hub == t.self {
+		return
+	}
+	known := t.parts[part.Hub]
+	if known == nil {
+		known = &account{sums: Sums{}, unpassed: map[pool.Mark]bool{}}
+		t.parts[part.Hub] = known
+	}
+	isOwnHub := part.Hub == t.own.hub
+	if isOwnHub && t.own.hubLife != part.Life {
+		// A hub that started anew has heard nothing.
+		hub := t.own.hub
+		isFirst := t.own.hubLife == 0
+		if !isFirst {
+			t.moveTo(hub)
+		}
+		t.own.hubLife = part.Life
+	}
+	changed, isNew := known.take(part.Life, part.Sequence, part.IsWhole, part.Sums, now)
+	if !isNew {
+		return
+	}
+	for endpoint := range changed {
+		t.changed[endpoint] = true
+		known.unpassed[endpoint] = true
+	}
+	if sequence, found := part.Heard[t.self]; found && isOwnHub && sequence <= t.own.sequence {
+		t.hear(sequence)
+	}
+}
--- /dev/null
+++ b/internal/flow/tally/tally.go
@@ -0,0 +1,259 @@
+// Package tally keeps what all entries run at each endpoint, as sums. An entry tells
+// its hub the sums of its own work; the hub adds them up to a part and tells the part
+// to all others. So what is told does not grow with the entries or the requests.
+//
+// A part holds the work of the entry that reads it too. The hub says which word of each
+// entry is in, and the entry takes that word out of the part again.
+package tally
+
+import (
+	"maps"
+
+	"github.com/cespare/xxhash/v2"
+
+	"mustardhook/internal/core/clock"
+	"mustardhook/internal/core/ident"
+	"mustardhook/internal/flow/pool"
+)
+
+const (
+	// ShareSpan is how long the word of an entry counts at its hub; entries speak to
+	// their hub three times a second.
+	ShareSpan = 1 * clock.Second
+	// PartSpan is how long the word of a hub counts; it comes over two hubs.
+	PartSpan = 2 * clock.Second
+	// LifeSpan is how long a silence must be before words of a lower life count; a
+	// process takes longer to start again.
+	LifeSpan = 800 * clock.Millis(1)
+
+	// mostUnheard bounds the words that a hub has not confirmed: it is silent then, and
+	// another one is chosen.
+	mostUnheard = 64
+)
+
+type (
+	// Mark is a short hash of an entry's name. A clash of two only misplaces work.
+	Mark uint32
+
+	// Sums are sums of work by endpoint.
+	Sums map[pool.Mark]pool.Sum
+
+	// Share is what an entry tells its hub of its own work.
+	Share struct {
+		// Life and Sequence order the words of an entry.
+		Life     uint64
+		Sequence uint64
+		// IsWhole says that endpoints that are not named have no work; otherwise only
+		// changes are named.
+		IsWhole bool
+		Sums    Sums
+	}
+
+	// Part is what the entries that tell one hub run together.
+	Part struct {
+		Hub      Mark
+		Life     uint64
+		Sequence uint64
+		IsWhole  bool
+		Sums     Sums
+		// Heard says up to which word the share of an entry is in, for the entries that
+		// spoke since the part before.
+		Heard map[Mark]uint64
+	}
+
+	// Tally is the memory of one entry. It is not safe for concurrent use.
+	Tally struct {
+		self Mark
+		life uint64
+
+		own own
+		// shares are what entries told this one as their hub, parts what hubs told.
+		shares map[Mark]*account
+		parts  map[Mark]*account
+		// part is what this entry tells as a hub.
+		part hubPart
+		// changed are the endpoints whose sum of others' work changed.
+		changed map[pool.Mark]bool
+	}
+
+	// account is what one other entry told.
+	account struct {
+		life     uint64
+		sequence uint64
+		at       clock.Millis
+		sums     Sums
+		// unpassed are the endpoints whose changes were not passed on, and isNews says
+		// that the entry spoke since it was last passed on.
+		unpassed map[pool.Mark]bool
+		isNews   bool
+	}
+
+	// own is what this entry told its hub.
+	own struct {
+		hub      Mark
+		hubLife  uint64
+		sequence uint64
+		told     Sums
+		// heard is what the hub is known to have put into its part, unheard what was
+		// told after that.
+		heard   Sums
+		unheard []Share
+		isStale bool
+	}
+
+	// hubPart is what this entry told as a hub.
+	hubPart struct {
+		sequence uint64
+		told     Sums
+		unheard  map[pool.Mark]bool
+		// own is the work of this entry itself in the part.
+		own Sums
+		// heard are the words that go into the next part.
+		heard map[Mark]uint64
+	}
+)
+
+// MarkOf returns the mark of an entry's name.
+func MarkOf(name ident.Entry) Mark { return Mark(xxhash.Sum64String(string(name))) }
+
+// New returns an empty tally for a life of an entry.
+func New(self ident.Entry, life uint64) *Tally {
+	return &Tally{
+		self:    MarkOf(self),
+		life:    life,
+		own:     own{told: Sums{}, heard: Sums{}},
+		shares:  map[Mark]*account{},
+		parts:   map[Mark]*account{},
+		part:    hubPart{told: Sums{}, unheard: map[pool.Mark]bool{}, own: Sums{}, heard: map[Mark]uint64{}},
+		changed: map[pool.Mark]bool{},
+	}
+}
+
+// Others returns the work of all other entries at an endpoint.
+func (t *Tally) Others(endpoint pool.Mark) pool.Sum {
+	var sum pool.Sum
+	for hub, part := range t.parts {
+		told, found := part.sums[endpoint]
+		if !found {
+			continue
+		}
+		if hub == t.own.hub {
+			told = told.Minus(t.own.heard[endpoint])
+		}
+		sum = sum.Plus(told)
+	}
+	for _, share := range t.shares {
+		if told, found := share.sums[endpoint]; found {
+			sum = sum.Plus(told)
+		}
+	}
+	return sum
+}
+
+// TakeChanged returns the endpoints whose sum of others' work changed since the last
+// call.
+func (t *Tally) TakeChanged() []pool.Mark {
+	if len(t.changed) == 0 {
+		return nil
+	}
+	found := make([]pool.Mark, 0, len(t.changed))
+	for endpoint := range t.changed {
+		found = append(found, endpoint)
+	}
+	clear(t.changed)
+	return found
+}
+
+// Expire forgets what was told by entries that are silent now.
+func (t *Tally) Expire(now clock.Millis) {
+	for entry, share := range t.shares {
+		if now-share.at > ShareSpan {
+			t.touch(share.sums)
+			delete(t.shares, entry)
+		}
+	}
+	for hub, part := range t.parts {
+		if now-part.at > PartSpan {
+			t.drop(hub, part)
+		}
+	}
+}
+
+func (t *Tally) drop(hub Mark, part *account) {
+	for endpoint := range part.sums {
+		t.changed[endpoint] = true
+	}
+	delete(t.parts, hub)
+	if hub == t.own.hub {
+		t.own.forget()
+	}
+}
+
+// touch notes that the sums of the endpoints changed, here and in the own part.
+func (t *Tally) touch(sums Sums) {
+	for endpoint := range sums {
+		t.changed[endpoint] = true
+		t.part.unheard[endpoint] = true
+	}
+}
+
+// take puts a word into the account and returns the endpoints that it changed. Words
+// that were overtaken change nothing.
+func (a *account) take(life, sequence uint64, isWhole bool, sums Sums, now clock.Millis) (changed Sums, isNew bool) {
+	// Lives are numbered by the time of day, which may jump back: a lower one is taken
+	// for new after a silence.
+	isLate := life == a.life && sequence <= a.sequence || life < a.life && now-a.at < LifeSpan
+	if isLate {
+		return nil, false
+	}
+	changed = Sums{}
+	if life != a.life || isWhole {
+		for endpoint := range a.sums {
+			if _, found := sums[endpoint]; !found {
+				changed[endpoint] = pool.Sum{}
+			}
+		}
+	}
+	for endpoint, sum := range sums {
+		if a.sums[endpoint] != sum {
+			changed[endpoint] = sum
+		}
+	}
+	a.life, a.sequence, a.at, a.isNews = life, sequence, now, true
+	a.sums.apply(changed)
+	return changed, true
+}
+
+// apply takes changes; an empty sum takes the endpoint out.
+func (s Sums) apply(changes Sums) {
+	for endpoint, sum := range changes {
+		if sum == (pool.Sum{}) {
+			delete(s, endpoint)
+			continue
+		}
+		s[endpoint] = sum
+	}
+}
+
+// changesTo returns what must be told to one who knows these sums.
+func (s Sums) changesTo(next Sums) Sums {
+	changes := Sums{}
+	for endpoint, sum := range next {
+		if s[endpoint] != sum {
+			changes[endpoint] = sum
+		}
+	}
+	for endpoint := range s {
+		if _, found := next[endpoint]; !found {
+			changes[endpoint] = pool.Sum{}
+		}
+	}
+	return changes
+}
+
+func clone(sums Sums) Sums {
+	if len(sums) == 0 {
+		return Sums{}
+	}
+	return maps.Clone(sums)
+}
