Telling of work and its rate have files of their own

Cause: tell.go held news, work and two rates in one type. Change: work.go tells work, meter.go bounds a rate. No behaviour changes.

--- a/internal/flow/peers/peers.go
+++ b/internal/flow/peers/peers.go
@@ -27,13 +27,19 @@
 
 // WithBurst sets how far what is told may be ahead of TellRate, in the time that the
 // rate takes for it.
-func WithBurst(span clock.Millis) Option { return func(c *teller) { c.burst = span } }
+func WithBurst(span clock.Millis) Option {
+	return func(c *teller) {
+		c.told.burst = span
+		c.shares.burst = span
+	}
+}
 
 // NewControllers returns the controllers that take and that tell news. Datagrams
 // go to the same port on every instance.
 func NewControllers(port string, options ...Option) (listens, tells board.Controller) {
 	tell := &teller{
-		port: port, burst: TellBurst, changed: map[ident.Entry]change{}, domains: map[ident.Domain]domainWord{},
+		port: port, changed: map[ident.Entry]change{}, domains: map[ident.Domain]domainWord{},
+		told: meter{rate: TellRate, burst: TellBurst}, shares: meter{rate: ShareRate, burst: TellBurst},
 	}
 	for _, set := range options {
 		set(tell)
--- a/internal/flow/peers/tell.go
+++ b/internal/flow/peers/tell.go
@@ -8,10 +8,8 @@
 	"mustardhook/internal/core/clock"
 	"mustardhook/internal/core/ident"
 	"mustardhook/internal/flow/board"
-	"mustardhook/internal/flow/cost"
 	"mustardhook/internal/flow/input"
 	"mustardhook/internal/flow/output"
-	"mustardhook/internal/flow/plan"
 	"mustardhook/internal/flow/tally"
 )
 
@@ -28,34 +26,6 @@
 	// AskedSpan is how long an entry passes news on after it was asked to.
 	AskedSpan = 1 * clock.Second
 
-	// TellRate bounds what a hub tells an entry, in bytes a second. With ShareRate it
-	// keeps within the 9 KB/s that an entry may spend, less what is estimated too low.
-	TellRate = 7000
-	// ShareRate bounds what an entry tells its hub of its own work, in bytes a second.
-	ShareRate = 1500
-	// TellBurst is how far what is told may be ahead of the rate, in the time that the
-	// rate takes for it. Work must be known while it is new, above all in a surge of
-	// callers, which lasts ten seconds and trebles what there is to tell.
-	TellBurst = 20 * clock.Second
-	// WholePartsSpan is the least time between two tellings of all work, which mend what
-	// datagrams lost on their way.
-	WholePartsSpan = 2 * clock.Second
-
-	// wholePartsParts is how many times longer it is when there is much work, so that
-	// it takes a third of the rate.
-	wholePartsParts = 3
-	// mostWithheld bounds how long work is not told.
-	mostWithheld = 2 * clock.Second
-	// partSums bounds the sums of one datagram, which is a few packets long.
-	partSums = 150
-	// The usual lengths of the head of a datagram, of brief news, of a datagram with a
-	// share, of the head of a part, of a sum and of the word that is in.
-	headBytes  = 60
-	newsBytes  = 50
-	shareBytes = 80
-	partBytes  = 20
-	sumBytes   = 18
-	heardBytes = 8
 	// wholePerRound is of how many entries a hub tells all in a round: ten a second.
 	wholePerRound = 3
 	// batchNews bounds the news of one datagram.
@@ -67,9 +37,7 @@
 	// what the entries there tell, to them and to the hubs of the other domains, so
 	// that the datagrams of an entry do not grow with the number of entries.
 	teller struct {
-		port string
-		// burst is how far what is told may be ahead of its rate.
-		burst    clock.Millis
+		port     string
 		sequence uint64
 		toldAt   clock.Millis
 		roundAt  clock.Millis
@@ -90,10 +58,10 @@
 		domains map[ident.Domain]domainWord
 		// isPassing says that the entry passes news on.
 		isPassing bool
-		// paidAt and sharePaidAt are when what was told is within its rates, wholePartsAt
-		// when all work is told again.
-		paidAt       clock.Millis
-		sharePaidAt  clock.Millis
+		// told bounds what the hub tells each entry, shares what the entry tells its hub.
+		told   meter
+		shares meter
+		// wholePartsAt is when all work is told again.
 		wholePartsAt clock.Millis
 		// partsAt is when work was last told, and isHeld says that it was held back since.
 		partsAt clock.Millis
@@ -165,21 +133,6 @@
 	c.passOn(b, own, isHub, isRound)
 }
 
-// tellHub tells the hub of the own work and news.
-func (c *teller) tellHub(b *board.Board, hub board.Member, own []input.News, isRound bool) {
-	batch := input.Batch{Sender: b.Self, PassOn: true, News: own}
-	if c.sharePaidAt-b.Now > c.burst {
-		c.send(b, []string{c.newsAddress(hub.Address)}, batch)
-		return
-	}
-	if share, isNew := b.Tally.Tell(hub.Name, ownWork(b), isRound); isNew {
-		batch.Share = &share
-		size := clock.Millis(shareBytes + sumBytes*len(share.Sums))
-		c.sharePaidAt = max(c.sharePaidAt, b.Now) + size*clock.Second/ShareRate
-	}
-	c.send(b, []string{c.newsAddress(hub.Address)}, batch)
-}
-
 // wake asks for a step when what is pending may be told.
 func (c *teller) wake(b *board.Board, isPending bool) {
 	if isPending && c.wakeAt <= b.Now {
@@ -217,68 +170,12 @@
 	if isRound {
 		c.addLive(b, &inside, &outside)
 	}
-	c.charge(b, clock.Millis(headBytes+newsBytes*len(inside.News))*clock.Second/TellRate)
+	c.told.charge(headBytes+newsBytes*len(inside.News), b.Now)
 	c.addParts(b, &inside, &outside, isRound)
 	c.send(b, c.membersToTell(b), inside)
 	c.send(b, c.hubsToTell(b), outside)
 }
 
-// addParts adds the work of the own failure domain, and what other hubs told of
-// theirs. When more is told than the rate allows, work is told less often, and meanwhile
-// rounds say only that the hub lives. News of other kinds is never held back.
-func (c *teller) addParts(b *board.Board, inside, outside *input.Batch, isRound bool) {
-	scope := tally.ScopeChanged
-	switch {
-	case c.paidAt-b.Now > c.burst:
-		c.isHeld = true
-		if !isRound {
-			return
-		}
-		scope = tally.ScopeNone
-	case isRound && b.Now >= c.wholePartsAt:
-		scope = tally.ScopeWhole
-	}
-	if own, isNew := b.Tally.OwnPart(scope); isNew {
-		outside.Parts = []tally.Part{own}
-		inside.Parts = []tally.Part{own}
-	}
-	inside.Parts = append(inside.Parts, b.Tally.PassOn(scope)...)
-	held := clock.Millis(0)
-	if c.isHeld {
-		held = b.Now - c.partsAt
-	}
-	for i := range inside.Parts {
-		inside.Parts[i].Held += held
-	}
-	for i := range outside.Parts {
-		outside.Parts[i].Held += held
-	}
-	if scope != tally.ScopeNone {
-		c.partsAt = b.Now
-		c.isHeld = false
-	}
-	span := sizeOf(inside.Parts) * clock.Second / TellRate
-	c.charge(b, span)
-	if scope == tally.ScopeWhole {
-		c.wholePartsAt = b.Now + max(WholePartsSpan, wholePartsParts*span)
-	}
-}
-
-// sizeOf estimates the bytes of the parts in a datagram.
-func sizeOf(parts []tally.Part) clock.Millis {
-	size := 0
-	for _, part := range parts {
-		size += partBytes + sumBytes*len(part.Sums) + heardBytes*len(part.Heard)
-	}
-	return clock.Millis(size)
-}
-
-// charge counts the time that the rate takes for what is told. The debt is bounded,
-// so that work is told now and then whatever else there is to tell.
-func (c *teller) charge(b *board.Board, span clock.Millis) {
-	c.paidAt = min(max(c.paidAt, b.Now)+span, b.Now+c.burst+mostWithheld)
-}
-
 func (c *teller) membersToTell(b *board.Board) []string {
 	var addresses []string
 	for _, found := range b.Roster(b.Domain) {
@@ -428,28 +325,3 @@
 	slices.Sort(known)
 	return known
 }
-
-// ownWork sums up the work of the entry itself.
-func ownWork(b *board.Board) tally.Sums {
-	own := tally.Sums{}
-	add := func(engine *plan.Engine, name ident.Endpoint, number uint64) {
-		endpoint := b.Pool.Find(name)
-		if endpoint == nil {
-			return
-		}
-		if work, found := endpoint.Work[number]; found {
-			own[endpoint.Mark()] = own[endpoint.Mark()].Plus(cost.SumOf(engine, work, b.Now))
-		}
-	}
-	for number, request := range b.Requests {
-		engine := b.Plan.Services[request.Service].Engine
-		if engine == nil {
-			continue
-		}
-		add(engine, request.Endpoint, number)
-		for _, helper := range request.Helpers {
-			add(engine, helper, number)
-		}
-	}
-	return own
-}
