--- a/internal/flow/place/engine.go
+++ b/internal/flow/place/engine.go
@@ -93,7 +93,7 @@
 	sound, slow := splitSlow(candidates, b.Now)
 	short, long := lanes(engine, sound)
 	if !cost.IsLong(engine, prompt) {
-		found := cheapest(b, short, slices.Concat(long, slow), prompt, need)
+		found := cheapest(b, short, long, slow, prompt, need)
 		found.urgency = urgencyShort
 		if found.isFull && !request.HasComeBack() && request.Runs == 0 {
 			return choice{reason: call.ReasonOverload, retryAfter: b.RetryAfter(request)}
@@ -124,8 +124,12 @@
 // that is read there holds up all others, and short prompts go there last. When
 // most are slow, the pace tells nothing apart.
 func splitSlow(candidates []*candidate, now clock.Millis) (sound, slow []*candidate) {
+	isSlow := func(found *candidate) bool { return found.endpoint.Pace(now) >= pool.SlowPace }
+	if !slices.ContainsFunc(candidates, isSlow) {
+		return candidates, nil
+	}
 	for _, found := range candidates {
-		if found.endpoint.Pace(now) >= pool.SlowPace {
+		if isSlow(found) {
 			slow = append(slow, found)
 			continue
 		}
@@ -150,30 +154,36 @@
 	return candidates[:size], candidates[size:]
 }
 
+// priceShort prices a short prompt at the engine: its own wait, and what it adds to
+// the passes of others.
+func (c *candidate) priceShort(prompt, need int) {
+	first := cost.FirstMillis(c.engine, c.load, prompt, 1)
+	c.first = clock.Millis(first)
+	c.price = first + cost.StrideMillis(c.engine, c.load)
+	c.isFull = c.load.MemoryTokens+need > c.engine.MemoryTokens || c.load.Leads >= c.engine.Slots
+}
+
 // cheapest takes an engine with an early predicted first event; those of the
 // other lane count for more. Entries that decide within the time that news takes
 // see the same loads, so each takes one of as many engines as were likely chosen
 // in that time.
-func cheapest(b *board.Board, own, other []*candidate, prompt, need int) choice {
+func cheapest(b *board.Board, short, long, slow []*candidate, prompt, need int) choice {
+	byPrice := make([]*candidate, 0, len(short)+len(long)+len(slow))
+	byPrice = append(byPrice, short...)
+	byPrice = append(byPrice, long...)
+	byPrice = append(byPrice, slow...)
 	shorts := 0
-	consider := func(found *candidate, penalty float64) {
-		first := cost.FirstMillis(found.engine, found.load, prompt, 1)
-		found.first = clock.Millis(first)
-		found.price = first + cost.StrideMillis(found.engine, found.load) + penalty
-		found.isFull = found.load.MemoryTokens+need > found.engine.MemoryTokens || found.load.Leads >= found.engine.Slots
+	for i, found := range byPrice {
+		shorts += found.load.Shorts
+		found.priceShort(prompt, need)
+		if i >= len(short) {
+			found.price += foreignPenalty
+		}
 		if found.isFull {
 			found.price += fullPenalty
 		}
 		found.price *= 1 + jitter*b.Random.Float64()
-		shorts += found.load.Shorts
-	}
-	for _, found := range own {
-		consider(found, 0)
-	}
-	for _, found := range other {
-		consider(found, foreignPenalty)
 	}
-	byPrice := slices.Concat(own, other)
 	slices.SortFunc(byPrice, func(a, b *candidate) int { return cmp.Compare(a.price, b.price) })
 	delay := newsDelay + b.Tally.Held()
 	unseen := int(math.Round(float64(shorts) * float64(delay) / float64(cost.ShortSpan)))
