--- a/internal/flow/place/engine.go
+++ b/internal/flow/place/engine.go
@@ -18,9 +18,6 @@
 	partRead = 100.0
 	// bearableRead is the longest part that engines of the short lane read.
 	bearableRead = 150.0
-	// tightGap is the longest pause that passes with parts of long prompts exceed: two
-	// parts and a stride.
-	tightGap = 300 * clock.Millis(1)
 	// releaseUnread is how much an engine may still have to read, in milliseconds,
 	// when the next part is sent to it.
 	releaseUnread = 100.0
@@ -95,7 +92,7 @@
 	}
 	sound, slow := splitSlow(candidates, b.Now)
 	short, long := lanes(engine, sound)
-	if isShort(engine, request) {
+	if !cost.IsLong(engine, prompt) {
 		found := cheapest(b, short, long, slow, prompt, need)
 		found.urgency = urgencyShort
 		if found.isFull && !request.HasComeBack() && request.Runs == 0 {
@@ -108,19 +105,6 @@
 	return found
 }
 
-// isShort reports whether the prompt is read whole among short ones. One whose caller
-// bears short pauses only would be late among parts of long prompts, so it is kept apart
-// from them as long as others bear its reading.
-func isShort(engine *plan.Engine, request *board.Request) bool {
-	prompt := request.Request.PromptTokens
-	if !cost.IsLong(engine, prompt) {
-		return true
-	}
-	stream, is := request.Route.Repeat.(plan.Stream)
-	isTight := is && stream.GapObjective <= tightGap
-	return isTight && cost.ReadMillis(engine, prompt, 1) <= bearableRead
-}
-
 // survey lists the usable engines in an order that all entries share.
 func survey(b *board.Board, request *board.Request, engine *plan.Engine) []*candidate {
 	endpoints := usable(b, request)
