Endpoints whose entries lapsed are not told to leave when the list is back

Ruled out: lists that were told late: all entries had 19 endpoints at revision 58 within 0.7 s, with usable=0 and listAge=0. TestLapsedEndpointsAreNotToldToLeave was red before.

--- a/internal/flow/parts/requests_test.go
+++ b/internal/flow/parts/requests_test.go
@@ -297,3 +297,34 @@
 	w.step(input.ListTold{List: back, Revision: 13})
 	require.True(t, w.board.Pool.Find("desk-0").IsUsable(w.board.Now))
 }
+
+// Endpoints whose entries lapsed while the list could not be read are back after its
+// return. That they vanished in between is no sign that they leave, and must not be
+// told as one (a day of cork-snowdesk refused everything for six seconds).
+func TestLapsedEndpointsAreNotToldToLeave(t *testing.T) {
+	w := newWorld(t).serve(4)
+	w.step(input.SourceLost{Reason: "test"})
+	w.pass(3 * clock.Second)
+	w.step(input.SourceBack{})
+	w.step(input.EndpointGone{Name: "desk-0", Revision: 20})
+	require.Empty(t, w.board.Pool.Left(w.board.Now))
+	require.True(t, w.board.Pool.Find("desk-0").IsUsable(w.board.Now), "in doubt")
+	back := pool.Listed{Name: "desk-0", Service: desk, Address: "10.2.0.0:80", Domain: "north", Slots: 6, Born: 1}
+	w.step(input.EndpointRead{Entry: back, Revision: 21})
+	require.Empty(t, w.board.Pool.Left(w.board.Now))
+	require.True(t, w.board.Pool.Find("desk-0").IsUsable(w.board.Now))
+
+	// One that is still missing when the doubt ends is gone, and others hear of it.
+	w.step(input.EndpointGone{Name: "desk-1", Revision: 22})
+	w.pass(pool.DoubtSpan)
+	require.False(t, w.board.Pool.Find("desk-1").IsUsable(w.board.Now))
+	w.step(input.EndpointGone{Name: "desk-2", Revision: 23})
+	require.Equal(t, []pool.Mark{pool.MarkOf("desk-2")}, w.board.Pool.Left(w.board.Now))
+
+	// What is listed again does not leave.
+	back.Name = "desk-2"
+	back.Address = "10.2.0.2:80"
+	back.Domain = "harbour"
+	w.step(input.EndpointRead{Entry: back, Revision: 24})
+	require.Empty(t, w.board.Pool.Left(w.board.Now))
+}
--- a/internal/flow/pool/pool.go
+++ b/internal/flow/pool/pool.go
@@ -186,10 +186,13 @@
 func (p *Pool) Put(entry Listed, now clock.Millis) {
 	known := p.endpoints[entry.Name]
 	defer func() {
-		if put := p.endpoints[entry.Name]; put.Leaving && put.LeftAt == 0 {
-			put.LeftAt = now
-			p.note(put)
+		put := p.endpoints[entry.Name]
+		if !put.Leaving {
+			put.LeftAt = 0
+			return
 		}
+		put.leave(now)
+		p.note(put)
 	}()
 	if known == nil || known.Born != entry.Born || known.Address != entry.Address {
 		made := &Endpoint{
@@ -225,16 +228,15 @@
 		return
 	}
 	known.GoneAt = now
-	if p.lost == 0 && known.LeftAt == 0 {
-		known.LeftAt = now
-		p.note(known)
-	}
 	switch {
 	case p.lost != 0:
 		known.DoubtUntil = now + DoubtSpan
-	case p.backAt != 0:
-		// An entry that leaves after the return of the list is not spared longer.
+	case p.backAt != 0 && now < p.backAt+DoubtSpan:
+		// Its entry may have lapsed while the list was away.
 		known.DoubtUntil = p.backAt + DoubtSpan
+	default:
+		known.leave(now)
+		p.note(known)
 	}
 }
 
@@ -283,14 +285,19 @@
 	known.DoubtUntil = now + entry.Doubt
 }
 
+// leave notes that the endpoint was found to leave.
+func (e *Endpoint) leave(now clock.Millis) {
+	if e.LeftAt == 0 {
+		e.LeftAt = now
+	}
+}
+
 // settle takes the news that the endpoint is gone beyond doubt.
 func (e *Endpoint) settle(now clock.Millis) {
 	if e.GoneAt == 0 {
 		e.GoneAt = now
 	}
-	if e.LeftAt == 0 {
-		e.LeftAt = now
-	}
+	e.leave(now)
 	e.DoubtUntil = 0
 }
 
