Lists are told by what changed, and the rate of news is a setting

Change: endpoints know the revision at which they changed, and entries ask for changes; the index is kept; newsBytesPerSecond bounds what a hub tells, 32 KB/s as deployed. TestChangesOfTheList compares both ways of telling.

--- a/internal/flow/input/input.go
+++ b/internal/flow/input/input.go
@@ -36,6 +36,9 @@
 		RetryRatio  float64
 		RetrySlack  float64
 		RetryWindow clock.Millis
+		// NewsRate bounds what a hub tells an entry, in bytes a second on average; zero for
+		// no bound.
+		NewsRate int
 		// Stall is how long work waits at an endpoint that depends on a dead one.
 		Stall clock.Millis
 		// Grace is how long a stopped entry may go on.
@@ -67,6 +70,9 @@
 	ListTold struct {
 		List     []pool.Known
 		Revision uint64
+		// IsChanges says that only what changed is there, and Gone what is gone.
+		IsChanges bool
+		Gone      []ident.Endpoint
 	}
 
 	// EndpointRead brings one changed entry of the list.
--- a/internal/flow/intake/intake.go
+++ b/internal/flow/intake/intake.go
@@ -31,9 +31,7 @@
 		}
 	case input.ListTold:
 		if moves(b, happened.Revision) {
-			b.Pool.ReplaceKnown(happened.List, b.Now)
-			b.ListRead = true
-			b.Note("List of endpoints told.", "endpoints", len(happened.List), "revision", happened.Revision)
+			takeTold(b, happened)
 		}
 	case input.EndpointRead:
 		if !b.Pool.Has(happened.Entry) && moves(b, happened.Revision) {
@@ -66,6 +64,17 @@
 	}
 }
 
+func takeTold(b *board.Board, told input.ListTold) {
+	if told.IsChanges {
+		b.Pool.ChangeKnown(told.List, told.Gone, b.Now)
+		b.Note("Changes of endpoints told.", "endpoints", len(told.List), "gone", len(told.Gone), "revision", told.Revision)
+		return
+	}
+	b.Pool.ReplaceKnown(told.List, b.Now)
+	b.ListRead = true
+	b.Note("List of endpoints told.", "endpoints", len(told.List), "revision", told.Revision)
+}
+
 // moves takes the list to the revision. What is older than the list, which may
 // have come from another entry, changes nothing.
 func moves(b *board.Board, revision uint64) bool {
@@ -73,6 +82,7 @@
 		return false
 	}
 	b.ListRevision = revision
+	b.Pool.MoveTo(revision)
 	b.NewsChanged = true
 	return true
 }
--- a/internal/flow/parts/fleet_test.go
+++ b/internal/flow/parts/fleet_test.go
@@ -189,6 +189,9 @@
 			made.from.board.Now = f.now
 			given := made.to.board
 			told := input.ListTold{List: given.Pool.Known(f.now), Revision: given.ListRevision}
+			if list, gone, isKnown := given.Pool.Changes(made.from.board.ListRevision, f.now); isKnown {
+				told = input.ListTold{List: list, Gone: gone, Revision: given.ListRevision, IsChanges: true}
+			}
 			f.collect(made.from, made.from.step(told))
 			f.collect(made.from, made.from.step(input.PlanRead{Plan: given.Plan}))
 			f.collect(made.from, made.from.step(input.FetchEnded{}))
--- a/internal/flow/parts/traffic_test.go
+++ b/internal/flow/parts/traffic_test.go
@@ -20,6 +20,8 @@
 const (
 	// controlBound is what an entry may spend on control, in bytes a second.
 	controlBound = 9000
+	// boundRate is the setting that keeps within it.
+	boundRate = 7000
 	// answerSpan is how long a usual answer takes.
 	answerSpan = 1500 * clock.Millis(1)
 	// longShare is the part of prompts over a hundred thousand tokens.
@@ -101,6 +103,9 @@
 	for _, e := range f.entries {
 		e.serveModels(models, engineCount)
 	}
+	for _, e := range f.entries {
+		e.board.Settings.NewsRate = boundRate
+	}
 	f.pass(3 * clock.Second)
 	f.load(2*clock.Second, perSecond, models)
 	f.countBytes = true
--- a/internal/flow/peers/meter.go
+++ b/internal/flow/peers/meter.go
@@ -8,7 +8,8 @@
 // meter bounds the rate of what is told. It lets a burst through, and what is charged
 // beyond that must wait.
 type meter struct {
-	// rate is in bytes a second, burst the time that the rate takes for a burst.
+	// rate is in bytes a second, zero for no bound; burst is the time that the rate takes
+	// for a burst.
 	rate  int
 	burst clock.Millis
 	// paidAt is when all that was charged is within the rate.
@@ -17,6 +18,9 @@
 
 // spanOf is the time that the rate takes for the bytes.
 func (m *meter) spanOf(bytes int) clock.Millis {
+	if m.rate == 0 {
+		return 0
+	}
 	return clock.Millis(bytes) * clock.Second / clock.Millis(m.rate)
 }
 
--- a/internal/flow/peers/peers.go
+++ b/internal/flow/peers/peers.go
@@ -25,7 +25,7 @@
 	Option func(*teller)
 )
 
-// WithBurst sets how far what is told may be ahead of TellRate, in the time that the
+// WithBurst sets how far what is told may be ahead of its rate, in the time that the
 // rate takes for it.
 func WithBurst(span clock.Millis) Option {
 	return func(c *teller) {
@@ -39,7 +39,7 @@
 func NewControllers(port string, options ...Option) (listens, tells board.Controller) {
 	tell := &teller{
 		port: port, changed: map[ident.Entry]change{}, domains: map[ident.Domain]domainWord{},
-		told: meter{rate: TellRate, burst: TellBurst}, shares: meter{rate: ShareRate, burst: TellBurst},
+		told: meter{burst: TellBurst}, shares: meter{burst: TellBurst},
 	}
 	for _, set := range options {
 		set(tell)
@@ -52,10 +52,16 @@
 	switch happened := happened.(type) {
 	case input.NewsCame:
 		l.takeBatch(b, happened.Batch)
-	case input.ListRead, input.ListTold, input.EndpointRead:
+	case input.ListRead:
 		for mark, endpoint := range b.Pool.All() {
 			endpoint.Others = b.Tally.Others(mark)
 		}
+	case input.ListTold:
+		for _, told := range happened.List {
+			recount(b, told.Name)
+		}
+	case input.EndpointRead:
+		recount(b, happened.Entry.Name)
 	case input.FetchEnded:
 		b.FetchUntil = b.Now + FetchSpan
 	case input.Ticked:
@@ -70,6 +76,13 @@
 	settle(b)
 }
 
+// recount puts what others are known to run to an endpoint that was just listed.
+func recount(b *board.Board, name ident.Endpoint) {
+	if endpoint := b.Pool.Find(name); endpoint != nil {
+		endpoint.Others = b.Tally.Others(endpoint.Mark())
+	}
+}
+
 // settle puts what others are known to run to the endpoints.
 func settle(b *board.Board) {
 	for _, mark := range b.Tally.TakeChanged() {
--- a/internal/flow/peers/tell.go
+++ b/internal/flow/peers/tell.go
@@ -114,6 +114,8 @@
 // distribute tells the own hub, and passes news on as the hub or when another
 // entry takes this one for it.
 func (c *teller) distribute(b *board.Board, isRound bool) {
+	c.told.rate = b.Settings.NewsRate
+	c.shares.rate = b.Settings.NewsRate / shareParts
 	own := c.ownNews(b, isRound)
 	hub, found := c.chooseHub(b)
 	isHub := !found || hub.Peer == nil
--- a/internal/flow/peers/work.go
+++ b/internal/flow/peers/work.go
@@ -11,11 +11,6 @@
 )
 
 const (
-	// TellRate bounds what a hub tells an entry, in bytes a second. With ShareRate it
-	// keeps within the 9 KB/s that an entry may spend, less what is estimated too low.
-	TellRate = 7000
-	// ShareRate bounds what an entry tells its hub of its own work, in bytes a second.
-	ShareRate = 1500
 	// TellBurst is how far what is told may be ahead of the rate, in the time that the
 	// rate takes for it. Work must be known while it is new, above all in a surge of
 	// callers, which lasts ten seconds and trebles what there is to tell.
@@ -24,6 +19,8 @@
 	// datagrams lost on their way.
 	WholePartsSpan = 2 * clock.Second
 
+	// shareParts is the part of the rate of a hub at which an entry tells its own work.
+	shareParts = 4
 	// wholePartsParts is how many times longer it is when there is much work, so that
 	// it takes a third of the rate.
 	wholePartsParts = 3
--- a/internal/flow/pool/pool.go
+++ b/internal/flow/pool/pool.go
@@ -91,6 +91,9 @@
 		reported Pace
 		askedAt  clock.Millis
 
+		// revision is that of the list at which the endpoint last changed.
+		revision uint64
+
 		mark Mark
 		// order places the endpoint in an order that all entries share and that says
 		// nothing of it.
@@ -121,9 +124,14 @@
 	// Pool is all endpoints by name.
 	Pool struct {
 		endpoints map[ident.Endpoint]*Endpoint
-		// byMark and byService are made anew when endpoints come or go.
 		byMark    map[Mark]*Endpoint
+		// byService holds the endpoints of a service in order; it is made anew for services
+		// whose endpoints came or went.
 		byService map[ident.Service][]*Endpoint
+		// revision is that of the list, and sweptRevision the newest one at which an
+		// endpoint changed that is forgotten.
+		revision      uint64
+		sweptRevision uint64
 		// noted are the endpoints with failures, reports or a leave to tell of.
 		noted map[Mark]*Endpoint
 		// lost is when reads of the list began to fail; zero while they succeed.
@@ -146,6 +154,7 @@
 func New() *Pool {
 	return &Pool{
 		endpoints: map[ident.Endpoint]*Endpoint{}, cut: map[ident.Domain]cutDomain{}, noted: map[Mark]*Endpoint{},
+		byMark: map[Mark]*Endpoint{}, byService: map[ident.Service][]*Endpoint{},
 	}
 }
 
@@ -182,36 +191,54 @@
 	return nil
 }
 
+// MoveTo takes the list to the revision, at which all changes that follow were made.
+func (p *Pool) MoveTo(revision uint64) { p.revision = revision }
+
 // Put takes a published entry.
 func (p *Pool) Put(entry Listed, now clock.Millis) {
+	put := p.put(entry)
+	if !put.Leaving {
+		put.LeftAt = 0
+		return
+	}
+	put.leave(now)
+	p.note(put)
+}
+
+func (p *Pool) put(entry Listed) *Endpoint {
+	if p.Has(entry) {
+		return p.endpoints[entry.Name]
+	}
 	known := p.endpoints[entry.Name]
-	defer func() {
-		put := p.endpoints[entry.Name]
-		if !put.Leaving {
-			put.LeftAt = 0
-			return
-		}
-		put.leave(now)
-		p.note(put)
-	}()
 	if known == nil || known.Born != entry.Born || known.Address != entry.Address {
-		made := &Endpoint{
-			Listed: entry, Work: map[uint64]Work{}, mark: MarkOf(entry.Name), order: xxhash.Sum64String(string(entry.Name)),
-		}
-		if known != nil {
-			made.Others = known.Others
-		}
-		p.endpoints[entry.Name] = made
-		delete(p.noted, made.mark)
-		p.byMark = nil
-		return
+		return p.begin(entry, known)
 	}
 	if known.Service != entry.Service {
-		p.byMark = nil
+		delete(p.byService, known.Service)
+		delete(p.byService, entry.Service)
 	}
 	known.Listed = entry
 	known.GoneAt = 0
 	known.DoubtUntil = 0
+	known.revision = p.revision
+	return known
+}
+
+// begin takes an endpoint that was not known, or a new life of one.
+func (p *Pool) begin(entry Listed, before *Endpoint) *Endpoint {
+	made := &Endpoint{
+		Listed: entry, Work: map[uint64]Work{}, revision: p.revision, mark: MarkOf(entry.Name),
+		order: xxhash.Sum64String(string(entry.Name)),
+	}
+	if before != nil {
+		made.Others = before.Others
+		delete(p.byService, before.Service)
+	}
+	p.endpoints[entry.Name] = made
+	p.byMark[made.mark] = made
+	delete(p.byService, entry.Service)
+	delete(p.noted, made.mark)
+	return made
 }
 
 // Has reports whether the entry is listed just so.
@@ -228,6 +255,7 @@
 		return
 	}
 	known.GoneAt = now
+	known.revision = p.revision
 	switch {
 	case p.lost != 0:
 		known.DoubtUntil = now + DoubtSpan
@@ -268,12 +296,50 @@
 	}
 	for name, endpoint := range p.endpoints {
 		if !known[name] {
-			endpoint.settle(now)
-			p.note(endpoint)
+			p.settle(endpoint, now)
+		}
+	}
+}
+
+// ChangeKnown takes the changes of the list that another entry knows; the endpoints
+// that are named as gone are so beyond doubt.
+func (p *Pool) ChangeKnown(list []Known, gone []ident.Endpoint, now clock.Millis) {
+	for _, entry := range list {
+		if entry.Doubt > 0 {
+			p.doubt(entry, now)
+			continue
+		}
+		p.Put(entry.Listed, now)
+	}
+	for _, name := range gone {
+		if endpoint := p.endpoints[name]; endpoint != nil {
+			p.settle(endpoint, now)
 		}
 	}
 }
 
+// Changes returns what changed in the list after the revision: the endpoints to pass on
+// and those that are gone. It reports false when that is not known any more.
+func (p *Pool) Changes(after uint64, now clock.Millis) (list []Known, gone []ident.Endpoint, isKnown bool) {
+	if after == 0 || after < p.sweptRevision {
+		return nil, nil, false
+	}
+	for name, endpoint := range p.endpoints {
+		switch {
+		case endpoint.revision <= after:
+		case endpoint.GoneAt == 0:
+			list = append(list, Known{Listed: endpoint.Listed})
+		case now < endpoint.DoubtUntil:
+			list = append(list, Known{Listed: endpoint.Listed, Doubt: endpoint.DoubtUntil - now})
+		default:
+			gone = append(gone, name)
+		}
+	}
+	slices.SortFunc(list, func(a, b Known) int { return cmp.Compare(a.Name, b.Name) })
+	slices.Sort(gone)
+	return list, gone, true
+}
+
 // doubt takes another entry's doubt about an endpoint that is listed here. It
 // brings back none that is gone.
 func (p *Pool) doubt(entry Known, now clock.Millis) {
@@ -283,6 +349,7 @@
 	}
 	known.GoneAt = now
 	known.DoubtUntil = now + entry.Doubt
+	known.revision = p.revision
 }
 
 // leave notes that the endpoint was found to leave.
@@ -293,12 +360,14 @@
 }
 
 // settle takes the news that the endpoint is gone beyond doubt.
-func (e *Endpoint) settle(now clock.Millis) {
+func (p *Pool) settle(e *Endpoint, now clock.Millis) {
 	if e.GoneAt == 0 {
 		e.GoneAt = now
+		e.revision = p.revision
 	}
 	e.leave(now)
 	e.DoubtUntil = 0
+	p.note(e)
 }
 
 // Known returns the list to pass on, in order of the names.
@@ -331,45 +400,39 @@
 
 // Sweep forgets endpoints that are gone and run nothing of ours.
 func (p *Pool) Sweep(now clock.Millis) {
-	before := len(p.endpoints)
-	maps.DeleteFunc(p.endpoints, func(_ ident.Endpoint, e *Endpoint) bool {
-		return e.GoneAt != 0 && now > e.DoubtUntil && len(e.Work) == 0
-	})
-	if len(p.endpoints) != before {
-		p.byMark = nil
+	for name, endpoint := range p.endpoints {
+		if endpoint.GoneAt == 0 || now <= endpoint.DoubtUntil || len(endpoint.Work) > 0 {
+			continue
+		}
+		p.sweptRevision = max(p.sweptRevision, endpoint.revision)
+		delete(p.endpoints, name)
+		delete(p.byMark, endpoint.mark)
+		delete(p.byService, endpoint.Service)
 	}
 }
 
 // Of returns the endpoints of the service, in an order that all entries share. The
 // caller must not change the slice.
 func (p *Pool) Of(service ident.Service) []*Endpoint {
-	p.index()
-	return p.byService[service]
-}
-
-// All returns all endpoints by mark. The caller must not change the map.
-func (p *Pool) All() map[Mark]*Endpoint {
-	p.index()
-	return p.byMark
-}
-
-func (p *Pool) index() {
-	if p.byMark != nil {
-		return
+	if found, isKnown := p.byService[service]; isKnown {
+		return found
 	}
-	p.byMark = make(map[Mark]*Endpoint, len(p.endpoints))
-	p.byService = map[ident.Service][]*Endpoint{}
+	var found []*Endpoint
 	for _, endpoint := range p.endpoints {
-		p.byMark[endpoint.mark] = endpoint
-		p.byService[endpoint.Service] = append(p.byService[endpoint.Service], endpoint)
-	}
-	for _, found := range p.byService {
-		slices.SortFunc(found, func(a, b *Endpoint) int {
-			return cmp.Or(cmp.Compare(a.order, b.order), cmp.Compare(a.Name, b.Name))
-		})
+		if endpoint.Service == service {
+			found = append(found, endpoint)
+		}
 	}
+	slices.SortFunc(found, func(a, b *Endpoint) int {
+		return cmp.Or(cmp.Compare(a.order, b.order), cmp.Compare(a.Name, b.Name))
+	})
+	p.byService[service] = found
+	return found
 }
 
+// All returns all endpoints by mark. The caller must not change the map.
+func (p *Pool) All() map[Mark]*Endpoint { return p.byMark }
+
 // MarkOf returns the mark of a name.
 func MarkOf(name ident.Endpoint) Mark { return Mark(xxhash.Sum64String(string(name))) }
 
--- a/internal/flow/pool/pool_test.go
+++ b/internal/flow/pool/pool_test.go
@@ -4,8 +4,10 @@
 	"testing"
 
 	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
 
 	"mustardhook/internal/core/clock"
+	"mustardhook/internal/core/ident"
 )
 
 func listed(name string) Listed {
@@ -68,3 +70,53 @@
 	require.Empty(t, teller.Left(1000+TellSpan+1))
 	require.True(t, other.Find("e-1").IsUsable(1100+ToldSpan))
 }
+
+// An entry that is told only changes of the list knows the same as one that is told
+// the whole list each time.
+func TestChangesOfTheList(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		teller, whole, changes := New(), New(), New()
+		heard := uint64(0)
+		now := clock.Millis(1000)
+		for revision := uint64(1); revision <= uint64(rapid.IntRange(1, 30).Draw(t, "steps")); revision++ {
+			now += clock.Millis(rapid.IntRange(0, 3000).Draw(t, "span"))
+			name := ident.Endpoint(rapid.SampledFrom([]string{"a", "b", "c", "d"}).Draw(t, "name"))
+			teller.MoveTo(revision)
+			switch rapid.IntRange(0, 5).Draw(t, "what") {
+			case 0:
+				teller.Remove(name, now)
+			case 1:
+				teller.Lost(now)
+			case 2:
+				teller.Back(now)
+			case 3:
+				teller.Sweep(now)
+			default:
+				teller.Put(Listed{
+					Name: name, Service: "s", Address: "10.0.0.1:80", Born: uint64(rapid.IntRange(1, 2).Draw(t, "born")),
+					Leaving: rapid.Bool().Draw(t, "leaving"),
+				}, now)
+			}
+			if rapid.Bool().Draw(t, "isSilent") {
+				continue
+			}
+			whole.MoveTo(revision)
+			whole.ReplaceKnown(teller.Known(now), now)
+			changes.MoveTo(revision)
+			if list, gone, isKnown := teller.Changes(heard, now); isKnown {
+				changes.ChangeKnown(list, gone, now)
+			} else {
+				changes.ReplaceKnown(teller.Known(now), now)
+			}
+			heard = revision
+			for _, name := range []ident.Endpoint{"a", "b", "c", "d"} {
+				require.Equal(t, isUsable(whole, name, now), isUsable(changes, name, now), name)
+			}
+		}
+	})
+}
+
+func isUsable(p *Pool, name ident.Endpoint, now clock.Millis) bool {
+	found := p.Find(name)
+	return found != nil && found.IsUsable(now)
+}
--- a/internal/flow/proxy/news.go
+++ b/internal/flow/proxy/news.go
@@ -9,6 +9,8 @@
 	"github.com/go-faster/errors"
 
 	"mustardhook/internal/core/clock"
+	"mustardhook/internal/core/ident"
+	"mustardhook/internal/flow/board"
 	"mustardhook/internal/flow/input"
 	"mustardhook/internal/flow/newspb"
 	"mustardhook/internal/flow/output"
@@ -95,13 +97,37 @@
 		given.Document = b.PlanDocument
 	}
 	if given.ListRevision > ask.GetListRevision() {
-		given.Endpoints = share.EncodeList(b.Pool.Known(b.Now))
+		giveList(b, given, ask.GetListRevision())
 	}
 	return given, nil
 }
 
+// giveList gives the changes after the revision, or the whole list where they are not
+// known any more.
+func giveList(b *board.Board, given *newspb.PublishedGive, after uint64) {
+	list, gone, isKnown := b.Pool.Changes(after, b.Now)
+	if !isKnown {
+		list = b.Pool.Known(b.Now)
+	}
+	given.Endpoints = share.EncodeList(list)
+	given.Changes = isKnown
+	for _, name := range gone {
+		given.Gone = append(given.Gone, string(name))
+	}
+}
+
 func (p *Proxy) peerHandler() http.Handler { return newspb.NewShareServer(p) }
 
+func toldList(given *newspb.PublishedGive) input.ListTold {
+	told := input.ListTold{
+		List: share.DecodeList(given.GetEndpoints()), Revision: given.GetListRevision(), IsChanges: given.GetChanges(),
+	}
+	for _, name := range given.GetGone() {
+		told.Gone = append(told.Gone, ident.Endpoint(name))
+	}
+	return told
+}
+
 // fetchPublished takes the published state that another entry knows.
 func (p *Proxy) fetchPublished(wanted output.FetchPublished) {
 	defer p.Step(input.FetchEnded{})
@@ -114,8 +140,8 @@
 		logger.Warn("Entry gave no published state.", "address", wanted.Address, "err", err)
 		return
 	}
-	if len(given.GetEndpoints()) > 0 {
-		p.Step(input.ListTold{List: share.DecodeList(given.GetEndpoints()), Revision: given.GetListRevision()})
+	if len(given.GetEndpoints()) > 0 || given.GetChanges() {
+		p.Step(toldList(given))
 	}
 	if len(given.GetDocument()) == 0 {
 		return
--- a/internal/flow/setup/setup.go
+++ b/internal/flow/setup/setup.go
@@ -19,8 +19,11 @@
 	DefaultRetrySlack  = 100
 	DefaultRetryWindow = 10 * clock.Second
 	DefaultProcessor   = 1000
-	DefaultStall       = 1500 * clock.Millis(1)
-	DefaultGrace       = 8 * clock.Second
+	// DefaultNewsRate is twice what a fleet of 117 entries before 57 endpoints tells on
+	// average; at 7,000 an entry spends 9 KB/s on control at most.
+	DefaultNewsRate = 32_000
+	DefaultStall    = 1500 * clock.Millis(1)
+	DefaultGrace    = 8 * clock.Second
 
 	maxCount = 1 << 30
 	maxPort  = 65535
@@ -112,7 +115,7 @@
 func readBounds(bounds *strict.Object) input.Settings {
 	core := input.Settings{
 		RetryRatio: DefaultRetryRatio, RetrySlack: DefaultRetrySlack, RetryWindow: DefaultRetryWindow,
-		Stall: DefaultStall, Grace: DefaultGrace,
+		NewsRate: DefaultNewsRate, Stall: DefaultStall, Grace: DefaultGrace,
 	}
 	if bounds == nil {
 		return core
@@ -124,6 +127,7 @@
 		}
 		return clock.Millis(bounds.Float(name, 0, maxCount) * float64(unit))
 	}
+	core.NewsRate = int(bounds.Int("newsBytesPerSecond", 0, maxCount, DefaultNewsRate))
 	core.RetryWindow = number("retryWindowSeconds", clock.Second, core.RetryWindow)
 	core.Stall = number("stallMillis", 1, core.Stall)
 	core.Grace = number("graceSeconds", clock.Second, core.Grace)
