--- a/internal/flow/place/engine.go
+++ b/internal/flow/place/engine.go
@@ -28,8 +28,9 @@
 	shortShare = 0.55
 	// spareShorts is room in the short lane for requests to come.
 	spareShorts = 4
-	// leastShortLane and leastLongLane are the smallest sizes of the lanes, and the short
-	// one has at least one of shortLaneParts engines: what is known of many is old.
+	// leastShortLane and leastLongLane are the smallest sizes of the lanes. The short one
+	// has at least an eighth of the engines: in large fleets the count of short prompts is
+	// seconds old.
 	leastShortLane = 2
 	leastLongLane  = 3
 	shortLaneParts = 8
@@ -55,8 +56,8 @@
 	// spreadMillis is how much later a first event may be predicted at an engine that
 	// is taken for others' sake: a fifth of the objective of short prompts.
 	spreadMillis = 60.0
-	// spreadUnseen is for how many unseen prompts that holds; more of them take an engine
-	// longer.
+	// spreadUnseen is up to how many unseen prompts spreadMillis holds; it grows in
+	// proportion with more of them, since they may all be on the cheapest engine.
 	spreadUnseen = 4.0
 	// jitter keeps entries that decide at one instant from choosing alike.
 	jitter = 0.05
