conns: tracker of connections that a stopping server can wait for

What callers could see: a request on a kept connection that was read just as the stop began, or an answer that its handler had written, ended with a closed connection. Cause: http.Server closes a connection that it calls idle until the head of the next request is parsed, drops a request that it parses after Shutdown began, and offers no way to wait for the flush of the last answers.

The tracker lets only the serving goroutine close a connection: it makes the next read fail where no part of a request was read. Nothing uses it yet.

--- /dev/null
+++ b/internal/serve/conns/conn.go
@@ -0,0 +1,106 @@
+package conns
+
+import (
+	"net"
+	"time"
+)
+
+const (
+	stateUnused connState = iota
+	stateIdle
+	stateBusy
+)
+
+type (
+	connState int
+
+	// conn is a tracked connection. The mutex of its tracker guards the fields.
+	conn struct {
+		net.Conn
+		tracker *Tracker
+		state   connState
+		// isAwaiting is set once the server waits for the next request of an idle
+		// connection.
+		isAwaiting bool
+		// isInterrupted is set while reads fail because the connection is not needed
+		// any more.
+		isInterrupted bool
+		// readDeadline is the read deadline that the server has set.
+		readDeadline time.Time
+	}
+)
+
+// past is a read deadline that has passed.
+var past = time.Unix(1, 0)
+
+// Read reads from the connection. Bytes that it returns make the connection busy.
+func (c *conn) Read(buffer []byte) (int, error) {
+	count, err := c.Conn.Read(buffer)
+	if count > 0 {
+		c.tracker.mutex.Lock()
+		defer c.tracker.mutex.Unlock()
+		c.becomeBusy()
+	}
+	return count, err
+}
+
+// SetReadDeadline sets the read deadline unless the connection is interrupted. http.Server
+// sets one before it waits for the next request and another one once it has the first bytes
+// of it, which may come from its buffer instead of Read.
+func (c *conn) SetReadDeadline(deadline time.Time) error {
+	c.tracker.mutex.Lock()
+	defer c.tracker.mutex.Unlock()
+	c.readDeadline = deadline
+	if c.state == stateIdle && c.isAwaiting {
+		c.becomeBusy()
+	}
+	c.isAwaiting = c.state == stateIdle
+	if c.isInterrupted {
+		return nil
+	}
+	return c.Conn.SetReadDeadline(deadline)
+}
+
+// SetDeadline sets the read and the write deadline.
+func (c *conn) SetDeadline(deadline time.Time) error {
+	if err := c.SetReadDeadline(deadline); err != nil {
+		return err
+	}
+	return c.SetWriteDeadline(deadline)
+}
+
+// Close closes the connection.
+func (c *conn) Close() error {
+	err := c.Conn.Close()
+	c.tracker.remove(c)
+	return err
+}
+
+func (c *conn) becomeIdle() {
+	c.state = stateIdle
+	c.isAwaiting = false
+	c.interruptIfUnneeded()
+}
+
+// becomeBusy undoes an interruption, which came too late.
+func (c *conn) becomeBusy() {
+	c.state = stateBusy
+	c.isAwaiting = false
+	if c.isInterrupted {
+		c.isInterrupted = false
+		_ = c.Conn.SetReadDeadline(c.readDeadline)
+	}
+}
+
+// interruptIfUnneeded makes reads fail if the phase of the tracker asks for the end of a
+// connection in this state.
+func (c *conn) interruptIfUnneeded() {
+	phase := c.tracker.current()
+	isUnneeded := c.state == stateIdle && phase >= retiring || c.state == stateUnused && phase >= finishing
+	if !isUnneeded || c.isInterrupted {
+		return
+	}
+	c.isInterrupted = true
+	// A connection that refuses a deadline is closed already.
+	_ = c.Conn.SetReadDeadline(past)
+}
--- /dev/null
+++ b/internal/serve/conns/tracker.go
@@ -0,0 +1,162 @@
+// Package conns tracks the connections of an HTTP server, so that the server can stop
+// without losing a request that it has read or an answer that it has not flushed.
+//
+// The methods of http.Server that close idle connections close a connection whose next
+// request was read but not parsed yet, and Shutdown drops a request that is parsed after
+// it began. A Tracker never closes a connection. It makes the next read fail on a
+// connection of which no part of a request has been read, and the goroutine that serves
+// the connection then closes it.
+package conns
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+)
+
+const (
+	// serving keeps all connections open.
+	serving phase = iota
+	// retiring ends each connection after its current answer, and those that are idle.
+	retiring
+	// finishing also ends connections that have not sent a request yet.
+	finishing
+)
+
+type (
+	// Tracker knows the open connections of a server and ends them when it stops.
+	Tracker struct {
+		phase atomic.Int32
+		// mutex guards open and the state of the connections.
+		mutex sync.Mutex
+		open  map[*conn]struct{}
+		// closed has a value after a connection was closed.
+		closed chan struct{}
+	}
+
+	// Counts is the number of open connections by state.
+	Counts struct {
+		// Unused connections have not sent a byte, Idle ones have sent none since their
+		// last answer. On Busy ones a request is being read or answered.
+		Unused, Idle, Busy int
+	}
+
+	phase int32
+
+	listener struct {
+		net.Listener
+		tracker *Tracker
+	}
+)
+
+// New returns a tracker without connections.
+func New() *Tracker {
+	return &Tracker{open: map[*conn]struct{}{}, closed: make(chan struct{}, 1)}
+}
+
+// Listen returns a listener whose connections are tracked. It must be the listener that the
+// server accepts from, so a listener for TLS goes inside.
+func (t *Tracker) Listen(inner net.Listener) net.Listener { return listener{inner, t} }
+
+// Attach makes the server report the states of its connections to the tracker, and its
+// handler announce the end of a connection once Retire was called. Call it before the server
+// is started. Requests have no TLS state.
+func (t *Tracker) Attach(server *http.Server) {
+	server.ConnState = t.observe
+	inner := server.Handler
+	server.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		inner.ServeHTTP(&writer{w, t}, r)
+	})
+}
+
+// Retire ends the idle connections, and each other one after its next answer. New
+// connections are still served. Answers say that their connection is closed.
+func (t *Tracker) Retire() { t.enter(retiring) }
+
+// Finish does what Retire does, and also ends the connections that have not sent a request.
+// Close the listener first.
+func (t *Tracker) Finish() { t.enter(finishing) }
+
+// Open returns the number of open connections by state.
+func (t *Tracker) Open() Counts {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	var counts Counts
+	for c := range t.open {
+		switch c.state {
+		case stateUnused:
+			counts.Unused++
+		case stateIdle:
+			counts.Idle++
+		case stateBusy:
+			counts.Busy++
+		}
+	}
+	return counts
+}
+
+// Wait waits until all connections are closed or the context ends. It reports whether all
+// are closed.
+func (t *Tracker) Wait(ctx context.Context) bool {
+	for {
+		t.mutex.Lock()
+		left := len(t.open)
+		t.mutex.Unlock()
+		if left == 0 {
+			return true
+		}
+		select {
+		case <-t.closed:
+		case <-ctx.Done():
+			return false
+		}
+	}
+}
+
+// Accept implements net.Listener.
+func (l listener) Accept() (net.Conn, error) {
+	inner, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	c := &conn{Conn: inner, tracker: l.tracker}
+	l.tracker.mutex.Lock()
+	defer l.tracker.mutex.Unlock()
+	l.tracker.open[c] = struct{}{}
+	c.interruptIfUnneeded()
+	return c, nil
+}
+
+func (t *Tracker) enter(next phase) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	t.phase.Store(int32(max(next, t.current())))
+	for c := range t.open {
+		c.interruptIfUnneeded()
+	}
+}
+
+func (t *Tracker) current() phase { return phase(t.phase.Load()) }
+
+// observe is the ConnState hook of the server.
+func (t *Tracker) observe(served net.Conn, state http.ConnState) {
+	c, isTracked := served.(*conn)
+	if !isTracked || state != http.StateIdle {
+		return
+	}
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	c.becomeIdle()
+}
+
+func (t *Tracker) remove(c *conn) {
+	t.mutex.Lock()
+	delete(t.open, c)
+	t.mutex.Unlock()
+	select {
+	case t.closed <- struct{}{}:
+	default:
+	}
+}
--- /dev/null
+++ b/internal/serve/conns/tracker_test.go
@@ -0,0 +1,251 @@
+package conns
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+const (
+	plainRequest = "GET / HTTP/1.1\r\nHost: desk.example\r\n\r\n"
+	timeout      = 5 * time.Second
+)
+
+type (
+	// gate holds reads that have bytes, or writes, of the server until it is opened.
+	gate struct {
+		reached chan struct{}
+		opened  chan struct{}
+	}
+
+	gatedListener struct {
+		net.Listener
+		reads, writes *gate
+	}
+
+	gatedConn struct {
+		net.Conn
+		reads, writes *gate
+	}
+
+	testServer struct {
+		t       *testing.T
+		tracker *Tracker
+		server  *http.Server
+		address string
+	}
+)
+
+func newGate() *gate { return &gate{make(chan struct{}, 16), make(chan struct{})} }
+
+func (g *gate) pass() {
+	if g != nil {
+		g.reached <- struct{}{}
+		<-g.opened
+	}
+}
+
+func (l gatedListener) Accept() (net.Conn, error) {
+	inner, err := l.Listener.Accept()
+	return gatedConn{inner, l.reads, l.writes}, err
+}
+
+func (c gatedConn) Read(buffer []byte) (int, error) {
+	count, err := c.Conn.Read(buffer)
+	if count > 0 {
+		c.reads.pass()
+	}
+	return count, err
+}
+
+func (c gatedConn) Write(text []byte) (int, error) {
+	c.writes.pass()
+	return c.Conn.Write(text)
+}
+
+func startServer(t *testing.T, reads, writes *gate, handler http.HandlerFunc) *testServer {
+	inner, err := net.Listen("tcp4", "127.0.0.1:0")
+	require.NoError(t, err)
+	s := &testServer{t: t, tracker: New(), server: &http.Server{Handler: handler, IdleTimeout: timeout}, address: inner.Addr().String()}
+	s.tracker.Attach(s.server)
+	listener := s.tracker.Listen(gatedListener{inner, reads, writes})
+	var group sync.WaitGroup
+	group.Go(func() { _ = s.server.Serve(listener) })
+	t.Cleanup(func() {
+		_ = s.server.Close()
+		group.Wait()
+	})
+	return s
+}
+
+func (s *testServer) dial() (net.Conn, *bufio.Reader) {
+	client, err := net.Dial("tcp4", s.address)
+	require.NoError(s.t, err)
+	s.t.Cleanup(func() { _ = client.Close() })
+	require.NoError(s.t, client.SetDeadline(time.Now().Add(timeout)))
+	return client, bufio.NewReader(client)
+}
+
+func send(t *testing.T, client net.Conn, text string) {
+	t.Helper()
+	_, err := io.WriteString(client, text)
+	require.NoError(t, err)
+}
+
+// readAnswer reads one answer and returns its body.
+func readAnswer(t *testing.T, reader *bufio.Reader) (*http.Response, string) {
+	t.Helper()
+	response, err := http.ReadResponse(reader, nil)
+	require.NoError(t, err)
+	body, err := io.ReadAll(response.Body)
+	require.NoError(t, err)
+	require.NoError(t, response.Body.Close())
+	return response, string(body)
+}
+
+func requireClosed(t *testing.T, reader *bufio.Reader) {
+	t.Helper()
+	_, err := reader.ReadByte()
+	require.ErrorIs(t, err, io.EOF)
+}
+
+// wait reports whether all connections are closed within the duration.
+func (s *testServer) wait(within time.Duration) bool {
+	ctx, cancel := context.WithTimeout(context.Background(), within)
+	defer cancel()
+	return s.tracker.Wait(ctx)
+}
+
+func (s *testServer) eventually(counts Counts) {
+	s.t.Helper()
+	require.Eventually(s.t, func() bool { return s.tracker.Open() == counts }, timeout, time.Millisecond, "%+v", counts)
+}
+
+func answerDone(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "done") }
+
+// Guards against a connection that is closed as idle when its next request was read but
+// not parsed.
+func TestRequestReadAsStopBeginsIsAnswered(t *testing.T) {
+	reads := newGate()
+	server := startServer(t, reads, nil, answerDone)
+	client, reader := server.dial()
+	send(t, client, plainRequest)
+	<-reads.reached
+	reads.opened <- struct{}{}
+	readAnswer(t, reader)
+	server.eventually(Counts{Idle: 1})
+	send(t, client, plainRequest)
+	<-reads.reached
+	server.tracker.Retire()
+	close(reads.opened)
+	response, body := readAnswer(t, reader)
+	require.Equal(t, "done", body)
+	require.True(t, response.Close)
+	requireClosed(t, reader)
+	require.True(t, server.wait(timeout))
+}
+
+// Guards against a request that is dropped because it was parsed after the stop began.
+func TestFirstRequestReadAsServerFinishesIsAnswered(t *testing.T) {
+	reads := newGate()
+	server := startServer(t, reads, nil, answerDone)
+	client, reader := server.dial()
+	send(t, client, plainRequest)
+	<-reads.reached
+	server.tracker.Finish()
+	close(reads.opened)
+	_, body := readAnswer(t, reader)
+	require.Equal(t, "done", body)
+	require.True(t, server.wait(timeout))
+}
+
+// Guards against a process that exits between the end of a handler and the flush of its
+// answer.
+func TestWaitCoversAnswerThatIsNotFlushed(t *testing.T) {
+	writes := newGate()
+	handled := make(chan struct{})
+	server := startServer(t, nil, writes, func(w http.ResponseWriter, r *http.Request) {
+		answerDone(w, r)
+		close(handled)
+	})
+	client, reader := server.dial()
+	send(t, client, plainRequest)
+	<-handled
+	<-writes.reached
+	server.tracker.Finish()
+	require.False(t, server.wait(50*time.Millisecond))
+	close(writes.opened)
+	_, body := readAnswer(t, reader)
+	require.Equal(t, "done", body)
+	require.True(t, server.wait(timeout))
+}
+
+// Guards against a pipelined request that is cancelled because its connection was ended as
+// idle, though the request was in the buffer of the server.
+func TestBufferedRequestIsAnswered(t *testing.T) {
+	flushed, proceed := make(chan struct{}), make(chan struct{})
+	server := startServer(t, nil, nil, func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/second" {
+			select {
+			case <-r.Context().Done():
+			case <-time.After(50 * time.Millisecond):
+				answerDone(w, r)
+			}
+			return
+		}
+		answerDone(w, r)
+		_ = http.NewResponseController(w).Flush()
+		close(flushed)
+		<-proceed
+	})
+	client, reader := server.dial()
+	send(t, client, plainRequest+"GET /second HTTP/1.1\r\nHost: desk.example\r\n\r\n")
+	<-flushed
+	server.tracker.Retire()
+	close(proceed)
+	_, body := readAnswer(t, reader)
+	require.Equal(t, "done", body)
+	response, body := readAnswer(t, reader)
+	require.Equal(t, "done", body)
+	require.True(t, response.Close)
+	require.True(t, server.wait(timeout))
+}
+
+func TestRetireEndsKeptConnectionsAndServesNewOnes(t *testing.T) {
+	server := startServer(t, nil, nil, answerDone)
+	kept, keptReader := server.dial()
+	send(t, kept, plainRequest)
+	response, _ := readAnswer(t, keptReader)
+	require.False(t, response.Close)
+	unused, unusedReader := server.dial()
+	server.eventually(Counts{Unused: 1, Idle: 1})
+	server.tracker.Retire()
+	requireClosed(t, keptReader)
+	server.eventually(Counts{Unused: 1})
+	fresh, freshReader := server.dial()
+	send(t, fresh, plainRequest)
+	response, body := readAnswer(t, freshReader)
+	require.Equal(t, "done", body)
+	require.True(t, response.Close)
+	send(t, unused, plainRequest)
+	_, body = readAnswer(t, unusedReader)
+	require.Equal(t, "done", body)
+	require.True(t, server.wait(timeout))
+}
+
+func TestFinishEndsUnusedConnections(t *testing.T) {
+	server := startServer(t, nil, nil, answerDone)
+	_, reader := server.dial()
+	server.eventually(Counts{Unused: 1})
+	require.False(t, server.wait(0))
+	server.tracker.Finish()
+	requireClosed(t, reader)
+	require.True(t, server.wait(timeout))
+}
