Log each request that the exit of a stopping relay cuts off

It now names each one with its stage (reading, waiting, reserving, sent, streaming, answering), its age and its size, which tells a queued prompt from an answer that is not flushed. No decision changes.

--- a/internal/flow/proxy/run.go
+++ b/internal/flow/proxy/run.go
@@ -143,9 +143,20 @@
 	for p.active.Load() > 0 && time.Now().Before(deadline) {
 		time.Sleep(drainPollInterval)
 	}
+	p.logCutRequests()
 	p.logger.Part("entry").Info("Entry stopped.", "active", p.active.Load())
 }
 
+// logCutRequests logs each request that the exit of the process cuts off.
+func (p *Proxy) logCutRequests() {
+	p.sessions.Range(func(_, value any) bool {
+		s := value.(*session)
+		p.logger.Part("request").Warn("Request cut off by the exit.", "request", s.request.Name, "stage", s.stage.Load(),
+			"millis", time.Since(s.startedAt).Milliseconds(), "promptTokens", s.request.PromptTokens)
+		return true
+	})
+}
+
 // readyHandler answers the readiness check with status 200 or 503.
 func (p *Proxy) readyHandler() http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
--- a/internal/flow/proxy/send.go
+++ b/internal/flow/proxy/send.go
@@ -68,6 +68,7 @@
 	deadline := time.Now().Add(target.TimeLeft.Duration() + answerGrace)
 	ctx, cancel := context.WithDeadline(s.head.Context(), deadline)
 	defer cancel()
+	s.stage.Store(stageReserving)
 	leases, err := s.reserve(ctx, target.Helpers)
 	defer leases.release()
 	if err != nil {
@@ -76,6 +77,7 @@
 		result.LeaseRefused = true
 		return s.classifyEnd(result)
 	}
+	s.stage.Store(stageSent)
 	conn, err := newDialer().DialContext(ctx, "tcp4", target.Address)
 	if err != nil {
 		result.Err = err
@@ -233,6 +235,7 @@
 		if isFirst {
 			isFirst = false
 			x.isStreaming = true
+			x.session.stage.Store(stageStreaming)
 			x.session.proxy.Step(input.FirstEventSent{Number: x.send.Number})
 		}
 		event = event[:0]
--- a/internal/flow/proxy/session.go
+++ b/internal/flow/proxy/session.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -28,10 +29,25 @@
 	headerRetryAfter = "Retry-After"
 )
 
+// The stages of a request, which the log names if the entry exits before its end.
+const (
+	stageReading   stage = "reading"
+	stageWaiting   stage = "waiting"
+	stageReserving stage = "reserving"
+	stageSent      stage = "sent"
+	stageStreaming stage = "streaming"
+	stageAnswering stage = "answering"
+)
+
 type (
+	// stage is how far a request has got.
+	stage string
+
 	// session handles one request of a caller.
 	session struct {
-		proxy   *Proxy
+		proxy *Proxy
+		// stage is the current stage; the goroutine that stops the entry reads it too.
+		stage   atomic.Value
 		request call.Request
 		// head is the caller's HTTP request. Its body is read into body.
 		head      *http.Request
@@ -78,6 +94,9 @@
 	request, err := p.dialect.ReadRequest(r)
 	request.Number = p.lastNumber.Add(1)
 	s.request = request
+	s.stage.Store(stageReading)
+	p.sessions.Store(request.Number, s)
+	defer p.sessions.Delete(request.Number)
 	if err != nil {
 		s.reply(call.Reply{Reason: call.ReasonBadRequest, Status: http.StatusBadRequest})
 		return
@@ -86,8 +105,7 @@
 		return
 	}
 	s.request.Fingerprint = fingerprint(s.request, s.body)
-	p.sessions.Store(request.Number, s)
-	defer p.sessions.Delete(request.Number)
+	s.stage.Store(stageWaiting)
 	p.Step(input.RequestReceived{Request: s.request})
 	s.run()
 }
@@ -143,6 +161,7 @@
 			s.predicted = action.Send.Predicted
 			s.proxy.logSend(s, action.Send)
 			result := s.send(action.Send)
+			s.stage.Store(stageWaiting)
 			s.proxy.Step(input.SendEnded{Result: result})
 			if result.End == call.EndDisconnected {
 				s.proxy.logFinish(s, "Caller disconnected.", "", 0)
@@ -169,6 +188,7 @@
 // deliver writes the answer to the caller, or records the end of a stream that was
 // already forwarded.
 func (s *session) deliver() {
+	s.stage.Store(stageAnswering)
 	s.proxy.metrics.answered.Inc(1)
 	s.proxy.metrics.duration.UpdateSince(s.startedAt)
 	if s.streamOpen {
@@ -189,6 +209,7 @@
 
 // reply refuses the request or reports its failure, with the reason as plain text.
 func (s *session) reply(reply call.Reply) {
+	s.stage.Store(stageAnswering)
 	s.proxy.metrics.refused.Inc(1)
 	header := s.writer.Header()
 	if reply.RetryAfter > 0 {
