Relay: end every request with an answer before the grace period ends

Callers saw: a long prompt that waited for engines at a stopping entry got neither an answer nor a refusal; its connection was closed 7.5 s after SIGTERM.

Cause: the end of the grace period was known to the shell alone. It closed the connections while the core still had requests in its queue, at endpoints and reserving memory. A state of the process ended connections, not an answer.

Why this works: the core knows when the stop ends. A waiting request is refused as soon as it can't finish before that, with the delay after which another entry can take it. At the end the core cancels all sends, and their results become a 503 if the endpoint never got the request, 502 if it may have run it, a visible break if the stream was open. The exit comes 400 ms later.

--- a/internal/flow/board/board.go
+++ b/internal/flow/board/board.go
@@ -89,8 +89,11 @@
 		// published, NewsChanged whether other published state did.
 		WorkChanged bool
 		NewsChanged bool
-		Stopping    bool
-		StoppingAt  clock.Millis
+		// Stopping is set since StoppingAt. At StopEndsAt the requests that are left end
+		// without an answer of an endpoint.
+		Stopping   bool
+		StoppingAt clock.Millis
+		StopEndsAt clock.Millis
 
 		// PeersWithQueue holds the entries at which long prompts are queued.
 		PeersWithQueue map[ident.Entry]*Peer
@@ -220,6 +223,12 @@
 	return request.DeadlineAt-b.Now < duration
 }
 
+// StopEndsWithin reports whether the entry is stopping and has less than the given time
+// left for its requests.
+func (b *Board) StopEndsWithin(duration clock.Millis) bool {
+	return b.Stopping && b.StopEndsAt-b.Now <= duration
+}
+
 // RetryAfter returns the delay after which a caller that was refused for lack of
 // capacity should retry.
 func (b *Board) RetryAfter(request *Request) clock.Millis {
--- a/internal/flow/call/call.go
+++ b/internal/flow/call/call.go
@@ -20,6 +20,9 @@
 	EndDisconnected End = "callerGone"
 	// EndTimeout means that the request reached its deadline.
 	EndTimeout End = "timeout"
+	// EndCancelled means that this entry cancelled the send after the endpoint may have
+	// run the request.
+	EndCancelled End = "cancelled"
 )
 
 // The reasons for a reply without an answer of an endpoint.
--- a/internal/flow/output/output.go
+++ b/internal/flow/output/output.go
@@ -20,6 +20,10 @@
 	// Deliver ends a request with the answer of its endpoint.
 	Deliver struct{ Number uint64 }
 
+	// CancelSend ends the current send of a request early. Its result follows as an
+	// input.SendEnded.
+	CancelSend struct{ Number uint64 }
+
 	// Reply ends a request without an answer of an endpoint.
 	Reply struct{ Reply call.Reply }
 
@@ -62,6 +66,7 @@
 )
 
 func (Send) isOutput()           {}
+func (CancelSend) isOutput()     {}
 func (Deliver) isOutput()        {}
 func (Reply) isOutput()          {}
 func (Abort) isOutput()          {}
--- a/internal/flow/parts/entry_test.go
+++ b/internal/flow/parts/entry_test.go
@@ -24,6 +24,7 @@
 	desk        = "desk"
 	callerKey   = "key-of-city"
 	retryWindow = 10 * clock.Second
+	gracePeriod = 8 * clock.Second
 )
 
 // testEntry runs the core of one entry in virtual time and keeps its outputs.
@@ -45,7 +46,7 @@
 	e.board.Now = 100 * clock.Second
 	started := input.Started{
 		Self: "entry-1", Epoch: 1, Domain: "north", Address: "10.0.0.1:9000", Seed: 1,
-		Settings: input.Settings{RetryRatio: 0.2, RetrySlack: 200, RetryWindow: retryWindow},
+		Settings: input.Settings{RetryRatio: 0.2, RetrySlack: 200, RetryWindow: retryWindow, GracePeriod: gracePeriod},
 	}
 	e.board.Start(started)
 	e.step(started)
--- a/internal/flow/place/end.go
+++ b/internal/flow/place/end.go
@@ -51,6 +51,9 @@
 		handleAnswerLost(b, request)
 	case call.EndTimeout:
 		failTimeout(b, request)
+	case call.EndCancelled:
+		request.Runs++
+		fail(b, request, call.ReasonStopping, http.StatusBadGateway)
 	}
 }
 
--- a/internal/flow/place/engine.go
+++ b/internal/flow/place/engine.go
@@ -264,6 +264,8 @@
 	}
 	own := waiting.positionOf(b, request)
 	switch {
+	case request.Runs == 0 && b.StopEndsWithin(own.startAt-b.Now+minDuration(b, request)):
+		return choice{reason: call.ReasonStopping, retryAfter: StoppingRetryAfter}
 	case request.Runs == 0 && own.startAt > b.Now+(request.WaitsUntil()-b.Now)/2:
 		return choice{reason: call.ReasonOverload, retryAfter: b.RetryAfter(request)}
 	case pending > maxPendingMillis:
--- a/internal/flow/place/place.go
+++ b/internal/flow/place/place.go
@@ -32,6 +32,11 @@
 	// StopNotice is how long a stopping entry still accepts requests. The load balancer
 	// checks readiness once a second and removes an entry after two failed checks.
 	StopNotice = 2500 * clock.Millis(1)
+	// ExitReserve is the part of the grace period that a stopping entry keeps for the last
+	// answers and for the exit of the process. It is at most the grace period divided by
+	// exitReserveDivisor.
+	ExitReserve        = 500 * clock.Millis(1)
+	exitReserveDivisor = 4
 	// StoppingRetryAfter is the delay after which a caller that was refused by a stopping
 	// entry should retry. It is short because another entry can serve it at once.
 	StoppingRetryAfter = 50 * clock.Millis(1)
@@ -66,9 +71,11 @@
 			remove(b, request)
 		}
 	case input.StopRequested:
-		b.Stopping = true
-		b.StoppingAt = b.Now
-		b.NewsChanged = true
+		beginStop(b)
+	case input.Ticked:
+		if b.StopEndsWithin(0) {
+			cancelSends(b)
+		}
 	}
 	dispatchWaiting(b)
 }
@@ -86,13 +93,11 @@
 	if received.CallerTimeout > 0 {
 		timeout = min(timeout, received.CallerTimeout)
 	}
+	request := &board.Request{RoutedRequest: routed, ArrivedAt: b.Now, DeadlineAt: b.Now + timeout}
 	if b.Stopping && b.Now-b.StoppingAt > StopNotice {
-		reply := call.Reply{Reason: call.ReasonStopping, Status: http.StatusServiceUnavailable, RetryAfter: StoppingRetryAfter}
-		reply.Number = received.Number
-		b.Emit(output.Reply{Reply: reply})
+		refuse(b, request, call.ReasonStopping, StoppingRetryAfter)
 		return
 	}
-	request := &board.Request{RoutedRequest: routed, ArrivedAt: b.Now, DeadlineAt: b.Now + timeout}
 	b.Requests[received.Number] = request
 	b.Budget.CountRequest(routed.Service, retryLimits(b), b.Now)
 	dispatch(b, request)
@@ -136,6 +141,10 @@
 		failTimeout(b, request)
 		return
 	}
+	if b.StopEndsWithin(minDuration(b, request)) {
+		refuse(b, request, call.ReasonStopping, StoppingRetryAfter)
+		return
+	}
 	if b.Now < request.NotBefore {
 		return
 	}
--- /dev/null
+++ b/internal/flow/place/stop.go
@@ -0,0 +1,37 @@
+package place
+
+import (
+	"mustardhook/internal/core/clock"
+	"mustardhook/internal/flow/board"
+	"mustardhook/internal/flow/cost"
+	"mustardhook/internal/flow/output"
+)
+
+// beginStop makes the entry leave. Its requests end by themselves or at StopEndsAt.
+func beginStop(b *board.Board) {
+	b.Stopping = true
+	b.StoppingAt = b.Now
+	b.StopEndsAt = b.Now + b.Settings.GracePeriod - min(ExitReserve, b.Settings.GracePeriod/exitReserveDivisor)
+	b.NewsChanged = true
+}
+
+// cancelSends cancels the current sends of all requests.
+func cancelSends(b *board.Board) {
+	for number, request := range b.Requests {
+		if request.Endpoint != "" {
+			b.Emit(output.CancelSend{Number: number})
+		}
+	}
+}
+
+// minDuration returns the time that the request takes at least. A request that has run
+// before may need less, because a stream is resumed after its last event.
+func minDuration(b *board.Board, request *board.Request) clock.Millis {
+	engine := b.Plan.Services[request.Service].Engine
+	if engine == nil || request.Runs > 0 {
+		return MinTimeLeft
+	}
+	prefill := cost.PrefillMillis(engine, request.Request.PromptTokens, maxHelpers+1)
+	decode := engine.StepMillis * float64(estimateOutput(request.Request))
+	return MinTimeLeft + clock.Millis(prefill+decode)
+}
--- a/internal/flow/proxy/proxy.go
+++ b/internal/flow/proxy/proxy.go
@@ -126,6 +126,8 @@
 	switch action := action.(type) {
 	case output.Send:
 		p.dispatch(action.Send.Number, action)
+	case output.CancelSend:
+		p.cancelSend(action.Number)
 	case output.Deliver:
 		p.dispatch(action.Number, action)
 	case output.Reply:
@@ -154,6 +156,13 @@
 	}
 }
 
+// cancelSend cancels the current send of a request, if its session is still open.
+func (p *Proxy) cancelSend(number uint64) {
+	if value, ok := p.sessions.Load(number); ok {
+		value.(*session).cancel()
+	}
+}
+
 // spawn runs the function in a goroutine that Run waits for.
 func (p *Proxy) spawn(task func()) { p.goroutines.Go(task) }
 
--- a/internal/flow/proxy/run.go
+++ b/internal/flow/proxy/run.go
@@ -35,8 +35,9 @@
 	callersPort = "callers"
 	// drainPollInterval is the time between two checks whether all requests have ended.
 	drainPollInterval = 20 * time.Millisecond
-	// exitReserve is the part of the grace period kept for the exit of the process.
-	exitReserve = 500 * time.Millisecond
+	// exitMargin is how long before the end of the grace period the process exits at the
+	// latest.
+	exitMargin = 100 * time.Millisecond
 )
 
 type (
@@ -118,11 +119,11 @@
 	if err != nil {
 		return nil, &ListenError{name, address, err}
 	}
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: requestHeaderTimeout, IdleTimeout: callerIdleTimeout}
 	if name == callersPort {
 		maxConns := int(float64(p.settings.Limits.Descriptors-reservedDescriptors) * callerDescriptorRatio)
 		listener = netutil.LimitListener(listener, max(maxConns, 1))
 	}
-	server := &http.Server{Handler: handler, ReadHeaderTimeout: requestHeaderTimeout, IdleTimeout: callerIdleTimeout}
 	p.spawn(func() {
 		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
 			p.logger.Part("entry").Warn("Port closed.", "port", name, "err", err)
@@ -131,22 +132,31 @@
 	return server, nil
 }
 
-// stop makes the readiness check fail, accepts requests until the load balancer has
-// noticed that, and then waits for requests in flight until the grace period is nearly
-// over.
+// stop makes the readiness check fail and accepts requests until the load balancer has
+// noticed that. It then waits for the requests in flight, for the grace period at most. The core ends the requests that are left shortly before.
 func (p *Proxy) stop(callers *http.Server) {
 	p.logger.Part("entry").Info("Entry stops.", "active", p.active.Load())
-	deadline := time.Now().Add(p.gracePeriod().Duration() - exitReserve)
+	grace := p.gracePeriod()
 	p.Step(input.StopRequested{})
+	ctx, cancel := context.WithTimeout(context.Background(), grace.Duration()-exitMargin)
+	defer cancel()
 	callers.SetKeepAlivesEnabled(false)
-	time.Sleep(place.StopNotice.Duration())
-	for p.active.Load() > 0 && time.Now().Before(deadline) {
-		time.Sleep(drainPollInterval)
+	wait(ctx, min(place.StopNotice, grace/2).Duration())
+	for p.active.Load() > 0 && ctx.Err() == nil {
+		wait(ctx, drainPollInterval)
 	}
 	p.logCutRequests()
 	p.logger.Part("entry").Info("Entry stopped.", "active", p.active.Load())
 }
 
+// wait waits for the given time or until the context ends.
+func wait(ctx context.Context, pause time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(pause):
+	}
+}
+
 // logCutRequests logs each request that the exit of the process cuts off.
 func (p *Proxy) logCutRequests() {
 	p.sessions.Range(func(_, value any) bool {
--- a/internal/flow/proxy/send.go
+++ b/internal/flow/proxy/send.go
@@ -66,7 +66,7 @@
 	s.proxy.metrics.sends.Inc(1)
 	result := call.Result{Number: target.Number, End: call.EndNotRun, Unreachable: true}
 	deadline := time.Now().Add(target.TimeLeft.Duration() + answerGrace)
-	ctx, cancel := context.WithDeadline(s.head.Context(), deadline)
+	ctx, cancel := context.WithDeadline(s.sending, deadline)
 	defer cancel()
 	s.stage.Store(stageReserving)
 	leases, err := s.reserve(ctx, target.Helpers)
@@ -95,14 +95,21 @@
 	return s.classifyEnd(result)
 }
 
-// classifyEnd changes the end of a failed send to EndDisconnected if the caller closed its
-// connection, so that the failure is not attributed to the endpoint.
+// classifyEnd changes the result of a failed send if the caller closed its connection or
+// the core cancelled the send, so that the failure is not attributed to the endpoint.
 func (s *session) classifyEnd(result call.Result) call.Result {
 	var callerErr *CallerWriteError
-	if result.End != call.EndComplete && (s.head.Context().Err() != nil || errors.As(result.Err, &callerErr)) {
+	switch {
+	case result.End == call.EndComplete:
+		return result
+	case s.head.Context().Err() != nil || errors.As(result.Err, &callerErr):
 		result.End = call.EndDisconnected
-		result.Unreachable = false
+	case s.sending.Err() == nil:
+		return result
+	case result.End != call.EndNotRun:
+		result.End = call.EndCancelled
 	}
+	result.Unreachable = false
 	return result
 }
 
--- a/internal/flow/proxy/session.go
+++ b/internal/flow/proxy/session.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"io"
 	"net/http"
 	"strconv"
@@ -56,6 +57,10 @@
 		control   *http.ResponseController
 		outputs   chan output.Output
 		startedAt time.Time
+		// sending ends with the caller's connection, or earlier if the core cancels the
+		// sends of the request.
+		sending context.Context
+		cancel  context.CancelFunc
 
 		// answer is the last complete answer that was not streamed.
 		answer *answer
@@ -91,6 +96,8 @@
 		proxy: p, head: r, writer: w, control: http.NewResponseController(w), startedAt: time.Now(),
 		outputs: make(chan output.Output, sessionOutputBuffer),
 	}
+	s.sending, s.cancel = context.WithCancel(r.Context())
+	defer s.cancel()
 	request, err := p.dialect.ReadRequest(r)
 	request.Number = p.lastNumber.Add(1)
 	s.request = request
