Relay: exit only after the last answer has been flushed

Callers could see: an answer whose handler had ended, or a request on a kept connection that was read as the stop began, ended with a closed connection.

Cause: the stop waited for handlers, which end before net/http flushes, and SetKeepAlivesEnabled(false) closes a connection whose next request was read but is not parsed. Both end a connection by something else than its requests.

The stop now waits until all connections of callers are closed, which only their serving goroutines do, and stops listening first.

--- a/internal/flow/proxy/proxy.go
+++ b/internal/flow/proxy/proxy.go
@@ -24,6 +24,7 @@
 	"mustardhook/internal/flow/plan"
 	"mustardhook/internal/flow/port"
 	"mustardhook/internal/flow/setup"
+	"mustardhook/internal/serve/conns"
 	"mustardhook/internal/serve/logs"
 )
 
@@ -44,7 +45,9 @@
 		source   port.Source
 		logger   logs.Logger
 		metrics  *entryMetrics
-		news     *newsSocket
+		// conns are the connections of callers.
+		conns *conns.Tracker
+		news  *newsSocket
 		// peers is the client for calls to other entries, and for orders and reports.
 		peers *http.Client
 
@@ -83,6 +86,7 @@
 		source:   config.Source,
 		logger:   config.Logger,
 		metrics:  newEntryMetrics(),
+		conns:    conns.New(),
 		peers:    NewClient(),
 		board:    board.New(),
 		cycle:    cycle.New(config.Controllers...),
--- a/internal/flow/proxy/run.go
+++ b/internal/flow/proxy/run.go
@@ -77,7 +77,7 @@
 	defer func() { _ = news.conn.Close() }()
 	p.news = news
 	debug.SetMemoryLimit(int64(float64(p.settings.Limits.MemoryMegabytes) * megabyte * memoryLimitRatio))
-	callers, err := p.listen(callersPort, p.settings.Callers, p)
+	callers, listener, err := p.listen(callersPort, p.settings.Callers, p)
 	if err != nil {
 		return err
 	}
@@ -91,7 +91,7 @@
 		controlHandlers[net.JoinHostPort(host, strconv.Itoa(p.settings.MetricsPort))] = p.metricsHandler()
 	}
 	for address, handler := range controlHandlers {
-		server, err := p.listen("control", address, handler)
+		server, _, err := p.listen("control", address, handler)
 		if err != nil {
 			return err
 		}
@@ -107,46 +107,56 @@
 	p.spawn(p.readPublished)
 	p.logger.Part("entry").Info("Entry serves.", "callers", p.settings.Callers)
 	<-ctx.Done()
-	p.stop(callers)
+	p.stop(listener)
 	return nil
 }
 
 // listen starts an HTTP server at the address. On the port of callers it limits the
-// number of connections.
-func (p *Proxy) listen(name, address string, handler http.Handler) (*http.Server, error) {
+// number of connections and tracks them.
+func (p *Proxy) listen(name, address string, handler http.Handler) (*http.Server, net.Listener, error) {
 	config := net.ListenConfig{KeepAliveConfig: keepAliveConfig()}
 	listener, err := config.Listen(p.lifetime, "tcp4", address)
 	if err != nil {
-		return nil, &ListenError{name, address, err}
+		return nil, nil, &ListenError{name, address, err}
 	}
 	server := &http.Server{Handler: handler, ReadHeaderTimeout: requestHeaderTimeout, IdleTimeout: callerIdleTimeout}
 	if name == callersPort {
 		maxConns := int(float64(p.settings.Limits.Descriptors-reservedDescriptors) * callerDescriptorRatio)
-		listener = netutil.LimitListener(listener, max(maxConns, 1))
+		listener = p.conns.Listen(netutil.LimitListener(listener, max(maxConns, 1)))
+		p.conns.Attach(server)
 	}
 	p.spawn(func() {
-		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
 			p.logger.Part("entry").Warn("Port closed.", "port", name, "err", err)
 		}
 	})
-	return server, nil
+	return server, listener, nil
 }
 
 // stop makes the readiness check fail and accepts requests until the load balancer has
-// noticed that. It then waits for the requests in flight, for the grace period at most. The core ends the requests that are left shortly before.
-func (p *Proxy) stop(callers *http.Server) {
+// noticed that. It then waits until every request that was read has been answered, for the
+// grace period at most. The core ends the requests that are left shortly before.
+func (p *Proxy) stop(callers net.Listener) {
 	p.logger.Part("entry").Info("Entry stops.", "active", p.active.Load())
 	grace := p.gracePeriod()
 	p.Step(input.StopRequested{})
 	ctx, cancel := context.WithTimeout(context.Background(), grace.Duration()-exitMargin)
 	defer cancel()
-	callers.SetKeepAlivesEnabled(false)
+	p.conns.Retire()
 	wait(ctx, min(place.StopNotice, grace/2).Duration())
 	for p.active.Load() > 0 && ctx.Err() == nil {
 		wait(ctx, drainPollInterval)
 	}
+	// From here on no request is unread that the entry could still answer.
+	if err := callers.Close(); err != nil {
+		p.logger.Part("entry").Warn("Port of callers was not closed.", "err", err)
+	}
+	p.conns.Finish()
+	p.conns.Wait(ctx)
 	p.logCutRequests()
-	p.logger.Part("entry").Info("Entry stopped.", "active", p.active.Load())
+	open := p.conns.Open()
+	p.logger.Part("entry").Info("Entry stopped.", "active", p.active.Load(), "busy", open.Busy, "idle", open.Idle,
+		"unused", open.Unused)
 }
 
 // wait waits for the given time or until the context ends.
