A queued long prompt and one usable engine end all answers of an entry: red tests

Callers of an entry got neither answers nor refusals any more, on new connections too, once all but one engine of a service had started to drain (or were removed) while a long prompt was queued for it.

Cause, two faults. splitSizeClasses gives the only engine to the short size class; chooseLong then has no candidates if the prompt takes over 150 ms to prefill, and chooseLead panics ('slices.MinFunc: empty list', stack in TestLongPromptWithSingleEngineIsSent). A new long prompt panics there too. Second, the panic does not end the process: Step holds the mutex without a deferred unlock, conc.WaitGroup keeps the panic of a spawned goroutine until Wait, and net/http recovers that of a handler. Every later Step blocks for good, the readiness check and the stop included.

--- a/internal/flow/parts/load_test.go
+++ b/internal/flow/parts/load_test.go
@@ -60,6 +60,17 @@
 	require.LessOrEqual(t, len(used), 3)
 }
 
+// Guards against a panic of the core when a long prompt can use a single engine, as in a
+// small service whose other engines drain: the engine is in the short size class, and the
+// prompt had no candidates.
+func TestLongPromptWithSingleEngineIsSent(t *testing.T) {
+	e := newTestEntry(t).configure(1)
+	var got output.Output
+	require.NotPanics(t, func() { _, got = e.request("/long/1", 154000, 15000) })
+	send := requireSend(t, got)
+	require.Empty(t, send.Helpers)
+}
+
 // Guards against two entries that send long prompts at the same time: a prompt must wait
 // while another entry has one in its queue that is due earlier.
 func TestPromptWaitsForEarlierPromptElsewhere(t *testing.T) {
