Relay: a single usable engine runs long prompts too

Callers saw: nothing. Once one engine of a service was left (the others drained or were removed) while a long prompt waited, the entry answered no request any more.

Cause: the only engine belongs to the class of short prompts, so a long prompt that is too long for that class has no candidates, and the choice of its lead panics.

--- a/internal/flow/place/engine.go
+++ b/internal/flow/place/engine.go
@@ -222,6 +222,10 @@
 func chooseLong(
 	b *board.Board, engine *plan.Engine, short, long []*candidate, request *board.Request, need int,
 ) choice {
+	if len(long) == 0 {
+		// A single engine runs prompts of both size classes.
+		long, short = short, nil
+	}
 	prompt := request.Request.PromptTokens
 	shards := min(max(int(math.Ceil(cost.PrefillMillis(engine, prompt, 1)/targetShardMillis)), 1), maxHelpers+1)
 	candidates := slices.Clone(long)
