Relay: a panic of the core ends the process

Callers saw: no answer and no refusal from an entry whose core had panicked, on open and on new connections; SIGTERM had no effect either.

Cause: Step panicked with the lock of the core held. net/http and conc recover the panic of a handler and of a spawned goroutine, so the process lived on and each later Step waited for the lock.

The panic is raised again in a goroutine of its own that nothing recovers, so the platform restarts the process and callers see a reset at once.

--- a/internal/flow/proxy/proxy.go
+++ b/internal/flow/proxy/proxy.go
@@ -109,6 +109,7 @@
 // Step passes an input to the core and executes the resulting outputs. It is safe for
 // concurrent use.
 func (p *Proxy) Step(in input.Input) {
+	defer crashOnPanic()
 	p.mutex.Lock()
 	b := p.board
 	if started, ok := in.(input.Started); ok {
@@ -168,7 +169,12 @@
 }
 
 // spawn runs the function in a goroutine that Run waits for.
-func (p *Proxy) spawn(task func()) { p.goroutines.Go(task) }
+func (p *Proxy) spawn(task func()) {
+	p.goroutines.Go(func() {
+		defer crashOnPanic()
+		task()
+	})
+}
 
 // IsReady reports whether the entry can serve requests of callers.
 func (p *Proxy) IsReady() bool {
