Relay: stop listening when the core has ended the last requests

A caller that had sent half of a body kept the port open until the exit, so a whole request that was read in the last moments could be cut. The port is closed when the time for requests ends, and one half of the reserve is left for the last answers. The cells of the stop pass (TestStop*, TestEndOfGrace*, TestSecond*, TestReloadDuring*).

--- a/internal/flow/proxy/run.go
+++ b/internal/flow/proxy/run.go
@@ -35,9 +35,6 @@
 	callersPort = "callers"
 	// drainPollInterval is the time between two checks whether all requests have ended.
 	drainPollInterval = 20 * time.Millisecond
-	// exitMargin is how long before the end of the grace period the process exits at the
-	// latest.
-	exitMargin = 100 * time.Millisecond
 )
 
 type (
@@ -134,25 +131,27 @@
 }
 
 // stop makes the readiness check fail and accepts requests until the load balancer has
-// noticed that. It then waits until every request that was read has been answered, for the
-// grace period at most. The core ends the requests that are left shortly before.
+// noticed that. It then waits until every request that was read has been answered. The core
+// ends the requests that are left shortly before the end of the grace period.
 func (p *Proxy) stop(callers net.Listener) {
 	p.logger.Part("entry").Info("Entry stops.", "active", p.active.Load())
-	grace := p.gracePeriod()
 	p.Step(input.StopRequested{})
-	ctx, cancel := context.WithTimeout(context.Background(), grace.Duration()-exitMargin)
+	grace, serviceTime := p.stopTimes()
+	// One half of the reserve is for the last answers, the other one for the exit.
+	exit, cancel := context.WithTimeout(context.Background(), (grace+serviceTime).Duration()/2)
+	defer cancel()
+	service, cancel := context.WithTimeout(exit, serviceTime.Duration())
 	defer cancel()
 	p.conns.Retire()
-	wait(ctx, min(place.StopNotice, grace/2).Duration())
-	for p.active.Load() > 0 && ctx.Err() == nil {
-		wait(ctx, drainPollInterval)
+	wait(service, min(place.StopNotice, grace/2).Duration())
+	for p.active.Load() > 0 && service.Err() == nil {
+		wait(service, drainPollInterval)
 	}
-	// From here on no request is unread that the entry could still answer.
 	if err := callers.Close(); err != nil {
 		p.logger.Part("entry").Warn("Port of callers was not closed.", "err", err)
 	}
 	p.conns.Finish()
-	p.conns.Wait(ctx)
+	p.conns.Wait(exit)
 	p.logCutRequests()
 	open := p.conns.Open()
 	p.logger.Part("entry").Info("Entry stopped.", "active", p.active.Load(), "busy", open.Busy, "idle", open.Idle,
@@ -190,8 +189,9 @@
 	return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { p.metrics.write(w) })
 }
 
-func (p *Proxy) gracePeriod() clock.Millis {
+// stopTimes returns the grace period and the part of it in which requests are answered.
+func (p *Proxy) stopTimes() (grace, service clock.Millis) {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
-	return p.board.Settings.GracePeriod
+	return p.board.Settings.GracePeriod, p.board.StopEndsAt - p.board.StoppingAt
 }
