Relay: an answer over the limit fails instead of being cut

Callers saw: status 200 with the first 16 MiB of an endless body, as a whole answer with its own Content-Length. An endless refusal (503 with Not-Executed) was not retried: the relay read it until the deadline and answered 503 itself. 24 endless answers at once took the heap to 520 MB.

Cause: io.LimitReader ends at its limit like a whole body; Close of a body from http.ReadResponse reads it to its end; nothing bounded all buffered answers together.

Now a body over the limit is an AnswerError (502 or a retry), the body is not closed, since the connection is used for one send only, and buffered bodies share a budget of a fifth of the memory setting.

--- a/internal/flow/proxy/proxy.go
+++ b/internal/flow/proxy/proxy.go
@@ -24,6 +24,7 @@
 	"mustardhook/internal/flow/plan"
 	"mustardhook/internal/flow/port"
 	"mustardhook/internal/flow/setup"
+	"mustardhook/internal/serve/limit"
 	"mustardhook/internal/serve/logs"
 )
 
@@ -34,6 +35,8 @@
 	// sessionOutputBuffer is the capacity of a session's channel of outputs.
 	sessionOutputBuffer = 4
 	nanosPerMs          = 1e6
+	// answerMemoryRatio is the part of the instance's memory that buffered answers may take.
+	answerMemoryRatio = 0.2
 )
 
 type (
@@ -48,6 +51,9 @@
 		// peers is the client for calls to other entries, and for orders and reports.
 		peers *http.Client
 
+		// answerMemory bounds what all sessions buffer of answers.
+		answerMemory *limit.Budget
+
 		// mutex guards board and cycle.
 		mutex sync.Mutex
 		board *board.Board
@@ -78,16 +84,17 @@
 func New(config Config) *Proxy {
 	ctx, cancel := context.WithCancel(context.Background())
 	return &Proxy{
-		settings: config.Settings,
-		dialect:  config.Dialect,
-		source:   config.Source,
-		logger:   config.Logger,
-		metrics:  newEntryMetrics(),
-		peers:    NewClient(),
-		board:    board.New(),
-		cycle:    cycle.New(config.Controllers...),
-		lifetime: ctx,
-		cancel:   cancel,
+		settings:     config.Settings,
+		dialect:      config.Dialect,
+		source:       config.Source,
+		logger:       config.Logger,
+		metrics:      newEntryMetrics(),
+		peers:        NewClient(),
+		answerMemory: limit.NewBudget(int64(float64(config.Settings.Limits.MemoryMegabytes) * megabyte * answerMemoryRatio)),
+		board:        board.New(),
+		cycle:        cycle.New(config.Controllers...),
+		lifetime:     ctx,
+		cancel:       cancel,
 	}
 }
 
--- a/internal/flow/proxy/send.go
+++ b/internal/flow/proxy/send.go
@@ -15,6 +15,7 @@
 
 	"mustardhook/internal/flow/call"
 	"mustardhook/internal/flow/input"
+	"mustardhook/internal/serve/limit"
 )
 
 const (
@@ -117,7 +118,7 @@
 		_ = x.conn.Close()
 		return x.failedResult(errors.Join(err, <-writeErr))
 	}
-	defer func() { _ = response.Body.Close() }()
+	// The body is not closed, since that would read it to its end; send closes the connection.
 	head := x.session.proxy.dialect.ReadAnswer(response)
 	switch {
 	case head.NotRun:
@@ -157,6 +158,17 @@
 	_ = x.conn.SetReadDeadline(until)
 }
 
+// newReadError returns an AnswerError if a part of an answer exceeded a limit; otherwise the
+// error itself with the name of the part.
+func newReadError(part string, err error) error {
+	var exceeded *limit.ExceededError
+	var exhausted *limit.ExhaustedError
+	if errors.As(err, &exceeded) || errors.As(err, &exhausted) {
+		return &AnswerError{"its " + part + ": " + err.Error()}
+	}
+	return errors.Wrap(err, "read "+part)
+}
+
 // Read reads from the connection. While events are streamed, it continues after a read
 // timeout unless the endpoint may be dead.
 func (x *exchange) Read(buffer []byte) (int, error) {
@@ -198,9 +210,9 @@
 // bufferAnswer reads the complete answer and keeps it in the session until the core
 // decides to deliver it.
 func (x *exchange) bufferAnswer(response *http.Response) call.Result {
-	body, err := io.ReadAll(io.LimitReader(response.Body, maxAnswerBytes))
+	body, err := limit.ReadAll(x.session.memory.NewReader(response.Body), maxAnswerBytes)
 	if err != nil {
-		return x.failedResult(errors.Wrap(err, "read answer"))
+		return x.failedResult(newReadError("body", err))
 	}
 	x.session.answer = &answer{response.StatusCode, response.Header, body}
 	return call.Result{End: call.EndComplete, Status: response.StatusCode}
--- a/internal/flow/proxy/session.go
+++ b/internal/flow/proxy/session.go
@@ -14,6 +14,7 @@
 	"mustardhook/internal/flow/call"
 	"mustardhook/internal/flow/input"
 	"mustardhook/internal/flow/output"
+	"mustardhook/internal/serve/limit"
 )
 
 const (
@@ -41,6 +42,8 @@
 		outputs   chan output.Output
 		startedAt time.Time
 
+		// memory holds what the session has buffered of answers.
+		memory *limit.Share
 		// answer is the last complete answer that was not streamed.
 		answer *answer
 		// streamOpen is set once the header of a stream was forwarded to the caller.
@@ -73,8 +76,9 @@
 	p.metrics.requests.Inc(1)
 	s := &session{
 		proxy: p, head: r, writer: w, control: http.NewResponseController(w), startedAt: time.Now(),
-		outputs: make(chan output.Output, sessionOutputBuffer),
+		outputs: make(chan output.Output, sessionOutputBuffer), memory: p.answerMemory.NewShare(),
 	}
+	defer s.memory.Release()
 	request, err := p.dialect.ReadRequest(r)
 	request.Number = p.lastNumber.Add(1)
 	s.request = request
