Relay: the head of an answer is bounded

Callers saw: status 504 at the deadline when an endpoint sent a status line, a header line or header lines without end; the relay held all of it in memory until then.

Cause: http.ReadResponse reads a head of any size.

Evidence, on the unchanged code: TestEndlessAnswersAreRejected/StatusLine, /HeaderLine and /HeaderLines (504 after 3 s instead of 502 at once).

The read fails after 64 KiB before the head is complete. Heads count towards the memory of all answers with 128 bytes a line for the parsed header; after parsing, what the header takes replaces that. TestLargeAnswerPasses has a head of 16 KiB.

--- a/internal/flow/proxy/send.go
+++ b/internal/flow/proxy/send.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"io"
 	"net"
@@ -22,6 +23,10 @@
 	// maxAnswerBytes is the maximum size of an answer that is buffered before it is
 	// forwarded.
 	maxAnswerBytes = 16 << 20
+	// maxHeadBytes is the maximum size of the status line and the header of an answer.
+	maxHeadBytes = 64 << 10
+	// headerLineBytes is the memory that a parsed header line takes in addition to its text.
+	headerLineBytes = 128
 	// answerGrace is the time added to the deadline of a send, so that an answer that
 	// the endpoint itself gives at its deadline still arrives.
 	answerGrace   = 60 * time.Millisecond
@@ -48,6 +53,11 @@
 		// isStreaming is set once the first event has arrived. From then on a missing
 		// event alone does not end the exchange.
 		isStreaming bool
+		// hasHead is set once the head of the answer was read. headBytes is the number of
+		// bytes read until then, headMemory what they take of the session's share.
+		hasHead    bool
+		headBytes  int
+		headMemory int64
 	}
 )
 
@@ -116,9 +126,12 @@
 	if err != nil {
 		// Unblock the write if it is still in progress.
 		_ = x.conn.Close()
-		return x.failedResult(errors.Join(err, <-writeErr))
+		return x.failedResult(errors.Join(newReadError("head", err), <-writeErr))
 	}
 	// The body is not closed, since that would read it to its end; send closes the connection.
+	if err := x.endHead(response.Header); err != nil {
+		return x.failedResult(newReadError("head", err))
+	}
 	head := x.session.proxy.dialect.ReadAnswer(response)
 	switch {
 	case head.NotRun:
@@ -169,9 +182,42 @@
 	return errors.Wrap(err, "read "+part)
 }
 
-// Read reads from the connection. While events are streamed, it continues after a read
-// timeout unless the endpoint may be dead.
+// Read reads from the connection. Until the head was read it fails after maxHeadBytes, or if
+// there is no memory for the head.
 func (x *exchange) Read(buffer []byte) (int, error) {
+	if x.hasHead {
+		return x.readConn(buffer)
+	}
+	left := maxHeadBytes - x.headBytes
+	if left == 0 {
+		return 0, &limit.ExceededError{Bytes: maxHeadBytes}
+	}
+	count, err := x.readConn(buffer[:min(len(buffer), left)])
+	x.headBytes += count
+	memory := int64(count + headerLineBytes*bytes.Count(buffer[:count], []byte{'\n'}))
+	if takeErr := x.session.memory.Take(memory); takeErr != nil {
+		return 0, takeErr
+	}
+	x.headMemory += memory
+	return count, err
+}
+
+// endHead replaces the memory taken while the head was read by that of the parsed header.
+func (x *exchange) endHead(header http.Header) error {
+	x.hasHead = true
+	x.session.memory.Give(x.headMemory)
+	memory := 0
+	for name, values := range header {
+		for _, value := range values {
+			memory += len(name) + len(value) + headerLineBytes
+		}
+	}
+	return x.session.memory.Take(int64(memory))
+}
+
+// readConn reads from the connection. While events are streamed, it continues after a read
+// timeout unless the endpoint may be dead.
+func (x *exchange) readConn(buffer []byte) (int, error) {
 	for {
 		count, err := x.conn.Read(buffer)
 		isReadTimeout := errors.Is(err, os.ErrDeadlineExceeded) && time.Now().Before(x.deadline)
