Relay: an event is bounded, and blank lines are not an event

Callers saw: a stream that stood still until the deadline while its endpoint sent one event without end, all of it held in memory; blank lines passed on as events, the first of which opened the stream and thereby kept it from another endpoint; and an event cut in two after a line of exactly 8,192 bytes or a multiple, since the rest of such a line, its line feed, was taken for a blank line. After a break there, the caller had a part of an event.

Cause: relayStream appended to the event without limit, ended an event at each blank line whatever came before it, and did not tell the rest of a long line from a line.

--- a/internal/flow/proxy/send.go
+++ b/internal/flow/proxy/send.go
@@ -8,7 +8,6 @@
 	"net"
 	"net/http"
 	"os"
-	"strings"
 	"syscall"
 	"time"
 
@@ -267,23 +266,15 @@
 // relayStream forwards each event to the caller as soon as it is complete. A stream
 // resumed after an earlier send starts after the last event that the caller received.
 func (x *exchange) relayStream(response *http.Response) call.Result {
-	events := bufio.NewReaderSize(response.Body, ioBufferBytes)
-	var event []byte
+	events := newEventReader(response.Body, x.session.memory)
 	isFirst := true
 	for {
-		line, err := events.ReadSlice('\n')
-		event = append(event, line...)
-		if errors.Is(err, bufio.ErrBufferFull) {
-			continue
-		}
+		event, err := events.next()
 		if errors.Is(err, io.EOF) {
-			return x.streamResult(response, event)
+			return x.streamResult(response)
 		}
 		if err != nil {
-			return x.failedResult(errors.Wrap(err, "read event"))
-		}
-		if !isBlank(line) {
-			continue
+			return x.failedResult(newReadError("event", err))
 		}
 		if err := x.relayEvent(response, event, isFirst); err != nil {
 			return call.Result{End: call.EndDisconnected, Err: &CallerWriteError{err}}
@@ -293,7 +284,6 @@
 			x.isStreaming = true
 			x.session.proxy.Step(input.FirstEventSent{Number: x.send.Number})
 		}
-		event = event[:0]
 		x.setReadTimeout(x.send.NextEventTimeout.Duration())
 	}
 }
@@ -306,12 +296,9 @@
 	return x.session.writeEvent(event)
 }
 
-// streamResult returns the result of a stream that the endpoint has closed. The stream is
-// broken if it ended inside an event or before the first one.
-func (x *exchange) streamResult(response *http.Response, unfinished []byte) call.Result {
-	if len(strings.TrimSpace(string(unfinished))) > 0 {
-		return x.failedResult(&AnswerError{"it ended inside an event"})
-	}
+// streamResult returns the result of a stream that the endpoint has closed after a complete
+// event. The stream is broken if it ended before the first one.
+func (x *exchange) streamResult(response *http.Response) call.Result {
 	if !x.session.streamOpen {
 		return x.failedResult(&AnswerError{"it ended without an event"})
 	}
--- a/internal/flow/proxy/session.go
+++ b/internal/flow/proxy/session.go
@@ -1,7 +1,6 @@
 package proxy
 
 import (
-	"bytes"
 	"io"
 	"net/http"
 	"strconv"
@@ -250,5 +249,3 @@
 	s.lastEventAt = now
 	return s.control.Flush()
 }
-
-func isBlank(line []byte) bool { return len(bytes.TrimSpace(line)) == 0 }
