Relay: responses to the relay's own calls are bounded

What was seen: an answer to an order that has no end counted as the grant of a lease; the first 64 KiB of an endless report were read as the whole; published state of another entry was read into memory without limit (out of memory at 10 GB in the test); a head of 200 KB was accepted.

Cause: io.LimitReader ends like a whole body, the generated RPC client reads with io.ReadAll, and net/http accepts heads of 10 MB.

Evidence, on the unchanged code: TestEndlessAnswerToOrderIsNoGrant, TestEndlessReportIsRejected and TestEndlessHeadOfResponseIsRejected (no error), TestEndlessPublishedStateIsRejected (out of memory).

The client's transport fails over 16 MiB in a body and 64 KiB in a head, so this holds for every call made with it; orders and reports fail over 64 KiB.

--- a/internal/flow/proxy/dial.go
+++ b/internal/flow/proxy/dial.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"mustardhook/internal/serve/limit"
 )
 
 const (
@@ -22,6 +24,11 @@
 
 	// idleConnTimeout is how long an unused connection stays open.
 	idleConnTimeout = 30 * time.Second
+
+	// maxResponseBytes is the maximum size of the body of a response to a call, and
+	// maxResponseHeadBytes that of its head.
+	maxResponseBytes     = 16 << 20
+	maxResponseHeadBytes = 64 << 10
 )
 
 func newDialer() *net.Dialer {
@@ -50,10 +57,11 @@
 }
 
 // NewClient returns an HTTP client for calls that are safe to repeat. Its connections fail
-// soon after the peer has disappeared.
+// soon after the peer has disappeared, and reading a response fails over maxResponseBytes.
 func NewClient() *http.Client {
-	return &http.Client{Transport: &http.Transport{
+	transport := &http.Transport{
 		DialContext: newDialer().DialContext, IdleConnTimeout: idleConnTimeout, DisableCompression: true,
-		MaxIdleConnsPerHost: 2,
-	}}
+		MaxIdleConnsPerHost: 2, MaxResponseHeaderBytes: maxResponseHeadBytes,
+	}
+	return &http.Client{Transport: limit.NewTransport(transport, maxResponseBytes)}
 }
--- a/internal/flow/proxy/lease.go
+++ b/internal/flow/proxy/lease.go
@@ -13,6 +13,7 @@
 
 	"mustardhook/internal/core/clock"
 	"mustardhook/internal/flow/call"
+	"mustardhook/internal/serve/limit"
 )
 
 const (
@@ -25,7 +26,7 @@
 	orderTimeout = 400 * time.Millisecond
 	// releaseAttempts is the maximum number of attempts to release a lease.
 	releaseAttempts = 3
-	// maxOrderAnswerBytes limits how much of the answer to an order is read.
+	// maxOrderAnswerBytes is the maximum size of the answer to an order.
 	maxOrderAnswerBytes = 64 << 10
 )
 
@@ -138,7 +139,7 @@
 		return err
 	}
 	defer func() { _ = response.Body.Close() }()
-	if _, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxOrderAnswerBytes)); err != nil {
+	if _, err := io.Copy(io.Discard, limit.NewReader(response.Body, maxOrderAnswerBytes)); err != nil {
 		return errors.Wrap(err, "read answer to order")
 	}
 	if response.StatusCode != http.StatusOK {
--- a/internal/flow/proxy/pace.go
+++ b/internal/flow/proxy/pace.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"net/http"
 
 	"github.com/go-faster/errors"
@@ -10,6 +9,7 @@
 	"mustardhook/internal/core/clock"
 	"mustardhook/internal/flow/input"
 	"mustardhook/internal/flow/output"
+	"mustardhook/internal/serve/limit"
 )
 
 const (
@@ -55,7 +55,7 @@
 	if response.StatusCode != http.StatusOK {
 		return 0, &ReportError{response.StatusCode}
 	}
-	report, err := io.ReadAll(io.LimitReader(response.Body, maxReportBytes))
+	report, err := limit.ReadAll(response.Body, maxReportBytes)
 	if err != nil {
 		return 0, errors.Wrap(err, "read report")
 	}
