--- a/internal/flow/proxy/send.go
+++ b/internal/flow/proxy/send.go
@@ -2,12 +2,12 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"io"
 	"net"
 	"net/http"
 	"os"
-	"strings"
 	"syscall"
 	"time"
 
@@ -15,12 +15,17 @@
 
 	"mustardhook/internal/flow/call"
 	"mustardhook/internal/flow/input"
+	"mustardhook/internal/serve/limit"
 )
 
 const (
 	// maxAnswerBytes is the maximum size of an answer that is buffered before it is
 	// forwarded.
 	maxAnswerBytes = 16 << 20
+	// maxHeadBytes is the maximum size of the status line and the header of an answer.
+	maxHeadBytes = 64 << 10
+	// headerLineBytes is the memory that a parsed header line takes in addition to its text.
+	headerLineBytes = 128
 	// answerGrace is the time added to the deadline of a send, so that an answer that
 	// the endpoint itself gives at its deadline still arrives.
 	answerGrace   = 60 * time.Millisecond
@@ -47,6 +52,11 @@
 		// isStreaming is set once the first event has arrived. From then on a missing
 		// event alone does not end the exchange.
 		isStreaming bool
+		// hasHead is set once the head of the answer was read. headBytes is the number of
+		// bytes read until then, headMemory what they take of the session's share.
+		hasHead    bool
+		headBytes  int
+		headMemory int64
 	}
 )
 
@@ -124,9 +134,12 @@
 	if err != nil {
 		// Unblock the write if it is still in progress.
 		_ = x.conn.Close()
-		return x.failedResult(errors.Join(err, <-writeErr))
+		return x.failedResult(errors.Join(newReadError("head", err), <-writeErr))
+	}
+	// The body is not closed, since that would read it to its end; send closes the connection.
+	if err := x.endHead(response.Header); err != nil {
+		return x.failedResult(newReadError("head", err))
 	}
-	defer func() { _ = response.Body.Close() }()
 	head := x.session.proxy.dialect.ReadAnswer(response)
 	switch {
 	case head.NotRun:
@@ -166,9 +179,53 @@
 	_ = x.conn.SetReadDeadline(until)
 }
 
-// Read reads from the connection. While events are streamed, it continues after a read
-// timeout unless the endpoint may be dead.
+// newReadError returns an AnswerError if a part of an answer exceeded a limit; otherwise the
+// error itself with the name of the part.
+func newReadError(part string, err error) error {
+	var exceeded *limit.ExceededError
+	var exhausted *limit.ExhaustedError
+	if errors.As(err, &exceeded) || errors.As(err, &exhausted) {
+		return &AnswerError{"its " + part + ": " + err.Error()}
+	}
+	return errors.Wrap(err, "read "+part)
+}
+
+// Read reads from the connection. Until the head was read it fails after maxHeadBytes, or if
+// there is no memory for the head.
 func (x *exchange) Read(buffer []byte) (int, error) {
+	if x.hasHead {
+		return x.readConn(buffer)
+	}
+	left := maxHeadBytes - x.headBytes
+	if left == 0 {
+		return 0, &limit.ExceededError{Bytes: maxHeadBytes}
+	}
+	count, err := x.readConn(buffer[:min(len(buffer), left)])
+	x.headBytes += count
+	memory := int64(count + headerLineBytes*bytes.Count(buffer[:count], []byte{'\n'}))
+	if takeErr := x.session.memory.Take(memory); takeErr != nil {
+		return 0, takeErr
+	}
+	x.headMemory += memory
+	return count, err
+}
+
+// endHead replaces the memory taken while the head was read by that of the parsed header.
+func (x *exchange) endHead(header http.Header) error {
+	x.hasHead = true
+	x.session.memory.Give(x.headMemory)
+	memory := 0
+	for name, values := range header {
+		for _, value := range values {
+			memory += len(name) + len(value) + headerLineBytes
+		}
+	}
+	return x.session.memory.Take(int64(memory))
+}
+
+// readConn reads from the connection. While events are streamed, it continues after a read
+// timeout unless the endpoint may be dead.
+func (x *exchange) readConn(buffer []byte) (int, error) {
 	for {
 		count, err := x.conn.Read(buffer)
 		isReadTimeout := errors.Is(err, os.ErrDeadlineExceeded) && time.Now().Before(x.deadline)
@@ -207,9 +264,9 @@
 // bufferAnswer reads the complete answer and keeps it in the session until the core
 // decides to deliver it.
 func (x *exchange) bufferAnswer(response *http.Response) call.Result {
-	body, err := io.ReadAll(io.LimitReader(response.Body, maxAnswerBytes))
+	body, err := limit.ReadAll(x.session.memory.NewReader(response.Body), maxAnswerBytes)
 	if err != nil {
-		return x.failedResult(errors.Wrap(err, "read answer"))
+		return x.failedResult(newReadError("body", err))
 	}
 	x.session.answer = &answer{response.StatusCode, response.Header, body}
 	return call.Result{End: call.EndComplete, Status: response.StatusCode}
@@ -218,23 +275,15 @@
 // relayStream forwards each event to the caller as soon as it is complete. A stream
 // resumed after an earlier send starts after the last event that the caller received.
 func (x *exchange) relayStream(response *http.Response) call.Result {
-	events := bufio.NewReaderSize(response.Body, ioBufferBytes)
-	var event []byte
+	events := newEventReader(response.Body, x.session.memory)
 	isFirst := true
 	for {
-		line, err := events.ReadSlice('\n')
-		event = append(event, line...)
-		if errors.Is(err, bufio.ErrBufferFull) {
-			continue
-		}
+		event, err := events.next()
 		if errors.Is(err, io.EOF) {
-			return x.streamResult(response, event)
+			return x.streamResult(response)
 		}
 		if err != nil {
-			return x.failedResult(errors.Wrap(err, "read event"))
-		}
-		if !isBlank(line) {
-			continue
+			return x.failedResult(newReadError("event", err))
 		}
 		if err := x.relayEvent(response, event, isFirst); err != nil {
 			return call.Result{End: call.EndDisconnected, Err: &CallerWriteError{err}}
@@ -245,7 +294,6 @@
 			x.session.stage.Store(stageStreaming)
 			x.session.proxy.Step(input.FirstEventSent{Number: x.send.Number})
 		}
-		event = event[:0]
 		x.setReadTimeout(x.send.NextEventTimeout.Duration())
 	}
 }
@@ -258,12 +306,9 @@
 	return x.session.writeEvent(event)
 }
 
-// streamResult returns the result of a stream that the endpoint has closed. The stream is
-// broken if it ended inside an event or before the first one.
-func (x *exchange) streamResult(response *http.Response, unfinished []byte) call.Result {
-	if len(strings.TrimSpace(string(unfinished))) > 0 {
-		return x.failedResult(&AnswerError{"it ended inside an event"})
-	}
+// streamResult returns the result of a stream that the endpoint has closed after a complete
+// event. The stream is broken if it ended before the first one.
+func (x *exchange) streamResult(response *http.Response) call.Result {
 	if !x.session.streamOpen {
 		return x.failedResult(&AnswerError{"it ended without an event"})
 	}
--- a/internal/flow/proxy/session.go
+++ b/internal/flow/proxy/session.go
@@ -1,7 +1,6 @@
 package proxy
 
 import (
-	"bytes"
 	"context"
 	"io"
 	"net/http"
@@ -16,6 +15,7 @@
 	"mustardhook/internal/flow/call"
 	"mustardhook/internal/flow/input"
 	"mustardhook/internal/flow/output"
+	"mustardhook/internal/serve/limit"
 )
 
 const (
@@ -62,6 +62,8 @@
 		sending context.Context
 		cancel  context.CancelFunc
 
+		// memory holds what the session has buffered of answers.
+		memory *limit.Share
 		// answer is the last complete answer that was not streamed.
 		answer *answer
 		// streamOpen is set once the header of a stream was forwarded to the caller.
@@ -94,8 +96,9 @@
 	p.metrics.requests.Inc(1)
 	s := &session{
 		proxy: p, head: r, writer: w, control: http.NewResponseController(w), startedAt: time.Now(),
-		outputs: make(chan output.Output, sessionOutputBuffer),
+		outputs: make(chan output.Output, sessionOutputBuffer), memory: p.answerMemory.NewShare(),
 	}
+	defer s.memory.Release()
 	s.sending, s.cancel = context.WithCancel(r.Context())
 	defer s.cancel()
 	request, err := p.dialect.ReadRequest(r)
@@ -274,5 +277,3 @@
 	s.lastEventAt = now
 	return s.control.Flush()
 }
-
-func isBlank(line []byte) bool { return len(bytes.TrimSpace(line)) == 0 }
