--- a/internal/flow/place/engine.go
+++ b/internal/flow/place/engine.go
@@ -222,6 +222,10 @@
 func chooseLong(
 	b *board.Board, engine *plan.Engine, short, long []*candidate, request *board.Request, need int,
 ) choice {
+	if len(long) == 0 {
+		// A single engine runs prompts of both size classes.
+		long, short = short, nil
+	}
 	prompt := request.Request.PromptTokens
 	shards := min(max(int(math.Ceil(cost.PrefillMillis(engine, prompt, 1)/targetShardMillis)), 1), maxHelpers+1)
 	candidates := slices.Clone(long)
@@ -264,6 +268,8 @@
 	}
 	own := waiting.positionOf(b, request)
 	switch {
+	case request.Runs == 0 && b.StopEndsWithin(own.startAt-b.Now+minDuration(b, request)):
+		return choice{reason: call.ReasonStopping, retryAfter: StoppingRetryAfter}
 	case request.Runs == 0 && own.startAt > b.Now+(request.WaitsUntil()-b.Now)/2:
 		return choice{reason: call.ReasonOverload, retryAfter: b.RetryAfter(request)}
 	case pending > maxPendingMillis:
--- a/internal/flow/proxy/proxy.go
+++ b/internal/flow/proxy/proxy.go
@@ -24,6 +24,7 @@
 	"mustardhook/internal/flow/plan"
 	"mustardhook/internal/flow/port"
 	"mustardhook/internal/flow/setup"
+	"mustardhook/internal/serve/conns"
 	"mustardhook/internal/serve/logs"
 )
 
@@ -44,7 +45,9 @@
 		source   port.Source
 		logger   logs.Logger
 		metrics  *entryMetrics
-		news     *newsSocket
+		// conns are the connections of callers.
+		conns *conns.Tracker
+		news  *newsSocket
 		// peers is the client for calls to other entries, and for orders and reports.
 		peers *http.Client
 
@@ -83,6 +86,7 @@
 		source:   config.Source,
 		logger:   config.Logger,
 		metrics:  newEntryMetrics(),
+		conns:    conns.New(),
 		peers:    NewClient(),
 		board:    board.New(),
 		cycle:    cycle.New(config.Controllers...),
@@ -105,6 +109,7 @@
 // Step passes an input to the core and executes the resulting outputs. It is safe for
 // concurrent use.
 func (p *Proxy) Step(in input.Input) {
+	defer crashOnPanic()
 	p.mutex.Lock()
 	b := p.board
 	if started, ok := in.(input.Started); ok {
@@ -126,6 +131,8 @@
 	switch action := action.(type) {
 	case output.Send:
 		p.dispatch(action.Send.Number, action)
+	case output.CancelSend:
+		p.cancelSend(action.Number)
 	case output.Deliver:
 		p.dispatch(action.Number, action)
 	case output.Reply:
@@ -154,8 +161,20 @@
 	}
 }
 
+// cancelSend cancels the current send of a request, if its session is still open.
+func (p *Proxy) cancelSend(number uint64) {
+	if value, ok := p.sessions.Load(number); ok {
+		value.(*session).cancel()
+	}
+}
+
 // spawn runs the function in a goroutine that Run waits for.
-func (p *Proxy) spawn(task func()) { p.goroutines.Go(task) }
+func (p *Proxy) spawn(task func()) {
+	p.goroutines.Go(func() {
+		defer crashOnPanic()
+		task()
+	})
+}
 
 // IsReady reports whether the entry can serve requests of callers.
 func (p *Proxy) IsReady() bool {
--- a/internal/flow/proxy/run.go
+++ b/internal/flow/proxy/run.go
@@ -35,8 +35,9 @@
 	callersPort = "callers"
 	// drainPollInterval is the time between two checks whether all requests have ended.
 	drainPollInterval = 20 * time.Millisecond
-	// exitReserve is the part of the grace period kept for the exit of the process.
-	exitReserve = 500 * time.Millisecond
+	// exitMargin is how long before the end of the grace period the process exits at the
+	// latest.
+	exitMargin = 100 * time.Millisecond
 )
 
 type (
@@ -76,7 +77,7 @@
 	defer func() { _ = news.conn.Close() }()
 	p.news = news
 	debug.SetMemoryLimit(int64(float64(p.settings.Limits.MemoryMegabytes) * megabyte * memoryLimitRatio))
-	callers, err := p.listen(callersPort, p.settings.Callers, p)
+	callers, listener, err := p.listen(callersPort, p.settings.Callers, p)
 	if err != nil {
 		return err
 	}
@@ -90,7 +91,7 @@
 		controlHandlers[net.JoinHostPort(host, strconv.Itoa(p.settings.MetricsPort))] = p.metricsHandler()
 	}
 	for address, handler := range controlHandlers {
-		server, err := p.listen("control", address, handler)
+		server, _, err := p.listen("control", address, handler)
 		if err != nil {
 			return err
 		}
@@ -106,44 +107,74 @@
 	p.spawn(p.readPublished)
 	p.logger.Part("entry").Info("Entry serves.", "callers", p.settings.Callers)
 	<-ctx.Done()
-	p.stop(callers)
+	p.stop(listener)
 	return nil
 }
 
 // listen starts an HTTP server at the address. On the port of callers it limits the
-// number of connections.
-func (p *Proxy) listen(name, address string, handler http.Handler) (*http.Server, error) {
+// number of connections and tracks them.
+func (p *Proxy) listen(name, address string, handler http.Handler) (*http.Server, net.Listener, error) {
 	config := net.ListenConfig{KeepAliveConfig: keepAliveConfig()}
 	listener, err := config.Listen(p.lifetime, "tcp4", address)
 	if err != nil {
-		return nil, &ListenError{name, address, err}
+		return nil, nil, &ListenError{name, address, err}
 	}
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: requestHeaderTimeout, IdleTimeout: callerIdleTimeout}
 	if name == callersPort {
 		maxConns := int(float64(p.settings.Limits.Descriptors-reservedDescriptors) * callerDescriptorRatio)
-		listener = netutil.LimitListener(listener, max(maxConns, 1))
+		listener = p.conns.Listen(netutil.LimitListener(listener, max(maxConns, 1)))
+		p.conns.Attach(server)
 	}
-	server := &http.Server{Handler: handler, ReadHeaderTimeout: requestHeaderTimeout, IdleTimeout: callerIdleTimeout}
 	p.spawn(func() {
-		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
 			p.logger.Part("entry").Warn("Port closed.", "port", name, "err", err)
 		}
 	})
-	return server, nil
+	return server, listener, nil
 }
 
-// stop makes the readiness check fail, accepts requests until the load balancer has
-// noticed that, and then waits for requests in flight until the grace period is nearly
-// over.
-func (p *Proxy) stop(callers *http.Server) {
+// stop makes the readiness check fail and accepts requests until the load balancer has
+// noticed that. It then waits until every request that was read has been answered, for the
+// grace period at most. The core ends the requests that are left shortly before.
+func (p *Proxy) stop(callers net.Listener) {
 	p.logger.Part("entry").Info("Entry stops.", "active", p.active.Load())
-	deadline := time.Now().Add(p.gracePeriod().Duration() - exitReserve)
+	grace := p.gracePeriod()
 	p.Step(input.StopRequested{})
-	callers.SetKeepAlivesEnabled(false)
-	time.Sleep(place.StopNotice.Duration())
-	for p.active.Load() > 0 && time.Now().Before(deadline) {
-		time.Sleep(drainPollInterval)
+	ctx, cancel := context.WithTimeout(context.Background(), grace.Duration()-exitMargin)
+	defer cancel()
+	p.conns.Retire()
+	wait(ctx, min(place.StopNotice, grace/2).Duration())
+	for p.active.Load() > 0 && ctx.Err() == nil {
+		wait(ctx, drainPollInterval)
+	}
+	// From here on no request is unread that the entry could still answer.
+	if err := callers.Close(); err != nil {
+		p.logger.Part("entry").Warn("Port of callers was not closed.", "err", err)
 	}
-	p.logger.Part("entry").Info("Entry stopped.", "active", p.active.Load())
+	p.conns.Finish()
+	p.conns.Wait(ctx)
+	p.logCutRequests()
+	open := p.conns.Open()
+	p.logger.Part("entry").Info("Entry stopped.", "active", p.active.Load(), "busy", open.Busy, "idle", open.Idle,
+		"unused", open.Unused)
+}
+
+// wait waits for the given time or until the context ends.
+func wait(ctx context.Context, pause time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(pause):
+	}
+}
+
+// logCutRequests logs each request that the exit of the process cuts off.
+func (p *Proxy) logCutRequests() {
+	p.sessions.Range(func(_, value any) bool {
+		s := value.(*session)
+		p.logger.Part("request").Warn("Request cut off by the exit.", "request", s.request.Name, "stage", s.stage.Load(),
+			"millis", time.Since(s.startedAt).Milliseconds(), "promptTokens", s.request.PromptTokens)
+		return true
+	})
 }
 
 // readyHandler answers the readiness check with status 200 or 503.
--- a/internal/flow/proxy/send.go
+++ b/internal/flow/proxy/send.go
@@ -66,8 +66,9 @@
 	s.proxy.metrics.sends.Inc(1)
 	result := call.Result{Number: target.Number, End: call.EndNotRun, Unreachable: true}
 	deadline := time.Now().Add(target.TimeLeft.Duration() + answerGrace)
-	ctx, cancel := context.WithDeadline(s.head.Context(), deadline)
+	ctx, cancel := context.WithDeadline(s.sending, deadline)
 	defer cancel()
+	s.stage.Store(stageReserving)
 	leases, err := s.reserve(ctx, target.Helpers)
 	defer leases.release()
 	if err != nil {
@@ -76,6 +77,7 @@
 		result.LeaseRefused = true
 		return s.classifyEnd(result)
 	}
+	s.stage.Store(stageSent)
 	conn, err := newDialer().DialContext(ctx, "tcp4", target.Address)
 	if err != nil {
 		result.Err = err
@@ -93,14 +95,21 @@
 	return s.classifyEnd(result)
 }
 
-// classifyEnd changes the end of a failed send to EndDisconnected if the caller closed its
-// connection, so that the failure is not attributed to the endpoint.
+// classifyEnd changes the result of a failed send if the caller closed its connection or
+// the core cancelled the send, so that the failure is not attributed to the endpoint.
 func (s *session) classifyEnd(result call.Result) call.Result {
 	var callerErr *CallerWriteError
-	if result.End != call.EndComplete && (s.head.Context().Err() != nil || errors.As(result.Err, &callerErr)) {
+	switch {
+	case result.End == call.EndComplete:
+		return result
+	case s.head.Context().Err() != nil || errors.As(result.Err, &callerErr):
 		result.End = call.EndDisconnected
-		result.Unreachable = false
+	case s.sending.Err() == nil:
+		return result
+	case result.End != call.EndNotRun:
+		result.End = call.EndCancelled
 	}
+	result.Unreachable = false
 	return result
 }
 
@@ -233,6 +242,7 @@
 		if isFirst {
 			isFirst = false
 			x.isStreaming = true
+			x.session.stage.Store(stageStreaming)
 			x.session.proxy.Step(input.FirstEventSent{Number: x.send.Number})
 		}
 		event = event[:0]
