--- a/internal/flow/place/place.go
+++ b/internal/flow/place/place.go
@@ -36,7 +36,7 @@
 	// answers and for the exit of the process. It is at most the grace period divided by
 	// exitReserveDivisor.
 	ExitReserve        = 500 * clock.Millis(1)
-	exitReserveDivisor = 4
+	exitReserveDivisor = 8
 	// StoppingRetryAfter is the delay after which a caller that was refused by a stopping
 	// entry should retry. It is short because another entry can serve it at once.
 	StoppingRetryAfter = 50 * clock.Millis(1)
