Relay: a long estimate of a caller does not bring its refusal forward

The estimates are accurate at the median only. A stopping entry refuses a waiting prompt early only if an answer of mean length has no time left.

--- a/internal/flow/place/stop.go
+++ b/internal/flow/place/stop.go
@@ -24,14 +24,16 @@
 	}
 }
 
-// minDuration returns the time that the request takes at least. A request that has run
-// before may need less, because a stream is resumed after its last event.
+// minDuration returns the time that the request takes if all engines are idle. The answer is
+// assumed to have at most the mean length, since the estimates of callers are often too high.
+// A request that has run before may need less, because a stream is resumed after its last
+// event.
 func minDuration(b *board.Board, request *board.Request) clock.Millis {
 	engine := b.Plan.Services[request.Service].Engine
 	if engine == nil || request.Runs > 0 {
 		return MinTimeLeft
 	}
 	prefill := cost.PrefillMillis(engine, request.Request.PromptTokens, maxHelpers+1)
-	decode := engine.StepMillis * float64(estimateOutput(request.Request))
+	decode := engine.StepMillis * float64(min(estimateOutput(request.Request), engine.MeanOutputTokens))
 	return MinTimeLeft + clock.Millis(prefill+decode)
 }
