Relay: requests on its ports are bounded in bytes and in time

What was seen: a message from another entry without end was read into memory (out of memory in the test), one that arrives byte by byte occupied its connection without end, and a caller could send a megabyte of header on each of more than a thousand connections.

Cause: the generated RPC server reads with io.ReadAll and its port had no timeout for a body; the default of net/http for a head is 1 MB.

Evidence, on the unchanged code: TestEndlessPeerRequestIsRejected (out of memory), TestDribbledPeerRequestIsRejected (still read after 10 s), TestLargeHeadOfRequestIsRejected (200 KB accepted).

The ports for control take 64 KiB in a body and 5 s for a request; a head has 64 KiB on every port, beyond which net/http answers 431.

--- a/internal/flow/proxy/bounds_test.go
+++ b/internal/flow/proxy/bounds_test.go
@@ -1,16 +1,20 @@
 package proxy
 
 import (
+	"bufio"
 	"context"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
+	"os"
 	"strings"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
+	"mustardhook/internal/fake/ports"
 	"mustardhook/internal/flow/call"
 	"mustardhook/internal/flow/newspb"
 	"mustardhook/internal/flow/port"
@@ -48,6 +52,16 @@
 	return p
 }
 
+// listenForTest opens a port of the proxy and returns its address.
+func listenForTest(t *testing.T, p *Proxy, name string, handler http.Handler) string {
+	addresses, err := ports.Allocate(1)
+	require.NoError(t, err)
+	server, err := p.listen(name, addresses[0], handler)
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = server.Close() })
+	return addresses[0]
+}
+
 // startEndless starts a server whose response bodies have no end, and returns its address.
 func startEndless(t *testing.T) string {
 	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
@@ -101,3 +115,78 @@
 	_, err := NewClient().Get(server.URL)
 	require.ErrorContains(t, err, "exceeded")
 }
+
+// Guards against a message from another entry without end that is read into memory.
+func TestEndlessPeerRequestIsRejected(t *testing.T) {
+	t.Parallel()
+	p := newTestProxy(t)
+	address := listenForTest(t, p, "control", p.peerHandler())
+	conn, err := net.Dial("tcp", address)
+	require.NoError(t, err)
+	defer func() { _ = conn.Close() }()
+	require.NoError(t, conn.SetDeadline(time.Now().Add(testTimeout)))
+	go func() {
+		_, err := io.WriteString(conn, "POST "+newspb.SharePathPrefix+"GetPublished HTTP/1.1\r\nHost: e\r\n"+
+			"Content-Type: application/protobuf\r\nTransfer-Encoding: chunked\r\n\r\n")
+		for err == nil {
+			_, err = io.WriteString(conn, "400\r\n"+strings.Repeat("x", 1024)+"\r\n")
+		}
+	}()
+	requireRejected(t, conn)
+}
+
+// Guards against a message from another entry that arrives byte by byte and occupies its
+// connection without end.
+func TestDribbledPeerRequestIsRejected(t *testing.T) {
+	t.Parallel()
+	p := newTestProxy(t)
+	address := listenForTest(t, p, "control", p.peerHandler())
+	conn, err := net.Dial("tcp", address)
+	require.NoError(t, err)
+	defer func() { _ = conn.Close() }()
+	require.NoError(t, conn.SetDeadline(time.Now().Add(2*controlTimeout)))
+	go func() {
+		_, err := io.WriteString(conn, "POST "+newspb.SharePathPrefix+"GetPublished HTTP/1.1\r\nHost: e\r\n"+
+			"Content-Type: application/protobuf\r\nContent-Length: 10000\r\n\r\n")
+		for err == nil {
+			_, err = io.WriteString(conn, "x")
+			time.Sleep(100 * time.Millisecond)
+		}
+	}()
+	requireRejected(t, conn)
+}
+
+// Guards against the head of a request that is accepted up to the default limit of net/http,
+// a megabyte on each connection.
+func TestLargeHeadOfRequestIsRejected(t *testing.T) {
+	t.Parallel()
+	p := newTestProxy(t)
+	address := listenForTest(t, p, callersPort, p)
+	for size, status := range map[int]int{
+		16 << 10: http.StatusBadRequest, 200 << 10: http.StatusRequestHeaderFieldsTooLarge,
+	} {
+		conn, err := net.Dial("tcp", address)
+		require.NoError(t, err)
+		require.NoError(t, conn.SetDeadline(time.Now().Add(testTimeout)))
+		go func() {
+			_, _ = io.WriteString(conn, "GET / HTTP/1.1\r\nHost: e\r\nA: "+strings.Repeat("x", size)+"\r\n\r\n")
+		}()
+		response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+		require.NoError(t, err)
+		require.Equal(t, status, response.StatusCode)
+		require.NoError(t, conn.Close())
+	}
+}
+
+// requireRejected fails unless the server answers with a failure or closes the connection,
+// within the deadline of the connection.
+func requireRejected(t *testing.T, conn net.Conn) {
+	t.Helper()
+	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	if err != nil {
+		require.NotErrorIs(t, err, os.ErrDeadlineExceeded)
+		return
+	}
+	defer func() { _ = response.Body.Close() }()
+	require.GreaterOrEqual(t, response.StatusCode, http.StatusBadRequest)
+}
--- a/internal/flow/proxy/run.go
+++ b/internal/flow/proxy/run.go
@@ -22,6 +22,12 @@
 	// An idle connection of a caller is closed after callerIdleTimeout.
 	requestHeaderTimeout = 5 * time.Second
 	callerIdleTimeout    = 60 * time.Second
+	// maxRequestHeadBytes is the maximum size of the head of a request. On the ports for
+	// control, maxControlBytes is that of the body, and controlTimeout is how long reading a
+	// request and writing the response may each take.
+	maxRequestHeadBytes = 64 << 10
+	maxControlBytes     = 64 << 10
+	controlTimeout      = 5 * time.Second
 	// memoryLimitRatio is the soft limit of the Go runtime's memory, as a fraction of the
 	// memory setting.
 	memoryLimitRatio = 0.7
@@ -110,8 +116,8 @@
 	return nil
 }
 
-// listen starts an HTTP server at the address. On the port of callers it limits the
-// number of connections.
+// listen starts an HTTP server at the address. On the port of callers it limits the number
+// of connections, on other ports the size and the duration of requests.
 func (p *Proxy) listen(name, address string, handler http.Handler) (*http.Server, error) {
 	config := net.ListenConfig{KeepAliveConfig: keepAliveConfig()}
 	listener, err := config.Listen(p.lifetime, "tcp4", address)
@@ -122,7 +128,15 @@
 		maxConns := int(float64(p.settings.Limits.Descriptors-reservedDescriptors) * callerDescriptorRatio)
 		listener = netutil.LimitListener(listener, max(maxConns, 1))
 	}
-	server := &http.Server{Handler: handler, ReadHeaderTimeout: requestHeaderTimeout, IdleTimeout: callerIdleTimeout}
+	server := &http.Server{
+		Handler: handler, ReadHeaderTimeout: requestHeaderTimeout, IdleTimeout: callerIdleTimeout,
+		MaxHeaderBytes: maxRequestHeadBytes,
+	}
+	if name != callersPort {
+		server.Handler = http.MaxBytesHandler(handler, maxControlBytes)
+		server.ReadTimeout = controlTimeout
+		server.WriteTimeout = controlTimeout
+	}
 	p.spawn(func() {
 		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
 			p.logger.Part("entry").Warn("Port closed.", "port", name, "err", err)
