Relay: all request bodies together are bounded

What was seen: each body was bounded by the configuration, but not their sum: with 16 MB of memory the relay read 32 MiB of bodies.

Cause: no limit over all sessions.

Bodies take from a budget of two fifths of the memory setting. One that finds no memory is refused with status 503, which is true: nothing was sent.

--- a/internal/flow/proxy/bounds_test.go
+++ b/internal/flow/proxy/bounds_test.go
@@ -178,6 +178,44 @@
 	}
 }
 
+// Guards against request bodies that together exceed the memory of the instance: those that
+// find no memory are refused with status 503, which is true since nothing was sent.
+func TestRequestBodiesStayWithinMemory(t *testing.T) {
+	t.Parallel()
+	const bodyBytes = 1 << 20
+	p := newTestProxy(t)
+	read := func(size int) (*session, bool, int) {
+		recorder := httptest.NewRecorder()
+		s := &session{
+			proxy: p, writer: recorder, control: http.NewResponseController(recorder), bodyMemory: p.bodyMemory.NewShare(),
+			head: httptest.NewRequest(http.MethodPost, "/", strings.NewReader(strings.Repeat("x", size))),
+		}
+		isRead := s.readBody()
+		return s, isRead, recorder.Code
+	}
+	var sessions []*session
+	total := 0
+	for range 2 * testMemoryMegabytes {
+		s, isRead, status := read(bodyBytes)
+		if isRead {
+			sessions = append(sessions, s)
+			total += len(s.body)
+			continue
+		}
+		require.Equal(t, http.StatusServiceUnavailable, status)
+		s.bodyMemory.Release()
+	}
+	require.NotEmpty(t, sessions)
+	require.Less(t, total, testMemoryMegabytes<<20/2)
+	_, isRead, _ := read(1000)
+	require.True(t, isRead, "a small body found no memory")
+	for _, s := range sessions {
+		s.bodyMemory.Release()
+	}
+	_, isRead, _ = read(bodyBytes)
+	require.True(t, isRead, "memory was not released")
+}
+
 // requireRejected fails unless the server answers with a failure or closes the connection,
 // within the deadline of the connection.
 func requireRejected(t *testing.T, conn net.Conn) {
--- a/internal/flow/proxy/proxy.go
+++ b/internal/flow/proxy/proxy.go
@@ -35,8 +35,10 @@
 	// sessionOutputBuffer is the capacity of a session's channel of outputs.
 	sessionOutputBuffer = 4
 	nanosPerMs          = 1e6
-	// answerMemoryRatio is the part of the instance's memory that buffered answers may take.
+	// answerMemoryRatio and bodyMemoryRatio are the parts of the instance's memory that
+	// buffered answers and request bodies may take.
 	answerMemoryRatio = 0.2
+	bodyMemoryRatio   = 0.4
 )
 
 type (
@@ -51,8 +53,10 @@
 		// peers is the client for calls to other entries, and for orders and reports.
 		peers *http.Client
 
-		// answerMemory bounds what all sessions buffer of answers.
+		// answerMemory bounds what all sessions buffer of answers, bodyMemory their request
+		// bodies.
 		answerMemory *limit.Budget
+		bodyMemory   *limit.Budget
 
 		// mutex guards board and cycle.
 		mutex sync.Mutex
@@ -83,6 +87,7 @@
 // New returns a proxy. Call Run to start it.
 func New(config Config) *Proxy {
 	ctx, cancel := context.WithCancel(context.Background())
+	memoryBytes := float64(config.Settings.Limits.MemoryMegabytes) * megabyte
 	return &Proxy{
 		settings:     config.Settings,
 		dialect:      config.Dialect,
@@ -90,7 +95,8 @@
 		logger:       config.Logger,
 		metrics:      newEntryMetrics(),
 		peers:        NewClient(),
-		answerMemory: limit.NewBudget(int64(float64(config.Settings.Limits.MemoryMegabytes) * megabyte * answerMemoryRatio)),
+		answerMemory: limit.NewBudget(int64(memoryBytes * answerMemoryRatio)),
+		bodyMemory:   limit.NewBudget(int64(memoryBytes * bodyMemoryRatio)),
 		board:        board.New(),
 		cycle:        cycle.New(config.Controllers...),
 		lifetime:     ctx,
--- a/internal/flow/proxy/session.go
+++ b/internal/flow/proxy/session.go
@@ -23,7 +23,10 @@
 	bodyReadTimeout = 10 * time.Second
 	// answerWriteTimeout is how long one write to a caller that does not read may block.
 	answerWriteTimeout = 5 * time.Second
-	millisPerSecond    = 1000.0
+	// bodyMemoryRetryAfter is the delay after which a caller should retry whose request body
+	// found no memory.
+	bodyMemoryRetryAfter = 500 * clock.Millis(1)
+	millisPerSecond      = 1000.0
 
 	headerRetryAfter = "Retry-After"
 )
@@ -41,6 +44,8 @@
 		outputs   chan output.Output
 		startedAt time.Time
 
+		// bodyMemory holds the body of the request.
+		bodyMemory *limit.Share
 		// memory holds what the session has buffered of answers.
 		memory *limit.Share
 		// answer is the last complete answer that was not streamed.
@@ -75,8 +80,10 @@
 	p.metrics.requests.Inc(1)
 	s := &session{
 		proxy: p, head: r, writer: w, control: http.NewResponseController(w), startedAt: time.Now(),
-		outputs: make(chan output.Output, sessionOutputBuffer), memory: p.answerMemory.NewShare(),
+		outputs: make(chan output.Output, sessionOutputBuffer), bodyMemory: p.bodyMemory.NewShare(),
+		memory: p.answerMemory.NewShare(),
 	}
+	defer s.bodyMemory.Release()
 	defer s.memory.Release()
 	request, err := p.dialect.ReadRequest(r)
 	request.Number = p.lastNumber.Add(1)
@@ -104,26 +111,33 @@
 	return digest.Sum64()
 }
 
-// readBody reads the body of the request. It reports false if the body exceeds the limit,
-// after it has answered the caller.
+// readBody reads the body of the request. It reports false if the body exceeds the limit or
+// there is no memory for it, after it has answered the caller.
 func (s *session) readBody() bool {
-	limit := s.proxy.limits().BodyBytes
-	if limit == 0 {
-		limit = defaultMaxBodyBytes
+	maxBytes := s.proxy.limits().BodyBytes
+	if maxBytes == 0 {
+		maxBytes = defaultMaxBodyBytes
 	}
 	_ = s.control.SetReadDeadline(time.Now().Add(bodyReadTimeout))
-	body, err := io.ReadAll(io.LimitReader(s.head.Body, limit+1))
+	body, err := limit.ReadAll(s.bodyMemory.NewReader(s.head.Body), maxBytes)
 	_ = s.control.SetReadDeadline(time.Time{})
-	if err != nil {
+	var exceeded *limit.ExceededError
+	var exhausted *limit.ExhaustedError
+	switch {
+	case errors.As(err, &exceeded):
+		s.reply(call.Reply{Reason: call.ReasonBodyLimit, Status: http.StatusRequestEntityTooLarge})
+		return false
+	case errors.As(err, &exhausted):
+		s.reply(call.Reply{
+			Reason: call.ReasonOverload, Status: http.StatusServiceUnavailable, RetryAfter: bodyMemoryRetryAfter,
+		})
+		return false
+	case err != nil:
 		// The caller closed the connection, was too slow or violated the protocol. Nothing
 		// was sent to an endpoint yet.
 		s.proxy.logger.Part("request").Info("Request body could not be read.", "request", s.request.Name, "err", err)
 		panic(http.ErrAbortHandler)
 	}
-	if int64(len(body)) > limit {
-		s.reply(call.Reply{Reason: call.ReasonBodyLimit, Status: http.StatusRequestEntityTooLarge})
-		return false
-	}
 	s.body = body
 	return true
 }
