Relay: a refusal that its caller does not read ends the connection

What was seen: a caller that sends requests and never reads the refusals held a connection and a request in progress without end.

Cause: reply set no write deadline, unlike answers and events.

--- a/internal/flow/proxy/bounds_test.go
+++ b/internal/flow/proxy/bounds_test.go
@@ -216,6 +216,22 @@
 	require.True(t, isRead, "memory was not released")
 }
 
+// Guards against a caller that sends requests and never reads the refusals: it occupies its
+// connection for answerWriteTimeout at most.
+func TestUnreadRefusalsEndTheConnection(t *testing.T) {
+	t.Parallel()
+	p := newTestProxy(t)
+	conn, err := net.Dial("tcp", listenForTest(t, p, callersPort, p))
+	require.NoError(t, err)
+	defer func() { _ = conn.Close() }()
+	require.NoError(t, conn.SetDeadline(time.Now().Add(3*answerWriteTimeout)))
+	requests := strings.Repeat("GET / HTTP/1.1\r\nHost: e\r\n\r\n", 100)
+	for err == nil {
+		_, err = io.WriteString(conn, requests)
+	}
+	require.NotErrorIs(t, err, os.ErrDeadlineExceeded)
+}
+
 // requireRejected fails unless the server answers with a failure or closes the connection,
 // within the deadline of the connection.
 func requireRejected(t *testing.T, conn net.Conn) {
--- a/internal/flow/proxy/session.go
+++ b/internal/flow/proxy/session.go
@@ -215,6 +215,7 @@
 	header.Set("Content-Type", "text/plain")
 	text := string(reply.Reason) + "\n"
 	header.Set("Content-Length", strconv.Itoa(len(text)))
+	_ = s.control.SetWriteDeadline(time.Now().Add(answerWriteTimeout))
 	s.writer.WriteHeader(reply.Status)
 	_, err := io.WriteString(s.writer, text)
 	if err != nil && !errors.Is(err, http.ErrBodyNotAllowed) {
