Serve: responses to the entry's own calls and peers' envelopes are bounded

What was seen: a report or page of the platform that continues with blanks without end was cut at 16 MiB and taken for the whole; a head of 200 KB was accepted; a peer's envelope of 1 GiB was read into memory and answered with 200.

Cause: io.LimitReader ends like a whole body; net/http accepts heads of 10 MB; the generated RPC server and client read with io.ReadAll.

Evidence, on the unchanged code: TestEndlessControlResponseIsRejected and TestEndlessHeadIsRejected (no error), TestEndlessEnvelopeIsRejected (status 200).

The transport for control calls fails over 16 MiB, every transport over 64 KiB in a head. The peers' port takes 16 MiB and the limit of a call in an envelope, within 5 s. A sender splits a larger batch, so that it isn't lost as a whole (TestLargeBatchIsSplit).

--- a/internal/serve/shell/calls.go
+++ b/internal/serve/shell/calls.go
@@ -15,29 +15,27 @@
 	"mustardhook/internal/core/action"
 	"mustardhook/internal/core/event"
 	"mustardhook/internal/core/msgs"
+	"mustardhook/internal/serve/limit"
 	"mustardhook/internal/wire/caller"
 	"mustardhook/internal/wire/engine"
 	"mustardhook/internal/wire/watch"
 )
 
 const (
-	maxControlBytes = 16 << 20
+	// maxControlBytes is the maximum size of a response to a control call, and
+	// maxResponseHeadBytes that of the head of any response.
+	maxControlBytes      = 16 << 20
+	maxResponseHeadBytes = 64 << 10
 )
 
 type (
 	// statusError is returned for a response with a status other than 200.
 	statusError struct{ status int }
-
-	// sizeError is returned for the answer of a service call over the size limit.
-	sizeError struct{}
 )
 
 // Error returns the status code as text.
 func (e *statusError) Error() string { return "status " + strconv.Itoa(e.status) }
 
-// Error returns the text of the error.
-func (*sizeError) Error() string { return "answer body exceeds the size limit" }
-
 func dialer() *net.Dialer { return &net.Dialer{Timeout: dialTimeout} }
 
 // isNotSent reports whether a call failed before a connection was established.
@@ -86,14 +84,10 @@
 	if response.Header.Get(caller.HeaderAttempt) != attempt {
 		return msgs.Answer{}, &mismatchError{"attempt"}
 	}
-	limit := s.settings.Limits.CallBytes
-	body, err := io.ReadAll(io.LimitReader(response.Body, limit+1))
+	body, err := limit.ReadAll(response.Body, s.settings.Limits.CallBytes)
 	if err != nil {
 		return msgs.Answer{}, errors.Wrap(err, "read answer")
 	}
-	if int64(len(body)) > limit {
-		return msgs.Answer{}, &sizeError{}
-	}
 	return msgs.Answer{Status: response.StatusCode, Type: response.Header.Get("Content-Type"), Body: body}, nil
 }
 
@@ -174,5 +168,5 @@
 	if response.StatusCode != http.StatusOK {
 		return nil, &statusError{response.StatusCode}
 	}
-	return io.ReadAll(io.LimitReader(response.Body, maxControlBytes))
+	return io.ReadAll(response.Body)
 }
--- a/internal/serve/shell/peers.go
+++ b/internal/serve/shell/peers.go
@@ -6,6 +6,7 @@
 	"crypto/tls"
 	"net/http"
 	"sync"
+	"time"
 
 	"github.com/twitchtv/twirp"
 	"google.golang.org/protobuf/proto"
@@ -23,6 +24,10 @@
 	HeaderPeerKey = "Mustardhook-Peer-Key"
 
 	maxQueuedMessages = 512
+	// maxEnvelopeBytes is the maximum size of an envelope with several messages.
+	maxEnvelopeBytes = 16 << 20
+	// envelopeTimeout is how long a peer may take to send an envelope.
+	envelopeTimeout = 5 * time.Second
 )
 
 type (
@@ -53,11 +58,9 @@
 // WithPeerTLS sends messages to other entries over TLS with the given configuration.
 func WithPeerTLS(config *tls.Config) Option {
 	return func(s *Shell) {
-		client := newClient(true)
-		if transport, ok := client.Transport.(*http.Transport); ok {
-			transport.TLSClientConfig = config
-		}
-		s.outboxes.client = client
+		transport := newTransport(true)
+		transport.TLSClientConfig = config
+		s.outboxes.client = newControlClient(transport)
 		s.outboxes.scheme = "https://"
 	}
 }
@@ -101,10 +104,16 @@
 	}
 }
 
+// deliver sends the messages in one envelope, or in several if one would be too large.
 func (o *outboxes) deliver(box *outbox, batch []msgs.Message) {
 	var from msgs.Member
 	o.shell.ReadBoard(func(b *board.Board) { from = b.SelfMember() })
 	envelope := peers.EncodeEnvelope(from, batch)
+	if count := len(batch); count > 1 && proto.Size(envelope) > maxEnvelopeBytes {
+		o.deliver(box, batch[:count/2])
+		o.deliver(box, batch[count/2:])
+		return
+	}
 	ctx, cancel := context.WithTimeout(o.shell.lifetime, controlTimeout)
 	defer cancel()
 	ctx = o.withKey(ctx)
@@ -148,7 +157,7 @@
 }
 
 // PeerHandler returns the HTTP handler of the peers' port. It rejects requests without
-// the shared peer key.
+// the shared peer key, and bounds the size and the time of the others.
 func (s *Shell) PeerHandler() http.Handler {
 	server := peerpb.NewPeerServer(s)
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
@@ -157,6 +166,10 @@
 			http.Error(w, "peer key is wrong", http.StatusForbidden)
 			return
 		}
+		// If the writer supports no deadlines, only the timeouts of the server apply.
+		_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(envelopeTimeout))
+		// An envelope with a single message may exceed maxEnvelopeBytes by its content.
+		r.Body = http.MaxBytesReader(w, r.Body, maxEnvelopeBytes+s.settings.Limits.CallBytes)
 		server.ServeHTTP(w, r)
 	})
 }
--- a/internal/serve/shell/shell.go
+++ b/internal/serve/shell/shell.go
@@ -21,6 +21,7 @@
 	"mustardhook/internal/core/loop"
 	"mustardhook/internal/core/msgs"
 	"mustardhook/internal/serve/audit"
+	"mustardhook/internal/serve/limit"
 	"mustardhook/internal/serve/logs"
 	"mustardhook/internal/serve/stats"
 	"mustardhook/internal/wire/setup"
@@ -92,9 +93,9 @@
 		pendingPrompts: map[ident.Request]chan action.Action{},
 		pendingCalls:   map[ident.Request]chan msgs.Result{},
 		instances:      watch.NewInstances(),
-		engines:        newClient(true),
-		services:       newClient(false),
-		control:        newClient(true),
+		engines:        newClient(newTransport(true)),
+		services:       newClient(newTransport(false)),
+		control:        newControlClient(newTransport(true)),
 		exited:         make(chan struct{}),
 	}
 	s.startedMillis = clock.FromTime(s.startedAt)
@@ -106,23 +107,33 @@
 	return s
 }
 
-// newClient returns an HTTP client without a timeout of its own. Without keep-alive
-// every call opens a new connection. That keeps net/http from retrying a call by
+// newTransport returns a transport without a timeout of its own for responses. Without
+// keep-alive every call opens a new connection. That keeps net/http from retrying a call by
 // itself, which it does for a request with an idempotency key that fails on a reused
 // connection.
-func newClient(keepAlive bool) *http.Client {
+func newTransport(keepAlive bool) *http.Transport {
+	return &http.Transport{
+		DialContext:            dialer().DialContext,
+		MaxIdleConnsPerHost:    idleConnsPerHost,
+		IdleConnTimeout:        idleTimeout,
+		DisableKeepAlives:      !keepAlive,
+		DisableCompression:     true,
+		MaxResponseHeaderBytes: maxResponseHeadBytes,
+	}
+}
+
+func newClient(transport http.RoundTripper) *http.Client {
 	return &http.Client{
-		Transport: &http.Transport{
-			DialContext:         dialer().DialContext,
-			MaxIdleConnsPerHost: idleConnsPerHost,
-			IdleConnTimeout:     idleTimeout,
-			DisableKeepAlives:   !keepAlive,
-			DisableCompression:  true,
-		},
+		Transport:     transport,
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
 }
 
+// newControlClient returns a client whose responses fail over maxControlBytes.
+func newControlClient(transport *http.Transport) *http.Client {
+	return newClient(limit.NewTransport(transport, maxControlBytes))
+}
+
 // Start passes the Started event to the core and starts the ticker. The seed
 // determines the random decisions of the core.
 func (s *Shell) Start(seed uint64) {
