Serve: an engine's answer ends with the tokens that were asked for

What was seen: an engine that sends tokens without end was relayed until the deadline; an answer that is not streamed was collected in memory until then.

Cause: relayTokens checked the index of a token, not the number of tokens.

Evidence, on the unchanged code: TestEndlessTokensAreRejected (101 tokens of 50, where the test stops it).

A token beyond the maximum is a mismatch, as a wrong token count is.

--- a/internal/serve/shell/attempt.go
+++ b/internal/serve/shell/attempt.go
@@ -38,7 +38,8 @@
 	}
 
 	// mismatchError is returned for an answer that carries the name of another attempt,
-	// a token out of order or a wrong token count. The field is attempt, index or count.
+	// a token out of order, a wrong token count or more tokens than were asked for. The field
+	// is attempt, index or count.
 	mismatchError struct{ field string }
 
 	// relayError is returned when a token can't be written to the caller.
@@ -119,6 +120,9 @@
 		if chunk.Index != result.Tokens {
 			return &mismatchError{"index"}
 		}
+		if chunk.Index >= attempt.Prompt.MaxTokens {
+			return &mismatchError{"count"}
+		}
 		if result.Tokens == attempt.Start.ResumeAfter {
 			s.Step(event.TokenCame{Attempt: attempt.Start.Attempt})
 		}
--- a/internal/serve/shell/bounds_test.go
+++ b/internal/serve/shell/bounds_test.go
@@ -1,6 +1,8 @@
 package shell
 
 import (
+	"context"
+	"errors"
 	"io"
 	"net/http"
 	"net/http/httptest"
@@ -11,10 +13,13 @@
 
 	"github.com/stretchr/testify/require"
 
+	"mustardhook/internal/core/action"
+	"mustardhook/internal/core/event"
 	"mustardhook/internal/core/msgs"
 	"mustardhook/internal/peer/peerpb"
 	"mustardhook/internal/serve/limit"
 	"mustardhook/internal/serve/parts"
+	"mustardhook/internal/wire/engine"
 	"mustardhook/internal/wire/setup"
 )
 
@@ -69,6 +74,32 @@
 	}
 }
 
+// Guards against an engine that sends more tokens than the prompt asks for, without end:
+// the attempt ends with the last token that was asked for.
+func TestEndlessTokensAreRejected(t *testing.T) {
+	t.Parallel()
+	const maxTokens = 50
+	address := serveEndless(t, "", func(number int) []byte {
+		return engine.EncodeChunk(engine.Chunk{Attempt: "a1", Index: number, Text: "x"})
+	})
+	ctx, cancel := context.WithTimeout(t.Context(), testTimeout)
+	defer cancel()
+	received := 0
+	result := newTestShell(t).RunAttempt(ctx, AttemptRequest{
+		Start:  action.StartAttempt{Attempt: "a1", Address: address},
+		Prompt: engine.GenerateRequest{Attempt: "a1", MaxTokens: maxTokens},
+		OnToken: func(engine.Chunk) error {
+			received++
+			if received > 2*maxTokens {
+				return errors.New("too many tokens")
+			}
+			return nil
+		},
+	})
+	require.Equal(t, maxTokens, received)
+	require.NotEqual(t, event.VerdictComplete, result.Verdict)
+}
+
 // Guards against an envelope without end that is read into memory.
 func TestEndlessEnvelopeIsRejected(t *testing.T) {
 	t.Parallel()
