Commands: an entry's response is bounded in bytes and in time

What was seen: status printed the first 64 MiB of an endless response as the whole, and status and audit waited without end for one that arrives byte by byte.

Cause: io.LimitReader ends like a whole body, and the calls had no timeout.

Evidence, on the unchanged code: TestEndlessStatusIsRejected (no error), TestDribbledAnswerToOperatorEnds/Status and /Audit (15 s, where the test ends it).

--- a/cmd/mustardhook/operate.go
+++ b/cmd/mustardhook/operate.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"fmt"
 	"io"
 	"net/http"
@@ -14,13 +15,14 @@
 	"github.com/go-faster/errors"
 	"github.com/spf13/cobra"
 
+	"mustardhook/internal/serve/limit"
 	"mustardhook/internal/serve/parts"
 	"mustardhook/internal/wire/admin"
 	"mustardhook/internal/wire/trail"
 )
 
 const (
-	statusTimeout       = 5 * time.Second
+	callTimeout         = 5 * time.Second
 	maxResponseBytes    = 64 << 20
 	operatorKeyVariable = "MUSTARDHOOK_OPERATOR_KEY"
 )
@@ -62,8 +64,8 @@
 
 // call sends a request and returns the body of the response. The operator key is read
 // from the environment, because arguments are visible in the list of processes.
-func (o *operator) call(cmd *cobra.Command, method, path string) (io.ReadCloser, error) {
-	request, err := http.NewRequestWithContext(cmd.Context(), method, "http://"+o.address+path, nil)
+func (o *operator) call(ctx context.Context, method, path string) (io.ReadCloser, error) {
+	request, err := http.NewRequestWithContext(ctx, method, "http://"+o.address+path, nil)
 	if err != nil {
 		return nil, errors.Wrap(err, "make request")
 	}
@@ -76,7 +78,7 @@
 		return response.Body, nil
 	}
 	defer func() { _ = response.Body.Close() }()
-	text, err := io.ReadAll(io.LimitReader(response.Body, maxResponseBytes))
+	text, err := limit.ReadAll(response.Body, maxResponseBytes)
 	if err != nil {
 		return nil, errors.Wrap(err, "read answer")
 	}
@@ -91,12 +93,14 @@
 		Example: "  mustardhook status --entry 10.1.2.3:7003",
 		Args:    cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
-			body, err := o.call(cmd, http.MethodGet, admin.PathStatus)
+			ctx, cancel := context.WithTimeout(cmd.Context(), callTimeout)
+			defer cancel()
+			body, err := o.call(ctx, http.MethodGet, admin.PathStatus)
 			if err != nil {
 				return err
 			}
 			defer func() { _ = body.Close() }()
-			text, err := io.ReadAll(io.LimitReader(body, maxResponseBytes))
+			text, err := limit.ReadAll(body, maxResponseBytes)
 			if err != nil {
 				return errors.Wrap(err, "read status")
 			}
@@ -149,10 +153,15 @@
 			query := url.Values{}
 			query.Set("since", strconv.FormatUint(since, 10))
 			query.Set("object", object)
+			ctx := cmd.Context()
 			if follow {
 				query.Set("follow", "true")
+			} else {
+				var cancel context.CancelFunc
+				ctx, cancel = context.WithTimeout(ctx, callTimeout)
+				defer cancel()
 			}
-			body, err := o.call(cmd, http.MethodGet, admin.PathAudit+"?"+query.Encode())
+			body, err := o.call(ctx, http.MethodGet, admin.PathAudit+"?"+query.Encode())
 			if err != nil {
 				return err
 			}
@@ -191,7 +200,9 @@
 		Short: "Ask an entry to finish its requests and exit",
 		Args:  cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
-			body, err := o.call(cmd, http.MethodPost, admin.PathDrain)
+			ctx, cancel := context.WithTimeout(cmd.Context(), callTimeout)
+			defer cancel()
+			body, err := o.call(ctx, http.MethodPost, admin.PathDrain)
 			if err != nil {
 				return err
 			}
