Client: responses are bounded

Cause and effect: io.ReadAll read a response without end into memory. Evidence, on the unchanged code: TestEndlessResponsesAreRejected (256 MiB read, no error). Responses fail over 64 MiB now.

--- a/internal/tool/client/client.go
+++ b/internal/tool/client/client.go
@@ -15,12 +15,15 @@
 	"github.com/go-faster/errors"
 
 	"mustardhook/internal/core/clock"
+	"mustardhook/internal/serve/limit"
 	"mustardhook/internal/wire/caller"
 )
 
 const (
 	// maxEventBytes is the maximum length of one line of a stream.
 	maxEventBytes = 1 << 20
+	// maxAnswerBytes is the maximum size of a whole response.
+	maxAnswerBytes = 64 << 20
 )
 
 type (
@@ -75,9 +78,9 @@
 	}
 )
 
-// New returns a client without timeouts of its own.
+// New returns a client without timeouts of its own. Its responses fail over maxAnswerBytes.
 func New(organisation string) *Client {
-	transport := &http.Transport{MaxIdleConnsPerHost: 256, DisableCompression: true}
+	transport := limit.NewTransport(&http.Transport{MaxIdleConnsPerHost: 256, DisableCompression: true}, maxAnswerBytes)
 	return &Client{HTTP: &http.Client{Transport: transport}, Organisation: organisation}
 }
 
