Stand-ins: requests are bounded

Cause and effect: the engine and the service read requests without end into memory. Requests over 16 MiB in the body or 64 KiB in the head are refused now.

--- a/internal/fake/engine/engine.go
+++ b/internal/fake/engine/engine.go
@@ -3,7 +3,6 @@
 package engine
 
 import (
-	"io"
 	"net/http"
 	"strconv"
 	"strings"
@@ -18,6 +17,7 @@
 	"mustardhook/internal/core/fleet"
 	"mustardhook/internal/core/ident"
 	"mustardhook/internal/fake/sched"
+	"mustardhook/internal/serve/limit"
 	"mustardhook/internal/wire/caller"
 	wire "mustardhook/internal/wire/engine"
 	"mustardhook/internal/wire/faults"
@@ -34,6 +34,8 @@
 	// outputBufferSize is the number of outputs buffered per stream. An attempt whose
 	// buffer is full is cancelled.
 	outputBufferSize = 4096
+	// maxBodyBytes is the maximum size of the body of a request.
+	maxBodyBytes = 16 << 20
 )
 
 type (
@@ -178,8 +180,9 @@
 }
 
 func (s *Server) generate(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
-	body, err := io.ReadAll(r.Body)
+	body, err := limit.ReadAll(r.Body, maxBodyBytes)
 	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
 	request, err := wire.DecodeGenerate(body)
@@ -291,8 +294,9 @@
 }
 
 func (s *Server) cancel(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
-	body, err := io.ReadAll(r.Body)
+	body, err := limit.ReadAll(r.Body, maxBodyBytes)
 	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
 	attempt, err := wire.DecodeCancel(body)
@@ -338,8 +342,9 @@
 }
 
 func (s *Server) order(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
-	body, err := io.ReadAll(r.Body)
+	body, err := limit.ReadAll(r.Body, maxBodyBytes)
 	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
 	order, err := wire.DecodeOrder(body)
@@ -369,8 +374,9 @@
 }
 
 func (s *Server) handleFaults(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
-	body, err := io.ReadAll(r.Body)
+	body, err := limit.ReadAll(r.Body, maxBodyBytes)
 	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
 	injected, err := faults.DecodeEngine(body)
--- a/internal/fake/host/host.go
+++ b/internal/fake/host/host.go
@@ -11,7 +11,9 @@
 
 const (
 	headerTimeout = 5 * time.Second
-	anyLoopback   = "127.0.0.1:0"
+	// maxHeadBytes is the maximum size of the head of a request.
+	maxHeadBytes = 64 << 10
+	anyLoopback  = "127.0.0.1:0"
 )
 
 type (
@@ -34,7 +36,7 @@
 		return nil, errors.Wrap(err, "open port")
 	}
 	h := &Host{
-		server:   &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout},
+		server:   &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeadBytes},
 		listener: listener, done: make(chan struct{}),
 	}
 	go func() {
--- a/internal/fake/plain/plain.go
+++ b/internal/fake/plain/plain.go
@@ -11,6 +11,7 @@
 	"sync"
 	"time"
 
+	"mustardhook/internal/serve/limit"
 	"mustardhook/internal/wire/caller"
 	"mustardhook/internal/wire/faults"
 )
@@ -18,6 +19,9 @@
 const (
 	// PathRuns is the path that returns the number of runs of every key as JSON.
 	PathRuns = "/fake/runs"
+
+	// maxBodyBytes is the maximum size of the body of a request.
+	maxBodyBytes = 16 << 20
 )
 
 type (
@@ -119,7 +123,7 @@
 
 // answer runs the call and sends its answer, changed by the injected faults.
 func (s *Server) answer(w http.ResponseWriter, r *http.Request, injected faults.Service) {
-	if _, err := io.ReadAll(r.Body); err != nil || injected.DisconnectBeforeCall {
+	if _, err := limit.ReadAll(r.Body, maxBodyBytes); err != nil || injected.DisconnectBeforeCall {
 		panic(http.ErrAbortHandler)
 	}
 	answer := s.ledger.execute(r.Header.Get(caller.HeaderIdempotencyKey), s.checksKeys)
@@ -142,8 +146,9 @@
 }
 
 func (s *Server) handleFaults(w http.ResponseWriter, r *http.Request) {
-	body, err := io.ReadAll(r.Body)
+	body, err := limit.ReadAll(r.Body, maxBodyBytes)
 	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
 	injected, err := faults.DecodeService(body)
--- a/internal/fake/stack/stack.go
+++ b/internal/fake/stack/stack.go
@@ -5,7 +5,6 @@
 import (
 	"context"
 	"fmt"
-	"io"
 	"net/http"
 	"strings"
 	"time"
@@ -24,6 +23,7 @@
 	"mustardhook/internal/fake/plain"
 	"mustardhook/internal/fake/ports"
 	"mustardhook/internal/fake/sched"
+	"mustardhook/internal/serve/limit"
 	"mustardhook/internal/serve/logs"
 	"mustardhook/internal/wire/admin"
 	"mustardhook/internal/wire/setup"
@@ -42,6 +42,8 @@
 	readyInterval = 20 * time.Millisecond
 	// readyTries is the maximum number of readiness checks.
 	readyTries = 500
+	// maxMetricsBytes is the maximum size of the metrics of an entry.
+	maxMetricsBytes = 1 << 20
 )
 
 type (
@@ -314,7 +316,7 @@
 		return 0
 	}
 	defer func() { _ = response.Body.Close() }()
-	text, err := io.ReadAll(response.Body)
+	text, err := limit.ReadAll(response.Body, maxMetricsBytes)
 	if err != nil {
 		return 0
 	}
