--- a/internal/flow/proxy/bounds_test.go
+++ b/internal/flow/proxy/bounds_test.go
@@ -1,16 +1,20 @@
 package proxy
 
 import (
+	"bufio"
 	"context"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
+	"os"
 	"strings"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
+	"mustardhook/internal/fake/ports"
 	"mustardhook/internal/flow/call"
 	"mustardhook/internal/flow/newspb"
 	"mustardhook/internal/flow/port"
@@ -48,6 +52,16 @@
 	return p
 }
 
+// listenForTest opens a port of the proxy and returns its address.
+func listenForTest(t *testing.T, p *Proxy, name string, handler http.Handler) string {
+	addresses, err := ports.Allocate(1)
+	require.NoError(t, err)
+	server, _, err := p.listen(name, addresses[0], handler)
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = server.Close() })
+	return addresses[0]
+}
+
 // startEndless starts a server whose response bodies have no end, and returns its address.
 func startEndless(t *testing.T) string {
 	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
@@ -101,3 +115,132 @@
 	_, err := NewClient().Get(server.URL)
 	require.ErrorContains(t, err, "exceeded")
 }
+
+// Guards against a message from another entry without end that is read into memory.
+func TestEndlessPeerRequestIsRejected(t *testing.T) {
+	t.Parallel()
+	p := newTestProxy(t)
+	address := listenForTest(t, p, "control", p.peerHandler())
+	conn, err := net.Dial("tcp", address)
+	require.NoError(t, err)
+	defer func() { _ = conn.Close() }()
+	require.NoError(t, conn.SetDeadline(time.Now().Add(testTimeout)))
+	go func() {
+		_, err := io.WriteString(conn, "POST "+newspb.SharePathPrefix+"GetPublished HTTP/1.1\r\nHost: e\r\n"+
+			"Content-Type: application/protobuf\r\nTransfer-Encoding: chunked\r\n\r\n")
+		for err == nil {
+			_, err = io.WriteString(conn, "400\r\n"+strings.Repeat("x", 1024)+"\r\n")
+		}
+	}()
+	requireRejected(t, conn)
+}
+
+// Guards against a message from another entry that arrives byte by byte and occupies its
+// connection without end.
+func TestDribbledPeerRequestIsRejected(t *testing.T) {
+	t.Parallel()
+	p := newTestProxy(t)
+	address := listenForTest(t, p, "control", p.peerHandler())
+	conn, err := net.Dial("tcp", address)
+	require.NoError(t, err)
+	defer func() { _ = conn.Close() }()
+	require.NoError(t, conn.SetDeadline(time.Now().Add(2*controlTimeout)))
+	go func() {
+		_, err := io.WriteString(conn, "POST "+newspb.SharePathPrefix+"GetPublished HTTP/1.1\r\nHost: e\r\n"+
+			"Content-Type: application/protobuf\r\nContent-Length: 10000\r\n\r\n")
+		for err == nil {
+			_, err = io.WriteString(conn, "x")
+			time.Sleep(100 * time.Millisecond)
+		}
+	}()
+	requireRejected(t, conn)
+}
+
+// Guards against the head of a request that is accepted up to the default limit of net/http,
+// a megabyte on each connection.
+func TestLargeHeadOfRequestIsRejected(t *testing.T) {
+	t.Parallel()
+	p := newTestProxy(t)
+	address := listenForTest(t, p, callersPort, p)
+	for size, status := range map[int]int{
+		16 << 10: http.StatusBadRequest, 200 << 10: http.StatusRequestHeaderFieldsTooLarge,
+	} {
+		conn, err := net.Dial("tcp", address)
+		require.NoError(t, err)
+		require.NoError(t, conn.SetDeadline(time.Now().Add(testTimeout)))
+		go func() {
+			_, _ = io.WriteString(conn, "GET / HTTP/1.1\r\nHost: e\r\nA: "+strings.Repeat("x", size)+"\r\n\r\n")
+		}()
+		response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+		require.NoError(t, err)
+		require.Equal(t, status, response.StatusCode)
+		require.NoError(t, conn.Close())
+	}
+}
+
+// Guards against request bodies that together exceed the memory of the instance: those that
+// find no memory are refused with status 503, which is true since nothing was sent.
+func TestRequestBodiesStayWithinMemory(t *testing.T) {
+	t.Parallel()
+	const bodyBytes = 1 << 20
+	p := newTestProxy(t)
+	read := func(size int) (*session, bool, int) {
+		recorder := httptest.NewRecorder()
+		s := &session{
+			proxy: p, writer: recorder, control: http.NewResponseController(recorder), bodyMemory: p.bodyMemory.NewShare(),
+			head: httptest.NewRequest(http.MethodPost, "/", strings.NewReader(strings.Repeat("x", size))),
+		}
+		isRead := s.readBody()
+		return s, isRead, recorder.Code
+	}
+	var sessions []*session
+	total := 0
+	for range 2 * testMemoryMegabytes {
+		s, isRead, status := read(bodyBytes)
+		if isRead {
+			sessions = append(sessions, s)
+			total += len(s.body)
+			continue
+		}
+		require.Equal(t, http.StatusServiceUnavailable, status)
+		s.bodyMemory.Release()
+	}
+	require.NotEmpty(t, sessions)
+	require.Less(t, total, testMemoryMegabytes<<20/2)
+	_, isRead, _ := read(1000)
+	require.True(t, isRead, "a small body found no memory")
+	for _, s := range sessions {
+		s.bodyMemory.Release()
+	}
+	_, isRead, _ = read(bodyBytes)
+	require.True(t, isRead, "memory was not released")
+}
+
+// Guards against a caller that sends requests and never reads the refusals: it occupies its
+// connection for answerWriteTimeout at most.
+func TestUnreadRefusalsEndTheConnection(t *testing.T) {
+	t.Parallel()
+	p := newTestProxy(t)
+	conn, err := net.Dial("tcp", listenForTest(t, p, callersPort, p))
+	require.NoError(t, err)
+	defer func() { _ = conn.Close() }()
+	require.NoError(t, conn.SetDeadline(time.Now().Add(3*answerWriteTimeout)))
+	requests := strings.Repeat("GET / HTTP/1.1\r\nHost: e\r\n\r\n", 100)
+	for err == nil {
+		_, err = io.WriteString(conn, requests)
+	}
+	require.NotErrorIs(t, err, os.ErrDeadlineExceeded)
+}
+
+// requireRejected fails unless the server answers with a failure or closes the connection,
+// within the deadline of the connection.
+func requireRejected(t *testing.T, conn net.Conn) {
+	t.Helper()
+	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	if err != nil {
+		require.NotErrorIs(t, err, os.ErrDeadlineExceeded)
+		return
+	}
+	defer func() { _ = response.Body.Close() }()
+	require.GreaterOrEqual(t, response.StatusCode, http.StatusBadRequest)
+}
