conns: end kept connections after their next answer, idle ones later

What callers could see: a caller that sends on a kept connection all the time met the moment in which Retire ended the connection as idle, and its request got no answer (reset, or end of file). Retire reads nothing more on a connection that was idle for an instant.

Announce marks the answers and leaves idle connections open, so only connections without a request for the whole notice are ended as idle. What remains: a request that is sent just as such a connection ends.

--- a/internal/serve/conns/tracker.go
+++ b/internal/serve/conns/tracker.go
@@ -19,7 +19,9 @@
 const (
 	// serving keeps all connections open.
 	serving phase = iota
-	// retiring ends each connection after its current answer, and those that are idle.
+	// announcing ends each connection after its next answer.
+	announcing
+	// retiring also ends connections that are idle.
 	retiring
 	// finishing also ends connections that have not sent a request yet.
 	finishing
@@ -61,7 +63,7 @@
 func (t *Tracker) Listen(inner net.Listener) net.Listener { return listener{inner, t} }
 
 // Attach makes the server report the states of its connections to the tracker, and its
-// handler announce the end of a connection once Retire was called. Call it before the server
+// handler announce the end of a connection once the stop begins. Call it before the server
 // is started. Requests have no TLS state.
 func (t *Tracker) Attach(server *http.Server) {
 	server.ConnState = t.observe
@@ -71,6 +73,10 @@
 	})
 }
 
+// Announce ends each connection after its next answer, which says so, and leaves idle ones
+// open: a caller may be sending a request on them. New connections are still served.
+func (t *Tracker) Announce() { t.enter(announcing) }
+
 // Retire ends the idle connections, and each other one after its next answer. New
 // connections are still served. Answers say that their connection is closed.
 func (t *Tracker) Retire() { t.enter(retiring) }
--- a/internal/serve/conns/tracker_test.go
+++ b/internal/serve/conns/tracker_test.go
@@ -218,6 +218,24 @@
 	require.True(t, server.wait(timeout))
 }
 
+// Guards against an idle connection that is closed while its caller sends the next request.
+func TestAnnounceEndsConnectionsAfterTheirNextAnswer(t *testing.T) {
+	server := startServer(t, nil, nil, answerDone)
+	client, reader := server.dial()
+	send(t, client, plainRequest)
+	response, _ := readAnswer(t, reader)
+	require.False(t, response.Close)
+	server.eventually(Counts{Idle: 1})
+	server.tracker.Announce()
+	require.False(t, server.wait(50*time.Millisecond))
+	send(t, client, plainRequest)
+	response, body := readAnswer(t, reader)
+	require.Equal(t, "done", body)
+	require.True(t, response.Close)
+	requireClosed(t, reader)
+	require.True(t, server.wait(timeout))
+}
+
 func TestRetireEndsKeptConnectionsAndServesNewOnes(t *testing.T) {
 	server := startServer(t, nil, nil, answerDone)
 	kept, keptReader := server.dial()
--- a/internal/serve/conns/writer.go
+++ b/internal/serve/conns/writer.go
@@ -3,7 +3,7 @@
 import "net/http"
 
 // writer adds the header that announces the end of the connection to answers whose header
-// is written after Retire.
+// is written after the stop began.
 type writer struct {
 	http.ResponseWriter
 	tracker *Tracker
