Entry: answer every request that was read before its connection closes

What callers saw (LOST): a request on a kept connection, or one whose head was completed while the entry was closing its ports, ended with a closed connection and no answer.

Cause: the ports were closed with http.Server.Shutdown. It closes connections that net/http calls idle, which includes those whose next request has been read but not parsed, and drops each request whose head is complete only after Shutdown began.

Late bodies were answered before, too.

The ports now track their connections: answers announce the end of their connection from the request to stop on, the listeners are closed once nothing is in flight, at the earliest after a second, and a connection ends only in the goroutine that serves it. The exit waits until every request that was read has its answer, up to 15 s. So a stop lasts a second at least.

--- a/internal/serve/shell/shell.go
+++ b/internal/serve/shell/shell.go
@@ -68,6 +68,8 @@
 		group    conc.WaitGroup
 		lifetime context.Context
 		stop     context.CancelFunc
+		stopping chan struct{}
+		stopOnce sync.Once
 		exited   chan struct{}
 		exitOnce sync.Once
 	}
@@ -95,6 +97,7 @@
 		engines:        newClient(true),
 		services:       newClient(false),
 		control:        newClient(true),
+		stopping:       make(chan struct{}),
 		exited:         make(chan struct{}),
 	}
 	s.startedMillis = clock.FromTime(s.startedAt)
@@ -146,6 +149,9 @@
 	}
 }
 
+// Stopping returns a channel that is closed once a stop was requested.
+func (s *Shell) Stopping() <-chan struct{} { return s.stopping }
+
 // Exited returns a channel that is closed once nothing is in flight after a
 // requested stop.
 func (s *Shell) Exited() <-chan struct{} { return s.exited }
@@ -174,6 +180,9 @@
 // Step passes one event to the core and executes the resulting actions.
 func (s *Shell) Step(in event.Event) {
 	now, actions := s.stepCore(in)
+	if _, ok := in.(event.StopAsked); ok {
+		s.stopOnce.Do(func() { close(s.stopping) })
+	}
 	for _, act := range actions {
 		s.execute(now, act)
 	}
--- a/mustardhook.go
+++ b/mustardhook.go
@@ -17,6 +17,7 @@
 
 	"mustardhook/internal/core/event"
 	"mustardhook/internal/serve/admin"
+	"mustardhook/internal/serve/conns"
 	"mustardhook/internal/serve/front"
 	"mustardhook/internal/serve/logs"
 	"mustardhook/internal/serve/parts"
@@ -29,11 +30,12 @@
 	headerTimeout = 5 * time.Second
 	// idleTimeout is the time after which an idle connection is closed.
 	idleTimeout = 2 * time.Minute
+	// closeDelay is the shortest time between the request to stop and the closing of the
+	// ports. Callers that send on a kept connection in this time are told to open another
+	// one elsewhere, and load balancers notice that the entry is not ready.
+	closeDelay = 1 * time.Second
 	// closeTimeout is the time limit for closing all ports at a shutdown.
 	closeTimeout = 15 * time.Second
-	// closeDelay is the time between the last request and the closing of the
-	// ports, so that the last answers reach their callers.
-	closeDelay = 200 * time.Millisecond
 )
 
 type (
@@ -61,7 +63,15 @@
 		logger   logs.Logger
 		seed     uint64
 		shell    *shell.Shell
-		servers  []*http.Server
+		ports    []*openPort
+	}
+
+	// openPort is an open port with its server.
+	openPort struct {
+		name     string
+		listener net.Listener
+		server   *http.Server
+		tracker  *conns.Tracker
 	}
 )
 
@@ -110,9 +120,14 @@
 	select {
 	case <-ctx.Done():
 		e.shell.Step(event.StopAsked{})
-		<-e.shell.Exited()
-	case <-e.shell.Exited():
+	case <-e.shell.Stopping():
 	}
+	closeAt := time.After(closeDelay)
+	for _, opened := range e.ports {
+		opened.tracker.Announce()
+	}
+	<-e.shell.Exited()
+	<-closeAt
 	e.shutdown()
 	return nil
 }
@@ -128,17 +143,20 @@
 		{"peers", e.settings.Peers, e.shell.PeerHandler()},
 		{"operators", e.settings.Operators, admin.NewHandler(e.shell)},
 	}
-	for _, port := range ports {
-		listener, err := e.listen(port.listener)
+	for _, settings := range ports {
+		listener, err := e.listen(settings.listener)
 		if err != nil {
-			return &ListenError{port.name, port.listener.Address, err}
+			return &ListenError{settings.name, settings.listener.Address, err}
 		}
 		server := &http.Server{
-			Handler: port.handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
+			Handler: settings.handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
 			MaxHeaderBytes: e.settings.Limits.HeaderBytes,
 		}
-		e.servers = append(e.servers, server)
-		group.Go(func() { e.serve(port.name, server, listener) })
+		opened := &openPort{name: settings.name, server: server, tracker: conns.New()}
+		opened.listener = opened.tracker.Listen(listener)
+		opened.tracker.Attach(server)
+		e.ports = append(e.ports, opened)
+		group.Go(func() { e.serve(opened) })
 	}
 	return nil
 }
@@ -159,27 +177,31 @@
 	return tls.NewListener(listener, config), nil
 }
 
-func (e *entry) serve(name string, server *http.Server, listener net.Listener) {
-	if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
-		e.logger.Part("entry").Warn("Port closed.", "port", name, "err", err)
+func (e *entry) serve(opened *openPort) {
+	err := opened.server.Serve(opened.listener)
+	if !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
+		e.logger.Part("entry").Warn("Port closed.", "port", opened.name, "err", err)
 	}
 }
 
-// shutdown closes the ports after the last answers have reached their callers.
+// shutdown closes the ports and waits until every request that was read has its answer.
 func (e *entry) shutdown() {
-	time.Sleep(closeDelay)
 	ctx, cancel := context.WithTimeout(context.Background(), closeTimeout)
 	defer cancel()
-	for _, server := range e.servers {
-		if err := server.Shutdown(ctx); err != nil {
-			e.logger.Part("entry").Warn("Port did not close in time.", "err", err)
+	for _, opened := range e.ports {
+		_ = opened.listener.Close()
+		opened.tracker.Finish()
+	}
+	for _, opened := range e.ports {
+		if !opened.tracker.Wait(ctx) {
+			e.logger.Part("entry").Warn("Port did not close in time.", "port", opened.name, "busy", opened.tracker.Open().Busy)
 		}
 	}
 }
 
 func (e *entry) close() {
-	for _, server := range e.servers {
-		_ = server.Close()
+	for _, opened := range e.ports {
+		_ = opened.server.Close()
 	}
 	e.shell.Stop()
 }
