Refuse a waiting prompt at once when a ticket removes its model

What callers saw: a prompt that waited for an engine when a ticket removed its model or adapter was held until its deadline, a minute by default, and then failed with deadlineExceeded, though the entry knew that it could not be served.

Cause: the declaration of the model was checked at admission only. Evidence: TestPlannedWorkAnswersAcceptedRequests/model_removed got deadlineExceeded, want unknownModel; passes now. Prompts whose engines leave or are removed wait on: the next ticket may declare other ones.

--- a/internal/route/prompt/prompt.go
+++ b/internal/route/prompt/prompt.go
@@ -116,14 +116,12 @@
 }
 
 func rejectReason(b *board.Board, input event.CompletionAsked) action.Reason {
-	model, ok := b.State.Model(input.Model)
+	undeclared := undeclaredReason(b, input)
 	switch {
 	case b.Stopping:
 		return action.ReasonStopping
-	case !ok:
-		return action.ReasonUnknownModel
-	case !model.HasAdapter(input.Adapter):
-		return action.ReasonUnknownAdapter
+	case undeclared != action.ReasonNone:
+		return undeclared
 	case len(b.Completions) >= b.Settings.MaximalInFlight:
 		return action.ReasonOverloaded
 	case crash.IsQuarantined(b, input.Fingerprint):
@@ -132,6 +130,19 @@
 	return checkFeasibility(b, input)
 }
 
+// undeclaredReason returns the reason to reject a prompt for a model or an adapter that is
+// not declared, or ReasonNone.
+func undeclaredReason(b *board.Board, input event.CompletionAsked) action.Reason {
+	model, ok := b.State.Model(input.Model)
+	switch {
+	case !ok:
+		return action.ReasonUnknownModel
+	case !model.HasAdapter(input.Adapter):
+		return action.ReasonUnknownAdapter
+	}
+	return action.ReasonNone
+}
+
 // checkFeasibility returns the reason to reject a prompt that no engine can hold or
 // start in time, or ReasonNone if an engine can.
 func checkFeasibility(b *board.Board, input event.CompletionAsked) action.Reason {
@@ -376,6 +387,10 @@
 		finish(b, completion, action.ReasonQuarantined)
 		return
 	}
+	if reason := undeclaredReason(b, completion.Input); reason != action.ReasonNone {
+		finish(b, completion, reason)
+		return
+	}
 	// The memory sizes of the engines may have been unknown when the prompt was
 	// admitted.
 	if checkFeasibility(b, completion.Input) == action.ReasonPromptTooLong {
--- a/planned_test.go
+++ b/planned_test.go
@@ -293,7 +293,7 @@
 		}},
 		{"model removed", removed("model", stack.ModelName), map[string][]string{
 			"head of a new connection": {"unknownModel"}, "head of a kept connection": {"unknownModel"},
-			"body of a prompt": {"unknownModel"}, "prompt waiting for an engine": {"unknownModel", "deadlineExceeded"},
+			"body of a prompt": {"unknownModel"}, "prompt waiting for an engine": {"unknownModel"},
 		}},
 		{"service removed", removed("service", stack.ServiceName), map[string][]string{"body of a call": {"unknown"}}},
 		{"service endpoint removed", removed("endpoint", "service-0"), map[string][]string{"body of a call": {"unknown"}}},
