Refuse forwarded calls once the entry has decided to exit

What callers could see: a call that another entry forwarded to an entry which had already decided to exit was sent to its endpoint, and the answer was lost with the process: unknown, where another entry could have run it.

Cause: a stopping entry admits forwarded calls, since it may be the only one that can vote on their key, and went on doing so after Exit, which is emitted once and waits for nothing that is admitted later. Evidence: TestForwardedCallIsRefusedAfterExit failed ("Should be zero, but was 1": one call sent after Exit) and passes now. The refusal is retryable for the entry that forwarded the call.

--- a/internal/claim/calls/calls.go
+++ b/internal/claim/calls/calls.go
@@ -82,7 +82,7 @@
 	switch {
 	case !declared:
 		finish(b, call, notSentResult(call, action.ReasonUnknownService))
-	case b.Stopping && call.ForwardedBy == "":
+	case b.Exited || b.Stopping && call.ForwardedBy == "":
 		finish(b, call, notSentResult(call, action.ReasonStopping))
 	case isClaimed:
 		claim(b, call)
