Stop timeout: end the remaining requests with a final answer

What callers could see (LOST): a stop waited for every request until its own deadline, up to 30 minutes. A platform that kills the process after a grace period then closed the connections of the requests in flight without any answer.

Cause: nothing bounded the time of a stop.

limits.stopMillis, 20 s by default, is the time after the request to stop at which the core ends what is left: prompts with entryStopping (a problem, or the last event of a stream), calls that were sent or forwarded with unknown (answerLost), others with what their round of votes proves. It then waits 2 s at most for cancellations and witnesses. The ports have 5 s to close after that or after the timeout, whichever is later; before, 15 s after the exit.

--- a/internal/claim/calls/calls.go
+++ b/internal/claim/calls/calls.go
@@ -82,7 +82,7 @@
 	switch {
 	case !declared:
 		finish(b, call, notSentResult(call, action.ReasonUnknownService))
-	case b.Exited || b.Stopping && call.ForwardedBy == "":
+	case b.Exited || b.IsStopOverdue() || b.Stopping && call.ForwardedBy == "":
 		finish(b, call, notSentResult(call, action.ReasonStopping))
 	case isClaimed:
 		claim(b, call)
@@ -207,12 +207,14 @@
 		call := b.Calls[request]
 		switch {
 		case call.CallerAnswered:
-			if b.Now >= call.DeadlineAt+LateAnswerWindow {
+			if b.Now >= call.DeadlineAt+LateAnswerWindow || b.IsStopOverdue() {
 				reportOutcome(b, call, msgs.ClaimUnknown, msgs.Answer{})
 				delete(b.Calls, request)
 			}
 		case b.Now >= call.DeadlineAt:
 			expire(b, call)
+		case b.IsStopOverdue():
+			interrupt(b, call)
 		case call.Sent || call.Scope == "":
 		default:
 			advance(b, call)
@@ -239,6 +241,19 @@
 	}
 }
 
+// interrupt finishes a call that the stop of the entry does not wait for. An answer that
+// comes later reaches nobody.
+func interrupt(b *board.Board, call *board.Call) {
+	switch {
+	case call.Sent:
+		abandon(b, call, action.ReasonAnswerLost)
+	case len(call.Forwards) > 0:
+		finish(b, call, msgs.Result{Outcome: msgs.OutcomeUnknown, Reason: string(action.ReasonAnswerLost)})
+	default:
+		abandon(b, call, action.ReasonStopping)
+	}
+}
+
 // finish removes the call and sends the result to the caller or to the entry that
 // forwarded the call, unless the caller already has a result.
 func finish(b *board.Board, call *board.Call, result msgs.Result) {
--- a/internal/core/board/board.go
+++ b/internal/core/board/board.go
@@ -196,6 +196,13 @@
 	return len(b.Peers) > 0 && b.LastContactAt < since && b.Now-since < CatchUpTimeout
 }
 
+// IsStopOverdue reports whether the entry was asked to stop so long ago that it no longer
+// waits for its requests.
+func (b *Board) IsStopOverdue() bool {
+	limit := b.Settings.StopTimeout
+	return b.Stopping && limit > 0 && b.Now-b.StoppingAt >= limit
+}
+
 // IsLeaving reports whether the endpoint is undeclared or is marked as leaving by a
 // ticket, by the platform's instance list, by its report or by a peer.
 func (b *Board) IsLeaving(name ident.Endpoint) bool {
--- a/internal/core/drain/drain.go
+++ b/internal/core/drain/drain.go
@@ -1,5 +1,6 @@
 // Package drain implements the controller for a graceful stop. The entry stops being
-// ready at once, finishes everything in flight and then exits.
+// ready at once, finishes everything in flight and then exits. Packages prompt and calls end
+// the requests that are left at the stop timeout.
 package drain
 
 import (
@@ -16,6 +17,9 @@
 	// HandoverTimeout limits the wait for the remaining witnesses to form a view
 	// without this entry.
 	HandoverTimeout = 10 * clock.Second
+	// OverdueTimeout limits the wait for cancellations and witnesses after the stop
+	// timeout.
+	OverdueTimeout = 2 * clock.Second
 )
 
 type (
@@ -49,8 +53,14 @@
 }
 
 func isIdle(b *board.Board) bool {
-	isEmpty := len(b.Completions) == 0 && len(b.Calls) == 0 && len(b.Cancellations) == 0
-	return isEmpty && (hasHandedOver(b) || b.Now-b.StoppingAt > HandoverTimeout)
+	if len(b.Completions) > 0 || len(b.Calls) > 0 {
+		return false
+	}
+	stoppingFor := b.Now - b.StoppingAt
+	if b.IsStopOverdue() && stoppingFor >= b.Settings.StopTimeout+OverdueTimeout {
+		return true
+	}
+	return len(b.Cancellations) == 0 && (hasHandedOver(b) || stoppingFor > HandoverTimeout)
 }
 
 // hasHandedOver reports whether this entry can exit without losing claims: it stores
--- a/internal/core/event/event.go
+++ b/internal/core/event/event.go
@@ -49,6 +49,9 @@
 		MaximalPrompt   int
 		MaximalInFlight int
 		OrdersEnabled   bool
+		// StopTimeout is the time after the request to stop at which the remaining
+		// requests are ended. Zero means that the entry waits for all of them.
+		StopTimeout clock.Millis
 	}
 
 	// Ticked is delivered every 100 ms.
--- a/internal/route/prompt/prompt.go
+++ b/internal/route/prompt/prompt.go
@@ -374,6 +374,10 @@
 			finish(b, completion, action.ReasonDeadline)
 			continue
 		}
+		if b.IsStopOverdue() {
+			finish(b, completion, action.ReasonStopping)
+			continue
+		}
 		if completion.Current == "" && b.Now >= completion.RetryAt {
 			retryWaiting(b, completion)
 		}
--- a/internal/serve/parts/stop_test.go
+++ b/internal/serve/parts/stop_test.go
@@ -15,6 +15,7 @@
 )
 
 const (
+	stopTimeout = 20 * clock.Second
 	// callerDeadline is longer than any stop.
 	callerDeadline = 10 * clock.Minute
 )
@@ -36,7 +37,7 @@
 	e := &loneEntry{t: t, core: parts.NewCore(), now: origin}
 	e.step(event.Started{
 		Self: ident.Incarnation{Entry: "e0", Epoch: 1}, Domain: "north", Address: "e0", Seed: 7,
-		Settings: event.Settings{MaximalInFlight: 10},
+		Settings: event.Settings{MaximalInFlight: 10, StopTimeout: stopTimeout},
 	})
 	e.step(event.InstancesRead{Instances: []event.Instance{{Name: "e0", Domain: "north", IsEntry: true}}, Revision: 1})
 	e.step(event.TicketsRead{Tickets: parseTickets(newSimulation(1, 1, 1, mutant{}).ticketTexts), Revision: 1})
@@ -63,6 +64,10 @@
 	require.True(e.t, e.core.Board().Exited, "no exit within %d ms", limit)
 }
 
+func (e *loneEntry) askCall(name ident.Request, key string) {
+	e.step(event.CallAsked{Request: name, Organisation: "crew", Service: serviceName, Key: key, Content: booking1, Deadline: callerDeadline})
+}
+
 func (e *loneEntry) forwardCall(name ident.Request, key string) {
 	from := msgs.Member{Incarnation: ident.Incarnation{Entry: "far", Epoch: 1}, Domain: "south", Address: "far"}
 	e.step(event.MessageCame{From: from, Message: msgs.Forward{
@@ -85,6 +90,8 @@
 	all := map[ident.Request]msgs.Result{}
 	for _, act := range e.actions {
 		switch act := act.(type) {
+		case action.FinishCall:
+			all[act.Request] = act.Result
 		case action.SendMessage:
 			if message, ok := act.Message.(msgs.Forwarded); ok {
 				all[message.Request] = message.Result
@@ -94,6 +101,17 @@
 	return all
 }
 
+// completions returns the reasons with which prompts ended.
+func (e *loneEntry) completions() map[ident.Request]action.Reason {
+	all := map[ident.Request]action.Reason{}
+	for _, act := range e.actions {
+		if act, ok := act.(action.FinishCompletion); ok {
+			all[act.Request] = act.Reason
+		}
+	}
+	return all
+}
+
 var booking1 = msgs.Content{Method: "POST", Path: "/book", Body: []byte("1")}
 
 // An entry that had decided to exit sent calls that other entries forwarded to it, and their
@@ -121,3 +139,42 @@
 	}
 	return names
 }
+
+// A stop had no limit: a platform that kills the process after a grace period closed the
+// connections of the requests that were still in flight, without an answer (LOST).
+func TestStopEndsEveryRequestInTime(t *testing.T) {
+	e := newLoneEntry(t)
+	for _, name := range []ident.Request{"running", "streaming"} {
+		e.step(event.CompletionAsked{
+			Request: name, Organisation: "crew", Model: modelName, PromptTokens: 100, MaxTokens: 10, Fingerprint: 1, Deadline: callerDeadline,
+		})
+	}
+	e.askCall("keyed", "k1")
+	e.askCall("unkeyed", "")
+	e.forwardCall("forwarded", "k2")
+	require.Equal(t, 3, e.sentCalls())
+	require.Len(t, e.core.Board().Completions, 2)
+	// The service is gone: a new attempt with the key finds it held by the first one.
+	e.askCall("waiting", "k1")
+	e.step(event.StopAsked{})
+	for e.now < origin+70*clock.Second+stopTimeout-tickInterval {
+		e.tick()
+	}
+	require.Empty(t, e.completions())
+	require.Empty(t, e.results())
+	e.tickUntilExit(5 * clock.Second)
+	require.Equal(t, map[ident.Request]action.Reason{
+		"running": action.ReasonStopping, "streaming": action.ReasonStopping,
+	}, e.completions())
+	results := e.results()
+	for _, name := range []ident.Request{"keyed", "unkeyed", "forwarded"} {
+		require.Equal(t, msgs.Result{Outcome: msgs.OutcomeUnknown, Reason: string(action.ReasonAnswerLost)}, results[name], name)
+	}
+	require.Equal(t, msgs.Result{
+		Outcome: msgs.OutcomeUnknown, Reason: string(action.ReasonStopping), NotSent: true,
+	}, results["waiting"])
+	require.Empty(t, e.core.Board().Completions)
+	require.Empty(t, e.core.Board().Calls)
+	e.forwardCall("late", "k3")
+	require.Equal(t, 3, e.sentCalls())
+}
--- a/internal/wire/setup/setup.go
+++ b/internal/wire/setup/setup.go
@@ -16,6 +16,7 @@
 	DefaultMaxDeadline     = 30 * clock.Minute
 	DefaultMaxPromptTokens = 1_000_000
 	DefaultMaxInFlight     = 4096
+	DefaultStopTimeout     = 20 * clock.Second
 	DefaultBodyBytes       = 8 << 20
 	DefaultHeaderBytes     = 32 << 10
 	DefaultCallBytes       = 1 << 20
@@ -139,6 +140,7 @@
 	settings.Core = event.Settings{
 		DefaultDeadline: DefaultDeadline, MaximalDeadline: DefaultMaxDeadline,
 		MaximalPrompt: DefaultMaxPromptTokens, MaximalInFlight: DefaultMaxInFlight, OrdersEnabled: true,
+		StopTimeout: DefaultStopTimeout,
 	}
 	if top.Has("orders") {
 		settings.Core.OrdersEnabled = top.Bool("orders")
@@ -155,6 +157,7 @@
 	settings.Core.MaximalDeadline = clock.Millis(limits.Int("longestDeadlineMillis", 1, maxMillis, int64(DefaultMaxDeadline)))
 	settings.Core.MaximalPrompt = int(limits.Int("promptTokens", 1, maxCount, DefaultMaxPromptTokens))
 	settings.Core.MaximalInFlight = int(limits.Int("inFlight", 1, maxCount, DefaultMaxInFlight))
+	settings.Core.StopTimeout = clock.Millis(limits.Int("stopMillis", 1, maxMillis, int64(DefaultStopTimeout)))
 	settings.Limits = Limits{
 		BodyBytes:    limits.Int("bodyBytes", 1, maxCount, DefaultBodyBytes),
 		HeaderBytes:  int(limits.Int("headerBytes", 1024, maxCount, DefaultHeaderBytes)),
--- a/mustardhook.go
+++ b/mustardhook.go
@@ -34,15 +34,16 @@
 	// ports. Callers that send on a kept connection in this time are told to open another
 	// one elsewhere, and load balancers notice that the entry is not ready.
 	closeDelay = 1 * time.Second
-	// closeTimeout is the time limit for closing all ports at a shutdown.
-	closeTimeout = 15 * time.Second
+	// closeTimeout is the time limit for closing all ports, from the exit of the core or
+	// from the stop timeout, whichever is later.
+	closeTimeout = 5 * time.Second
 )
 
 type (
 	// Entry is one entry of the serving layer.
 	Entry interface {
-		// Run serves until the context is done, finishes all requests in flight and
-		// returns. It returns an error, a *ListenError, only if a port can't be opened
+		// Run serves until the context is done, finishes the requests in flight, at most
+		// until the stop timeout of the settings, and returns. It returns an error, a *ListenError, only if a port can't be opened
 		// or its TLS files can't be read.
 		Run(ctx context.Context) error
 	}
@@ -122,13 +123,13 @@
 		e.shell.Step(event.StopAsked{})
 	case <-e.shell.Stopping():
 	}
-	closeAt := time.After(closeDelay)
+	stoppedAt := time.Now()
 	for _, opened := range e.ports {
 		opened.tracker.Announce()
 	}
 	<-e.shell.Exited()
-	<-closeAt
-	e.shutdown()
+	time.Sleep(time.Until(stoppedAt.Add(closeDelay)))
+	e.shutdown(stoppedAt.Add(e.settings.Core.StopTimeout.Duration()))
 	return nil
 }
 
@@ -184,9 +185,14 @@
 	}
 }
 
-// shutdown closes the ports and waits until every request that was read has its answer.
-func (e *entry) shutdown() {
-	ctx, cancel := context.WithTimeout(context.Background(), closeTimeout)
+// shutdown closes the ports and waits until every request that was read has its answer, at
+// most for closeTimeout after now or after the end of the stop timeout.
+func (e *entry) shutdown(stopTimeoutEnd time.Time) {
+	deadline := time.Now()
+	if deadline.Before(stopTimeoutEnd) {
+		deadline = stopTimeoutEnd
+	}
+	ctx, cancel := context.WithDeadline(context.Background(), deadline.Add(closeTimeout))
 	defer cancel()
 	for _, opened := range e.ports {
 		_ = opened.listener.Close()
--- a/planned_test.go
+++ b/planned_test.go
@@ -17,6 +17,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"mustardhook/internal/core/clock"
 	"mustardhook/internal/core/fleet"
 	"mustardhook/internal/fake/stack"
 	"mustardhook/internal/tool/client"
@@ -24,6 +25,7 @@
 	"mustardhook/internal/wire/admin"
 	"mustardhook/internal/wire/caller"
 	"mustardhook/internal/wire/faults"
+	"mustardhook/internal/wire/setup"
 )
 
 const (
@@ -126,10 +128,10 @@
 
 // streamProblem returns the name of the problem that ends a stream.
 func streamProblem(body string) string {
-	events := strings.Split(strings.TrimSpace(body), "\n\n")
-	data := strings.TrimPrefix(events[len(events)-1], "data: ")
+	lines := strings.Split(strings.TrimSpace(body), "\n")
+	data, isData := strings.CutPrefix(lines[len(lines)-1], "data: ")
 	chunk, err := caller.DecodeChunk([]byte(data))
-	if err != nil || chunk.Problem == "" {
+	if !isData || err != nil || chunk.Problem == "" {
 		return "cut: stream without an end"
 	}
 	return chunk.Problem
@@ -408,3 +410,27 @@
 	t.Logf("%d requests answered", answered.Load())
 	require.Empty(t, lost, "callers without an answer")
 }
+
+// A stop had no limit, so that a platform which kills a process after a grace period cut off
+// the requests that were still in flight, without an answer (LOST).
+func TestStopTimeoutAnswersAcceptedRequests(t *testing.T) {
+	const limit = 300 * time.Millisecond
+	s := startPlanned(t, stack.Spec{EditSettings: func(settings *setup.Settings) {
+		settings.Core.StopTimeout = clock.FromDuration(limit)
+	}})
+	requests := startRequests(t, s)
+	began := time.Now()
+	stopped := stopInBackground(t, s.Entries[0])
+	outcomes := map[string][]string{
+		"body of a call": {"unknown"}, "call with a key": {"unknown"}, "call without a key": {"unknown"},
+		"call that may be repeated": {"unknown"}, "call forwarded here": {"unknown"},
+	}
+	for _, request := range requests {
+		if outcomes[request.row] == nil {
+			outcomes[request.row] = []string{"entryStopping"}
+		}
+	}
+	finishRequests(t, requests, outcomes)
+	<-stopped
+	require.Less(t, time.Since(began), limit+7*time.Second)
+}
