Entry: deliver the last messages to other entries before the exit

What callers could see: the caller of a call that had been forwarded to a stopping entry got unknown for a call that was done, when the result was still on its way at the exit; a key whose votes were being released stayed held.

Cause: Exit closed the shell, which cancels the deliveries under way, without a look at the queues of messages. The exit waits for the queues, a second at most.

--- a/internal/serve/shell/peers.go
+++ b/internal/serve/shell/peers.go
@@ -34,6 +34,8 @@
 		scheme string
 		mutex  sync.Mutex
 		boxes  map[string]*outbox
+		// removed has a value after an outbox was removed.
+		removed chan struct{}
 	}
 
 	// outbox is the queue of messages for one peer. A goroutine drains it while active
@@ -47,7 +49,7 @@
 )
 
 func newOutboxes(s *Shell) *outboxes {
-	return &outboxes{shell: s, client: s.control, scheme: "http://", boxes: map[string]*outbox{}}
+	return &outboxes{shell: s, client: s.control, scheme: "http://", boxes: map[string]*outbox{}, removed: make(chan struct{}, 1)}
 }
 
 // WithPeerTLS sends messages to other entries over TLS with the given configuration.
@@ -84,6 +86,23 @@
 	}
 }
 
+// flush waits until all queued messages were delivered or lost, or the context ends.
+func (o *outboxes) flush(ctx context.Context) {
+	for {
+		o.mutex.Lock()
+		left := len(o.boxes)
+		o.mutex.Unlock()
+		if left == 0 {
+			return
+		}
+		select {
+		case <-o.removed:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
 // drain delivers queued messages until the outbox is empty, then removes the outbox.
 func (o *outboxes) drain(box *outbox) {
 	for {
@@ -94,6 +113,10 @@
 			box.active = false
 			delete(o.boxes, box.address)
 			o.mutex.Unlock()
+			select {
+			case o.removed <- struct{}{}:
+			default:
+			}
 			return
 		}
 		o.mutex.Unlock()
--- a/internal/serve/shell/shell.go
+++ b/internal/serve/shell/shell.go
@@ -152,6 +152,10 @@
 // Stopping returns a channel that is closed once a stop was requested.
 func (s *Shell) Stopping() <-chan struct{} { return s.stopping }
 
+// FlushMessages waits until the messages to other entries that are queued were delivered or
+// lost, or the context ends.
+func (s *Shell) FlushMessages(ctx context.Context) { s.outboxes.flush(ctx) }
+
 // Exited returns a channel that is closed once nothing is in flight after a
 // requested stop.
 func (s *Shell) Exited() <-chan struct{} { return s.exited }
--- a/mustardhook.go
+++ b/mustardhook.go
@@ -37,6 +37,8 @@
 	// closeTimeout is the time limit for closing all ports, from the exit of the core or
 	// from the stop timeout, whichever is later.
 	closeTimeout = 5 * time.Second
+	// messageTimeout is the time limit for the last messages to other entries.
+	messageTimeout = 1 * time.Second
 )
 
 type (
@@ -185,8 +187,9 @@
 	}
 }
 
-// shutdown closes the ports and waits until every request that was read has its answer, at
-// most for closeTimeout after now or after the end of the stop timeout.
+// shutdown closes the ports and waits until every request that was read has its answer and
+// every message to a peer was delivered, at most for closeTimeout after now or after the end
+// of the stop timeout.
 func (e *entry) shutdown(stopTimeoutEnd time.Time) {
 	deadline := time.Now()
 	if deadline.Before(stopTimeoutEnd) {
@@ -203,6 +206,9 @@
 			e.logger.Part("entry").Warn("Port did not close in time.", "port", opened.name, "busy", opened.tracker.Open().Busy)
 		}
 	}
+	ctx, cancel = context.WithTimeout(ctx, messageTimeout)
+	defer cancel()
+	e.shell.FlushMessages(ctx)
 }
 
 func (e *entry) close() {
