Entry: connections accepted last get time to send their request

What callers could see: a connection that was accepted just before the listener closed was ended as unused while its request was on the way.

--- a/mustardhook.go
+++ b/mustardhook.go
@@ -37,6 +37,9 @@
 	// closeTimeout is the time limit for closing all ports, from the exit of the core or
 	// from the stop timeout, whichever is later.
 	closeTimeout = 5 * time.Second
+	// firstRequestDelay is the time that the connections accepted last have to send their
+	// requests.
+	firstRequestDelay = 200 * time.Millisecond
 	// messageTimeout is the time limit for the last messages to other entries.
 	messageTimeout = 1 * time.Second
 )
@@ -199,6 +202,9 @@
 	defer cancel()
 	for _, opened := range e.ports {
 		_ = opened.listener.Close()
+	}
+	time.Sleep(firstRequestDelay)
+	for _, opened := range e.ports {
 		opened.tracker.Finish()
 	}
 	for _, opened := range e.ports {
