Front: declare the length of every answer that is not a stream

What callers could see: an answer of a prompt that was not streamed had no length. A caller of HTTP/1.0 can't tell one that is cut off when the process ends from a complete one.

Evidence: TestAnswersDeclareTheirLength failed (expected "255", actual "") and passes now. A cut was not provoked.

--- a/internal/serve/front/call.go
+++ b/internal/serve/front/call.go
@@ -87,6 +87,7 @@
 	if result.Answer.Type != "" {
 		w.Header().Set("Content-Type", result.Answer.Type)
 	}
+	setLength(w, result.Answer.Body)
 	w.WriteHeader(result.Answer.Status)
 	// A caller that has disconnected can retry with its idempotency key.
 	_, _ = w.Write(result.Answer.Body)
--- a/internal/serve/front/front.go
+++ b/internal/serve/front/front.go
@@ -115,6 +115,14 @@
 	_, _ = w.Write(caller.EncodeProblem(problem))
 }
 
+// setLength declares the length of an answer, without which a caller of HTTP/1.0 can't tell
+// an answer that is cut off from a complete one.
+func setLength(w http.ResponseWriter, body []byte) {
+	if len(body) > 0 {
+		w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	}
+}
+
 // admit authenticates the caller and reads the deadline of the request. The problem is
 // nil if the request is admitted.
 func (h *Handler) admit(w http.ResponseWriter, r *http.Request, service ident.Service) (admittedRequest, *caller.Problem) {
--- a/internal/serve/front/prompt.go
+++ b/internal/serve/front/prompt.go
@@ -209,6 +209,7 @@
 	if !c.prompt.Stream {
 		c.writer.Header().Set("Content-Type", caller.TypeJSON)
 		c.buffer = caller.EncodeAnswer(c.request.name, c.prompt, c.text.String(), c.tokens, c.handler.shell.Now())
+		setLength(c.writer, c.buffer)
 	} else {
 		c.startStream()
 		c.buffer = c.stream.AppendEnd(c.buffer[:0], c.prompt, c.tokens)
--- a/planned_test.go
+++ b/planned_test.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -434,3 +435,14 @@
 	<-stopped
 	require.Less(t, time.Since(began), limit+7*time.Second)
 }
+
+// An answer without a length to a caller of HTTP/1.0 looked complete when its connection was
+// cut off.
+func TestAnswersDeclareTheirLength(t *testing.T) {
+	s := startPlanned(t, stack.Spec{})
+	for _, text := range []string{promptText(t, 100, 3, false, "length"), callText(http.MethodPost, "length")} {
+		got := dialEntry(t, s.Entries[0]).ask(strings.Replace(text, "HTTP/1.1", "HTTP/1.0", 1))
+		require.Equal(t, http.StatusOK, got.status)
+		require.Equal(t, strconv.Itoa(len(got.body)), got.header.Get("Content-Length"))
+	}
+}
