Test that signals interrupt no request of an entry

SIGHUP alone, and SIGTERM with SIGHUP, a second SIGTERM and SIGINT after it, beside streams and calls in flight, with real processes.

--- a/cmd/mustardhook/process_test.go
+++ b/cmd/mustardhook/process_test.go
@@ -25,6 +25,7 @@
 	"mustardhook/internal/tool/client"
 	"mustardhook/internal/tool/demo"
 	"mustardhook/internal/wire/admin"
+	"mustardhook/internal/wire/faults"
 )
 
 const (
@@ -394,6 +395,48 @@
 	}
 }
 
+// A signal that interrupts an accepted request ends it without an answer (LOST). SIGHUP must
+// change nothing, and further signals must not shorten a stop.
+func TestProcessSignalsInterruptNoRequest(t *testing.T) {
+	f := newCluster(t)
+	f.waitForBookings()
+	response, err := http.Post("http://"+f.serviceAddress+faults.Path, "application/json", strings.NewReader(`{"delayMillis": 1000}`))
+	require.NoError(t, err)
+	require.NoError(t, response.Body.Close())
+	for _, signals := range [][]syscall.Signal{
+		{syscall.SIGHUP}, {syscall.SIGHUP, syscall.SIGTERM, syscall.SIGHUP, syscall.SIGTERM, syscall.SIGINT},
+	} {
+		results := make(chan string, 4)
+		for i := range 2 {
+			go func() {
+				got, text := f.sendPrompt(0, 1000, 60, fmt.Sprintf("h%d-%d", len(signals), i))
+				results <- fmt.Sprintf("exact: %t %s", isExact(got, text, 60), got.Problem)
+			}()
+			go func() {
+				reply, err := f.book(0, fmt.Sprintf("signal-%d-%d", len(signals), i))
+				results <- fmt.Sprintf("%s %v", reply.Outcome, err)
+			}()
+		}
+		f.waitFor(5*time.Second, "requests are in flight", func() bool {
+			status, err := f.status(0)
+			return err == nil && status.Prompts == 2 && status.Calls == 2
+		})
+		for _, signal := range signals {
+			f.entries[0].signal(t, signal)
+			time.Sleep(50 * time.Millisecond)
+		}
+		for range cap(results) {
+			require.Contains(t, []string{"exact: true ", "done <nil>"}, <-results)
+		}
+	}
+	select {
+	case err := <-f.entries[0].done:
+		require.NoError(t, err, f.entries[0].stderr.String())
+	case <-time.After(20 * time.Second):
+		require.Fail(t, "the entry did not exit")
+	}
+}
+
 func (f *processCluster) replayTrail() {
 	response, err := http.Get("http://" + f.operatorAddresses[0] + admin.PathTrail)
 	require.NoError(f.t, err)
