--- a/internal/serve/shell/shell.go
+++ b/internal/serve/shell/shell.go
@@ -69,6 +69,8 @@
 		group    conc.WaitGroup
 		lifetime context.Context
 		stop     context.CancelFunc
+		stopping chan struct{}
+		stopOnce sync.Once
 		exited   chan struct{}
 		exitOnce sync.Once
 	}
@@ -96,6 +98,7 @@
 		engines:        newClient(newTransport(true)),
 		services:       newClient(newTransport(false)),
 		control:        newControlClient(newTransport(true)),
+		stopping:       make(chan struct{}),
 		exited:         make(chan struct{}),
 	}
 	s.startedMillis = clock.FromTime(s.startedAt)
@@ -157,6 +160,13 @@
 	}
 }
 
+// Stopping returns a channel that is closed once a stop was requested.
+func (s *Shell) Stopping() <-chan struct{} { return s.stopping }
+
+// FlushMessages waits until the messages to other entries that are queued were delivered or
+// lost, or the context ends.
+func (s *Shell) FlushMessages(ctx context.Context) { s.outboxes.flush(ctx) }
+
 // Exited returns a channel that is closed once nothing is in flight after a
 // requested stop.
 func (s *Shell) Exited() <-chan struct{} { return s.exited }
@@ -185,6 +195,9 @@
 // Step passes one event to the core and executes the resulting actions.
 func (s *Shell) Step(in event.Event) {
 	now, actions := s.stepCore(in)
+	if _, ok := in.(event.StopAsked); ok {
+		s.stopOnce.Do(func() { close(s.stopping) })
+	}
 	for _, act := range actions {
 		s.execute(now, act)
 	}
--- a/mustardhook.go
+++ b/mustardhook.go
@@ -17,6 +17,7 @@
 
 	"mustardhook/internal/core/event"
 	"mustardhook/internal/serve/admin"
+	"mustardhook/internal/serve/conns"
 	"mustardhook/internal/serve/front"
 	"mustardhook/internal/serve/logs"
 	"mustardhook/internal/serve/parts"
@@ -29,18 +30,25 @@
 	headerTimeout = 5 * time.Second
 	// idleTimeout is the time after which an idle connection is closed.
 	idleTimeout = 2 * time.Minute
-	// closeTimeout is the time limit for closing all ports at a shutdown.
-	closeTimeout = 15 * time.Second
-	// closeDelay is the time between the last request and the closing of the
-	// ports, so that the last answers reach their callers.
-	closeDelay = 200 * time.Millisecond
+	// closeDelay is the shortest time between the request to stop and the closing of the
+	// ports. Callers that send on a kept connection in this time are told to open another
+	// one elsewhere, and load balancers notice that the entry is not ready.
+	closeDelay = 1 * time.Second
+	// closeTimeout is the time limit for closing all ports, from the exit of the core or
+	// from the stop timeout, whichever is later.
+	closeTimeout = 5 * time.Second
+	// firstRequestDelay is the time that the connections accepted last have to send their
+	// requests.
+	firstRequestDelay = 200 * time.Millisecond
+	// messageTimeout is the time limit for the last messages to other entries.
+	messageTimeout = 1 * time.Second
 )
 
 type (
 	// Entry is one entry of the serving layer.
 	Entry interface {
-		// Run serves until the context is done, finishes all requests in flight and
-		// returns. It returns an error, a *ListenError, only if a port can't be opened
+		// Run serves until the context is done, finishes the requests in flight, at most
+		// until the stop timeout of the settings, and returns. It returns an error, a *ListenError, only if a port can't be opened
 		// or its TLS files can't be read.
 		Run(ctx context.Context) error
 	}
@@ -61,7 +69,15 @@
 		logger   logs.Logger
 		seed     uint64
 		shell    *shell.Shell
-		servers  []*http.Server
+		ports    []*openPort
+	}
+
+	// openPort is an open port with its server.
+	openPort struct {
+		name     string
+		listener net.Listener
+		server   *http.Server
+		tracker  *conns.Tracker
 	}
 )
 
@@ -110,10 +126,15 @@
 	select {
 	case <-ctx.Done():
 		e.shell.Step(event.StopAsked{})
-		<-e.shell.Exited()
-	case <-e.shell.Exited():
+	case <-e.shell.Stopping():
+	}
+	stoppedAt := time.Now()
+	for _, opened := range e.ports {
+		opened.tracker.Announce()
 	}
-	e.shutdown()
+	<-e.shell.Exited()
+	time.Sleep(time.Until(stoppedAt.Add(closeDelay)))
+	e.shutdown(stoppedAt.Add(e.settings.Core.StopTimeout.Duration()))
 	return nil
 }
 
@@ -128,17 +149,20 @@
 		{"peers", e.settings.Peers, e.shell.PeerHandler()},
 		{"operators", e.settings.Operators, admin.NewHandler(e.shell)},
 	}
-	for _, port := range ports {
-		listener, err := e.listen(port.listener)
+	for _, settings := range ports {
+		listener, err := e.listen(settings.listener)
 		if err != nil {
-			return &ListenError{port.name, port.listener.Address, err}
+			return &ListenError{settings.name, settings.listener.Address, err}
 		}
 		server := &http.Server{
-			Handler: port.handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
+			Handler: settings.handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
 			MaxHeaderBytes: e.settings.Limits.HeaderBytes,
 		}
-		e.servers = append(e.servers, server)
-		group.Go(func() { e.serve(port.name, server, listener) })
+		opened := &openPort{name: settings.name, server: server, tracker: conns.New()}
+		opened.listener = opened.tracker.Listen(listener)
+		opened.tracker.Attach(server)
+		e.ports = append(e.ports, opened)
+		group.Go(func() { e.serve(opened) })
 	}
 	return nil
 }
@@ -159,27 +183,43 @@
 	return tls.NewListener(listener, config), nil
 }
 
-func (e *entry) serve(name string, server *http.Server, listener net.Listener) {
-	if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
-		e.logger.Part("entry").Warn("Port closed.", "port", name, "err", err)
+func (e *entry) serve(opened *openPort) {
+	err := opened.server.Serve(opened.listener)
+	if !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
+		e.logger.Part("entry").Warn("Port closed.", "port", opened.name, "err", err)
 	}
 }
 
-// shutdown closes the ports after the last answers have reached their callers.
-func (e *entry) shutdown() {
-	time.Sleep(closeDelay)
-	ctx, cancel := context.WithTimeout(context.Background(), closeTimeout)
+// shutdown closes the ports and waits until every request that was read has its answer and
+// every message to a peer was delivered, at most for closeTimeout after now or after the end
+// of the stop timeout.
+func (e *entry) shutdown(stopTimeoutEnd time.Time) {
+	deadline := time.Now()
+	if deadline.Before(stopTimeoutEnd) {
+		deadline = stopTimeoutEnd
+	}
+	ctx, cancel := context.WithDeadline(context.Background(), deadline.Add(closeTimeout))
 	defer cancel()
-	for _, server := range e.servers {
-		if err := server.Shutdown(ctx); err != nil {
-			e.logger.Part("entry").Warn("Port did not close in time.", "err", err)
+	for _, opened := range e.ports {
+		_ = opened.listener.Close()
+	}
+	time.Sleep(firstRequestDelay)
+	for _, opened := range e.ports {
+		opened.tracker.Finish()
+	}
+	for _, opened := range e.ports {
+		if !opened.tracker.Wait(ctx) {
+			e.logger.Part("entry").Warn("Port did not close in time.", "port", opened.name, "busy", opened.tracker.Open().Busy)
 		}
 	}
+	ctx, cancel = context.WithTimeout(ctx, messageTimeout)
+	defer cancel()
+	e.shell.FlushMessages(ctx)
 }
 
 func (e *entry) close() {
-	for _, server := range e.servers {
-		_ = server.Close()
+	for _, opened := range e.ports {
+		_ = opened.server.Close()
 	}
 	e.shell.Stop()
 }
