A report that is under way during a crash no longer refutes the death of its engine

Cause: the time that a load report describes was counted back from its arrival. A report that an engine gave before it crashed can arrive after the broken stream, since these are two connections. It then looked newer than the death and refuted it, a confirmed one too, so that the prompt ran at one engine more. Entries that merge suspects made the same mistake, and a cancellation could be taken for confirmed by a report that was older than it. A refusal confirms only deaths before its own request, where the time of the newest request was used. A cancellation is compared with the time at which it was first sent, as repeats would otherwise move the mark past every report. The audit records broken streams and refuted deaths, which the logs could not show.

--- a/internal/core/action/action.go
+++ b/internal/core/action/action.go
@@ -117,7 +117,8 @@
 		Address  string
 		// Since is the sequence number of the last cache event received. The report
 		// lists newer ones only.
-		Since uint64
+		Since       uint64
+		RequestedAt clock.Millis
 	}
 
 	// WatchPlatform starts a long poll, of at most Wait, for tickets and instances newer
--- a/internal/core/board/board.go
+++ b/internal/core/board/board.go
@@ -135,6 +135,8 @@
 	// Cancellation is a cancel request that the engine has not confirmed yet.
 	Cancellation struct {
 		Action action.CancelAttempt
+		// FirstAt is the time at which the request was first sent.
+		FirstAt clock.Millis
 		// NextAt is the time at which the request is repeated.
 		NextAt clock.Millis
 		Tries  int
--- a/internal/core/board/endpoint.go
+++ b/internal/core/board/endpoint.go
@@ -12,6 +12,8 @@
 		// Report is the last report, received at ReadAt.
 		Report event.Report
 		ReadAt clock.Millis
+		// TakenAt is the earliest time that the last report may describe.
+		TakenAt clock.Millis
 		// RequestedAt is the time of the last report request, which is unanswered while
 		// ReadInFlight is true.
 		RequestedAt  clock.Millis
--- a/internal/core/event/event.go
+++ b/internal/core/event/event.go
@@ -142,8 +142,9 @@
 
 	// ReportRead delivers the load report of an engine.
 	ReportRead struct {
-		Endpoint ident.Endpoint
-		Report   Report
+		Endpoint    ident.Endpoint
+		Report      Report
+		RequestedAt clock.Millis
 	}
 
 	// ReportFailed reports that an endpoint did not answer a report request.
@@ -151,7 +152,8 @@
 		Endpoint ident.Endpoint
 		// Refused reports that the instance refused the connection: it is running, but
 		// its process is not.
-		Refused bool
+		Refused     bool
+		RequestedAt clock.Millis
 	}
 
 	// Report is the load that an engine reported Age ago.
@@ -222,6 +224,10 @@
 	StopAsked struct{}
 )
 
+// TakenAt returns the earliest time that the report may describe. The report may have
+// been under way since it was requested, and events of that time may have overtaken it.
+func (r ReportRead) TakenAt() clock.Millis { return r.RequestedAt - r.Report.Age }
+
 func (Started) isEvent()         {}
 func (Ticked) isEvent()          {}
 func (TicketsRead) isEvent()     {}
--- a/internal/route/crash/crash.go
+++ b/internal/route/crash/crash.go
@@ -132,7 +132,7 @@
 		evaluateReport(b, input)
 	case event.ReportFailed:
 		if input.Refused {
-			confirmDeaths(b, input.Endpoint)
+			confirmDeaths(b, input)
 		}
 	case event.MessageCame:
 		if message, ok := input.Message.(msgs.Gossip); ok {
@@ -165,6 +165,7 @@
 	if suspect == nil || !addDeath(b, suspect, death) {
 		return
 	}
+	b.Audit(action.AuditSuspect, string(attempt.Endpoint), "Stream broke, the endpoint may have died.")
 	if suspect.Examiner.IsZero() {
 		suspect.Examiner = b.Self
 	}
@@ -174,6 +175,7 @@
 	status.RequestedAt = b.Now
 	b.Emit(action.ReadReport{
 		Endpoint: attempt.Endpoint, Address: attempt.Address, Since: status.Report.CacheSequence,
+		RequestedAt: b.Now,
 	})
 }
 
@@ -235,13 +237,14 @@
 	return true
 }
 
-// confirmDeaths confirms the deaths of an engine whose process is known to have ended.
-func confirmDeaths(b *board.Board, endpoint ident.Endpoint) {
-	status := b.EndpointStatus(endpoint)
+// confirmDeaths confirms the deaths of an engine that refused a connection: its process
+// has ended.
+func confirmDeaths(b *board.Board, failed event.ReportFailed) {
+	endpoint := failed.Endpoint
 	for _, fingerprint := range board.Sorted(b.Suspects) {
 		suspect := b.Suspects[fingerprint]
 		for i, death := range suspect.Deaths {
-			precedesRead := death.Endpoint == endpoint && death.At <= status.RequestedAt
+			precedesRead := death.Endpoint == endpoint && death.At <= failed.RequestedAt
 			if precedesRead && !death.Confirmed {
 				suspect.Deaths[i].Confirmed = true
 				auditDeath(b, fingerprint, endpoint)
@@ -262,17 +265,20 @@
 // was taken after them: the stream broke, but the engine did not die. A report of
 // another process confirms them.
 func evaluateReport(b *board.Board, read event.ReportRead) {
-	takenAt := b.Now - read.Report.Age
 	for _, fingerprint := range board.Sorted(b.Suspects) {
 		suspect := b.Suspects[fingerprint]
 		isRefutedByReport := func(death board.Death) bool {
 			isSameBoot := death.Boot == read.Report.Boot || death.Boot == 0
-			return death.Endpoint == read.Endpoint && isSameBoot && takenAt > death.At
+			return death.Endpoint == read.Endpoint && isSameBoot && read.TakenAt() > death.At
 		}
+		count := len(suspect.Deaths)
 		suspect.Deaths = slices.DeleteFunc(suspect.Deaths, isRefutedByReport)
+		if len(suspect.Deaths) < count {
+			b.Audit(action.AuditSuspect, string(read.Endpoint), "Endpoint outlived a broken stream.")
+		}
 		for i, death := range suspect.Deaths {
 			isOtherBoot := death.Endpoint == read.Endpoint && death.Boot != read.Report.Boot
-			if isOtherBoot && !death.Confirmed {
+			if isOtherBoot && death.At <= read.RequestedAt && !death.Confirmed {
 				suspect.Deaths[i].Confirmed = true
 				auditDeath(b, fingerprint, read.Endpoint)
 			}
@@ -322,7 +328,7 @@
 // death.
 func isRefuted(b *board.Board, death board.Death) bool {
 	status := b.Endpoints[death.Endpoint]
-	return status != nil && status.Report.Boot == death.Boot && status.ReadAt-status.Report.Age > death.At
+	return status != nil && status.Report.Boot == death.Boot && status.TakenAt > death.At
 }
 
 func expire(b *board.Board) {
--- a/internal/route/loads/loads.go
+++ b/internal/route/loads/loads.go
@@ -68,7 +68,7 @@
 		status := b.EndpointStatus(endpoint.Name)
 		status.ReadInFlight = true
 		status.RequestedAt = b.Now
-		b.Emit(action.ReadReport{Endpoint: endpoint.Name, Address: endpoint.Address, Since: status.Report.CacheSequence})
+		b.Emit(action.ReadReport{Endpoint: endpoint.Name, Address: endpoint.Address, Since: status.Report.CacheSequence, RequestedAt: b.Now})
 	}
 }
 
@@ -109,6 +109,7 @@
 	applyCacheEvents(b, status, read)
 	status.Report = read.Report
 	status.ReadAt = b.Now
+	status.TakenAt = read.TakenAt()
 	status.ReadInFlight = false
 	status.Failures = 0
 }
--- a/internal/route/prompt/prompt.go
+++ b/internal/route/prompt/prompt.go
@@ -319,12 +319,14 @@
 
 func cancel(b *board.Board, name ident.Attempt, attempt *board.Attempt) {
 	cancellation := action.CancelAttempt{Attempt: name, Endpoint: attempt.Endpoint, Address: attempt.Address}
-	b.Cancellations[name] = &board.Cancellation{Action: cancellation, NextAt: b.Now + CancelInterval, Tries: 1}
+	b.Cancellations[name] = &board.Cancellation{
+		Action: cancellation, FirstAt: b.Now, NextAt: b.Now + CancelInterval, Tries: 1,
+	}
 	b.Emit(cancellation)
 }
 
 // confirmCancels removes the cancellations confirmed by a report that was taken after
-// the cancellation was sent and no longer lists the attempt.
+// the cancellation was first sent and no longer lists the attempt.
 func confirmCancels(b *board.Board, read event.ReportRead) {
 	listed := make(map[ident.Attempt]bool, len(read.Report.Allocations))
 	for _, allocation := range read.Report.Allocations {
@@ -332,8 +334,7 @@
 	}
 	for _, name := range board.Sorted(b.Cancellations) {
 		pending := b.Cancellations[name]
-		takenAt := b.Now - read.Report.Age
-		isNewer := takenAt > pending.NextAt-CancelInterval
+		isNewer := read.TakenAt() > pending.FirstAt
 		if pending.Action.Endpoint == read.Endpoint && isNewer && !listed[name] {
 			delete(b.Cancellations, name)
 		}
--- a/internal/serve/parts/simulation_test.go
+++ b/internal/serve/parts/simulation_test.go
@@ -142,16 +142,18 @@
 		visibleTickets  int
 		unreachable     map[ident.Domain]bool
 		withoutPlatform map[ident.Domain]bool
-		prompts         map[ident.Request]*prompt
-		bookings        map[ident.Request]*booking
-		runCounts       map[string]int
-		requestCount    int
-		eventCount      int
-		leavingAt       clock.Millis
-		onEvent         func()
-		log             []string
-		violations      []string
-		mutation        mutant
+		// reportDelay is added to the latency of the reports of engines.
+		reportDelay  clock.Millis
+		prompts      map[ident.Request]*prompt
+		bookings     map[ident.Request]*booking
+		runCounts    map[string]int
+		requestCount int
+		eventCount   int
+		leavingAt    clock.Millis
+		onEvent      func()
+		log          []string
+		violations   []string
+		mutation     mutant
 		// publishedAt holds the time at which each ticket was published, and inForce the time
 		// at which it took effect at each entry.
 		publishedAt []clock.Millis
@@ -613,13 +615,15 @@
 func (sim *simulation) readReport(e *entry, entryEpoch uint64, act action.ReadReport) {
 	eng := sim.engineNamed(act.Endpoint)
 	if eng.crashed || sim.isUnreachable(e.domain, eng.domain) {
-		sim.step(e, entryEpoch, event.ReportFailed{Endpoint: act.Endpoint, Refused: eng.crashed})
+		sim.step(e, entryEpoch, event.ReportFailed{Endpoint: act.Endpoint, Refused: eng.crashed, RequestedAt: act.RequestedAt})
 		return
 	}
 	report := eng.simulator.Report(sim.now, act.Since)
 	report.Boot = eng.boot
 	report.Models = eng.models
-	sim.schedule(latency, func() { sim.step(e, entryEpoch, event.ReportRead{Endpoint: act.Endpoint, Report: report}) })
+	sim.schedule(latency+sim.reportDelay, func() {
+		sim.step(e, entryEpoch, event.ReportRead{Endpoint: act.Endpoint, Report: report, RequestedAt: act.RequestedAt})
+	})
 }
 
 func (sim *simulation) applyOrder(e *entry, entryEpoch uint64, act action.SendOrder) {
--- a/internal/serve/shell/calls.go
+++ b/internal/serve/shell/calls.go
@@ -113,17 +113,17 @@
 	text, err := s.get("http://"+act.Address+engine.PathReport+query, controlTimeout)
 	if err != nil {
 		refused := errors.Is(err, syscall.ECONNREFUSED)
-		s.Step(event.ReportFailed{Endpoint: act.Endpoint, Refused: refused})
+		s.Step(event.ReportFailed{Endpoint: act.Endpoint, Refused: refused, RequestedAt: act.RequestedAt})
 		return
 	}
 	report, err := engine.DecodeReport(text)
 	if err != nil {
 		s.logger.Part("reports").Warn("Report of endpoint can't be decoded.", "endpoint", act.Endpoint, "err", err)
-		s.Step(event.ReportFailed{Endpoint: act.Endpoint})
+		s.Step(event.ReportFailed{Endpoint: act.Endpoint, RequestedAt: act.RequestedAt})
 		return
 	}
 	s.metrics.Reports.Inc(1)
-	s.Step(event.ReportRead{Endpoint: act.Endpoint, Report: report})
+	s.Step(event.ReportRead{Endpoint: act.Endpoint, Report: report, RequestedAt: act.RequestedAt})
 }
 
 func (s *Shell) watchPlatform(act action.WatchPlatform) {
