The stand-in of an engine answers nothing after a crash

Cause: between the crash and the exit of the process the stand-in still answered calls for a report, with its old boot. A real process that has crashed can't, and such an answer refutes a death truthfully by the protocol, so that TestProcessEngines asked more than an engine gives. Change: after a stop or crash every connection is broken off. The test stays as it is. The entries of the process tests log at level info, which is printed only on failure.

--- a/cmd/mustardhook/process_test.go
+++ b/cmd/mustardhook/process_test.go
@@ -166,7 +166,7 @@
 func (f *processCluster) startEntry(i int) *process {
 	file := filepath.Join(f.folder, fmt.Sprintf("entry-%d.jsonc", i))
 	text := fmt.Sprintf(`{
-  "entry": "entry-%d", "failureDomain": "d%d", "platform": %q, "logLevel": "warn",
+  "entry": "entry-%d", "failureDomain": "d%d", "platform": %q, "logLevel": "info",
   "callers": {"listen": %q}, "peers": {"listen": %q, "key": "a shared key of the peers"}, "operators": {"listen": %q}
 }`, i, i%3, f.platformAddress, f.callerAddresses[i], f.peerAddresses[i], f.operatorAddresses[i])
 	require.NoError(f.t, os.WriteFile(file, []byte(text), 0o600))
--- a/internal/fake/engine/engine.go
+++ b/internal/fake/engine/engine.go
@@ -96,8 +96,16 @@
 	return s
 }
 
-// ServeHTTP handles a request of the engine protocol.
-func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) { s.router.ServeHTTP(w, r) }
+// ServeHTTP handles a request of the engine protocol. After a stop or a crash it breaks
+// off every connection, since a process that has ended answers nothing.
+func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	select {
+	case <-s.done:
+		panic(http.ErrAbortHandler)
+	default:
+		s.router.ServeHTTP(w, r)
+	}
+}
 
 // Done returns a channel that is closed when the engine has stopped or crashed.
 func (s *Server) Done() <-chan struct{} { return s.done }
