Relay: the core starts before anything can reach it

Callers saw: an entry that got SIGHUP within some milliseconds after its start ended with a panic, and every request on it with it; platforms announce settings at any time. Cause: Reload stepped the core although Run had not passed Started yet, and the core has no state before that. The ports were opened before Started as well, so that a request could reach a core that had not started; net/http hides that panic, and the lock stays held. Fix: Run passes Started before it opens a port for callers, peers or readiness, and Reload waits until that has happened.

--- a/internal/flow/proxy/proxy.go
+++ b/internal/flow/proxy/proxy.go
@@ -58,7 +58,8 @@
 		lastNumber atomic.Uint64
 		// active counts the requests in progress.
 		active atomic.Int64
-		// lifetime ends when the proxy stops.
+		// started is closed once the core has started. lifetime ends when the proxy stops.
+		started    chan struct{}
 		lifetime   context.Context
 		cancel     context.CancelFunc
 		goroutines conc.WaitGroup
@@ -86,6 +87,7 @@
 		peers:    NewClient(),
 		board:    board.New(),
 		cycle:    cycle.New(config.Controllers...),
+		started:  make(chan struct{}),
 		lifetime: ctx,
 		cancel:   cancel,
 	}
--- a/internal/flow/proxy/run.go
+++ b/internal/flow/proxy/run.go
@@ -57,8 +57,14 @@
 func (e *ListenError) Unwrap() error { return e.Err }
 
 // Reload applies changed settings of the core, such as the retry limits and the grace
-// period. Changed addresses take effect at the next start.
+// period. Changed addresses take effect at the next start. Reload waits until Run has
+// started the core.
 func (p *Proxy) Reload(settings setup.Settings) {
+	select {
+	case <-p.started:
+	case <-p.lifetime.Done():
+		return
+	}
 	p.Step(input.SettingsRead{Settings: settings.Core})
 	p.logger.Part("entry").Info("Settings reloaded.", "grace", settings.Core.GracePeriod)
 }
@@ -75,6 +81,13 @@
 	}
 	defer func() { _ = news.conn.Close() }()
 	p.news = news
+	// The core must have started before a port accepts a request.
+	p.Step(input.Started{
+		Self: p.settings.Entry, Epoch: uint64(time.Now().UnixMilli()), Domain: p.settings.Domain,
+		Address: p.settings.Peers, Capacity: p.settings.Limits.ProcessorThousandths, Seeds: p.settings.Seeds, Seed: seed,
+		Settings: p.settings.Core,
+	})
+	close(p.started)
 	debug.SetMemoryLimit(int64(float64(p.settings.Limits.MemoryMegabytes) * megabyte * memoryLimitRatio))
 	callers, err := p.listen(callersPort, p.settings.Callers, p)
 	if err != nil {
@@ -96,11 +109,6 @@
 		}
 		defer func() { _ = server.Close() }()
 	}
-	p.Step(input.Started{
-		Self: p.settings.Entry, Epoch: uint64(time.Now().UnixMilli()), Domain: p.settings.Domain,
-		Address: p.settings.Peers, Capacity: p.settings.Limits.ProcessorThousandths, Seeds: p.settings.Seeds, Seed: seed,
-		Settings: p.settings.Core,
-	})
 	p.spawn(func() { p.news.receive(p.Step) })
 	p.spawn(p.tick)
 	p.spawn(p.readPublished)
--- a/relay.go
+++ b/relay.go
@@ -20,7 +20,7 @@
 		// returns. It returns an error only if a port can't be opened.
 		Run(ctx context.Context) error
 		// Reload applies changed settings. Changed addresses take effect only at the
-		// next start.
+		// next start. Reload waits until Run has started the relay.
 		Reload(settings setup.Settings)
 	}
 
