Relay: a SIGHUP during the start is not lost

Operators saw: nothing, which is the fault; settings that change while a process starts stay out of force until the next change. Cause: SIGHUP was ignored from the beginning of main and registered only after the settings had been read and the relay been made. A signal in between was discarded. Fix: the signal is registered before the settings are read, so that a change either precedes the read or is announced after the registration.

--- a/cmd/mustardhook/relay.go
+++ b/cmd/mustardhook/relay.go
@@ -23,6 +23,10 @@
 		Short: "Relay requests according to the configuration that the platform publishes",
 		Args:  cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
+			// Registered before the settings are read, so that no change is missed.
+			changes := make(chan os.Signal, 1)
+			signal.Notify(changes, syscall.SIGHUP)
+			defer signal.Stop(changes)
 			settings, err := readRelaySettings(file)
 			if err != nil {
 				return err
@@ -32,7 +36,7 @@
 			logger := logs.New(output, settings.LogLevel)
 			store := platform.NewStore(settings.Publisher, proxy.NewClient())
 			relay := mustardhook.NewRelay(settings, platform.Dialect{}, store, mustardhook.WithRelayLogger(logger))
-			go reloadOnSignal(cmd.Context(), file, relay, logger)
+			go reloadOnSignal(cmd.Context(), changes, file, relay, logger)
 			return relay.Run(cmd.Context())
 		},
 	}
@@ -48,17 +52,14 @@
 	return setup.Parse(file, text)
 }
 
-// reloadOnSignal reads the settings again at each SIGHUP. If they are invalid, the
+// reloadOnSignal reads the settings again at each signal. If they are invalid, the
 // previous settings stay in force.
-func reloadOnSignal(ctx context.Context, file string, relay mustardhook.Relay, logger logs.Logger) {
-	signals := make(chan os.Signal, 1)
-	signal.Notify(signals, syscall.SIGHUP)
-	defer signal.Stop(signals)
+func reloadOnSignal(ctx context.Context, changes <-chan os.Signal, file string, relay mustardhook.Relay, logger logs.Logger) {
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case <-signals:
+		case <-changes:
 		}
 		settings, err := readRelaySettings(file)
 		if err != nil {
