Log: the lines of a stop and warnings are not crowded out by request lines

Operators saw: a process that exits with status 0 and whose log has neither "Entry stops." nor "Entry stopped.", which looks as if the signal had been lost. Cause: one rate limit for all lines; above 400 lines a second, some 200 requests, the few lines that show what a process does were dropped as often as the lines of requests. TestEssentialLinesAreNotCrowdedOut fails before. Fix: warnings and the lines of the part that starts and stops the process have a rate limit of their own. All lines still share the bounded queue, so a reader that is stuck blocks nothing.

--- a/internal/serve/logs/bounded.go
+++ b/internal/serve/logs/bounded.go
@@ -22,13 +22,19 @@
 	// Bounded is a writer that never blocks. Lines over its rate limit, and lines that
 	// arrive while its queue is full, are dropped and counted.
 	Bounded struct {
-		out       io.Writer
-		lines     chan []byte
-		limiter   *rate.Limiter
+		out     io.Writer
+		lines   chan []byte
+		limiter *rate.Limiter
+		// essentialLimiter limits the lines that a logger marks as essential.
+		essentialLimiter *rate.Limiter
+
 		dropped   atomic.Int64
 		closeOnce sync.Once
 		done      chan struct{}
 	}
+
+	// essentialWriter writes to a Bounded at the rate limit of essential lines.
+	essentialWriter struct{ bounded *Bounded }
 )
 
 // NewBounded returns a bounded writer that writes to out from a goroutine. Close ends
@@ -36,15 +42,22 @@
 func NewBounded(out io.Writer) *Bounded {
 	b := &Bounded{
 		out: out, lines: make(chan []byte, maxQueuedLines), limiter: rate.NewLimiter(linesPerSecond, burstLines),
-		done: make(chan struct{}),
+		essentialLimiter: rate.NewLimiter(linesPerSecond, burstLines), done: make(chan struct{}),
 	}
 	go b.run()
 	return b
 }
 
 // Write queues one line, or drops it. It always reports success.
-func (b *Bounded) Write(line []byte) (int, error) {
-	if !b.limiter.Allow() {
+func (b *Bounded) Write(line []byte) (int, error) { return b.write(line, b.limiter) }
+
+// Write queues one line, or drops it. It always reports success.
+func (w essentialWriter) Write(line []byte) (int, error) {
+	return w.bounded.write(line, w.bounded.essentialLimiter)
+}
+
+func (b *Bounded) write(line []byte, limiter *rate.Limiter) (int, error) {
+	if !limiter.Allow() {
 		b.dropped.Add(1)
 		return len(line), nil
 	}
--- a/internal/serve/logs/bounded_test.go
+++ b/internal/serve/logs/bounded_test.go
@@ -33,3 +33,20 @@
 	require.LessOrEqual(t, strings.Count(out.text.String(), "Line."), maxQueuedLines+1)
 	require.Contains(t, out.text.String(), "Lines dropped.")
 }
+
+// Guards against the loss of the lines that show how a process stops, and of warnings, while
+// it logs more requests than its rate limit allows.
+func TestEssentialLinesAreNotCrowdedOut(t *testing.T) {
+	var out bytes.Buffer
+	bounded := NewBounded(&out)
+	logger := New(bounded, "info")
+	for range 5 * burstLines {
+		logger.Part("request").Info("Answer delivered.")
+	}
+	logger.Part("entry").Info("Entry stops.")
+	logger.Part("request").Warn("Request cut off.")
+	require.NoError(t, bounded.Close())
+	require.Contains(t, out.String(), "Lines dropped.")
+	require.Contains(t, out.String(), "Entry stops.")
+	require.Contains(t, out.String(), "Request cut off.")
+}
