--- a/internal/flow/proxy/proxy.go
+++ b/internal/flow/proxy/proxy.go
@@ -71,7 +71,8 @@
 		lastNumber atomic.Uint64
 		// active counts the requests in progress.
 		active atomic.Int64
-		// lifetime ends when the proxy stops.
+		// started is closed once the core has started. lifetime ends when the proxy stops.
+		started    chan struct{}
 		lifetime   context.Context
 		cancel     context.CancelFunc
 		goroutines conc.WaitGroup
@@ -103,6 +104,7 @@
 		conns:        conns.New(),
 		board:        board.New(),
 		cycle:        cycle.New(config.Controllers...),
+		started:      make(chan struct{}),
 		lifetime:     ctx,
 		cancel:       cancel,
 	}
--- a/internal/flow/proxy/run.go
+++ b/internal/flow/proxy/run.go
@@ -41,6 +41,12 @@
 	callersPort = "callers"
 	// drainPollInterval is the time between two checks whether all requests have ended.
 	drainPollInterval = 20 * time.Millisecond
+	// retireDelay is how long a stopping entry keeps idle connections open. A caller that
+	// sends a request in this time is told to open another connection.
+	retireDelay = 300 * time.Millisecond
+	// firstRequestDelay is the time that the connections accepted last have to send their
+	// requests.
+	firstRequestDelay = 100 * time.Millisecond
 )
 
 type (
@@ -61,8 +67,14 @@
 func (e *ListenError) Unwrap() error { return e.Err }
 
 // Reload applies changed settings of the core, such as the retry limits and the grace
-// period. Changed addresses take effect at the next start.
+// period. Changed addresses take effect at the next start. Reload waits until Run has
+// started the core.
 func (p *Proxy) Reload(settings setup.Settings) {
+	select {
+	case <-p.started:
+	case <-p.lifetime.Done():
+		return
+	}
 	p.Step(input.SettingsRead{Settings: settings.Core})
 	p.logger.Part("entry").Info("Settings reloaded.", "grace", settings.Core.GracePeriod)
 }
@@ -79,6 +91,13 @@
 	}
 	defer func() { _ = news.conn.Close() }()
 	p.news = news
+	// The core must have started before a port accepts a request.
+	p.Step(input.Started{
+		Self: p.settings.Entry, Epoch: uint64(time.Now().UnixMilli()), Domain: p.settings.Domain,
+		Address: p.settings.Peers, Capacity: p.settings.Limits.ProcessorThousandths, Seeds: p.settings.Seeds, Seed: seed,
+		Settings: p.settings.Core,
+	})
+	close(p.started)
 	debug.SetMemoryLimit(int64(float64(p.settings.Limits.MemoryMegabytes) * megabyte * memoryLimitRatio))
 	callers, listener, err := p.listen(callersPort, p.settings.Callers, p)
 	if err != nil {
@@ -100,11 +119,6 @@
 		}
 		defer func() { _ = server.Close() }()
 	}
-	p.Step(input.Started{
-		Self: p.settings.Entry, Epoch: uint64(time.Now().UnixMilli()), Domain: p.settings.Domain,
-		Address: p.settings.Peers, Capacity: p.settings.Limits.ProcessorThousandths, Seeds: p.settings.Seeds, Seed: seed,
-		Settings: p.settings.Core,
-	})
 	p.spawn(func() { p.news.receive(p.Step) })
 	p.spawn(p.tick)
 	p.spawn(p.readPublished)
@@ -156,14 +170,17 @@
 	defer cancel()
 	service, cancel := context.WithTimeout(exit, serviceTime.Duration())
 	defer cancel()
+	p.conns.Announce()
+	wait(service, retireDelay)
 	p.conns.Retire()
-	wait(service, min(place.StopNotice, grace/2).Duration())
+	wait(service, min(place.StopNotice, grace/2).Duration()-retireDelay)
 	for p.active.Load() > 0 && service.Err() == nil {
 		wait(service, drainPollInterval)
 	}
 	if err := callers.Close(); err != nil {
 		p.logger.Part("entry").Warn("Port of callers was not closed.", "err", err)
 	}
+	wait(exit, firstRequestDelay)
 	p.conns.Finish()
 	p.conns.Wait(exit)
 	p.logCutRequests()
