--- a/internal/flow/proxy/send.go
+++ b/internal/flow/proxy/send.go
@@ -170,9 +170,13 @@
 	_ = x.conn.SetReadDeadline(until)
 }
 
-// newReadError returns an AnswerError if a part of an answer exceeded a limit; otherwise the
-// error itself with the name of the part.
+// newReadError returns an AnswerError if a part of an answer exceeded a limit. Another
+// AnswerError is returned as it is, and any other error with the name of the part.
 func newReadError(part string, err error) error {
+	var answerErr *AnswerError
+	if errors.As(err, &answerErr) {
+		return answerErr
+	}
 	var exceeded *limit.ExceededError
 	var exhausted *limit.ExhaustedError
 	if errors.As(err, &exceeded) || errors.As(err, &exhausted) {
