Relay: silence ends a send only if another endpoint can take the request

Two other prompts had timed out at the engine, so it was suspected; the send was ended, and only then the retry budget was asked, which had no retry left.

The core is now asked before the send ends: an attempt, a retry and another usable endpoint must be left. The same holds before the first event, where the send would otherwise end in a 502 while its engine works.

--- a/internal/flow/budget/budget.go
+++ b/internal/flow/budget/budget.go
@@ -50,6 +50,16 @@
 // TakeRetry counts one retry against the budget of the service. It returns false and
 // counts nothing if the budget is exhausted.
 func (b *Budget) TakeRetry(service ident.Service, limits Limits, now clock.Millis) bool {
+	if !b.HasRetry(service, limits, now) {
+		return false
+	}
+	w := b.windowAt(service, limits, now)
+	w.retries[w.slot%slots]++
+	return true
+}
+
+// HasRetry reports whether the budget of the service allows a retry.
+func (b *Budget) HasRetry(service ident.Service, limits Limits, now clock.Millis) bool {
 	w := b.windowAt(service, limits, now)
 	requests, retries := 0, 0
 	for i := range slots {
@@ -57,11 +67,7 @@
 		retries += w.retries[i]
 	}
 	allowed := SafetyFactor * (limits.Ratio*float64(requests) + limits.Slack/float64(max(limits.Entries, 1)))
-	if float64(retries+1) > allowed {
-		return false
-	}
-	w.retries[w.slot%slots]++
-	return true
+	return float64(retries+1) <= allowed
 }
 
 // windowAt returns the window of the service and advances it to now, which clears
--- a/internal/flow/place/end.go
+++ b/internal/flow/place/end.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"slices"
 
 	"mustardhook/internal/core/clock"
 	"mustardhook/internal/core/ident"
@@ -86,10 +87,28 @@
 	}
 }
 
-// IsSuspect reports whether there are signs that the endpoint is dead or unreachable.
-// Missing events alone are not such a sign, since an engine may be busy with the prefill
+// ShouldMove reports whether a request whose endpoint is silent for longer than expected
+// should be sent to another one. Silence alone never ends an answer: there must be an endpoint,
+// an attempt and a retry left for it. Once the caller has received an event, there must also be
+// signs that the endpoint is dead or unreachable, since an engine may be busy with the prefill
 // of a long shard.
-func IsSuspect(b *board.Board, name ident.Endpoint) bool {
+func ShouldMove(b *board.Board, number uint64) bool {
+	request := b.Requests[number]
+	if request == nil {
+		return true
+	}
+	mayRetry := request.Route.IsRepeatable() && request.Runs+1 < request.Route.Attempts &&
+		!b.EndsWithin(request, MinTimeLeft) && b.Budget.HasRetry(request.Service, retryLimits(b), b.Now)
+	if !mayRetry || request.FirstEventSent && !isSuspect(b, request.Endpoint) {
+		return false
+	}
+	return slices.ContainsFunc(b.Pool.ByService(request.Service), func(other *pool.Endpoint) bool {
+		return other.Name != request.Endpoint && other.IsUsable(b.Now) && !b.Pool.IsUnreachable(other.Domain, b.Now)
+	})
+}
+
+// isSuspect reports whether there are signs that the endpoint is dead or unreachable.
+func isSuspect(b *board.Board, name ident.Endpoint) bool {
 	endpoint := b.Pool.Find(name)
 	return endpoint == nil || b.Now < endpoint.BackoffUntil || b.Pool.IsUnreachable(endpoint.Domain, b.Now) ||
 		endpoint.Domain != b.Domain && b.IsUnresponsive(endpoint.Domain, DomainTimeout)
--- a/internal/flow/proxy/proxy.go
+++ b/internal/flow/proxy/proxy.go
@@ -15,7 +15,6 @@
 
 	"mustardhook/internal/core/clock"
 	"mustardhook/internal/core/cycle"
-	"mustardhook/internal/core/ident"
 	"mustardhook/internal/flow/board"
 	"mustardhook/internal/flow/call"
 	"mustardhook/internal/flow/input"
@@ -198,12 +197,12 @@
 	return p.board.IsReady()
 }
 
-// isSuspect reports whether the endpoint may be dead or unreachable.
-func (p *Proxy) isSuspect(name ident.Endpoint) bool {
+// shouldMove reports whether a request whose endpoint is silent should be sent elsewhere.
+func (p *Proxy) shouldMove(number uint64) bool {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	p.board.Now = max(Now(), p.board.Now)
-	return place.IsSuspect(p.board, name)
+	return place.ShouldMove(p.board, number)
 }
 
 // limits returns the limits of the current plan.
--- a/internal/flow/proxy/send.go
+++ b/internal/flow/proxy/send.go
@@ -49,9 +49,6 @@
 		conn     net.Conn
 		reader   *bufio.Reader
 		deadline time.Time
-		// isStreaming is set once the first event has arrived. From then on a missing
-		// event alone does not end the exchange.
-		isStreaming bool
 		// hasHead is set once the head of the answer was read. headBytes is the number of
 		// bytes read until then, headMemory what they take of the session's share.
 		hasHead    bool
@@ -227,13 +224,13 @@
 	return x.session.memory.Take(int64(memory))
 }
 
-// readConn reads from the connection. While events are streamed, it continues after a read
-// timeout unless the endpoint may be dead.
+// readConn reads from the connection. After a read timeout it continues unless the request
+// should be sent to another endpoint.
 func (x *exchange) readConn(buffer []byte) (int, error) {
 	for {
 		count, err := x.conn.Read(buffer)
 		isReadTimeout := errors.Is(err, os.ErrDeadlineExceeded) && time.Now().Before(x.deadline)
-		if count > 0 || !isReadTimeout || !x.isStreaming || x.session.proxy.isSuspect(x.send.Endpoint) {
+		if count > 0 || !isReadTimeout || x.session.proxy.shouldMove(x.send.Number) {
 			return count, err
 		}
 		x.setReadTimeout(livenessPollInterval)
@@ -294,7 +291,6 @@
 		}
 		if isFirst {
 			isFirst = false
-			x.isStreaming = true
 			x.session.stage.Store(stageStreaming)
 			x.session.proxy.Step(input.FirstEventSent{Number: x.send.Number})
 		}
