Table of planned work: entries that forward, lists of leaving endpoints

Adds the stop of the entry that forwarded a call, the stop of both entries, and an engine that the platform lists as leaving. No fault was found.

The engine now goes on refusing where no engine may serve the waiting prompt.

--- a/planned_test.go
+++ b/planned_test.go
@@ -19,6 +19,7 @@
 	"github.com/stretchr/testify/require"
 
 	"mustardhook/internal/core/clock"
+	"mustardhook/internal/core/event"
 	"mustardhook/internal/core/fleet"
 	"mustardhook/internal/fake/stack"
 	"mustardhook/internal/tool/client"
@@ -284,6 +285,18 @@
 			drainEntry(t, s.Entries[0])
 			stopInBackground(t, s.Entries[0])
 		}, lateRows},
+		{"stop of the entry that forwarded a call", func(t *testing.T, s *stack.Cluster) { stopInBackground(t, s.Entries[1]) }, nil},
+		{"stop of both entries", func(t *testing.T, s *stack.Cluster) {
+			stopInBackground(t, s.Entries[0])
+			stopInBackground(t, s.Entries[1])
+		}, lateRows},
+		{"engine listed as leaving", func(t *testing.T, s *stack.Cluster) {
+			s.Platform.SetInstance(event.Instance{Name: string(s.Engines[0].Name), Domain: s.Engines[0].Domain, Leaving: true})
+			require.Eventually(t, func() bool { return statusOf(t, s, 0).Endpoints[0].Leaving }, 11*time.Second, 5*time.Millisecond)
+		}, map[string][]string{
+			"head of a new connection": {"noEndpoint"}, "head of a kept connection": {"noEndpoint"},
+			"body of a prompt": {"noEndpoint"}, "prompt waiting for an engine": {"deadlineExceeded"},
+		}},
 		{"engine leaves", publishAndWait(func(s *stack.Cluster) string {
 			return `"endpoints": [` + s.Engines[0].Declaration(fleet.PhaseLeaving) + `]`
 		}), map[string][]string{
@@ -312,7 +325,9 @@
 			s := startPlanned(t, stack.Spec{})
 			requests := startRequests(t, s)
 			work.begin(t, s)
-			s.Engines[0].Server.SetFaults(faults.Engine{})
+			if work.outcomes["prompt waiting for an engine"] == nil {
+				s.Engines[0].Server.SetFaults(faults.Engine{})
+			}
 			finishRequests(t, requests, work.outcomes)
 		})
 	}
