Relay: a caller that reads slowly gets its whole answer

Cause: the write timeout is meant for a write that blocks, but deliver wrote the whole answer in one write with one deadline.

The answer is written in pieces of 64 KiB, each with its own deadline, so the timeout ends only callers that don't read.

--- a/internal/flow/proxy/session.go
+++ b/internal/flow/proxy/session.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"net/http"
+	"slices"
 	"strconv"
 	"time"
 
@@ -21,8 +22,10 @@
 	defaultMaxBodyBytes = 4 << 20
 	// bodyReadTimeout is how long a caller may take to send a request body.
 	bodyReadTimeout = 10 * time.Second
-	// answerWriteTimeout is how long one write to a caller that does not read may block.
+	// answerWriteTimeout is how long one write to a caller that does not read may block. A
+	// write has at most answerPieceBytes or one event.
 	answerWriteTimeout = 5 * time.Second
+	answerPieceBytes   = 64 << 10
 	// bodyMemoryRetryAfter is the delay after which a caller should retry whose request body
 	// found no memory.
 	bodyMemoryRetryAfter = 500 * clock.Millis(1)
@@ -197,13 +200,26 @@
 	copyHeader(header, s.answer.header)
 	header.Set("Content-Length", strconv.Itoa(len(s.answer.body)))
 	s.writer.WriteHeader(s.answer.status)
-	_ = s.control.SetWriteDeadline(time.Now().Add(answerWriteTimeout))
-	if _, err := s.writer.Write(s.answer.body); err != nil {
+	if err := s.writeBody(s.answer.body); err != nil {
 		s.proxy.logger.Part("request").Info("Answer could not be written to the caller.", "request", s.request.Name, "err", err)
 	}
 	s.proxy.logFinish(s, "Answer delivered.", "", s.answer.status)
 }
 
+// writeBody writes the body of an answer in pieces, so that a caller that reads slowly is not
+// cut off.
+func (s *session) writeBody(body []byte) error {
+	// Without a body, the timeout is that of the header.
+	_ = s.control.SetWriteDeadline(time.Now().Add(answerWriteTimeout))
+	for piece := range slices.Chunk(body, answerPieceBytes) {
+		_ = s.control.SetWriteDeadline(time.Now().Add(answerWriteTimeout))
+		if _, err := s.writer.Write(piece); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // reply refuses the request or reports its failure, with the reason as plain text.
 func (s *session) reply(reply call.Reply) {
 	s.proxy.metrics.refused.Inc(1)
