Log: a reader that is stuck does not keep a stopping process from exiting

Operators would see: a planned stop that answers every request and still does not exit, until the platform kills the process. Cause: Close waited without a limit for the goroutine that writes the queued lines, and that one for the reader of the log. Evidence: found by reading; TestStuckReaderDoesNotBlockClose blocked before.

--- a/internal/serve/logs/bounded.go
+++ b/internal/serve/logs/bounded.go
@@ -5,6 +5,7 @@
 	"io"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"golang.org/x/time/rate"
 )
@@ -16,6 +17,8 @@
 	// answers some tens of requests a second and logs one or two lines for each.
 	linesPerSecond = 400
 	burstLines     = 800
+	// closeTimeout is how long Close waits for a reader that is slow or stuck.
+	closeTimeout = 250 * time.Millisecond
 )
 
 type (
@@ -69,11 +72,14 @@
 	return len(line), nil
 }
 
-// Close writes the queued lines and stops the writer. Write must not be called after
-// Close.
+// Close writes the queued lines and stops the writer. It gives up on lines that the reader
+// does not take within closeTimeout. Write must not be called after Close.
 func (b *Bounded) Close() error {
 	b.closeOnce.Do(func() { close(b.lines) })
-	<-b.done
+	select {
+	case <-b.done:
+	case <-time.After(closeTimeout):
+	}
 	return nil
 }
 
--- a/internal/serve/logs/bounded_test.go
+++ b/internal/serve/logs/bounded_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 )
@@ -50,3 +51,19 @@
 	require.Contains(t, out.String(), "Entry stops.")
 	require.Contains(t, out.String(), "Request cut off.")
 }
+
+// Guards against a process that does not exit at a planned stop because nobody reads its log.
+func TestStuckReaderDoesNotBlockClose(t *testing.T) {
+	out := &blockedWriter{release: make(chan struct{})}
+	defer close(out.release)
+	bounded := NewBounded(out)
+	New(bounded, "info").Part("test").Info("Line.")
+	closed := make(chan error, 1)
+	go func() { closed <- bounded.Close() }()
+	select {
+	case err := <-closed:
+		require.NoError(t, err)
+	case <-time.After(10 * closeTimeout):
+		require.Fail(t, "Close blocks")
+	}
+}
