Log: a line after the end of the log is dropped instead of ending the process

Operators would see: exit status 2 and a trace at the very end of a planned stop. Cause: Close closed the channel of lines, and goroutines that nobody waits for still log then: the handler of a request that the exit cuts off, and the one that reads changed settings. A send on a closed channel panics. Evidence: found by reading; TestLateLineIsDropped panicked before. Fix: Close signals the end by a channel of its own, and later lines are not written.

--- a/internal/serve/logs/bounded.go
+++ b/internal/serve/logs/bounded.go
@@ -33,7 +33,9 @@
 
 		dropped   atomic.Int64
 		closeOnce sync.Once
-		done      chan struct{}
+		// closing is closed by Close, and done when the queued lines have been written.
+		closing chan struct{}
+		done    chan struct{}
 	}
 
 	// essentialWriter writes to a Bounded at the rate limit of essential lines.
@@ -45,7 +47,7 @@
 func NewBounded(out io.Writer) *Bounded {
 	b := &Bounded{
 		out: out, lines: make(chan []byte, maxQueuedLines), limiter: rate.NewLimiter(linesPerSecond, burstLines),
-		essentialLimiter: rate.NewLimiter(linesPerSecond, burstLines), done: make(chan struct{}),
+		essentialLimiter: rate.NewLimiter(linesPerSecond, burstLines), closing: make(chan struct{}), done: make(chan struct{}),
 	}
 	go b.run()
 	return b
@@ -73,9 +75,9 @@
 }
 
 // Close writes the queued lines and stops the writer. It gives up on lines that the reader
-// does not take within closeTimeout. Write must not be called after Close.
+// does not take within closeTimeout. Lines written after Close are dropped.
 func (b *Bounded) Close() error {
-	b.closeOnce.Do(func() { close(b.lines) })
+	b.closeOnce.Do(func() { close(b.closing) })
 	select {
 	case <-b.done:
 	case <-time.After(closeTimeout):
@@ -85,11 +87,34 @@
 
 func (b *Bounded) run() {
 	defer close(b.done)
-	for line := range b.lines {
-		// There is no place to report a log line that can't be written.
-		_, _ = b.out.Write(line)
-		if dropped := b.dropped.Swap(0); dropped > 0 {
-			_, _ = fmt.Fprintf(b.out, "level=warn part=logs msg=\"Lines dropped.\" lines=%d\n", dropped)
+	for {
+		select {
+		case line := <-b.lines:
+			b.writeOut(line)
+		case <-b.closing:
+			b.writeQueued()
+			return
 		}
 	}
 }
+
+// writeQueued writes the lines that are queued now.
+func (b *Bounded) writeQueued() {
+	for {
+		select {
+		case line := <-b.lines:
+			b.writeOut(line)
+		default:
+			return
+		}
+	}
+}
+
+// writeOut writes one line, and the number of lines that were dropped before it.
+func (b *Bounded) writeOut(line []byte) {
+	// There is no place to report a log line that can't be written.
+	_, _ = b.out.Write(line)
+	if dropped := b.dropped.Swap(0); dropped > 0 {
+		_, _ = fmt.Fprintf(b.out, "level=warn part=logs msg=\"Lines dropped.\" lines=%d\n", dropped)
+	}
+}
--- a/internal/serve/logs/bounded_test.go
+++ b/internal/serve/logs/bounded_test.go
@@ -67,3 +67,17 @@
 		require.Fail(t, "Close blocks")
 	}
 }
+
+// Guards against a panic at the end of a planned stop, when a request that is cut off logs
+// its end after the log was closed.
+func TestLateLineIsDropped(t *testing.T) {
+	var out bytes.Buffer
+	bounded := NewBounded(&out)
+	logger := New(bounded, "info").Part("test")
+	logger.Info("In time.")
+	require.NoError(t, bounded.Close())
+	require.NotPanics(t, func() { logger.Info("Late.") })
+	require.NoError(t, bounded.Close())
+	require.Contains(t, out.String(), "In time.")
+	require.NotContains(t, out.String(), "Late.")
+}
