Relay: an endpoint that reads a long body late is not taken for dead

Callers saw: 502 about 2.4 s after a request with a long body was sent, though its endpoint lived and would have answered.

Cause: TCP_USER_TIMEOUT is 2 s, and the kernel counts the time in which a peer with a full receive buffer reads nothing as time without acknowledgement.

Requests with bodies over 4 KiB get their deadline as the limit instead. A dead endpoint of such a request is noticed by the timeouts of its events, as before.

--- a/internal/flow/proxy/dial.go
+++ b/internal/flow/proxy/dial.go
@@ -21,6 +21,10 @@
 	keepAliveCount    = 2
 	// tcpUserTimeout is how long sent bytes may stay unacknowledged.
 	tcpUserTimeout = 2 * time.Second
+	// smallBodyBytes is the size of the largest request body that every endpoint
+	// receives at once. The kernel also counts the time in which a peer with a full receive
+	// buffer reads nothing, so tcpUserTimeout does not apply to requests with larger bodies.
+	smallBodyBytes = 4 << 10
 
 	// idleConnTimeout is how long an unused connection stays open.
 	idleConnTimeout = 30 * time.Second
@@ -31,11 +35,13 @@
 	maxResponseHeadBytes = 64 << 10
 )
 
-func newDialer() *net.Dialer {
+// newDialer returns a dialer whose connections fail if sent bytes stay unacknowledged for the
+// given time.
+func newDialer(userTimeout time.Duration) *net.Dialer {
 	return &net.Dialer{
 		Timeout:         dialTimeout,
 		KeepAliveConfig: keepAliveConfig(),
-		Control:         func(_, _ string, raw syscall.RawConn) error { return setTCPUserTimeout(raw) },
+		Control:         func(_, _ string, raw syscall.RawConn) error { return setTCPUserTimeout(raw, userTimeout) },
 	}
 }
 
@@ -45,10 +51,10 @@
 
 // setTCPUserTimeout makes a connection fail if its peer stops acknowledging data, for
 // example because it lost power.
-func setTCPUserTimeout(raw syscall.RawConn) error {
+func setTCPUserTimeout(raw syscall.RawConn, timeout time.Duration) error {
 	var optionErr error
 	err := raw.Control(func(fd uintptr) {
-		optionErr = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(tcpUserTimeout.Milliseconds()))
+		optionErr = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(timeout.Milliseconds()))
 	})
 	if err != nil {
 		return err
@@ -60,7 +66,7 @@
 // soon after the peer has disappeared, and reading a response fails over maxResponseBytes.
 func NewClient() *http.Client {
 	transport := &http.Transport{
-		DialContext: newDialer().DialContext, IdleConnTimeout: idleConnTimeout, DisableCompression: true,
+		DialContext: newDialer(tcpUserTimeout).DialContext, IdleConnTimeout: idleConnTimeout, DisableCompression: true,
 		MaxIdleConnsPerHost: 2, MaxResponseHeaderBytes: maxResponseHeadBytes,
 	}
 	return &http.Client{Transport: limit.NewTransport(transport, maxResponseBytes)}
--- a/internal/flow/proxy/send.go
+++ b/internal/flow/proxy/send.go
@@ -85,7 +85,11 @@
 		return s.classifyEnd(result)
 	}
 	s.stage.Store(stageSent)
-	conn, err := newDialer().DialContext(ctx, "tcp4", target.Address)
+	userTimeout := tcpUserTimeout
+	if len(s.body) > smallBodyBytes {
+		userTimeout = time.Until(deadline)
+	}
+	conn, err := newDialer(userTimeout).DialContext(ctx, "tcp4", target.Address)
 	if err != nil {
 		result.Err = err
 		result.Exited = errors.Is(err, syscall.ECONNREFUSED)
