Front: a rejected resend of a call is not reported as notRun

What callers saw: a call with a key that had run was reported as notRun when its resend came after a ticket had removed the organisation, changed its key, or with an invalid header or body. "Not run" refers to all attempts with the key, so that was not true.

Cause: calls that are rejected before they reach the core got notRun in every case; the core itself answers unknown for a key that it has not claimed. Evidence: TestRejectedResendIsNotReportedAsNotRun failed (expected "unknown", actual "notRun") with one run of the key in the ledger of the service, and passes now. Calls without a key still get notRun, and attemptNotSent is still set. Invalid headers and bodies share the code; no test.

The table now also checks attemptNotSent of calls that were refused with unknown.

--- a/internal/serve/front/call.go
+++ b/internal/serve/front/call.go
@@ -25,18 +25,18 @@
 	service := ident.Service(params.ByName("service"))
 	request, problem := h.admit(w, r, service)
 	if problem != nil {
-		rejectCall(w, *problem)
+		rejectCall(w, r, *problem)
 		return
 	}
 	body, problem := readBody(w, r, h.shell.Settings().Limits.CallBytes)
 	if problem != nil {
 		problem.Request = request.name
-		rejectCall(w, *problem)
+		rejectCall(w, r, *problem)
 		return
 	}
 	key := r.Header.Get(caller.HeaderIdempotencyKey)
 	if len(key) > maxKeyLength {
-		rejectCall(w, caller.Problem{
+		rejectCall(w, r, caller.Problem{
 			Name: problemHeader, Status: http.StatusBadRequest, Request: request.name, Field: caller.HeaderIdempotencyKey,
 			Detail: "must have at most " + strconv.Itoa(maxKeyLength) + " characters",
 		})
@@ -50,9 +50,12 @@
 }
 
 // rejectCall answers a call that was rejected before it reached the core, so it was
-// not sent to any endpoint.
-func rejectCall(w http.ResponseWriter, problem caller.Problem) {
+// not sent to any endpoint. An earlier attempt with its key may have run.
+func rejectCall(w http.ResponseWriter, r *http.Request, problem caller.Problem) {
 	problem.Outcome = string(msgs.OutcomeNotRun)
+	if r.Header.Get(caller.HeaderIdempotencyKey) != "" {
+		problem.Outcome = string(msgs.OutcomeUnknown)
+	}
 	problem.NotSent = true
 	w.Header().Set(caller.HeaderOutcome, problem.Outcome)
 	writeProblem(w, problem)
--- a/planned_test.go
+++ b/planned_test.go
@@ -358,6 +358,9 @@
 		if !slices.Contains(allowed, answers[i].outcome()) {
 			t.Errorf("%s: got %s, want %v", request.row, answers[i].outcome(), allowed)
 		}
+		if request.row == "body of a call" && answers[i].outcome() == "unknown" && !answers[i].notSent {
+			t.Errorf("%s: the problem does not say that the attempt was not sent", request.row)
+		}
 	}
 }
 
@@ -469,3 +472,19 @@
 		require.Equal(t, strconv.Itoa(len(got.body)), got.header.Get("Content-Length"))
 	}
 }
+
+// A call that had run was reported as notRun when its resend came after a ticket had removed
+// the organisation, or changed its key.
+func TestRejectedResendIsNotReportedAsNotRun(t *testing.T) {
+	s := startPlanned(t, stack.Spec{})
+	ask := func(text string) received { return dialEntry(t, s.Entries[0]).ask(text) }
+	require.Equal(t, "done", ask(callText(http.MethodPost, "resent")).outcome())
+	require.Equal(t, 1, s.Ledger.Runs("resent"))
+	publishAndWait(func(*stack.Cluster) string { return removal("organisation", stack.OrganisationName) })(t, s)
+	got := ask(callText(http.MethodPost, "resent"))
+	require.Equal(t, "unknownOrganisation", got.problem)
+	require.Equal(t, "unknown", got.outcome())
+	require.True(t, got.notSent)
+	got = ask(callText(http.MethodPost, ""))
+	require.Equal(t, "notRun", got.outcome(), "without a key there is no earlier attempt")
+}
