--- a/internal/serve/conns/tracker_test.go
+++ b/internal/serve/conns/tracker_test.go
@@ -187,6 +187,27 @@
 	require.True(t, server.wait(timeout))
 }
 
+// Guards against a stream without its last chunk, which is written after its handler has
+// returned.
+func TestWaitCoversLastChunkOfStream(t *testing.T) {
+	writes := newGate()
+	server := startServer(t, nil, writes, func(w http.ResponseWriter, r *http.Request) {
+		answerDone(w, r)
+		_ = http.NewResponseController(w).Flush()
+	})
+	client, reader := server.dial()
+	send(t, client, plainRequest)
+	<-writes.reached
+	writes.opened <- struct{}{}
+	<-writes.reached
+	server.tracker.Finish()
+	require.False(t, server.wait(50*time.Millisecond))
+	close(writes.opened)
+	_, body := readAnswer(t, reader)
+	require.Equal(t, "done", body)
+	require.True(t, server.wait(timeout))
+}
+
 // Guards against a pipelined request that is cancelled because its connection was ended as
 // idle, though the request was in the buffer of the server.
 func TestBufferedRequestIsAnswered(t *testing.T) {
