conns: the time for a first head begins with its first byte

Cause: net/http counts ReadHeaderTimeout from the start of the connection for the first request, and from the first byte for all others. The new test failed before (broken pipe). An unused connection now has the idle timeout, as a kept one has.

--- a/internal/serve/conns/conn.go
+++ b/internal/serve/conns/conn.go
@@ -27,6 +27,9 @@
 		isInterrupted bool
 		// readDeadline is the read deadline that the server has set.
 		readDeadline time.Time
+		// headTime is how long the first request may take to arrive, from its first byte on;
+		// zero for no limit.
+		headTime time.Duration
 	}
 )
 
@@ -46,10 +49,15 @@
 
 // SetReadDeadline sets the read deadline unless the connection is interrupted. http.Server
 // sets one before it waits for the next request and another one once it has the first bytes
-// of it, which may come from its buffer instead of Read.
+// of it, which may come from its buffer instead of Read. The one that it sets on a new
+// connection is meant for the head of the first request.
 func (c *conn) SetReadDeadline(deadline time.Time) error {
 	c.tracker.mutex.Lock()
 	defer c.tracker.mutex.Unlock()
+	if c.state == stateUnused && !deadline.IsZero() {
+		c.headTime = time.Until(deadline)
+		deadline = time.Now().Add(max(c.headTime, c.tracker.unusedTimeout))
+	}
 	c.readDeadline = deadline
 	if c.state == stateIdle && c.isAwaiting {
 		c.becomeBusy()
@@ -82,11 +90,16 @@
 	c.interruptIfUnneeded()
 }
 
-// becomeBusy undoes an interruption, which came too late.
+// becomeBusy undoes an interruption, which came too late. The time for the first request
+// begins.
 func (c *conn) becomeBusy() {
+	isFirst := c.state == stateUnused && c.headTime > 0
+	if isFirst {
+		c.readDeadline = time.Now().Add(c.headTime)
+	}
 	c.state = stateBusy
 	c.isAwaiting = false
-	if c.isInterrupted {
+	if c.isInterrupted || isFirst {
 		c.isInterrupted = false
 		_ = c.Conn.SetReadDeadline(c.readDeadline)
 	}
--- a/internal/serve/conns/tracker.go
+++ b/internal/serve/conns/tracker.go
@@ -14,6 +14,7 @@
 	"net/http"
 	"sync"
 	"sync/atomic"
+	"time"
 )
 
 const (
@@ -36,6 +37,8 @@
 		open  map[*conn]struct{}
 		// closed has a value after a connection was closed.
 		closed chan struct{}
+		// unusedTimeout is how long a connection may stay open without a byte.
+		unusedTimeout time.Duration
 	}
 
 	// Counts is the number of open connections by state.
@@ -64,9 +67,11 @@
 
 // Attach makes the server report the states of its connections to the tracker, and its
 // handler announce the end of a connection once the stop begins. Call it before the server
-// is started. Requests have no TLS state.
+// is started. Requests have no TLS state. A new connection may stay unused for the idle timeout
+// of the server, and the time for the head of its first request begins with its first byte.
 func (t *Tracker) Attach(server *http.Server) {
 	server.ConnState = t.observe
+	t.unusedTimeout = server.IdleTimeout
 	inner := server.Handler
 	server.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		inner.ServeHTTP(&writer{w, t}, r)
--- a/internal/serve/conns/tracker_test.go
+++ b/internal/serve/conns/tracker_test.go
@@ -288,3 +288,24 @@
 	requireClosed(t, reader)
 	require.True(t, server.wait(timeout))
 }
+
+// Guards against a caller that opens a connection early and whose first request is cut off,
+// because the time for its head counted from the start of the connection.
+func TestTimeForFirstHeadBeginsWithItsFirstByte(t *testing.T) {
+	const headTime = 100 * time.Millisecond
+	server := startServer(t, nil, nil, answerDone)
+	server.server.ReadHeaderTimeout = headTime
+	early, earlyReader := server.dial()
+	slow, slowReader := server.dial()
+	time.Sleep(2 * headTime)
+	send(t, early, plainRequest[:3])
+	time.Sleep(headTime / 2)
+	send(t, early, plainRequest[3:])
+	_, body := readAnswer(t, earlyReader)
+	require.Equal(t, "done", body)
+	send(t, slow, plainRequest[:20])
+	sentAt := time.Now()
+	_, err := io.Copy(io.Discard, slowReader)
+	require.NoError(t, err)
+	require.InDelta(t, headTime.Seconds(), time.Since(sentAt).Seconds(), headTime.Seconds()/2)
+}
