--- a/internal/serve/conns/tracker_test.go
+++ b/internal/serve/conns/tracker_test.go
@@ -70,10 +70,13 @@
 	return c.Conn.Write(text)
 }
 
-func startServer(t *testing.T, reads, writes *gate, handler http.HandlerFunc) *testServer {
+func startServer(t *testing.T, reads, writes *gate, handler http.HandlerFunc, configure ...func(*http.Server)) *testServer {
 	inner, err := net.Listen("tcp4", "127.0.0.1:0")
 	require.NoError(t, err)
 	s := &testServer{t: t, tracker: New(), server: &http.Server{Handler: handler, IdleTimeout: timeout}, address: inner.Addr().String()}
+	for _, set := range configure {
+		set(s.server)
+	}
 	s.tracker.Attach(s.server)
 	listener := s.tracker.Listen(gatedListener{inner, reads, writes})
 	var group sync.WaitGroup
@@ -293,8 +296,7 @@
 // because the time for its head counted from the start of the connection.
 func TestTimeForFirstHeadBeginsWithItsFirstByte(t *testing.T) {
 	const headTime = 100 * time.Millisecond
-	server := startServer(t, nil, nil, answerDone)
-	server.server.ReadHeaderTimeout = headTime
+	server := startServer(t, nil, nil, answerDone, func(s *http.Server) { s.ReadHeaderTimeout = headTime })
 	early, earlyReader := server.dial()
 	slow, slowReader := server.dial()
 	time.Sleep(2 * headTime)
