--- a/internal/flow/place/stop.go
+++ b/internal/flow/place/stop.go
@@ -1,6 +1,9 @@
 package place
 
 import (
+	"maps"
+	"slices"
+
 	"mustardhook/internal/core/clock"
 	"mustardhook/internal/flow/board"
 	"mustardhook/internal/flow/cost"
@@ -15,10 +18,10 @@
 	b.NewsChanged = true
 }
 
-// cancelSends cancels the current sends of all requests.
+// cancelSends cancels the current sends of all requests, in the order of their numbers.
 func cancelSends(b *board.Board) {
-	for number, request := range b.Requests {
-		if request.Endpoint != "" {
+	for _, number := range slices.Sorted(maps.Keys(b.Requests)) {
+		if b.Requests[number].Endpoint != "" {
 			b.Emit(output.CancelSend{Number: number})
 		}
 	}
