--- a/internal/serve/conns/tracker_test.go
+++ b/internal/serve/conns/tracker_test.go
@@ -70,10 +70,13 @@
 	return c.Conn.Write(text)
 }
 
-func startServer(t *testing.T, reads, writes *gate, handler http.HandlerFunc) *testServer {
+func startServer(t *testing.T, reads, writes *gate, handler http.HandlerFunc, configure ...func(*http.Server)) *testServer {
 	inner, err := net.Listen("tcp4", "127.0.0.1:0")
 	require.NoError(t, err)
 	s := &testServer{t: t, tracker: New(), server: &http.Server{Handler: handler, IdleTimeout: timeout}, address: inner.Addr().String()}
+	for _, set := range configure {
+		set(s.server)
+	}
 	s.tracker.Attach(s.server)
 	listener := s.tracker.Listen(gatedListener{inner, reads, writes})
 	var group sync.WaitGroup
@@ -187,6 +190,27 @@
 	require.True(t, server.wait(timeout))
 }
 
+// Guards against a stream without its last chunk, which is written after its handler has
+// returned.
+func TestWaitCoversLastChunkOfStream(t *testing.T) {
+	writes := newGate()
+	server := startServer(t, nil, writes, func(w http.ResponseWriter, r *http.Request) {
+		answerDone(w, r)
+		_ = http.NewResponseController(w).Flush()
+	})
+	client, reader := server.dial()
+	send(t, client, plainRequest)
+	<-writes.reached
+	writes.opened <- struct{}{}
+	<-writes.reached
+	server.tracker.Finish()
+	require.False(t, server.wait(50*time.Millisecond))
+	close(writes.opened)
+	_, body := readAnswer(t, reader)
+	require.Equal(t, "done", body)
+	require.True(t, server.wait(timeout))
+}
+
 // Guards against a pipelined request that is cancelled because its connection was ended as
 // idle, though the request was in the buffer of the server.
 func TestBufferedRequestIsAnswered(t *testing.T) {
@@ -267,3 +291,23 @@
 	requireClosed(t, reader)
 	require.True(t, server.wait(timeout))
 }
+
+// Guards against a caller that opens a connection early and whose first request is cut off,
+// because the time for its head counted from the start of the connection.
+func TestTimeForFirstHeadBeginsWithItsFirstByte(t *testing.T) {
+	const headTime = 100 * time.Millisecond
+	server := startServer(t, nil, nil, answerDone, func(s *http.Server) { s.ReadHeaderTimeout = headTime })
+	early, earlyReader := server.dial()
+	slow, slowReader := server.dial()
+	time.Sleep(2 * headTime)
+	send(t, early, plainRequest[:3])
+	time.Sleep(headTime / 2)
+	send(t, early, plainRequest[3:])
+	_, body := readAnswer(t, earlyReader)
+	require.Equal(t, "done", body)
+	send(t, slow, plainRequest[:20])
+	sentAt := time.Now()
+	_, err := io.Copy(io.Discard, slowReader)
+	require.NoError(t, err)
+	require.InDelta(t, headTime.Seconds(), time.Since(sentAt).Seconds(), headTime.Seconds()/2)
+}
--- a/internal/serve/logs/bounded.go
+++ b/internal/serve/logs/bounded.go
@@ -5,6 +5,7 @@
 	"io"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"golang.org/x/time/rate"
 )
@@ -16,6 +17,8 @@
 	// answers some tens of requests a second and logs one or two lines for each.
 	linesPerSecond = 400
 	burstLines     = 800
+	// closeTimeout is how long Close waits for a reader that is slow or stuck.
+	closeTimeout = 250 * time.Millisecond
 )
 
 type (
@@ -30,7 +33,9 @@
 
 		dropped   atomic.Int64
 		closeOnce sync.Once
-		done      chan struct{}
+		// closing is closed by Close, and done when the queued lines have been written.
+		closing chan struct{}
+		done    chan struct{}
 	}
 
 	// essentialWriter writes to a Bounded at the rate limit of essential lines.
@@ -42,7 +47,7 @@
 func NewBounded(out io.Writer) *Bounded {
 	b := &Bounded{
 		out: out, lines: make(chan []byte, maxQueuedLines), limiter: rate.NewLimiter(linesPerSecond, burstLines),
-		essentialLimiter: rate.NewLimiter(linesPerSecond, burstLines), done: make(chan struct{}),
+		essentialLimiter: rate.NewLimiter(linesPerSecond, burstLines), closing: make(chan struct{}), done: make(chan struct{}),
 	}
 	go b.run()
 	return b
@@ -69,21 +74,47 @@
 	return len(line), nil
 }
 
-// Close writes the queued lines and stops the writer. Write must not be called after
-// Close.
+// Close writes the queued lines and stops the writer. It gives up on lines that the reader
+// does not take within closeTimeout. Lines written after Close are dropped.
 func (b *Bounded) Close() error {
-	b.closeOnce.Do(func() { close(b.lines) })
-	<-b.done
+	b.closeOnce.Do(func() { close(b.closing) })
+	select {
+	case <-b.done:
+	case <-time.After(closeTimeout):
+	}
 	return nil
 }
 
 func (b *Bounded) run() {
 	defer close(b.done)
-	for line := range b.lines {
-		// There is no place to report a log line that can't be written.
-		_, _ = b.out.Write(line)
-		if dropped := b.dropped.Swap(0); dropped > 0 {
-			_, _ = fmt.Fprintf(b.out, "level=warn part=logs msg=\"Lines dropped.\" lines=%d\n", dropped)
+	for {
+		select {
+		case line := <-b.lines:
+			b.writeOut(line)
+		case <-b.closing:
+			b.writeQueued()
+			return
 		}
 	}
 }
+
+// writeQueued writes the lines that are queued now.
+func (b *Bounded) writeQueued() {
+	for {
+		select {
+		case line := <-b.lines:
+			b.writeOut(line)
+		default:
+			return
+		}
+	}
+}
+
+// writeOut writes one line, and the number of lines that were dropped before it.
+func (b *Bounded) writeOut(line []byte) {
+	// There is no place to report a log line that can't be written.
+	_, _ = b.out.Write(line)
+	if dropped := b.dropped.Swap(0); dropped > 0 {
+		_, _ = fmt.Fprintf(b.out, "level=warn part=logs msg=\"Lines dropped.\" lines=%d\n", dropped)
+	}
+}
--- a/planned_test.go
+++ b/planned_test.go
@@ -19,6 +19,7 @@
 	"github.com/stretchr/testify/require"
 
 	"mustardhook/internal/core/clock"
+	"mustardhook/internal/core/event"
 	"mustardhook/internal/core/fleet"
 	"mustardhook/internal/fake/stack"
 	"mustardhook/internal/tool/client"
@@ -240,6 +241,14 @@
 	return stopped
 }
 
+// stopEntry stops the entry with the index in the background, and returns once it refuses
+// new requests.
+func stopEntry(t *testing.T, s *stack.Cluster, i int) <-chan struct{} {
+	stopped := stopInBackground(t, s.Entries[i])
+	require.Eventually(t, func() bool { return statusOf(t, s, i).Stopping }, 5*time.Second, time.Millisecond)
+	return stopped
+}
+
 func drainEntry(t *testing.T, entry *stack.Entry) {
 	response, err := http.Post("http://"+entry.Settings.Operators.Address+admin.PathDrain, "", nil)
 	require.NoError(t, err)
@@ -278,12 +287,24 @@
 		return publishAndWait(func(*stack.Cluster) string { return removal(kind, name) })
 	}
 	kinds := []plannedWork{
-		{"stop", func(t *testing.T, s *stack.Cluster) { stopInBackground(t, s.Entries[0]) }, lateRows},
+		{"stop", func(t *testing.T, s *stack.Cluster) { stopEntry(t, s, 0) }, lateRows},
 		{"drain request", func(t *testing.T, s *stack.Cluster) { drainEntry(t, s.Entries[0]) }, lateRows},
 		{"drain request and stop", func(t *testing.T, s *stack.Cluster) {
 			drainEntry(t, s.Entries[0])
 			stopInBackground(t, s.Entries[0])
 		}, lateRows},
+		{"stop of the entry that forwarded a call", func(t *testing.T, s *stack.Cluster) { stopEntry(t, s, 1) }, nil},
+		{"stop of both entries", func(t *testing.T, s *stack.Cluster) {
+			stopEntry(t, s, 0)
+			stopEntry(t, s, 1)
+		}, lateRows},
+		{"engine listed as leaving", func(t *testing.T, s *stack.Cluster) {
+			s.Platform.SetInstance(event.Instance{Name: string(s.Engines[0].Name), Domain: s.Engines[0].Domain, Leaving: true})
+			require.Eventually(t, func() bool { return statusOf(t, s, 0).Endpoints[0].Leaving }, 11*time.Second, 5*time.Millisecond)
+		}, map[string][]string{
+			"head of a new connection": {"noEndpoint"}, "head of a kept connection": {"noEndpoint"},
+			"body of a prompt": {"noEndpoint"}, "prompt waiting for an engine": {"deadlineExceeded"},
+		}},
 		{"engine leaves", publishAndWait(func(s *stack.Cluster) string {
 			return `"endpoints": [` + s.Engines[0].Declaration(fleet.PhaseLeaving) + `]`
 		}), map[string][]string{
@@ -312,7 +333,9 @@
 			s := startPlanned(t, stack.Spec{})
 			requests := startRequests(t, s)
 			work.begin(t, s)
-			s.Engines[0].Server.SetFaults(faults.Engine{})
+			if work.outcomes["prompt waiting for an engine"] == nil {
+				s.Engines[0].Server.SetFaults(faults.Engine{})
+			}
 			finishRequests(t, requests, work.outcomes)
 		})
 	}
@@ -335,6 +358,9 @@
 		if !slices.Contains(allowed, answers[i].outcome()) {
 			t.Errorf("%s: got %s, want %v", request.row, answers[i].outcome(), allowed)
 		}
+		if request.row == "body of a call" && answers[i].outcome() == "unknown" && !answers[i].notSent {
+			t.Errorf("%s: the problem does not say that the attempt was not sent", request.row)
+		}
 	}
 }
 
@@ -421,7 +447,7 @@
 	}})
 	requests := startRequests(t, s)
 	began := time.Now()
-	stopped := stopInBackground(t, s.Entries[0])
+	stopped := stopEntry(t, s, 0)
 	outcomes := map[string][]string{
 		"body of a call": {"unknown"}, "call with a key": {"unknown"}, "call without a key": {"unknown"},
 		"call that may be repeated": {"unknown"}, "call forwarded here": {"unknown"},
@@ -446,3 +472,19 @@
 		require.Equal(t, strconv.Itoa(len(got.body)), got.header.Get("Content-Length"))
 	}
 }
+
+// A call that had run was reported as notRun when its resend came after a ticket had removed
+// the organisation, or changed its key.
+func TestRejectedResendIsNotReportedAsNotRun(t *testing.T) {
+	s := startPlanned(t, stack.Spec{})
+	ask := func(text string) received { return dialEntry(t, s.Entries[0]).ask(text) }
+	require.Equal(t, "done", ask(callText(http.MethodPost, "resent")).outcome())
+	require.Equal(t, 1, s.Ledger.Runs("resent"))
+	publishAndWait(func(*stack.Cluster) string { return removal("organisation", stack.OrganisationName) })(t, s)
+	got := ask(callText(http.MethodPost, "resent"))
+	require.Equal(t, "unknownOrganisation", got.problem)
+	require.Equal(t, "unknown", got.outcome())
+	require.True(t, got.notSent)
+	got = ask(callText(http.MethodPost, ""))
+	require.Equal(t, "notRun", got.outcome(), "without a key there is no earlier attempt")
+}
