Relay: a resumption that fails does not end the stream as complete

Callers saw: a stream of 200 that ended properly after some of its events. A stream broke at one endpoint, and the one that should have resumed it answered 500, 504 or 409 with a signature; a buffered answer ended the open stream.

--- a/internal/flow/place/end.go
+++ b/internal/flow/place/end.go
@@ -126,11 +126,15 @@
 	b.Pool.MarkUnreachable(endpoint.Domain, b.Now)
 }
 
-// handleAnswer ends the request with the answer, or retries it if the status is 500 or more
-// and the caller has received nothing of an answer.
+// handleAnswer ends the request with the answer, or retries it if the status is 500 or more.
+// For a caller that has received a part of a stream, any other answer than the rest of the
+// stream is a lost one.
 func handleAnswer(b *board.Board, request *board.Request, result call.Result) {
-	isFailure := result.Status >= http.StatusInternalServerError
-	if isFailure && !request.Delivered && retry(b, request) {
+	if request.Delivered && result.Status != http.StatusOK {
+		handleAnswerLost(b, request)
+		return
+	}
+	if result.Status >= http.StatusInternalServerError && retry(b, request) {
 		return
 	}
 	delete(b.Requests, request.Request.Number)
