--- a/internal/serve/conns/conn.go
+++ b/internal/serve/conns/conn.go
@@ -11,6 +11,10 @@
 	stateBusy
 )
 
+// unannouncedDelay is how long a connection stays open after an answer that was the last one
+// and has not said so.
+const unannouncedDelay = 200 * time.Millisecond
+
 type (
 	connState int
 
@@ -22,6 +26,10 @@
 		// isAwaiting is set once the server waits for the next request of an idle
 		// connection.
 		isAwaiting bool
+		// hasNextByte is set if the server has read the first byte of the next request while
+		// the current one is being answered. http.Server reads ahead one byte to notice the end
+		// of the connection.
+		hasNextByte bool
 		// isInterrupted is set while reads fail because the connection is not needed
 		// any more.
 		isInterrupted bool
@@ -42,6 +50,7 @@
 	if count > 0 {
 		c.tracker.mutex.Lock()
 		defer c.tracker.mutex.Unlock()
+		c.hasNextByte = c.state == stateBusy && len(buffer) == 1
 		c.becomeBusy()
 	}
 	return count, err
@@ -84,10 +93,22 @@
 	return err
 }
 
+// becomeIdle records the end of an answer. The next request may have begun already. If the
+// answer has not announced the end of the connection, the caller may be sending the next request.
 func (c *conn) becomeIdle() {
+	if c.hasNextByte {
+		c.hasNextByte = false
+		return
+	}
 	c.state = stateIdle
 	c.isAwaiting = false
-	c.interruptIfUnneeded()
+	if c.tracker.current() >= retiring {
+		time.AfterFunc(unannouncedDelay, func() {
+			c.tracker.mutex.Lock()
+			defer c.tracker.mutex.Unlock()
+			c.interruptIfUnneeded()
+		})
+	}
 }
 
 // becomeBusy undoes an interruption, which came too late. The time for the first request
--- a/internal/serve/conns/tracker_test.go
+++ b/internal/serve/conns/tracker_test.go
@@ -311,3 +311,29 @@
 	require.NoError(t, err)
 	require.InDelta(t, headTime.Seconds(), time.Since(sentAt).Seconds(), headTime.Seconds()/2)
 }
+
+// Guards against a caller that sends its next request right after a stream that was open when
+// the stop began, and meets a connection that is closed at once.
+func TestRequestAfterUnannouncedAnswerIsAnswered(t *testing.T) {
+	flushed, proceed := make(chan struct{}), make(chan struct{})
+	server := startServer(t, nil, nil, func(w http.ResponseWriter, r *http.Request) {
+		answerDone(w, r)
+		if r.URL.Path == "/stream" {
+			_ = http.NewResponseController(w).Flush()
+			close(flushed)
+			<-proceed
+		}
+	})
+	client, reader := server.dial()
+	send(t, client, "GET /stream HTTP/1.1\r\nHost: desk.example\r\n\r\n")
+	<-flushed
+	server.tracker.Retire()
+	close(proceed)
+	readAnswer(t, reader)
+	time.Sleep(unannouncedDelay / 4)
+	send(t, client, plainRequest)
+	response, body := readAnswer(t, reader)
+	require.Equal(t, "done", body)
+	require.True(t, response.Close)
+	require.True(t, server.wait(timeout))
+}
