Relay: a caller that has closed one direction gets no answer that nobody gave

Callers saw: after shutting down their sending side, a 200 without a stamp and without a body, or an open stream that ended properly. net/http cancels the request at the end of input but can still write, and the handler returned as after an answer.

--- a/internal/flow/proxy/session.go
+++ b/internal/flow/proxy/session.go
@@ -178,8 +178,7 @@
 		case action = <-s.outputs:
 		case <-s.head.Context().Done():
 			s.proxy.Step(input.CallerDisconnected{Number: s.request.Number})
-			s.proxy.logFinish(s, "Caller disconnected.", "", 0)
-			return
+			s.abandon()
 		}
 		switch action := action.(type) {
 		case output.Send:
@@ -191,8 +190,7 @@
 			s.stage.Store(stageWaiting)
 			s.proxy.Step(input.SendEnded{Result: result})
 			if result.End == call.EndDisconnected {
-				s.proxy.logFinish(s, "Caller disconnected.", "", 0)
-				return
+				s.abandon()
 			}
 			if result.End != call.EndComplete {
 				s.proxy.logger.Part("send").Info("Send failed.", "request", s.request.Name, "end", result.End,
@@ -214,6 +212,13 @@
 
 // deliver writes the answer to the caller, or records the end of a stream that was
 // already forwarded.
+// abandon ends a request whose caller has closed its connection. The caller may have closed one
+// direction only, so the connection is aborted: net/http would write the end of an answer.
+func (s *session) abandon() {
+	s.proxy.logFinish(s, "Caller disconnected.", "", 0)
+	panic(http.ErrAbortHandler)
+}
+
 func (s *session) deliver() {
 	s.stage.Store(stageAnswering)
 	s.proxy.metrics.answered.Inc(1)
