--- a/internal/flow/proxy/session.go
+++ b/internal/flow/proxy/session.go
@@ -226,6 +226,8 @@
 	if s.streamOpen {
 		s.proxy.logFinish(s, "Stream delivered.", "", http.StatusOK)
 		return
+		// net/http writes the last chunk after the handler has returned.
+		_ = s.control.SetWriteDeadline(time.Now().Add(answerWriteTimeout))
 	}
 	s.timeToFirst = time.Since(s.startedAt)
 	header := s.writer.Header()
