Relay: a refusal does not wait for the body of its request

Callers saw: no answer to a request that was refused before its body was read, until they sent the body; one such connection held up a stop for its whole grace period. net/http reads up to 256 KiB of the rest before it writes the header, and no read deadline was set.

--- a/internal/flow/proxy/session.go
+++ b/internal/flow/proxy/session.go
@@ -32,6 +32,8 @@
 	// found no memory.
 	bodyMemoryRetryAfter = 500 * clock.Millis(1)
 	millisPerSecond      = 1000.0
+	// unreadBodyTimeout is how long the rest of the body of a refused request is read.
+	unreadBodyTimeout = 1 * time.Second
 
 	headerRetryAfter = "Retry-After"
 )
@@ -118,7 +120,7 @@
 	p.sessions.Store(request.Number, s)
 	defer p.sessions.Delete(request.Number)
 	if err != nil {
-		s.reply(call.Reply{Reason: call.ReasonBadRequest, Status: http.StatusBadRequest})
+		s.replyUnread(call.Reply{Reason: call.ReasonBadRequest, Status: http.StatusBadRequest})
 		return
 	}
 	if !s.readBody() {
@@ -148,15 +150,14 @@
 	}
 	_ = s.control.SetReadDeadline(time.Now().Add(bodyReadTimeout))
 	body, err := limit.ReadAll(s.bodyMemory.NewReader(s.head.Body), maxBytes)
-	_ = s.control.SetReadDeadline(time.Time{})
 	var exceeded *limit.ExceededError
 	var exhausted *limit.ExhaustedError
 	switch {
 	case errors.As(err, &exceeded):
-		s.reply(call.Reply{Reason: call.ReasonBodyLimit, Status: http.StatusRequestEntityTooLarge})
+		s.replyUnread(call.Reply{Reason: call.ReasonBodyLimit, Status: http.StatusRequestEntityTooLarge})
 		return false
 	case errors.As(err, &exhausted):
-		s.reply(call.Reply{
+		s.replyUnread(call.Reply{
 			Reason: call.ReasonOverload, Status: http.StatusServiceUnavailable, RetryAfter: bodyMemoryRetryAfter,
 		})
 		return false
@@ -166,6 +167,7 @@
 		s.proxy.logger.Part("request").Info("Request body could not be read.", "request", s.request.Name, "err", err)
 		panic(http.ErrAbortHandler)
 	}
+	_ = s.control.SetReadDeadline(time.Time{})
 	s.body = body
 	return true
 }
@@ -210,8 +212,6 @@
 	}
 }
 
-// deliver writes the answer to the caller, or records the end of a stream that was
-// already forwarded.
 // abandon ends a request whose caller has closed its connection. The caller may have closed one
 // direction only, so the connection is aborted: net/http would write the end of an answer.
 func (s *session) abandon() {
@@ -219,15 +219,17 @@
 	panic(http.ErrAbortHandler)
 }
 
+// deliver writes the answer to the caller, or records the end of a stream that was
+// already forwarded.
 func (s *session) deliver() {
 	s.stage.Store(stageAnswering)
 	s.proxy.metrics.answered.Inc(1)
 	s.proxy.metrics.duration.UpdateSince(s.startedAt)
 	if s.streamOpen {
-		s.proxy.logFinish(s, "Stream delivered.", "", http.StatusOK)
-		return
 		// net/http writes the last chunk after the handler has returned.
 		_ = s.control.SetWriteDeadline(time.Now().Add(answerWriteTimeout))
+		s.proxy.logFinish(s, "Stream delivered.", "", http.StatusOK)
+		return
 	}
 	s.timeToFirst = time.Since(s.startedAt)
 	header := s.writer.Header()
@@ -254,6 +256,16 @@
 	return nil
 }
 
+// replyUnread refuses a request whose body has not been read. net/http reads some of the rest
+// before it closes the connection, for unreadBodyTimeout at most.
+func (s *session) replyUnread(reply call.Reply) {
+	if s.head.ContentLength != 0 {
+		s.writer.Header().Set("Connection", "close")
+		_ = s.control.SetReadDeadline(time.Now().Add(unreadBodyTimeout))
+	}
+	s.reply(reply)
+}
+
 // reply refuses the request or reports its failure, with the reason as plain text.
 func (s *session) reply(reply call.Reply) {
 	s.stage.Store(stageAnswering)
