Serve: a refusal does not wait for the body of its request

Callers saw: no answer in 35 s where the body was not sent, and none to a body over the limit that paused after it, because the writer of package conns hides from http.MaxBytesReader that the connection can be marked for closing. TestRefusalDoesNotWaitForBody (both paths) and TestRefusalOfLongBodyDoesNotWaitForItsEnd failed before and pass now.

--- a/internal/serve/front/prompt.go
+++ b/internal/serve/front/prompt.go
@@ -97,8 +97,10 @@
 	// If the writer supports no deadlines, only the timeouts of the server apply.
 	_ = control.SetReadDeadline(time.Now().Add(bodyTimeout))
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
-	_ = control.SetReadDeadline(time.Time{})
 	var tooLarge *http.MaxBytesError
+	if err != nil {
+		dropBody(w, r)
+	}
 	if errors.As(err, &tooLarge) {
 		return nil, &caller.Problem{
 			Name: problemBodySize, Status: http.StatusRequestEntityTooLarge, Field: "body",
@@ -111,6 +113,7 @@
 			Detail: "is cut off after " + strconv.Itoa(len(body)) + " bytes",
 		}
 	}
+	_ = control.SetReadDeadline(time.Time{})
 	return body, nil
 }
 
