--- a/internal/serve/front/front.go
+++ b/internal/serve/front/front.go
@@ -28,7 +28,11 @@
 	bearerPrefix = "Bearer "
 	// unreadBodyTimeout is how long the rest of the body of a rejected request is read.
 	unreadBodyTimeout = 1 * time.Second
+	// noTicketRetryAfter is the delay after which a caller should retry at an entry that has
+	// no ticket yet.
+	noTicketRetryAfter = 1 * clock.Second
 
+	problemNoTicket     = "noTicket"
 	problemOrganisation = "unknownOrganisation"
 	problemWrongKey     = "callerKeyWrong"
 	problemHeader       = "headerInvalid"
@@ -166,12 +170,20 @@
 	hexDigest := hex.EncodeToString(digest[:])
 	name := ident.Organisation(r.Header.Get(caller.HeaderOrganisation))
 	var organisation fleet.Organisation
+	hasTickets := false
 	h.shell.ReadBoard(func(b *board.Board) {
+		hasTickets = b.State.Highest() > 0
 		if name == "" && key != "" {
 			name = b.Index.KeyOwners[hexDigest]
 		}
 		organisation, _ = b.State.Organisation(name)
 	})
+	if !hasTickets {
+		return organisation, &caller.Problem{
+			Name: problemNoTicket, Status: http.StatusServiceUnavailable, RetryAfter: noTicketRetryAfter,
+			Detail: "the entry has not read a ticket yet",
+		}
+	}
 	if organisation.Name == "" {
 		return organisation, &caller.Problem{
 			Name: problemOrganisation, Status: http.StatusUnauthorized, Field: caller.HeaderOrganisation,
