Relay: a send that ends for silence has its retry

Callers saw: 502 for one of 200 requests at slow endpoints that would have answered. Sends that were silent at the same moment were all ended, because each of them found a retry and a usable endpoint; when they had ended, others had used these up.

The core now takes the retry in the step that ends the send, and such a request waits while the endpoints are in backoff.

--- a/internal/flow/board/board.go
+++ b/internal/flow/board/board.go
@@ -127,6 +127,9 @@
 		// entry next looks for engines.
 		NotBefore clock.Millis
 		NextTryAt clock.Millis
+		// HasRetry reports whether a retry was taken from the budget for the request when its
+		// current send was ended because its endpoint was silent.
+		HasRetry bool
 		// FirstEventSent reports whether the first event of the current send was sent to
 		// the caller, Delivered whether the caller received a part of any answer.
 		FirstEventSent bool
--- a/internal/flow/input/input.go
+++ b/internal/flow/input/input.go
@@ -107,6 +107,10 @@
 	// FirstEventSent reports that the first event of a stream was sent to the caller.
 	FirstEventSent struct{ Number uint64 }
 
+	// EndpointSilent reports that the endpoint of a request has sent nothing for longer than
+	// expected.
+	EndpointSilent struct{ Number uint64 }
+
 	// SendEnded delivers the result of a send.
 	SendEnded struct{ Result call.Result }
 
@@ -211,6 +215,7 @@
 func (SourceRecovered) isInput()    {}
 func (RequestReceived) isInput()    {}
 func (FirstEventSent) isInput()     {}
+func (EndpointSilent) isInput()     {}
 func (SendEnded) isInput()          {}
 func (PaceReported) isInput()       {}
 func (CallerDisconnected) isInput() {}
--- a/internal/flow/output/output.go
+++ b/internal/flow/output/output.go
@@ -20,6 +20,10 @@
 	// Deliver ends a request with the answer of its endpoint.
 	Deliver struct{ Number uint64 }
 
+	// MoveSend ends the current send of a request, whose endpoint is silent, as one whose
+	// answer is lost. It follows an input.EndpointSilent.
+	MoveSend struct{ Number uint64 }
+
 	// CancelSend ends the current send of a request early. Its result follows as an
 	// input.SendEnded.
 	CancelSend struct{ Number uint64 }
@@ -66,6 +70,7 @@
 )
 
 func (Send) isOutput()           {}
+func (MoveSend) isOutput()       {}
 func (CancelSend) isOutput()     {}
 func (Deliver) isOutput()        {}
 func (Reply) isOutput()          {}
--- a/internal/flow/parts/silence_test.go
+++ b/internal/flow/parts/silence_test.go
@@ -3,9 +3,11 @@
 import (
 	"testing"
 
+	"github.com/stretchr/testify/require"
+
 	"mustardhook/internal/flow/call"
+	"mustardhook/internal/flow/input"
 	"mustardhook/internal/flow/output"
-	"mustardhook/internal/flow/place"
 )
 
 // Guards against requests that fail because more sends were ended for silence than retries
@@ -20,10 +22,13 @@
 	}
 	var ended []uint64
 	for _, number := range numbers {
-		if place.ShouldMove(e.board, number) {
-			ended = append(ended, number)
+		for _, out := range e.step(input.EndpointSilent{Number: number}) {
+			if move, isMove := out.(output.MoveSend); isMove {
+				ended = append(ended, move.Number)
+			}
 		}
 	}
+	require.NotEmpty(t, ended)
 	for _, number := range ended {
 		got := e.endSend(call.Result{Number: number, End: call.EndAnswerLost})
 		if reply, isReply := got.(output.Reply); isReply {
--- a/internal/flow/place/end.go
+++ b/internal/flow/place/end.go
@@ -87,6 +87,19 @@
 	}
 }
 
+// handleSilence ends the send of a request that should move. It takes the retry at once, since
+// other sends may end before this one has.
+func handleSilence(b *board.Board, number uint64) {
+	request := b.Requests[number]
+	if request == nil || request.HasRetry || !ShouldMove(b, number) {
+		return
+	}
+	request.HasRetry = b.Budget.TakeRetry(request.Service, retryLimits(b), b.Now)
+	if request.HasRetry {
+		b.Emit(output.MoveSend{Number: number})
+	}
+}
+
 // ShouldMove reports whether a request whose endpoint is silent for longer than expected
 // should be sent to another one. Silence alone never ends an answer: there must be an endpoint,
 // an attempt and a retry left for it. Once the caller has received an event, there must also be
@@ -145,7 +158,10 @@
 // enough time left, and the attempts of its route and the retry budget permit it.
 func retry(b *board.Board, request *board.Request) bool {
 	canRetry := request.Route.IsRepeatable() && request.Runs < request.Route.Attempts
-	if !canRetry || b.EndsWithin(request, MinTimeLeft) || !b.Budget.TakeRetry(request.Service, retryLimits(b), b.Now) {
+	if !canRetry || b.EndsWithin(request, MinTimeLeft) {
+		return false
+	}
+	if !request.HasRetry && !b.Budget.TakeRetry(request.Service, retryLimits(b), b.Now) {
 		return false
 	}
 	dispatch(b, request)
--- a/internal/flow/place/place.go
+++ b/internal/flow/place/place.go
@@ -42,6 +42,9 @@
 	StoppingRetryAfter = 50 * clock.Millis(1)
 	// LeaseRetryDelay is the delay before memory that was not free is requested again.
 	LeaseRetryDelay = 200 * clock.Millis(1)
+	// SilenceRetryDelay is the delay before an endpoint is looked for again, for a request
+	// whose send was ended because its endpoint was silent.
+	SilenceRetryDelay = 100 * clock.Millis(1)
 	// CrashRetryAfter is the delay after which a caller may retry a request that crashes
 	// endpoints.
 	CrashRetryAfter = 60 * clock.Second
@@ -64,6 +67,8 @@
 		admit(b, in.Request)
 	case input.FirstEventSent:
 		handleFirstEvent(b, in.Number)
+	case input.EndpointSilent:
+		handleSilence(b, in.Number)
 	case input.SendEnded:
 		handleSendEnded(b, in.Result)
 	case input.CallerDisconnected:
@@ -162,6 +167,9 @@
 	switch {
 	case decision.lead != nil:
 		send(b, request, decision)
+	case request.HasRetry && decision.reason == call.ReasonNoEndpoint:
+		// Others were usable when the send was ended. They may be in backoff by now.
+		request.NotBefore = b.Now + SilenceRetryDelay
 	case decision.retryAfter > 0:
 		refuse(b, request, decision.reason, decision.retryAfter)
 	case !request.Queued:
--- a/internal/flow/place/send.go
+++ b/internal/flow/place/send.go
@@ -36,6 +36,7 @@
 		}
 	}
 	request.Endpoint = decision.lead.Name
+	request.HasRetry = false
 	request.Helpers = nil
 	b.NewsChanged = b.NewsChanged || request.Queued
 	request.Queued = false
--- a/internal/flow/proxy/proxy.go
+++ b/internal/flow/proxy/proxy.go
@@ -147,6 +147,8 @@
 		p.dispatch(action.Send.Number, action)
 	case output.CancelSend:
 		p.cancelSend(action.Number)
+	case output.MoveSend:
+		p.moveSend(action.Number)
 	case output.Deliver:
 		p.dispatch(action.Number, action)
 	case output.Reply:
@@ -182,6 +184,13 @@
 	}
 }
 
+// moveSend makes the session of a request end its current send.
+func (p *Proxy) moveSend(number uint64) {
+	if value, ok := p.sessions.Load(number); ok {
+		value.(*session).isMoving.Store(true)
+	}
+}
+
 // spawn runs the function in a goroutine that Run waits for.
 func (p *Proxy) spawn(task func()) {
 	p.goroutines.Go(func() {
@@ -205,6 +214,17 @@
 	return place.ShouldMove(p.board, number)
 }
 
+// endSilentSend reports whether the current send of the session, whose endpoint is silent,
+// must end so that the request can be sent elsewhere.
+func (p *Proxy) endSilentSend(s *session) bool {
+	// Most checks find nothing to do, and a step of the core costs more than a check.
+	if !p.shouldMove(s.request.Number) {
+		return false
+	}
+	p.Step(input.EndpointSilent{Number: s.request.Number})
+	return s.isMoving.Swap(false)
+}
+
 // limits returns the limits of the current plan.
 func (p *Proxy) limits() plan.Limits {
 	p.mutex.Lock()
--- a/internal/flow/proxy/send.go
+++ b/internal/flow/proxy/send.go
@@ -234,7 +234,7 @@
 	for {
 		count, err := x.conn.Read(buffer)
 		isReadTimeout := errors.Is(err, os.ErrDeadlineExceeded) && time.Now().Before(x.deadline)
-		if count > 0 || !isReadTimeout || x.session.proxy.shouldMove(x.send.Number) {
+		if count > 0 || !isReadTimeout || x.session.proxy.endSilentSend(x.session) {
 			return count, err
 		}
 		x.setReadTimeout(livenessPollInterval)
--- a/internal/flow/proxy/session.go
+++ b/internal/flow/proxy/session.go
@@ -65,6 +65,9 @@
 		control   *http.ResponseController
 		outputs   chan output.Output
 		startedAt time.Time
+		// isMoving is set once the core has decided to end the current send because its
+		// endpoint is silent.
+		isMoving atomic.Bool
 		// sending ends with the caller's connection, or earlier if the core cancels the
 		// sends of the request.
 		sending context.Context
