--- a/mustardhook.go
+++ b/mustardhook.go
@@ -48,8 +48,8 @@
 	// Entry is one entry of the serving layer.
 	Entry interface {
 		// Run serves until the context is done, finishes the requests in flight, at most
-		// until the stop timeout of the settings, and returns. It returns an error, a *ListenError, only if a port can't be opened
-		// or its TLS files can't be read.
+		// until the stop timeout of the settings, and returns. It returns an error, a
+		// *ListenError, only if a port can't be opened or its TLS files can't be read.
 		Run(ctx context.Context) error
 	}
 
