Relay: idle connections end at the start of a stop again

So the 300 ms in which they stayed open are reverted. Why they cost more than they save is not traced.

--- a/internal/flow/proxy/run.go
+++ b/internal/flow/proxy/run.go
@@ -41,9 +41,6 @@
 	callersPort = "callers"
 	// drainPollInterval is the time between two checks whether all requests have ended.
 	drainPollInterval = 20 * time.Millisecond
-	// retireDelay is how long a stopping entry keeps idle connections open. A caller that
-	// sends a request in this time is told to open another connection.
-	retireDelay = 300 * time.Millisecond
 	// firstRequestDelay is the time that the connections accepted last have to send their
 	// requests.
 	firstRequestDelay = 100 * time.Millisecond
@@ -170,10 +167,8 @@
 	defer cancel()
 	service, cancel := context.WithTimeout(exit, serviceTime.Duration())
 	defer cancel()
-	p.conns.Announce()
-	wait(service, retireDelay)
 	p.conns.Retire()
-	wait(service, min(place.StopNotice, grace/2).Duration()-retireDelay)
+	wait(service, min(place.StopNotice, grace/2).Duration())
 	for p.active.Load() > 0 && service.Err() == nil {
 		wait(service, drainPollInterval)
 	}
