Platform: the product decides how much published state is read

Found in the read-through: platform/store.go held two limits of its own. The limit of a page stood twice, since the client that the adapter gets limits each response already; the limit of a whole read is now part of the contract of port.Source. What is left in platform/ translates: headers, documents, the calls of the store, and the check that a page continues after the key it was asked for.

--- a/internal/flow/port/port.go
+++ b/internal/flow/port/port.go
@@ -15,6 +15,11 @@
 	"mustardhook/internal/flow/plan"
 )
 
+// MaxStateBytes is the maximum size of the published state that a Source reads at a time. Over
+// it, a read fails with a limit.ExceededError. The client that a Source is given limits each
+// response.
+const MaxStateBytes = 64 << 20
+
 type (
 	// Dialect translates between the protocol of callers and endpoints and the types of
 	// the relay.
