Relay: a dead endpoint of a request with a long body is noticed in 3 s again

Callers would see a request hang until its deadline, and leases would be renewed all that time. Cause: the mend for bodies that are read late set TCP_USER_TIMEOUT to the time left, and with any user timeout the kernel ignores the limit on unanswered keep-alive probes.

--- a/internal/flow/proxy/dial.go
+++ b/internal/flow/proxy/dial.go
@@ -24,6 +24,8 @@
 	// smallBodyBytes is the size of the largest request body that every endpoint
 	// receives at once. The kernel also counts the time in which a peer with a full receive
 	// buffer reads nothing, so tcpUserTimeout does not apply to requests with larger bodies.
+	// A dead endpoint of these is noticed by the keep-alive probes, which a user timeout of
+	// any length would suspend.
 	smallBodyBytes = 4 << 10
 
 	// idleConnTimeout is how long an unused connection stays open.
@@ -36,7 +38,7 @@
 )
 
 // newDialer returns a dialer whose connections fail if sent bytes stay unacknowledged for the
-// given time.
+// given time; zero for no limit.
 func newDialer(userTimeout time.Duration) *net.Dialer {
 	return &net.Dialer{
 		Timeout:         dialTimeout,
@@ -45,6 +47,15 @@
 	}
 }
 
+// userTimeoutFor returns how long the bytes of a request with a body of the given size may stay
+// unacknowledged; zero for no limit.
+func userTimeoutFor(bodyBytes int) time.Duration {
+	if bodyBytes > smallBodyBytes {
+		return 0
+	}
+	return tcpUserTimeout
+}
+
 func keepAliveConfig() net.KeepAliveConfig {
 	return net.KeepAliveConfig{Enable: true, Idle: keepAliveInterval, Interval: keepAliveInterval, Count: keepAliveCount}
 }
--- a/internal/flow/proxy/send.go
+++ b/internal/flow/proxy/send.go
@@ -85,11 +85,7 @@
 		return s.classifyEnd(result)
 	}
 	s.stage.Store(stageSent)
-	userTimeout := tcpUserTimeout
-	if len(s.body) > smallBodyBytes {
-		userTimeout = time.Until(deadline)
-	}
-	conn, err := newDialer(userTimeout).DialContext(ctx, "tcp4", target.Address)
+	conn, err := newDialer(userTimeoutFor(len(s.body))).DialContext(ctx, "tcp4", target.Address)
 	if err != nil {
 		result.Err = err
 		result.Exited = errors.Is(err, syscall.ECONNREFUSED)
