Place: one check whether a silent request moves

Found in the read-through: handleSilence repeated parts of ShouldMove, and ShouldMove said yes for a request that has ended, which nothing can move. The tests of silence pass as before (go test ./internal/flow/parts -run "Silen|Retr|Stream").

--- a/internal/flow/place/end.go
+++ b/internal/flow/place/end.go
@@ -90,10 +90,10 @@
 // handleSilence ends the send of a request that should move. It takes the retry at once, since
 // other sends may end before this one has.
 func handleSilence(b *board.Board, number uint64) {
-	request := b.Requests[number]
-	if request == nil || request.HasRetry || !ShouldMove(b, number) {
+	if !ShouldMove(b, number) {
 		return
 	}
+	request := b.Requests[number]
 	request.HasRetry = b.Budget.TakeRetry(request.Service, retryLimits(b), b.Now)
 	if request.HasRetry {
 		b.Emit(output.MoveSend{Number: number})
@@ -107,10 +107,7 @@
 // of a long shard.
 func ShouldMove(b *board.Board, number uint64) bool {
 	request := b.Requests[number]
-	if request == nil {
-		return true
-	}
-	mayRetry := request.Route.IsRepeatable() && request.Runs+1 < request.Route.Attempts &&
+	mayRetry := request != nil && request.Route.IsRepeatable() && request.Runs+1 < request.Route.Attempts &&
 		!b.EndsWithin(request, MinTimeLeft) && b.Budget.HasRetry(request.Service, retryLimits(b), b.Now)
 	if !mayRetry || request.FirstEventSent && !isSuspect(b, request.Endpoint) {
 		return false
