conns: one Shutdown for relay and serve

Found in the read-through: both roles closed the listener, slept, called Finish and waited, with two constants of one name and two values, and one of them dropped the error of the close. Tracker.Shutdown does all of it. It sleeps for no one: an unused connection has 200 ms from the shutdown on, and without any the shutdown ends at once. Failures have a type (OpenError).

--- a/internal/flow/proxy/run.go
+++ b/internal/flow/proxy/run.go
@@ -41,9 +41,6 @@
 	callersPort = "callers"
 	// drainPollInterval is the time between two checks whether all requests have ended.
 	drainPollInterval = 20 * time.Millisecond
-	// firstRequestDelay is the time that the connections accepted last have to send their
-	// requests.
-	firstRequestDelay = 100 * time.Millisecond
 )
 
 type (
@@ -172,12 +169,9 @@
 	for p.active.Load() > 0 && service.Err() == nil {
 		wait(service, drainPollInterval)
 	}
-	if err := callers.Close(); err != nil {
-		p.logger.Part("entry").Warn("Port of callers was not closed.", "err", err)
+	if err := p.conns.Shutdown(exit, callers); err != nil {
+		p.logger.Part("entry").Warn("Port of callers was not shut down in time.", "err", err)
 	}
-	wait(exit, firstRequestDelay)
-	p.conns.Finish()
-	p.conns.Wait(exit)
 	p.logCutRequests()
 	open := p.conns.Open()
 	p.logger.Part("entry").Info("Entry stopped.", "active", p.active.Load(), "busy", open.Busy, "idle", open.Idle,
--- a/internal/serve/conns/conn.go
+++ b/internal/serve/conns/conn.go
@@ -11,8 +11,8 @@
 	stateBusy
 )
 
-// unannouncedDelay is how long a connection stays open after an answer that was the last one
-// and has not said so.
+// unannouncedDelay is how long a connection stays open whose caller was not told that it ends:
+// after a last answer that has not said so, or before the first request.
 const unannouncedDelay = 200 * time.Millisecond
 
 type (
@@ -102,12 +102,8 @@
 	}
 	c.state = stateIdle
 	c.isAwaiting = false
-	if c.tracker.current() >= retiring {
-		time.AfterFunc(unannouncedDelay, func() {
-			c.tracker.mutex.Lock()
-			defer c.tracker.mutex.Unlock()
-			c.interruptIfUnneeded()
-		})
+	if c.isUnneeded() {
+		c.interruptLater()
 	}
 }
 
@@ -126,12 +122,39 @@
 	}
 }
 
-// interruptIfUnneeded makes reads fail if the phase of the tracker asks for the end of a
-// connection in this state.
-func (c *conn) interruptIfUnneeded() {
+// end ends the connection if the phase of the tracker asks for it: an idle one at once, an
+// unused one later, because its first request may be on the way.
+func (c *conn) end() {
+	switch {
+	case !c.isUnneeded():
+	case c.state == stateUnused:
+		c.interruptLater()
+	default:
+		c.interrupt()
+	}
+}
+
+// isUnneeded reports whether the phase of the tracker asks for the end of a connection in this
+// state.
+func (c *conn) isUnneeded() bool {
 	phase := c.tracker.current()
-	isUnneeded := c.state == stateIdle && phase >= retiring || c.state == stateUnused && phase >= finishing
-	if !isUnneeded || c.isInterrupted {
+	return c.state == stateIdle && phase >= retiring || c.state == stateUnused && phase >= finishing
+}
+
+// interruptLater interrupts the connection after unannouncedDelay if it is still unneeded.
+func (c *conn) interruptLater() {
+	time.AfterFunc(unannouncedDelay, func() {
+		c.tracker.mutex.Lock()
+		defer c.tracker.mutex.Unlock()
+		if c.isUnneeded() {
+			c.interrupt()
+		}
+	})
+}
+
+// interrupt makes reads fail.
+func (c *conn) interrupt() {
+	if c.isInterrupted {
 		return
 	}
 	c.isInterrupted = true
--- a/internal/serve/conns/tracker.go
+++ b/internal/serve/conns/tracker.go
@@ -10,11 +10,14 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
 	"net/http"
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"github.com/go-faster/errors"
 )
 
 const (
@@ -24,7 +27,8 @@
 	announcing
 	// retiring also ends connections that are idle.
 	retiring
-	// finishing also ends connections that have not sent a request yet.
+	// finishing also ends connections that have not sent a request yet, after
+	// unannouncedDelay.
 	finishing
 )
 
@@ -48,6 +52,9 @@
 		Unused, Idle, Busy int
 	}
 
+	// OpenError reports that connections were still open when a shutdown had to end.
+	OpenError struct{ Counts }
+
 	phase int32
 
 	listener struct {
@@ -56,6 +63,11 @@
 	}
 )
 
+// Error returns a message with the numbers of the connections.
+func (e *OpenError) Error() string {
+	return fmt.Sprintf("connections still open: %d busy, %d idle, %d unused", e.Busy, e.Idle, e.Unused)
+}
+
 // New returns a tracker without connections.
 func New() *Tracker {
 	return &Tracker{open: map[*conn]struct{}{}, closed: make(chan struct{}, 1)}
@@ -86,10 +98,6 @@
 // connections are still served. Answers say that their connection is closed.
 func (t *Tracker) Retire() { t.enter(retiring) }
 
-// Finish does what Retire does, and also ends the connections that have not sent a request.
-// Close the listener first.
-func (t *Tracker) Finish() { t.enter(finishing) }
-
 // Open returns the number of open connections by state.
 func (t *Tracker) Open() Counts {
 	t.mutex.Lock()
@@ -108,9 +116,21 @@
 	return counts
 }
 
-// Wait waits until all connections are closed or the context ends. It reports whether all
+// Shutdown closes the listener, does what Retire does, ends the connections that have not sent
+// a request, and waits until all are closed. If the context ends before, it returns an
+// *OpenError.
+func (t *Tracker) Shutdown(ctx context.Context, listener net.Listener) error {
+	err := listener.Close()
+	t.enter(finishing)
+	if !t.wait(ctx) {
+		err = errors.Join(err, &OpenError{t.Open()})
+	}
+	return err
+}
+
+// wait waits until all connections are closed or the context ends. It reports whether all
 // are closed.
-func (t *Tracker) Wait(ctx context.Context) bool {
+func (t *Tracker) wait(ctx context.Context) bool {
 	for {
 		t.mutex.Lock()
 		left := len(t.open)
@@ -136,7 +156,7 @@
 	l.tracker.mutex.Lock()
 	defer l.tracker.mutex.Unlock()
 	l.tracker.open[c] = struct{}{}
-	c.interruptIfUnneeded()
+	c.end()
 	return c, nil
 }
 
@@ -145,7 +165,7 @@
 	defer t.mutex.Unlock()
 	t.phase.Store(int32(max(next, t.current())))
 	for c := range t.open {
-		c.interruptIfUnneeded()
+		c.end()
 	}
 }
 
--- a/internal/serve/conns/tracker_test.go
+++ b/internal/serve/conns/tracker_test.go
@@ -40,6 +40,8 @@
 		tracker *Tracker
 		server  *http.Server
 		address string
+		// listener is that of the tracker.
+		listener net.Listener
 	}
 )
 
@@ -78,9 +80,9 @@
 		set(s.server)
 	}
 	s.tracker.Attach(s.server)
-	listener := s.tracker.Listen(gatedListener{inner, reads, writes})
+	s.listener = s.tracker.Listen(gatedListener{inner, reads, writes})
 	var group sync.WaitGroup
-	group.Go(func() { _ = s.server.Serve(listener) })
+	group.Go(func() { _ = s.server.Serve(s.listener) })
 	t.Cleanup(func() {
 		_ = s.server.Close()
 		group.Wait()
@@ -119,11 +121,19 @@
 	require.ErrorIs(t, err, io.EOF)
 }
 
+// finish starts to shut the server down.
+func (s *testServer) finish() {
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	var open *OpenError
+	require.ErrorAs(s.t, s.tracker.Shutdown(ctx, s.listener), &open)
+}
+
 // wait reports whether all connections are closed within the duration.
 func (s *testServer) wait(within time.Duration) bool {
 	ctx, cancel := context.WithTimeout(context.Background(), within)
 	defer cancel()
-	return s.tracker.Wait(ctx)
+	return s.tracker.wait(ctx)
 }
 
 func (s *testServer) eventually(counts Counts) {
@@ -162,7 +172,7 @@
 	client, reader := server.dial()
 	send(t, client, plainRequest)
 	<-reads.reached
-	server.tracker.Finish()
+	server.finish()
 	close(reads.opened)
 	_, body := readAnswer(t, reader)
 	require.Equal(t, "done", body)
@@ -182,7 +192,7 @@
 	send(t, client, plainRequest)
 	<-handled
 	<-writes.reached
-	server.tracker.Finish()
+	server.finish()
 	require.False(t, server.wait(50*time.Millisecond))
 	close(writes.opened)
 	_, body := readAnswer(t, reader)
@@ -203,7 +213,7 @@
 	<-writes.reached
 	writes.opened <- struct{}{}
 	<-writes.reached
-	server.tracker.Finish()
+	server.finish()
 	require.False(t, server.wait(50*time.Millisecond))
 	close(writes.opened)
 	_, body := readAnswer(t, reader)
@@ -287,7 +297,7 @@
 	_, reader := server.dial()
 	server.eventually(Counts{Unused: 1})
 	require.False(t, server.wait(0))
-	server.tracker.Finish()
+	server.finish()
 	requireClosed(t, reader)
 	require.True(t, server.wait(timeout))
 }
--- a/mustardhook.go
+++ b/mustardhook.go
@@ -37,9 +37,6 @@
 	// closeTimeout is the time limit for closing all ports, from the exit of the core or
 	// from the stop timeout, whichever is later.
 	closeTimeout = 5 * time.Second
-	// firstRequestDelay is the time that the connections accepted last have to send their
-	// requests.
-	firstRequestDelay = 200 * time.Millisecond
 	// messageTimeout is the time limit for the last messages to other entries.
 	messageTimeout = 1 * time.Second
 )
@@ -201,15 +198,8 @@
 	ctx, cancel := context.WithDeadline(context.Background(), deadline.Add(closeTimeout))
 	defer cancel()
 	for _, opened := range e.ports {
-		_ = opened.listener.Close()
-	}
-	time.Sleep(firstRequestDelay)
-	for _, opened := range e.ports {
-		opened.tracker.Finish()
-	}
-	for _, opened := range e.ports {
-		if !opened.tracker.Wait(ctx) {
-			e.logger.Part("entry").Warn("Port did not close in time.", "port", opened.name, "busy", opened.tracker.Open().Busy)
+		if err := opened.tracker.Shutdown(ctx, opened.listener); err != nil {
+			e.logger.Part("entry").Warn("Port did not close in time.", "port", opened.name, "err", err)
 		}
 	}
 	ctx, cancel = context.WithTimeout(ctx, messageTimeout)
