conns: one DropBody for relay and serve

Found in the read-through: both roles ended the connection of a refused request with the same code and constant. TestRefusalDoesNotWaitForBody (both roles), TestRefusalOfLongBodyDoesNotWaitForItsEnd and TestUnsentBodyDoesNotHoldUpStop pass.

--- a/internal/flow/proxy/session.go
+++ b/internal/flow/proxy/session.go
@@ -16,6 +16,7 @@
 	"mustardhook/internal/flow/call"
 	"mustardhook/internal/flow/input"
 	"mustardhook/internal/flow/output"
+	"mustardhook/internal/serve/conns"
 	"mustardhook/internal/serve/limit"
 )
 
@@ -32,8 +33,6 @@
 	// found no memory.
 	bodyMemoryRetryAfter = 500 * clock.Millis(1)
 	millisPerSecond      = 1000.0
-	// unreadBodyTimeout is how long the rest of the body of a refused request is read.
-	unreadBodyTimeout = 1 * time.Second
 
 	headerRetryAfter = "Retry-After"
 )
@@ -259,13 +258,9 @@
 	return nil
 }
 
-// replyUnread refuses a request whose body has not been read. net/http reads some of the rest
-// before it closes the connection, for unreadBodyTimeout at most.
+// replyUnread refuses a request whose body has not been read.
 func (s *session) replyUnread(reply call.Reply) {
-	if s.head.ContentLength != 0 {
-		s.writer.Header().Set("Connection", "close")
-		_ = s.control.SetReadDeadline(time.Now().Add(unreadBodyTimeout))
-	}
+	conns.DropBody(s.writer, s.head)
 	s.reply(reply)
 }
 
--- a/internal/serve/front/front.go
+++ b/internal/serve/front/front.go
@@ -9,7 +9,6 @@
 	"net/http"
 	"strconv"
 	"strings"
-	"time"
 
 	"github.com/google/uuid"
 	"github.com/julienschmidt/httprouter"
@@ -20,14 +19,13 @@
 	"mustardhook/internal/core/clock"
 	"mustardhook/internal/core/fleet"
 	"mustardhook/internal/core/ident"
+	"mustardhook/internal/serve/conns"
 	"mustardhook/internal/serve/shell"
 	"mustardhook/internal/wire/caller"
 )
 
 const (
 	bearerPrefix = "Bearer "
-	// unreadBodyTimeout is how long the rest of the body of a rejected request is read.
-	unreadBodyTimeout = 1 * time.Second
 	// noTicketRetryAfter is the delay after which a caller should retry at an entry that has
 	// no ticket yet.
 	noTicketRetryAfter = 1 * clock.Second
@@ -83,7 +81,7 @@
 
 func (h *Handler) problemHandler(name string, status int) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		dropBody(w, r)
+		conns.DropBody(w, r)
 		writeProblem(w, caller.Problem{Name: name, Status: status, Detail: r.Method + " " + r.URL.Path})
 	})
 }
@@ -95,7 +93,7 @@
 // mintKey answers with a new idempotency key whose home is the failure domain of this
 // entry, so that calls with the key depend on no other failure domain.
 func (h *Handler) mintKey(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
-	dropBody(w, r)
+	conns.DropBody(w, r)
 	key := keys.Mint(h.shell.Settings().Domain, h.shell.Now(), rand.Uint64())
 	w.Header().Set("Content-Type", caller.TypeJSON)
 	_, _ = w.Write(caller.EncodeKey(key))
@@ -132,16 +130,6 @@
 	}
 }
 
-// dropBody makes the answer end the connection if the request has a body, which is not read.
-// net/http reads some of it before it closes the connection, for unreadBodyTimeout at most.
-func dropBody(w http.ResponseWriter, r *http.Request) {
-	if r.ContentLength == 0 {
-		return
-	}
-	w.Header().Set("Connection", "close")
-	_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(unreadBodyTimeout))
-}
-
 // admit authenticates the caller and reads the deadline of the request. The problem is
 // nil if the request is admitted.
 func (h *Handler) admit(w http.ResponseWriter, r *http.Request, service ident.Service) (admittedRequest, *caller.Problem) {
@@ -149,13 +137,13 @@
 	w.Header().Set(caller.HeaderRequest, string(name))
 	organisation, problem := h.authenticate(r)
 	if problem != nil {
-		dropBody(w, r)
+		conns.DropBody(w, r)
 		problem.Request = name
 		return admittedRequest{}, problem
 	}
 	deadline, problem := h.readDeadline(r, organisation, service)
 	if problem != nil {
-		dropBody(w, r)
+		conns.DropBody(w, r)
 		problem.Request = name
 		return admittedRequest{}, problem
 	}
--- a/internal/serve/front/prompt.go
+++ b/internal/serve/front/prompt.go
@@ -18,6 +18,7 @@
 	"mustardhook/internal/core/event"
 	"mustardhook/internal/core/fleet"
 	"mustardhook/internal/core/ident"
+	"mustardhook/internal/serve/conns"
 	"mustardhook/internal/serve/shell"
 	"mustardhook/internal/wire/caller"
 	"mustardhook/internal/wire/engine"
@@ -99,7 +100,7 @@
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
 	var tooLarge *http.MaxBytesError
 	if err != nil {
-		dropBody(w, r)
+		conns.DropBody(w, r)
 	}
 	if errors.As(err, &tooLarge) {
 		return nil, &caller.Problem{
