--- a/internal/serve/conns/tracker_test.go
+++ b/internal/serve/conns/tracker_test.go
@@ -136,6 +136,19 @@
 	return s.tracker.wait(ctx)
 }
 
+// requireWaitsForWrite checks that a shutdown waits for the end of the answer, which the gate
+// holds.
+func (s *testServer) requireWaitsForWrite(writes *gate, reader *bufio.Reader) {
+	s.t.Helper()
+	<-writes.reached
+	s.finish()
+	require.False(s.t, s.wait(50*time.Millisecond))
+	close(writes.opened)
+	_, body := readAnswer(s.t, reader)
+	require.Equal(s.t, "done", body)
+	require.True(s.t, s.wait(timeout))
+}
+
 func (s *testServer) eventually(counts Counts) {
 	s.t.Helper()
 	require.Eventually(s.t, func() bool { return s.tracker.Open() == counts }, timeout, time.Millisecond, "%+v", counts)
@@ -191,13 +204,7 @@
 	client, reader := server.dial()
 	send(t, client, plainRequest)
 	<-handled
-	<-writes.reached
-	server.finish()
-	require.False(t, server.wait(50*time.Millisecond))
-	close(writes.opened)
-	_, body := readAnswer(t, reader)
-	require.Equal(t, "done", body)
-	require.True(t, server.wait(timeout))
+	server.requireWaitsForWrite(writes, reader)
 }
 
 // Guards against a stream without its last chunk, which is written after its handler has
@@ -212,13 +219,7 @@
 	send(t, client, plainRequest)
 	<-writes.reached
 	writes.opened <- struct{}{}
-	<-writes.reached
-	server.finish()
-	require.False(t, server.wait(50*time.Millisecond))
-	close(writes.opened)
-	_, body := readAnswer(t, reader)
-	require.Equal(t, "done", body)
-	require.True(t, server.wait(timeout))
+	server.requireWaitsForWrite(writes, reader)
 }
 
 // Guards against a pipelined request that is cancelled because its connection was ended as
