Placement: long prompts start side by side on the engines of a large service

Cause: the queue of long prompts was planned as one server that all engines of a service form, and only its first prompt could start. An oversized prompt (over the memory of one engine) also needed a queue without any other prompt, and was refused after an eighth of its objective. In a surge of short prompts the long size class fell to 3 of 135 engines. Ruled out: want of engines (nearly all prompts of 60,000 to 305,000 tokens were delivered) and of memory (1 of 177 orders was refused).

Change: a prompt takes at most 17 engines; its start is estimated from the work ahead of it on all engines, its end from its own. It starts once the engines that the prompts ahead of it will take leave enough idle ones. An oversized prompt may go first if that makes no prompt late that would be on time; it waits while it can be on time and is refused at once when the queue shows that it can't. The long size class keeps a sixth of the engines. Each entry chooses at random among as many further engines as shards are likely unpublished.

--- a/internal/flow/place/engine.go
+++ b/internal/flow/place/engine.go
@@ -34,10 +34,12 @@
 	spareShortPrompts = 4
 	// minShortClass and minLongClass are the minimum sizes of the size classes. The short
 	// class has at least 1/shortClassDivisor of the engines, because in large fleets the
-	// count of short prompts is seconds old.
+	// count of short prompts is seconds old, and the long class 1/longClassDivisor, because
+	// long prompts also arrive in a surge of short ones.
 	minShortClass     = 2
 	minLongClass      = 3
 	shortClassDivisor = 8
+	longClassDivisor  = 6
 	// fullPenalty is added to the price of engines without capacity, in milliseconds. It
 	// ranks them behind all others.
 	fullPenalty = 1e5
@@ -47,9 +49,6 @@
 	// minOversizedEngines is the minimum number of engines for the prefill of an oversized
 	// prompt, that is, one that exceeds the memory of a single engine.
 	minOversizedEngines = 3
-	// An oversized prompt waits for spare engines for the objective of its route divided
-	// by oversizedWaitDivisor.
-	oversizedWaitDivisor = 8
 	// maxLeaseHolders is the maximum number of helpers that store parts of the KV cache of
 	// a prompt.
 	maxLeaseHolders = 4
@@ -66,6 +65,9 @@
 	// applies. It grows in proportion with more of them, because all of them may be at the
 	// cheapest engine.
 	maxPromptsForSpread = 4.0
+	// shardDuration is how long a shard of a long prompt takes on average until its engine has
+	// prefilled it.
+	shardDuration = 200 * clock.Millis(1)
 	// priceJitter keeps entries that decide at the same time from choosing the same
 	// engine.
 	priceJitter = 0.05
@@ -167,7 +169,7 @@
 	}
 	perEngine := max(int(shortSlotShare*float64(engine.Slots)+0.5), 1)
 	size := max((shortPrompts+spareShortPrompts+perEngine-1)/perEngine, minShortClass, len(candidates)/shortClassDivisor)
-	size = min(size, max(len(candidates)-minLongClass, 1))
+	size = min(size, max(len(candidates)-max(minLongClass, len(candidates)/longClassDivisor), 1))
 	return candidates[:size], candidates[size:]
 }
 
@@ -215,9 +217,9 @@
 }
 
 // chooseLong chooses the engines that prefill the shards of a long prompt, and the lead
-// among them, which decodes the answer. The prompt waits while others are ahead of it in
-// the queue or the engines have much prefill pending, because shards that accumulate on an
-// engine make one long pass. Before its first send, it is refused if it would start
+// among them, which decodes the answer. The prompt waits while the engines that the prompts
+// ahead of it in the queue leave have much prefill pending, because shards that accumulate
+// on an engine make one long pass. Before its first send, it is refused if it would start
 // after half of the time that its caller still waits.
 func chooseLong(
 	b *board.Board, engine *plan.Engine, short, long []*candidate, request *board.Request, need int,
@@ -227,67 +229,105 @@
 		long, short = short, nil
 	}
 	prompt := request.Request.PromptTokens
-	shards := min(max(int(math.Ceil(cost.PrefillMillis(engine, prompt, 1)/targetShardMillis)), 1), maxHelpers+1)
-	candidates := slices.Clone(long)
-	// Engines of the short size class help if the shards are short enough for them.
-	maxShards := min(len(long)+len(short), maxHelpers+1)
-	if len(candidates) < shards && cost.PrefillMillis(engine, prompt, maxShards) <= maxShortClassShardMillis {
-		extra := slices.Clone(short)
-		slices.SortStableFunc(extra, func(a, b *candidate) int { return cmp.Compare(a.load.Decoding, b.load.Decoding) })
-		candidates = append(candidates, extra[:min(shards-len(candidates), len(extra))]...)
-	}
+	shards := shardsOf(engine, prompt)
+	candidates := withShortClass(engine, short, long, prompt, shards)
 	isOversized := need > maxTokensPerEngine(engine)
 	spare := spareEngines(engine, candidates, prompt, shards)
 	spareSuffices := isOnTime(b, spare, request, shards)
-	if spareSuffices {
+	if spareSuffices || isOversized && len(spare) > 0 {
 		candidates = spare
 	}
 	waiting := buildQueue(b, engine, request, len(candidates))
-	// An oversized prompt needs minOversizedEngines spare engines and a queue without other
-	// prompts. Unless the caller was refused before, it must also be on time.
-	if isOversized && (!spareSuffices && !request.IsCallerRetry() || len(spare) < minOversizedEngines || len(waiting) > 1) {
-		return waitOrRefuse(b, request)
-	}
-	if isOversized {
-		candidates = spare
+	own := waiting.positionOf(b, request)
+	if isOversized && (!spareSuffices && !request.IsCallerRetry() || len(spare) < minOversizedEngines || !waiting.mayPrecede(b, request)) {
+		return waitForSpareEngines(b, request, own)
 	}
 	shards = min(shards, len(candidates))
 	for _, c := range candidates {
 		c.price = cost.FirstEventMillis(c.engine, c.load, prompt, shards) * (1 + priceJitter*b.Random.Float64())
 	}
-	lead := chooseLead(engine, candidates, need)
 	slices.SortStableFunc(candidates, func(a, b *candidate) int { return cmp.Compare(a.price, b.price) })
-	decision := choice{lead: lead.endpoint, firstEvent: clock.Millis(lead.price)}
-	pending := lead.load.PendingMillis
-	for _, c := range candidates {
-		if c != lead && len(decision.helpers) < shards-1 {
-			decision.helpers = append(decision.helpers, c.endpoint)
-			decision.firstEvent = max(decision.firstEvent, clock.Millis(c.price))
-			pending = max(pending, c.load.PendingMillis)
-		}
-	}
-	own := waiting.positionOf(b, request)
+	free := slices.DeleteFunc(slices.Clone(candidates), func(c *candidate) bool { return c.load.PendingMillis > maxPendingMillis })
 	switch {
 	case request.Runs == 0 && b.StopEndsWithin(own.startAt-b.Now+minDuration(b, request)):
 		return choice{reason: call.ReasonStopping, retryAfter: StoppingRetryAfter}
 	case request.Runs == 0 && own.startAt > b.Now+(request.WaitsUntil()-b.Now)/2:
 		return choice{reason: call.ReasonOverload, retryAfter: b.RetryAfter(request)}
-	case pending > maxPendingMillis:
+	case len(free) < shards:
 		request.CapacitySince = 0
 		return choice{}
-	case !mayStart(b, request, own):
-		return choice{}
+	case isOversized:
+		left := free[min(own.enginesAhead, len(free)-shards):]
+		return divideMemory(engine, left, chooseGang(b, engine, left, shards, need), need)
+	case own.enginesAhead+shards <= len(free):
+		return chooseGang(b, engine, free[own.enginesAhead:], shards, need)
+	case hasWaitedForOthers(b, request, own):
+		return chooseGang(b, engine, free, shards, need)
+	}
+	return choice{}
+}
+
+// shardsOf returns the number of shards into which a long prompt is divided if there are
+// enough engines.
+func shardsOf(engine *plan.Engine, prompt int) int {
+	return min(max(int(math.Ceil(cost.PrefillMillis(engine, prompt, 1)/targetShardMillis)), 1), maxHelpers+1)
+}
+
+// withShortClass returns the engines of the long size class and, if they are too few and
+// the shards are short enough, the least loaded ones of the short size class.
+func withShortClass(engine *plan.Engine, short, long []*candidate, prompt, shards int) []*candidate {
+	candidates := slices.Clone(long)
+	maxShards := min(len(long)+len(short), maxHelpers+1)
+	if len(candidates) < shards && cost.PrefillMillis(engine, prompt, maxShards) <= maxShortClassShardMillis {
+		extra := slices.Clone(short)
+		slices.SortStableFunc(extra, func(a, b *candidate) int { return cmp.Compare(a.load.Decoding, b.load.Decoding) })
+		candidates = append(candidates, extra[:min(shards-len(candidates), len(extra))]...)
+	}
+	return candidates
+}
+
+// chooseGang returns the lead and the helpers for a prompt. The candidates are sorted by
+// price. Entries that decide within the delay of the news see the same loads, so each
+// chooses at random among the cheapest candidates. Their number grows by the estimated
+// number of shards whose load is not yet published.
+func chooseGang(b *board.Board, engine *plan.Engine, candidates []*candidate, shards, need int) choice {
+	prefilling := 0
+	for _, c := range candidates {
+		prefilling += c.load.Prefilling
 	}
-	if isOversized {
-		return divideMemory(engine, candidates, decision, need)
+	unpublished := int(math.Round(float64(prefilling) * float64(newsDelay+b.Tally.MaxDeferral()) / float64(shardDuration)))
+	choices := shards
+	for choices < min(shards+unpublished, len(candidates)) && candidates[choices].price <= candidates[shards-1].price+spreadMillis {
+		choices++
+	}
+	gang := slices.Clone(candidates[:choices])
+	if choices > shards {
+		b.Random.Shuffle(choices, func(i, j int) { gang[i], gang[j] = gang[j], gang[i] })
+		gang = gang[:shards]
+	}
+	lead := chooseLead(engine, gang, need)
+	if !lead.canLead(engine, need) {
+		lead = chooseLead(engine, candidates, need)
+	}
+	decision := choice{lead: lead.endpoint, firstEvent: clock.Millis(lead.price)}
+	for _, c := range gang {
+		if c != lead && len(decision.helpers) < shards-1 {
+			decision.helpers = append(decision.helpers, c.endpoint)
+			decision.firstEvent = max(decision.firstEvent, clock.Millis(c.price))
+		}
 	}
 	return decision
 }
 
-// waitOrRefuse lets an oversized prompt wait briefly for spare engines and refuses it
-// after that, because its prefill takes as long as that of ten other prompts.
-func waitOrRefuse(b *board.Board, request *board.Request) choice {
-	if request.Runs == 0 && b.Now-request.ArrivedAt > request.Route.Objective/oversizedWaitDivisor {
+// waitForSpareEngines lets an oversized prompt wait while it can be on time, or, if its
+// caller was refused before, for half of the time that its caller waits. It is refused as
+// soon as the queue leaves it no time.
+func waitForSpareEngines(b *board.Board, request *board.Request, own position) choice {
+	limit := request.DueAt()
+	if request.IsCallerRetry() {
+		limit = request.ArrivedAt + (request.WaitsUntil()-request.ArrivedAt)/2
+	}
+	if request.Runs == 0 && own.startAt+own.prefill > limit {
 		return choice{reason: call.ReasonOverload, retryAfter: b.RetryAfter(request)}
 	}
 	return choice{}
@@ -308,27 +348,28 @@
 	}
 }
 
-// isOnTime reports whether there are candidates and all of them can prefill their shard
-// before the prompt is due.
+// isOnTime reports whether there are candidates and the cheapest ones for the shards can
+// prefill them before the prompt is due.
 func isOnTime(b *board.Board, candidates []*candidate, request *board.Request, shards int) bool {
 	shards = min(shards, len(candidates))
+	onTime := 0
 	for _, c := range candidates {
 		first := cost.FirstEventMillis(c.engine, c.load, request.Request.PromptTokens, shards)
-		if b.Now+clock.Millis(first) > request.DueAt() {
-			return false
+		if b.Now+clock.Millis(first) <= request.DueAt() {
+			onTime++
 		}
 	}
-	return len(candidates) > 0
+	return shards > 0 && onTime >= shards
 }
 
-// mayStart reports whether the prompt is first in the queue, or can be on time and has
-// waited for the prompts ahead of it for longer than QueueTimeout while there was capacity.
-// It sets request.CapacitySince if that is zero.
-func mayStart(b *board.Board, request *board.Request, own position) bool {
+// hasWaitedForOthers reports whether the prompt can be on time and has waited for the
+// prompts ahead of it for longer than QueueTimeout while there was capacity. It sets
+// request.CapacitySince if that is zero.
+func hasWaitedForOthers(b *board.Board, request *board.Request, own position) bool {
 	if request.CapacitySince == 0 {
 		request.CapacitySince = b.Now
 	}
-	return own.isFirst || own.isOnTime && b.Now-request.CapacitySince > QueueTimeout
+	return own.isOnTime && b.Now-request.CapacitySince > QueueTimeout
 }
 
 // chooseLead returns the engine that has enough memory for the prompt and is predicted to
@@ -336,7 +377,7 @@
 func chooseLead(engine *plan.Engine, candidates []*candidate, need int) *candidate {
 	price := func(c *candidate) float64 {
 		total := c.price + cost.PassMillis(c.engine, c.load)*float64(engine.MeanOutputTokens)/float64(max(engine.StepsPerPass, 1))
-		if c.load.MemoryTokens+need > engine.MemoryTokens || c.load.Leads >= engine.Slots {
+		if !c.canLead(engine, need) {
 			total += fullPenalty
 		}
 		return total
@@ -344,6 +385,12 @@
 	return slices.MinFunc(candidates, func(a, b *candidate) int { return cmp.Compare(price(a), price(b)) })
 }
 
+// canLead reports whether the engine has a free slot, and memory for the prompt and its
+// answer.
+func (c *candidate) canLead(engine *plan.Engine, need int) bool {
+	return c.load.MemoryTokens+need <= engine.MemoryTokens && c.load.Leads < engine.Slots
+}
+
 // maxTokensPerEngine returns the size of the largest prompt and answer that fit into the
 // memory of a single engine.
 func maxTokensPerEngine(engine *plan.Engine) int {
--- a/internal/flow/place/queue.go
+++ b/internal/flow/place/queue.go
@@ -33,8 +33,13 @@
 	queuedPrompt struct {
 		input.QueuedPrompt
 		entry ident.Entry
-		// prefill is how long the engines need for the prefill of the prompt.
+		// engines is the number of engines that prefill the prompt together.
+		engines int
+		// prefill is how long these engines need for the prefill of the prompt.
 		prefill clock.Millis
+		// share is how long all engines of the service need for it, which is by how much the
+		// prompt delays those behind it.
+		share float64
 		// isOnTime reports whether the prefill is scheduled to end before the prompt is due.
 		isOnTime bool
 		startAt  clock.Millis
@@ -42,24 +47,31 @@
 
 	// position is the position of one prompt in the queue.
 	position struct {
-		isFirst  bool
-		isOnTime bool
-		startAt  clock.Millis
+		// enginesAhead is the number of engines that the prompts ahead of it use together.
+		enginesAhead int
+		prefill      clock.Millis
+		isOnTime     bool
+		startAt      clock.Millis
 	}
 )
 
 // buildQueue returns the queue for the service of the request, which it includes. It
 // maximises the number of prompts that are on time with the Moore-Hodgson algorithm:
 // prompts are scheduled in the order of their due times, and whenever one would be late,
-// the longest of those scheduled so far is moved to the end.
+// the longest of those scheduled so far is moved to the end. A prompt uses at most
+// maxHelpers+1 engines, so that in a large service many are prefilled at the same time.
 func buildQueue(b *board.Board, engine *plan.Engine, request *board.Request, engines int) queue {
 	var all queue
 	add := func(entry ident.Entry, prompt input.QueuedPrompt) {
 		if prompt.Service != request.Service {
 			return
 		}
-		prefill := cost.PrefillMillis(engine, prompt.PromptTokens, engines) / prefillTimeShare
-		all = append(all, queuedPrompt{QueuedPrompt: prompt, entry: entry, prefill: clock.Millis(prefill)})
+		work := cost.PrefillMillis(engine, prompt.PromptTokens, 1) / prefillTimeShare
+		gang := min(shardsOf(engine, prompt.PromptTokens), engines)
+		all = append(all, queuedPrompt{
+			QueuedPrompt: prompt, entry: entry, engines: gang,
+			prefill: clock.Millis(work / float64(gang)), share: work / float64(engines),
+		})
 	}
 	for _, other := range b.Requests {
 		if other == request || other.Queued {
@@ -83,20 +95,24 @@
 // schedule orders prompts that are sorted by due time and sets their start times.
 func (q queue) schedule(now clock.Millis) queue {
 	var onTime, late queue
-	end := now
+	delay := 0.0
 	for _, next := range q {
+		if now+next.prefill > next.DueAt {
+			late = append(late, next)
+			continue
+		}
 		onTime = append(onTime, next)
-		end += next.prefill
-		if end <= next.DueAt {
+		if now+clock.Millis(delay)+next.prefill <= next.DueAt {
+			delay += next.share
 			continue
 		}
 		longest := 0
 		for i, other := range onTime {
-			if other.prefill >= onTime[longest].prefill {
+			if other.share >= onTime[longest].share {
 				longest = i
 			}
 		}
-		end -= onTime[longest].prefill
+		delay += next.share - onTime[longest].share
 		late = append(late, onTime[longest])
 		onTime = slices.Delete(onTime, longest, longest+1)
 	}
@@ -106,10 +122,10 @@
 	// Late prompts are ordered by age, with an advantage for short ones.
 	slices.SortStableFunc(late, func(a, b queuedPrompt) int { return cmp.Compare(a.DueAt+a.prefill, b.DueAt+b.prefill) })
 	scheduled := append(onTime, late...)
-	start := now
+	delay = 0
 	for i := range scheduled {
-		scheduled[i].startAt = start
-		start += scheduled[i].prefill
+		scheduled[i].startAt = now + clock.Millis(delay)
+		delay += scheduled[i].share
 	}
 	return scheduled
 }
@@ -117,10 +133,38 @@
 // positionOf returns the position of a request of this entry, or the zero position if it
 // is not in the queue.
 func (q queue) positionOf(b *board.Board, request *board.Request) position {
-	for i, prompt := range q {
-		if prompt.entry == b.Self && prompt.Number == request.Request.Number {
-			return position{i == 0, prompt.isOnTime, prompt.startAt}
+	engines := 0
+	for _, prompt := range q {
+		if prompt.isRequest(b, request) {
+			return position{engines, prompt.prefill, prompt.isOnTime, prompt.startAt}
 		}
+		engines += prompt.engines
 	}
 	return position{}
 }
+
+// isRequest reports whether the prompt is that of a request of this entry.
+func (p queuedPrompt) isRequest(b *board.Board, request *board.Request) bool {
+	return p.entry == b.Self && p.Number == request.Request.Number
+}
+
+// mayPrecede reports whether all prompts that are on time stay so if the request starts
+// before them.
+func (q queue) mayPrecede(b *board.Board, request *board.Request) bool {
+	delay := 0.0
+	for _, prompt := range q {
+		if prompt.isRequest(b, request) {
+			delay = prompt.share
+		}
+	}
+	for _, prompt := range q {
+		switch {
+		case prompt.isRequest(b, request) || !prompt.isOnTime:
+			continue
+		case b.Now+clock.Millis(delay)+prompt.prefill > prompt.DueAt:
+			return false
+		}
+		delay += prompt.share
+	}
+	return true
+}
