--- a/internal/flow/input/input.go
+++ b/internal/flow/input/input.go
@@ -40,7 +40,7 @@
 		// zero means no limit.
 		NewsRate int
 		// StallTimeout is how long a request stalls at an endpoint that waits for another,
-		// unresponsive one. No decision depends on it.
+		// unresponsive one, before the endpoint reports that it has not run the request.
 		StallTimeout clock.Millis
 		// GracePeriod is how long a stopping entry may continue to run.
 		GracePeriod clock.Millis
--- a/internal/flow/parts/silence_test.go
+++ b/internal/flow/parts/silence_test.go
@@ -37,3 +37,21 @@
 		}
 	}
 }
+
+// Guards against the ejection of sound engines: if a prompt with helpers is silent, the cause
+// may be any of them, and the endpoint that leads names it after the stall timeout.
+func TestSilentHelperIsNotBlamedOnTheLead(t *testing.T) {
+	e := newTestEntry(t).configure(12)
+	e.board.Settings.StallTimeout = 1500
+	for range 4 {
+		number, got := e.request("/long/1", 154000, 15000)
+		send := requireSend(t, got)
+		require.NotEmpty(t, send.Helpers)
+		require.Greater(t, send.FirstEventTimeout, e.board.Settings.StallTimeout+send.Predicted)
+		moved := e.step(input.EndpointSilent{Number: number})
+		require.Contains(t, moved, output.Output(output.MoveSend{Number: number}))
+		e.endSend(call.Result{Number: number, End: call.EndAnswerLost})
+		require.Empty(t, e.board.Pool.RecentFailures(e.board.Now))
+		e.step(input.CallerDisconnected{Number: number})
+	}
+}
--- a/internal/flow/place/choose.go
+++ b/internal/flow/place/choose.go
@@ -19,6 +19,9 @@
 	// the 2 s after which callers abandon a stream, and longer than the passes of an
 	// engine that prefills a long prompt.
 	MinEventTimeout = 1200 * clock.Millis(1)
+	// StallMargin is the time after the stall timeout in which an endpoint reports that a
+	// helper is unresponsive.
+	StallMargin = 300 * clock.Millis(1)
 	// FullRetryAfter is the delay after which a caller should retry if all endpoints are
 	// at capacity.
 	FullRetryAfter = 500 * clock.Millis(1)
@@ -50,9 +53,14 @@
 )
 
 // eventTimeouts returns the FirstEventTimeout and the NextEventTimeout of a stream that
-// can be retried.
-func eventTimeouts(decision choice, stream plan.Stream) (first, next clock.Millis) {
-	return max(MinEventTimeout, EventTimeoutFactor*decision.firstEvent), max(MinEventTimeout, EventTimeoutFactor*stream.GapObjective)
+// can be retried. An endpoint whose helper is unresponsive names it after the stall timeout,
+// and has not run the request then.
+func eventTimeouts(decision choice, stream plan.Stream, stall clock.Millis) (first, next clock.Millis) {
+	first = max(MinEventTimeout, EventTimeoutFactor*decision.firstEvent)
+	if len(decision.helpers) > 0 {
+		first = max(first, decision.firstEvent+stall+StallMargin)
+	}
+	return first, max(MinEventTimeout, EventTimeoutFactor*stream.GapObjective)
 }
 
 // usableEndpoints returns the endpoints that can run the request, and sets request.Usable
--- a/internal/flow/place/end.go
+++ b/internal/flow/place/end.go
@@ -29,8 +29,12 @@
 	endpoint := b.Pool.Find(request.Endpoint)
 	request.Tried = append(request.Tried, request.Endpoint)
 	request.Delivered = request.Delivered || result.Delivered
+	// Any helper may be the cause of a silence, not only the endpoint that leads.
+	isCauseUnknown := request.HasRetry && len(request.Helpers) > 0 && result.FailedAddress == ""
 	release(b, request)
-	updateHealth(b, endpoint, result)
+	if !isCauseUnknown {
+		updateHealth(b, endpoint, result)
+	}
 	switch result.End {
 	case call.EndDisconnected:
 		remove(b, request)
--- a/internal/flow/place/send.go
+++ b/internal/flow/place/send.go
@@ -32,7 +32,7 @@
 	if stream, isStream := request.Route.Repeat.(plan.Stream); isStream {
 		gap = stream.GapObjective
 		if canRetry {
-			attempt.FirstEventTimeout, attempt.NextEventTimeout = eventTimeouts(decision, stream)
+			attempt.FirstEventTimeout, attempt.NextEventTimeout = eventTimeouts(decision, stream, b.Settings.StallTimeout)
 		}
 	}
 	request.Endpoint = decision.lead.Name
