Placement: a failure domain that is cut off stays out of use until it responds

Cause: an unreachable failure domain was used again after a backoff of 0.4 s that doubled. Each time all entries sent there for about a second until a send failed; a long prompt uses engines of most failure domains, so nearly all of them stalled for 1.5 s. Each entry had to lose a request of its own first: at 195 entries with a request a second each that takes seconds. And the domain seemed to respond 1.5 s after the cut, because hubs repeat full news of its entries that they received before: the receiver took it for a sign of life. Ruled out: state (all is served 2 s after a restart of all); slow reading of the list.

Change: the domain is out of use until one of its entries responds, or one of its engines answers a call for a report, which is requested after 0.4 s and then less and less often. Repeated news no longer moves the time at which an entry was last seen.

--- a/internal/flow/board/board.go
+++ b/internal/flow/board/board.go
@@ -267,3 +267,14 @@
 	}
 	return hasPeers
 }
+
+// HasResponsiveEntry reports whether a message from an entry of the failure domain arrived
+// within the timeout.
+func (b *Board) HasResponsiveEntry(domain ident.Domain, timeout clock.Millis) bool {
+	for _, member := range b.Roster(domain) {
+		if member.Peer != nil && b.Now-member.Peer.LastSeenAt <= timeout {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/flow/parts/requests_test.go
+++ b/internal/flow/parts/requests_test.go
@@ -195,7 +195,7 @@
 	requireSend(t, got)
 	e.board.Requests[number].Endpoint = "engine-01"
 	e.endSend(call.Result{Number: number, End: call.EndNotRun, Unreachable: true})
-	require.False(t, e.board.Pool.IsUnreachable("south", e.board.Now))
+	require.False(t, e.board.Pool.IsUnreachable("south"))
 }
 
 func TestLoadOfUnresponsiveEntryExpires(t *testing.T) {
--- a/internal/flow/peers/peers.go
+++ b/internal/flow/peers/peers.go
@@ -135,6 +135,12 @@
 	updatePeer(b, peer, news)
 	isStarted := isNew || before.Epoch != news.Epoch
 	isDirect := batch.Sender == news.Entry
+	if seenAt := p.domains[peer.News.Domain].at; isStarted || isDirect || seenAt == 0 {
+		peer.LastSeenAt = b.Now
+	} else {
+		// Hubs repeat news that they received long ago.
+		peer.LastSeenAt = max(peer.LastSeenAt, seenAt)
+	}
 	if batch.Forward && (isStarted || isWorthForwarding(before, news)) {
 		p.markChanged(news.Entry, change{isDirect: isDirect, isFull: isStarted})
 	}
@@ -174,7 +180,6 @@
 		b.InvalidateRoster()
 	}
 	peer.News = news
-	peer.LastSeenAt = b.Now
 	if len(news.QueuedPrompts) > 0 {
 		b.PeersWithQueue[news.Entry] = peer
 	} else {
--- a/internal/flow/place/choose.go
+++ b/internal/flow/place/choose.go
@@ -72,7 +72,7 @@
 	var tried []*pool.Endpoint
 	for _, endpoint := range all {
 		switch {
-		case !endpoint.IsUsable(b.Now), b.Pool.IsUnreachable(endpoint.Domain, b.Now):
+		case !endpoint.IsUsable(b.Now), b.Pool.IsUnreachable(endpoint.Domain):
 		case slices.Contains(request.Tried, endpoint.Name):
 			tried = append(tried, endpoint)
 		default:
--- a/internal/flow/place/end.go
+++ b/internal/flow/place/end.go
@@ -76,10 +76,10 @@
 	switch {
 	case result.Moved, result.Unreachable, result.FailedAddress != "":
 		b.Pool.RecordUnreachable(endpoint, b.Now)
-		detectUnreachableDomain(b, endpoint)
+		markIfUnresponsive(b, endpoint.Domain)
 	case result.End == call.EndAnswerLost:
 		b.Pool.RecordFailure(endpoint, b.Now)
-		detectUnreachableDomain(b, endpoint)
+		markIfUnresponsive(b, endpoint.Domain)
 	case result.End == call.EndComplete:
 		b.Pool.MarkReachable(endpoint.Domain)
 		if result.Status < http.StatusInternalServerError {
@@ -117,29 +117,17 @@
 		return false
 	}
 	return slices.ContainsFunc(b.Pool.ByService(request.Service), func(other *pool.Endpoint) bool {
-		return other.Name != request.Endpoint && other.IsUsable(b.Now) && !b.Pool.IsUnreachable(other.Domain, b.Now)
+		return other.Name != request.Endpoint && other.IsUsable(b.Now) && !b.Pool.IsUnreachable(other.Domain)
 	})
 }
 
 // isSuspect reports whether there are signs that the endpoint is dead or unreachable.
 func isSuspect(b *board.Board, name ident.Endpoint) bool {
 	endpoint := b.Pool.Find(name)
-	return endpoint == nil || b.Now < endpoint.BackoffUntil || b.Pool.IsUnreachable(endpoint.Domain, b.Now) ||
+	return endpoint == nil || b.Now < endpoint.BackoffUntil || b.Pool.IsUnreachable(endpoint.Domain) ||
 		endpoint.Domain != b.Domain && b.IsUnresponsive(endpoint.Domain, DomainTimeout)
 }
 
-// detectUnreachableDomain marks the failure domain of a failed endpoint as unreachable if
-// it is another one and its entries are unresponsive too.
-func detectUnreachableDomain(b *board.Board, endpoint *pool.Endpoint) {
-	if endpoint.Domain == b.Domain || !b.IsUnresponsive(endpoint.Domain, DomainTimeout) {
-		return
-	}
-	if !b.Pool.IsUnreachable(endpoint.Domain, b.Now) {
-		b.Log("Failure domain can't be reached.", "failureDomain", endpoint.Domain, "endpoint", endpoint.Name)
-	}
-	b.Pool.MarkUnreachable(endpoint.Domain, b.Now)
-}
-
 // handleAnswer ends the request with the answer, or retries it if the status is 500 or more.
 // For a caller that has received a part of a stream, any other answer than the rest of the
 // stream is a lost one.
--- a/internal/flow/place/place.go
+++ b/internal/flow/place/place.go
@@ -77,7 +77,13 @@
 		}
 	case input.StopRequested:
 		beginStop(b)
+	case input.PaceReported:
+		if endpoint := b.Pool.Find(in.Endpoint); endpoint != nil {
+			b.Pool.MarkReachable(endpoint.Domain)
+		}
 	case input.Ticked:
+		readmitDomains(b)
+		detectUnreachableDomains(b)
 		if b.StopEndsWithin(0) {
 			cancelSends(b)
 		}
--- a/internal/flow/pool/failing.go
+++ b/internal/flow/pool/failing.go
@@ -1,6 +1,7 @@
 package pool
 
 import (
+	"iter"
 	"maps"
 	"slices"
 
@@ -33,6 +34,8 @@
 type failureReport struct {
 	count int
 	at    clock.Millis
+	// grewAt is when the count last grew.
+	grewAt clock.Millis
 }
 
 // RecordError counts a failed request towards an ejection, whatever the cause.
@@ -75,7 +78,11 @@
 		if endpoint.failureReports == nil {
 			endpoint.failureReports = map[ident.Entry]failureReport{}
 		}
-		endpoint.failureReports[entry] = failureReport{count, now}
+		report := failureReport{count, now, now}
+		if previous, isKnown := endpoint.failureReports[entry]; isKnown && count <= previous.count {
+			report.grewAt = previous.grewAt
+		}
+		endpoint.failureReports[entry] = report
 		p.track(endpoint)
 	}
 }
@@ -93,8 +100,8 @@
 		switch {
 		case now < endpoint.ejectedUntil, !endpoint.failsSeveralEntries(now), !p.canEjectFrom(endpoint.Service, now):
 			continue
-		case p.IsUnreachable(endpoint.Domain, now):
-			// The whole failure domain is in backoff and is readmitted as a whole.
+		case p.IsUnreachable(endpoint.Domain):
+			// The whole failure domain is out of use and is readmitted as a whole.
 			endpoint.clearFailures()
 			continue
 		}
@@ -157,3 +164,20 @@
 	}
 	return float64(inUse-1) >= minInUseRatio*float64(listed)
 }
+
+// LastFailure returns when a request of any entry last failed at the endpoint, or zero if none
+// did within FailureWindow.
+func (e *Endpoint) LastFailure(now clock.Millis) clock.Millis {
+	e.expireFailures(now)
+	last := clock.Millis(0)
+	for _, at := range e.ownFailures {
+		last = max(last, at)
+	}
+	for _, report := range e.failureReports {
+		last = max(last, report.grewAt)
+	}
+	return last
+}
+
+// Tracked yields the endpoints with recent failures, reports or a leaving state.
+func (p *Pool) Tracked() iter.Seq[*Endpoint] { return maps.Values(p.tracked) }
--- a/internal/flow/pool/health.go
+++ b/internal/flow/pool/health.go
@@ -1,6 +1,7 @@
 package pool
 
 import (
+	"maps"
 	"slices"
 
 	"mustardhook/internal/core/clock"
@@ -8,23 +9,37 @@
 )
 
 // MarkUnreachable records that the failure domain can't be reached. Its endpoints are out
-// of use for a backoff that doubles until one of them answers.
+// of use until MarkReachable. The first check whether it can be reached again is due after
+// InitialBackoff.
 func (p *Pool) MarkUnreachable(domain ident.Domain, now clock.Millis) {
-	state := p.unreachable[domain]
-	if now < state.backoffUntil {
-		return
+	if !p.IsUnreachable(domain) {
+		p.unreachable[domain] = unreachableDomain{checkAt: now + InitialBackoff, backoff: InitialBackoff}
 	}
-	state.backoff = min(max(2*state.backoff, InitialBackoff), MaxBackoff)
-	state.backoffUntil = now + state.backoff
-	p.unreachable[domain] = state
 }
 
-// MarkReachable records that the failure domain can be reached and ends its backoff.
+// MarkReachable records that the failure domain can be reached.
 func (p *Pool) MarkReachable(domain ident.Domain) { delete(p.unreachable, domain) }
 
-// IsUnreachable reports whether the failure domain is in backoff.
-func (p *Pool) IsUnreachable(domain ident.Domain, now clock.Millis) bool {
-	return now < p.unreachable[domain].backoffUntil
+// IsUnreachable reports whether the failure domain can't be reached.
+func (p *Pool) IsUnreachable(domain ident.Domain) bool {
+	_, isUnreachable := p.unreachable[domain]
+	return isUnreachable
+}
+
+// Unreachable returns the unreachable failure domains, sorted by name.
+func (p *Pool) Unreachable() []ident.Domain { return slices.Sorted(maps.Keys(p.unreachable)) }
+
+// BeginCheck reports whether an unreachable failure domain is due to be checked. If so, the
+// next check is due after twice the last backoff, or MaxBackoff.
+func (p *Pool) BeginCheck(domain ident.Domain, now clock.Millis) bool {
+	state := p.unreachable[domain]
+	if now < state.checkAt {
+		return false
+	}
+	state.backoff = min(2*state.backoff, MaxBackoff)
+	state.checkAt = now + state.backoff
+	p.unreachable[domain] = state
+	return true
 }
 
 // IsUsable reports whether new work may be sent to the endpoint.
--- a/internal/flow/pool/pool.go
+++ b/internal/flow/pool/pool.go
@@ -145,15 +145,15 @@
 		unavailableSince clock.Millis
 		// availableAt is when reads of the list last began to succeed again.
 		availableAt clock.Millis
-		// unreachable holds the failure domains in backoff.
+		// unreachable holds the failure domains that can't be reached.
 		unreachable map[ident.Domain]unreachableDomain
 	}
 
-	// unreachableDomain is the backoff of a failure domain whose entries are unresponsive
-	// and one of whose endpoints could not be reached.
+	// unreachableDomain is a failure domain whose entries are unresponsive and one of whose
+	// endpoints could not be reached. checkAt is when it is next checked.
 	unreachableDomain struct {
-		backoffUntil clock.Millis
-		backoff      clock.Millis
+		checkAt clock.Millis
+		backoff clock.Millis
 	}
 )
 
