conns: a broken answer to a caller of HTTP/1.0 is reset, a last answer is never cut

An answer to HTTP/1.0 ends with its connection, so that a stream that was broken off looked complete. And the kernel resets a connection that is closed while bytes of its caller are unread, which drops the end of the answer before. Ruled out: closing by net/http (it drains bodies only); netutil.LimitListener hid the methods of the TCP connection that both need. Change: conns.Abort resets the connection of a caller of HTTP/1.0 with an answer that can't be completed. A closed connection is half closed first and read for 0.5 s or 256 KiB at most. The tracker limits the number of connections itself. Both programs use it: relay for callers, serve on all its ports.

--- a/internal/flow/proxy/run.go
+++ b/internal/flow/proxy/run.go
@@ -9,7 +9,6 @@
 	"time"
 
 	"github.com/go-faster/errors"
-	"golang.org/x/net/netutil"
 
 	"mustardhook/internal/core/clock"
 	"mustardhook/internal/flow/input"
@@ -137,7 +136,7 @@
 	}
 	if name == callersPort {
 		maxConns := int(float64(p.settings.Limits.Descriptors-reservedDescriptors) * callerDescriptorRatio)
-		listener = p.conns.Listen(netutil.LimitListener(listener, max(maxConns, 1)))
+		listener = p.conns.Listen(listener, maxConns)
 		p.conns.Attach(server)
 	} else {
 		server.Handler = http.MaxBytesHandler(handler, maxControlBytes)
--- a/internal/flow/proxy/session.go
+++ b/internal/flow/proxy/session.go
@@ -209,7 +209,7 @@
 		case output.Abort:
 			s.proxy.logFinish(s, "Answer broken off.", action.Reason, 0)
 			s.proxy.metrics.aborted.Inc(1)
-			panic(http.ErrAbortHandler)
+			conns.Abort(s.writer, s.head)
 		}
 	}
 }
@@ -218,7 +218,7 @@
 // direction only, so the connection is aborted: net/http would write the end of an answer.
 func (s *session) abandon() {
 	s.proxy.logFinish(s, "Caller disconnected.", "", 0)
-	panic(http.ErrAbortHandler)
+	conns.Abort(s.writer, s.head)
 }
 
 // deliver writes the answer to the caller, or records the end of a stream that was
--- a/internal/serve/conns/conn.go
+++ b/internal/serve/conns/conn.go
@@ -1,8 +1,12 @@
 package conns
 
 import (
+	"io"
 	"net"
+	"sync/atomic"
 	"time"
+
+	"github.com/go-faster/errors"
 )
 
 const (
@@ -15,6 +19,13 @@
 // after a last answer that has not said so, or before the first request.
 const unannouncedDelay = 200 * time.Millisecond
 
+const (
+	// lingerTimeout and maxLingerBytes bound what is read from a connection after its last
+	// answer.
+	lingerTimeout  = 500 * time.Millisecond
+	maxLingerBytes = 256 << 10
+)
+
 type (
 	connState int
 
@@ -22,7 +33,9 @@
 	conn struct {
 		net.Conn
 		tracker *Tracker
-		state   connState
+		// free holds a value for each open connection of the listener.
+		free  chan struct{}
+		state connState
 		// isAwaiting is set once the server waits for the next request of an idle
 		// connection.
 		isAwaiting bool
@@ -33,6 +46,8 @@
 		// isInterrupted is set while reads fail because the connection is not needed
 		// any more.
 		isInterrupted bool
+		// isClosing is set once Close was called.
+		isClosing atomic.Bool
 		// readDeadline is the read deadline that the server has set.
 		readDeadline time.Time
 		// headTime is how long the first request may take to arrive, from its first byte on;
@@ -86,13 +101,39 @@
 	return c.SetWriteDeadline(deadline)
 }
 
-// Close closes the connection.
+// Close closes the connection. The kernel resets a connection that is closed while bytes of its
+// caller are unread, and drops the end of the last answer. Those bytes are therefore read and
+// discarded for lingerTimeout at most.
 func (c *conn) Close() error {
+	half, canLinger := c.Conn.(interface{ CloseWrite() error })
+	if c.isClosing.Swap(true) || !canLinger || half.CloseWrite() != nil {
+		return c.closeNow()
+	}
+	go func() {
+		_ = c.Conn.SetReadDeadline(time.Now().Add(lingerTimeout))
+		_, _ = io.CopyN(io.Discard, c.Conn, maxLingerBytes)
+		_ = c.closeNow()
+	}()
+	return nil
+}
+
+func (c *conn) closeNow() error {
 	err := c.Conn.Close()
 	c.tracker.remove(c)
 	return err
 }
 
+// reset closes the connection in such a way that its caller gets an error.
+func (c *conn) reset() error {
+	c.isClosing.Store(true)
+	if tcp, isTCP := c.Conn.(interface{ SetLinger(seconds int) error }); isTCP {
+		if err := tcp.SetLinger(0); err != nil {
+			return errors.Join(err, c.closeNow())
+		}
+	}
+	return c.closeNow()
+}
+
 // becomeIdle records the end of an answer. The next request may have begun already. If the
 // answer has not announced the end of the connection, the caller may be sending the next request.
 func (c *conn) becomeIdle() {
--- a/internal/serve/conns/tracker.go
+++ b/internal/serve/conns/tracker.go
@@ -60,6 +60,10 @@
 	listener struct {
 		net.Listener
 		tracker *Tracker
+		// free holds a value for each open connection.
+		free      chan struct{}
+		closed    chan struct{}
+		closeOnce sync.Once
 	}
 )
 
@@ -74,8 +78,12 @@
 }
 
 // Listen returns a listener whose connections are tracked. It must be the listener that the
-// server accepts from, so a listener for TLS goes inside.
-func (t *Tracker) Listen(inner net.Listener) net.Listener { return listener{inner, t} }
+// server accepts from, so a listener for TLS goes inside. It accepts a connection only while
+// fewer than maxOpen are open. It does so itself, because netutil.LimitListener hides the
+// methods that end a connection gracefully.
+func (t *Tracker) Listen(inner net.Listener, maxOpen int) net.Listener {
+	return &listener{Listener: inner, tracker: t, free: make(chan struct{}, max(maxOpen, 1)), closed: make(chan struct{})}
+}
 
 // Attach makes the server report the states of its connections to the tracker, and its
 // handler announce the end of a connection once the stop begins. Call it before the server
@@ -147,12 +155,18 @@
 }
 
 // Accept implements net.Listener.
-func (l listener) Accept() (net.Conn, error) {
+func (l *listener) Accept() (net.Conn, error) {
+	select {
+	case l.free <- struct{}{}:
+	case <-l.closed:
+		return nil, net.ErrClosed
+	}
 	inner, err := l.Listener.Accept()
 	if err != nil {
+		<-l.free
 		return nil, err
 	}
-	c := &conn{Conn: inner, tracker: l.tracker}
+	c := &conn{Conn: inner, tracker: l.tracker, free: l.free}
 	l.tracker.mutex.Lock()
 	defer l.tracker.mutex.Unlock()
 	l.tracker.open[c] = struct{}{}
@@ -160,6 +174,12 @@
 	return c, nil
 }
 
+// Close stops listening. Accept returns an error.
+func (l *listener) Close() error {
+	l.closeOnce.Do(func() { close(l.closed) })
+	return l.Listener.Close()
+}
+
 func (t *Tracker) enter(next phase) {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
@@ -184,7 +204,10 @@
 
 func (t *Tracker) remove(c *conn) {
 	t.mutex.Lock()
-	delete(t.open, c)
+	if _, isOpen := t.open[c]; isOpen {
+		delete(t.open, c)
+		<-c.free
+	}
 	t.mutex.Unlock()
 	select {
 	case t.closed <- struct{}{}:
--- a/internal/serve/conns/tracker_test.go
+++ b/internal/serve/conns/tracker_test.go
@@ -72,6 +72,8 @@
 	return c.Conn.Write(text)
 }
 
+func (c gatedConn) CloseWrite() error { return c.Conn.(*net.TCPConn).CloseWrite() }
+
 func startServer(t *testing.T, reads, writes *gate, handler http.HandlerFunc, configure ...func(*http.Server)) *testServer {
 	inner, err := net.Listen("tcp4", "127.0.0.1:0")
 	require.NoError(t, err)
@@ -80,7 +82,7 @@
 		set(s.server)
 	}
 	s.tracker.Attach(s.server)
-	s.listener = s.tracker.Listen(gatedListener{inner, reads, writes})
+	s.listener = s.tracker.Listen(gatedListener{inner, reads, writes}, 1000)
 	var group sync.WaitGroup
 	group.Go(func() { _ = s.server.Serve(s.listener) })
 	t.Cleanup(func() {
--- a/internal/serve/conns/unread_test.go
+++ b/internal/serve/conns/unread_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"net"
 	"net/http"
 	"strconv"
 	"strings"
@@ -41,3 +42,34 @@
 	time.Sleep(time.Millisecond)
 	return r.inner.Read(buffer[:min(len(buffer), 16<<10)])
 }
+
+// Guards against more open connections than the process has descriptors for.
+func TestConnectionOverLimitWaits(t *testing.T) {
+	inner, err := net.Listen("tcp4", "127.0.0.1:0")
+	require.NoError(t, err)
+	listener := New().Listen(inner, 1)
+	for range 2 {
+		client, err := net.Dial("tcp4", inner.Addr().String())
+		require.NoError(t, err)
+		defer func() { _ = client.Close() }()
+	}
+	first, err := listener.Accept()
+	require.NoError(t, err)
+	accepted := make(chan error, 1)
+	go func() {
+		_, err := listener.Accept()
+		accepted <- err
+	}()
+	select {
+	case <-accepted:
+		t.Fatal("accepted a connection over the limit")
+	case <-time.After(50 * time.Millisecond):
+	}
+	require.NoError(t, first.Close())
+	require.NoError(t, <-accepted)
+	_, err = func() (net.Conn, error) {
+		time.AfterFunc(20*time.Millisecond, func() { _ = listener.Close() })
+		return listener.Accept()
+	}()
+	require.ErrorIs(t, err, net.ErrClosed)
+}
--- a/mustardhook.go
+++ b/mustardhook.go
@@ -13,7 +13,6 @@
 
 	"github.com/go-faster/errors"
 	"github.com/sourcegraph/conc"
-	"golang.org/x/net/netutil"
 
 	"mustardhook/internal/core/event"
 	"mustardhook/internal/serve/admin"
@@ -156,7 +155,7 @@
 			MaxHeaderBytes: e.settings.Limits.HeaderBytes,
 		}
 		opened := &openPort{name: settings.name, server: server, tracker: conns.New()}
-		opened.listener = opened.tracker.Listen(listener)
+		opened.listener = opened.tracker.Listen(listener, e.settings.Limits.Connections)
 		opened.tracker.Attach(server)
 		e.ports = append(e.ports, opened)
 		group.Go(func() { e.serve(opened) })
@@ -169,7 +168,6 @@
 	if err != nil {
 		return nil, err
 	}
-	listener = netutil.LimitListener(listener, e.settings.Limits.Connections)
 	if !port.TLS.Enabled() {
 		return listener, nil
 	}
