Placement: a decision allocates four times instead of nine

Cause: each decision made new lists of endpoints, candidates and prices, and the host of a request without a port cost an error. Change: the lists are reused through a sync.Pool; the port is split off only if there is one. Test: TestDecisionAllocatesLittle (9 before, bound 4).

--- a/internal/flow/parts/cost_test.go
+++ b/internal/flow/parts/cost_test.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"testing"
 
+	"github.com/stretchr/testify/require"
+
 	"mustardhook/internal/core/ident"
 	"mustardhook/internal/flow/call"
 	"mustardhook/internal/flow/input"
@@ -60,19 +62,32 @@
 			e := newTestEntry(&testing.T{}).configureModels(size.models, size.engines).addRemoteLoad()
 			b.ReportAllocs()
 			for b.Loop() {
-				e.lastNumber++
-				request := call.Request{
-					Number: e.lastNumber, Host: host, Path: "/model-00/1", Key: callerKey, CallerTimeout: 10000, PromptTokens: 5000,
-					OutputTokens: 1600, Fingerprint: e.lastNumber,
-				}
-				e.cycle.Step(e.board, input.RequestReceived{Request: request})
-				e.cycle.Step(e.board, input.CallerDisconnected{Number: request.Number})
-				e.board.TakeOutputs()
+				e.decideOnce()
 			}
 		})
 	}
 }
 
+// A decision, with admission and send, must allocate little: entries make thousands a second.
+func TestDecisionAllocatesLittle(t *testing.T) {
+	const maxAllocations = 4
+	e := newTestEntry(t).configureModels(36, 600).addRemoteLoad()
+	allocations := testing.AllocsPerRun(200, func() { e.decideOnce() })
+	require.LessOrEqual(t, allocations, float64(maxAllocations))
+}
+
+// decideOnce passes a short prompt to the core, which sends it, and ends it.
+func (e *testEntry) decideOnce() {
+	e.lastNumber++
+	request := call.Request{
+		Number: e.lastNumber, Host: host, Path: "/model-00/1", Key: callerKey, CallerTimeout: 10000, PromptTokens: 5000,
+		OutputTokens: 1600, Fingerprint: e.lastNumber,
+	}
+	e.cycle.Step(e.board, input.RequestReceived{Request: request})
+	e.cycle.Step(e.board, input.CallerDisconnected{Number: request.Number})
+	e.board.TakeOutputs()
+}
+
 // BenchmarkNews measures the time to process an update from a hub with the changed load
 // of one engine, in a fleet of 370 entries.
 func BenchmarkNews(b *testing.B) {
--- a/internal/flow/place/choose.go
+++ b/internal/flow/place/choose.go
@@ -65,10 +65,10 @@
 
 // usableEndpoints returns the endpoints that can run the request, and sets request.Usable
 // to their number. Endpoints to which the request was sent before are returned only if
-// there are no others.
-func usableEndpoints(b *board.Board, request *board.Request) []*pool.Endpoint {
+// there are no others. The result may use the memory of the buffer.
+func usableEndpoints(b *board.Board, request *board.Request, buffer []*pool.Endpoint) []*pool.Endpoint {
 	all := b.Pool.ByService(request.Service)
-	untried := make([]*pool.Endpoint, 0, len(all))
+	untried := slices.Grow(buffer[:0], len(all))
 	var tried []*pool.Endpoint
 	for _, endpoint := range all {
 		switch {
@@ -91,7 +91,7 @@
 func chooseEndpoint(b *board.Board, request *board.Request) choice {
 	best := choice{reason: call.ReasonNoEndpoint, retryAfter: FullRetryAfter}
 	least := math.Inf(1)
-	for _, endpoint := range usableEndpoints(b, request) {
+	for _, endpoint := range usableEndpoints(b, request, nil) {
 		load := float64(endpoint.Leads())/float64(max(endpoint.Slots, 1)) + b.Random.Float64()*loadJitter
 		if endpoint.Domain != b.Domain {
 			load += remoteDomainLoad
--- a/internal/flow/place/engine.go
+++ b/internal/flow/place/engine.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"math"
 	"slices"
+	"sync"
 
 	"mustardhook/internal/core/clock"
 	"mustardhook/internal/flow/board"
@@ -91,8 +92,18 @@
 		firstEvent clock.Millis
 		isFull     bool
 	}
+
+	// scratch holds the memory of a decision, which is reused by later ones.
+	scratch struct {
+		endpoints  []*pool.Endpoint
+		storage    []candidate
+		candidates []*candidate
+		byPrice    []*candidate
+	}
 )
 
+var scratchPool = sync.Pool{New: func() any { return new(scratch) }}
+
 // chooseEngine chooses the engines for a prompt. Short prompts run on an engine of the
 // short size class; long prompts are sharded across engines of the long size class. If all
 // engines are full, a short prompt is refused, unless it is a retry by the caller or by this
@@ -100,7 +111,9 @@
 func chooseEngine(b *board.Board, request *board.Request, engine *plan.Engine) choice {
 	prompt := request.Request.PromptTokens
 	need := prompt + estimateOutput(request.Request)
-	candidates := listCandidates(b, request, engine)
+	memory := scratchPool.Get().(*scratch)
+	defer scratchPool.Put(memory)
+	candidates := memory.listCandidates(b, request, engine)
 	if len(candidates) == 0 {
 		return choice{reason: call.ReasonNoEndpoint, retryAfter: FullRetryAfter}
 	}
@@ -110,7 +123,7 @@
 	normal, slow := splitSlow(candidates, b.Now)
 	short, long := splitSizeClasses(engine, normal)
 	if !cost.IsLong(engine, prompt) {
-		decision := chooseShort(b, short, long, slow, prompt, need)
+		decision := memory.chooseShort(b, short, long, slow, prompt, need)
 		decision.urgency = urgencyShort
 		if decision.isFull && !request.IsCallerRetry() && request.Runs == 0 {
 			return choice{reason: call.ReasonOverload, retryAfter: b.RetryAfter(request)}
@@ -123,17 +136,18 @@
 }
 
 // listCandidates returns the usable engines in an order that all entries share.
-func listCandidates(b *board.Board, request *board.Request, engine *plan.Engine) []*candidate {
-	endpoints := usableEndpoints(b, request)
-	storage := make([]candidate, len(endpoints))
-	candidates := make([]*candidate, len(endpoints))
-	for i, endpoint := range endpoints {
-		storage[i] = candidate{endpoint: endpoint, engine: engine, load: cost.EngineLoadOf(engine, endpoint, b.Now)}
+func (s *scratch) listCandidates(b *board.Board, request *board.Request, engine *plan.Engine) []*candidate {
+	s.endpoints = usableEndpoints(b, request, s.endpoints)
+	s.storage = slices.Grow(s.storage[:0], len(s.endpoints))[:len(s.endpoints)]
+	candidates := s.candidates[:0]
+	for i, endpoint := range s.endpoints {
+		s.storage[i] = candidate{endpoint: endpoint, engine: engine, load: cost.EngineLoadOf(engine, endpoint, b.Now)}
 		if pace := endpoint.Pace(b.Now); pace > 1 {
-			storage[i].engine = engine.WithPace(pace)
+			s.storage[i].engine = engine.WithPace(pace)
 		}
-		candidates[i] = &storage[i]
+		candidates = append(candidates, &s.storage[i])
 	}
+	s.candidates = candidates
 	return candidates
 }
 
@@ -186,11 +200,11 @@
 // short size class cost more. Entries that decide within the delay of the news see the
 // same loads, so each chooses at random among the cheapest engines. Their number is the
 // estimated number of prompts whose load is not yet published, plus one.
-func chooseShort(b *board.Board, short, long, slow []*candidate, prompt, need int) choice {
-	byPrice := make([]*candidate, 0, len(short)+len(long)+len(slow))
-	byPrice = append(byPrice, short...)
+func (s *scratch) chooseShort(b *board.Board, short, long, slow []*candidate, prompt, need int) choice {
+	byPrice := append(s.byPrice[:0], short...)
 	byPrice = append(byPrice, long...)
 	byPrice = append(byPrice, slow...)
+	s.byPrice = byPrice
 	shortPrompts := 0
 	for i, c := range byPrice {
 		shortPrompts += c.load.ShortPrompts
--- a/internal/flow/plan/plan.go
+++ b/internal/flow/plan/plan.go
@@ -91,8 +91,11 @@
 // Match returns the route of the host with the longest prefix that matches the path.
 // It ignores the case and the port of the host.
 func (p Plan) Match(host, path string) (Route, bool) {
-	if name, _, err := net.SplitHostPort(host); err == nil {
-		host = name
+	// SplitHostPort allocates an error for a host without a port.
+	if strings.Contains(host, ":") {
+		if name, _, err := net.SplitHostPort(host); err == nil {
+			host = name
+		}
 	}
 	for _, route := range p.hosts[strings.ToLower(host)] {
 		if strings.HasPrefix(path, route.Prefix) {
