Relay: memory of an order that is carried out late is released

Cause: an endpoint may carry out an order seconds after it was sent, and after newer orders. A reservation or a renewal that was not answered in 400 ms can therefore take effect after the release of its lease, and holds memory that nobody uses for the TTL of 3 s. Ruled out: the release itself (three attempts, then the TTL). Change: the release is repeated each second until 5 s after the last order without an answer. An entry that is killed still leaves its orders to the TTL.

--- a/internal/flow/proxy/lease.go
+++ b/internal/flow/proxy/lease.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/http"
 	"slices"
+	"sync"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -26,6 +27,10 @@
 	orderTimeout = 400 * time.Millisecond
 	// releaseAttempts is the maximum number of attempts to release a lease.
 	releaseAttempts = 3
+	// lateOrderTimeout is how long after an order without an answer an endpoint may still carry
+	// it out. lateReleaseInterval is the time between two releases until then.
+	lateOrderTimeout    = 5 * time.Second
+	lateReleaseInterval = 1 * time.Second
 	// maxOrderAnswerBytes is the maximum size of the answer to an order.
 	maxOrderAnswerBytes = 64 << 10
 )
@@ -38,6 +43,10 @@
 		// reserved are the endpoints that granted a lease, or may have done so.
 		reserved []call.Helper
 		cancel   context.CancelFunc
+		// mutex guards unanswered, which holds the time of the last order without an answer
+		// by the name of the lease.
+		mutex      sync.Mutex
+		unanswered map[string]time.Time
 	}
 
 	// OrderError reports that an endpoint refused an order.
@@ -57,14 +66,14 @@
 // Orders are sent in the order of the endpoints' names, so that two sends can't wait for
 // each other.
 func (s *session) reserve(ctx context.Context, helpers []call.Helper) (*leases, error) {
-	acquired := &leases{session: s}
+	acquired := &leases{session: s, unanswered: map[string]time.Time{}}
 	withLease := slices.DeleteFunc(slices.Clone(helpers), func(h call.Helper) bool { return h.Lease == "" })
 	slices.SortFunc(withLease, func(a, b call.Helper) int { return cmp.Compare(a.Endpoint, b.Endpoint) })
 	for _, helper := range withLease {
 		// If the answer is lost, the endpoint may still have reserved the memory, so
 		// release this lease too.
 		acquired.reserved = append(acquired.reserved, helper)
-		if err := s.sendOrder(ctx, helper, helper.LeaseTokens); err != nil {
+		if err := acquired.order(ctx, helper, helper.LeaseTokens); err != nil {
 			return acquired, err
 		}
 	}
@@ -87,7 +96,7 @@
 		case <-ticker.C:
 		}
 		for _, helper := range l.reserved {
-			if err := l.session.sendOrder(ctx, helper, helper.LeaseTokens); err != nil && ctx.Err() == nil {
+			if err := l.order(ctx, helper, helper.LeaseTokens); err != nil && ctx.Err() == nil {
 				l.session.proxy.logger.Part("lease").Warn("Lease was not renewed.", "lease", helper.Lease,
 					"endpoint", helper.Endpoint, "err", err)
 			}
@@ -105,18 +114,41 @@
 	}
 }
 
-// releaseOne releases one lease, with up to releaseAttempts attempts.
+// releaseOne releases one lease, with up to releaseAttempts attempts. An endpoint may carry out
+// an order that it has not answered after the release, and would then keep the memory, so the
+// release is repeated until lateOrderTimeout after such an order.
 func (l *leases) releaseOne(helper call.Helper) {
 	// The context of the request may be cancelled already; the release must still be sent.
 	ctx := l.session.proxy.lifetime
 	var err error
 	for range releaseAttempts {
 		if err = l.session.sendOrder(ctx, helper, 0); err == nil {
-			return
+			break
 		}
 	}
-	l.session.proxy.logger.Part("lease").Warn("Lease was not released and will expire.", "lease", helper.Lease,
-		"endpoint", helper.Endpoint, "err", err)
+	l.mutex.Lock()
+	until := l.unanswered[helper.Lease].Add(lateOrderTimeout)
+	l.mutex.Unlock()
+	for time.Now().Add(lateReleaseInterval).Before(until) && ctx.Err() == nil {
+		l.session.proxy.sleep(clock.Millis(lateReleaseInterval.Milliseconds()))
+		err = l.session.sendOrder(ctx, helper, 0)
+	}
+	if err != nil {
+		l.session.proxy.logger.Part("lease").Warn("Lease was not released and will expire.", "lease", helper.Lease,
+			"endpoint", helper.Endpoint, "err", err)
+	}
+}
+
+// order reserves or renews a lease, and records that it was not answered.
+func (l *leases) order(ctx context.Context, helper call.Helper, tokens int) error {
+	err := l.session.sendOrder(ctx, helper, tokens)
+	var refused *OrderError
+	if err != nil && !errors.As(err, &refused) {
+		l.mutex.Lock()
+		l.unanswered[helper.Lease] = time.Now()
+		l.mutex.Unlock()
+	}
+	return err
 }
 
 // sendOrder reserves memory at an endpoint or renews the lease on it. If tokens is zero,
