Relay: comments are no progress of a stream

Cause: a block of comments counted as an event. A stalled endpoint that sent one now and then opened the stream of its caller, so that nothing could be refused or tried elsewhere, and kept it open until the deadline. Change: comments before the first event are dropped; later ones are forwarded and prolong no timeout. Test: TestCommentsAreNoProgress, red before.

--- a/internal/flow/proxy/events.go
+++ b/internal/flow/proxy/events.go
@@ -80,3 +80,14 @@
 
 // isBlank reports whether the line has no text.
 func isBlank(line []byte) bool { return len(bytes.TrimSpace(line)) == 0 }
+
+// isComment reports whether the event has only comments, which give the caller nothing but a
+// sign that the connection is open.
+func isComment(event []byte) bool {
+	for line := range bytes.Lines(event) {
+		if !isBlank(line) && line[0] != ':' {
+			return false
+		}
+	}
+	return true
+}
--- a/internal/flow/proxy/send.go
+++ b/internal/flow/proxy/send.go
@@ -274,7 +274,8 @@
 }
 
 // relayStream forwards each event to the caller as soon as it is complete. A stream
-// resumed after an earlier send starts after the last event that the caller received.
+// resumed after an earlier send starts after the last event that the caller received. Comments
+// are no progress: they are dropped before the first event, and prolong no timeout.
 func (x *exchange) relayStream(response *http.Response) call.Result {
 	events := newEventReader(response.Body, x.session.memory)
 	isFirst := true
@@ -286,9 +287,16 @@
 		if err != nil {
 			return x.failedResult(newReadError("event", err))
 		}
+		isProgress := !isComment(event)
+		if isFirst && !isProgress {
+			continue
+		}
 		if err := x.relayEvent(response, event, isFirst); err != nil {
 			return call.Result{End: call.EndDisconnected, Err: &CallerWriteError{err}}
 		}
+		if !isProgress {
+			continue
+		}
 		if isFirst {
 			isFirst = false
 			x.session.stage.Store(stageStreaming)
