Placement: names, declarations at the head, log lines in a fixed order

Change: share of a queued prompt carries its unit; constants stand at the head of their file; the failure domains that become unreachable at one moment are logged in the order of their names. No change of decisions.

--- a/internal/flow/place/queue.go
+++ b/internal/flow/place/queue.go
@@ -37,9 +37,9 @@
 		engines int
 		// prefill is how long these engines need for the prefill of the prompt.
 		prefill clock.Millis
-		// share is how long all engines of the service need for it, which is by how much the
+		// shareMillis is how long all engines of the service need for it, which is by how much the
 		// prompt delays those behind it.
-		share float64
+		shareMillis float64
 		// isOnTime reports whether the prefill is scheduled to end before the prompt is due.
 		isOnTime bool
 		startAt  clock.Millis
@@ -70,7 +70,7 @@
 		gang := min(shardsOf(engine, prompt.PromptTokens), engines)
 		all = append(all, queuedPrompt{
 			QueuedPrompt: prompt, entry: entry, engines: gang,
-			prefill: clock.Millis(work / float64(gang)), share: work / float64(engines),
+			prefill: clock.Millis(work / float64(gang)), shareMillis: work / float64(engines),
 		})
 	}
 	for _, other := range b.Requests {
@@ -103,16 +103,16 @@
 		}
 		onTime = append(onTime, next)
 		if now+clock.Millis(delay)+next.prefill <= next.DueAt {
-			delay += next.share
+			delay += next.shareMillis
 			continue
 		}
 		longest := 0
 		for i, other := range onTime {
-			if other.share >= onTime[longest].share {
+			if other.shareMillis >= onTime[longest].shareMillis {
 				longest = i
 			}
 		}
-		delay += next.share - onTime[longest].share
+		delay += next.shareMillis - onTime[longest].shareMillis
 		late = append(late, onTime[longest])
 		onTime = slices.Delete(onTime, longest, longest+1)
 	}
@@ -125,7 +125,7 @@
 	delay = 0
 	for i := range scheduled {
 		scheduled[i].startAt = now + clock.Millis(delay)
-		delay += scheduled[i].share
+		delay += scheduled[i].shareMillis
 	}
 	return scheduled
 }
@@ -154,7 +154,7 @@
 	delay := 0.0
 	for _, prompt := range q {
 		if prompt.isRequest(b, request) {
-			delay = prompt.share
+			delay = prompt.shareMillis
 		}
 	}
 	for _, prompt := range q {
@@ -164,7 +164,7 @@
 		case b.Now+clock.Millis(delay)+prompt.prefill > prompt.DueAt:
 			return false
 		}
-		delay += prompt.share
+		delay += prompt.shareMillis
 	}
 	return true
 }
--- a/internal/flow/place/reach.go
+++ b/internal/flow/place/reach.go
@@ -29,8 +29,9 @@
 			failed[endpoint.Domain]++
 		}
 	}
-	for domain, count := range failed {
-		if count >= minFailedEngines {
+	// The order must not depend on that of a map, since equal inputs give equal outputs.
+	for _, domain := range slices.Sorted(maps.Keys(failed)) {
+		if failed[domain] >= minFailedEngines {
 			markIfUnresponsive(b, domain)
 		}
 	}
--- a/internal/serve/conns/conn.go
+++ b/internal/serve/conns/conn.go
@@ -15,11 +15,10 @@
 	stateBusy
 )
 
-// unannouncedDelay is how long a connection stays open whose caller was not told that it ends:
-// after a last answer that has not said so, or before the first request.
-const unannouncedDelay = 200 * time.Millisecond
-
 const (
+	// unannouncedDelay is how long a connection stays open whose caller was not told that it
+	// ends: after a last answer that has not said so, or before the first request.
+	unannouncedDelay = 200 * time.Millisecond
 	// lingerTimeout and maxLingerBytes bound what is read from a connection after its last
 	// answer.
 	lingerTimeout  = 500 * time.Millisecond
