Tests: the failure domains of a calm fleet respond

Cause: repeated news no longer counts as a sign of life, so the age of the newest message of another failure domain is what two hubs need to pass it on.

--- a/internal/flow/parts/reach_test.go
+++ b/internal/flow/parts/reach_test.go
@@ -148,3 +148,26 @@
 		}
 	}
 }
+
+// Guards against failure domains that seem unresponsive in a calm fleet, since news of them
+// travels over two hubs: one failed send would make their engines unusable.
+func TestDomainsOfCalmFleetRespond(t *testing.T) {
+	f := newFleet(t, 60)
+	f.advance(4 * clock.Second)
+	oldest := clock.Millis(0)
+	for range 200 {
+		f.advance(50)
+		for _, entry := range f.entries {
+			for _, domain := range entry.board.Domains() {
+				newest := clock.Millis(0)
+				for _, member := range entry.board.Roster(domain) {
+					if member.Peer != nil {
+						newest = max(newest, member.Peer.LastSeenAt)
+					}
+				}
+				oldest = max(oldest, f.now-newest)
+			}
+		}
+	}
+	require.LessOrEqual(t, oldest, place.DomainTimeout)
+}
