conns: a connection is closed at once again, without reading on

Cause: since a connection was half closed and read for 0.5 s before it was closed. A request that crosses a stop on a kept connection was read that way and got no answer, where it met a reset before, which tells its caller that it was not read; and a stop took up to 0.5 s longer. Change: that part is reverted. The reset for callers of HTTP/1.0 and the limit of connections in the tracker stay. Conclusion: the close has to wait for the acknowledgement of the answer, without reading.

--- a/internal/serve/conns/conn.go
+++ b/internal/serve/conns/conn.go
@@ -1,9 +1,7 @@
 package conns
 
 import (
-	"io"
 	"net"
-	"sync/atomic"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -15,15 +13,9 @@
 	stateBusy
 )
 
-const (
-	// unannouncedDelay is how long a connection stays open whose caller was not told that it
-	// ends: after a last answer that has not said so, or before the first request.
-	unannouncedDelay = 200 * time.Millisecond
-	// lingerTimeout and maxLingerBytes bound what is read from a connection after its last
-	// answer.
-	lingerTimeout  = 500 * time.Millisecond
-	maxLingerBytes = 256 << 10
-)
+// unannouncedDelay is how long a connection stays open whose caller was not told that it ends:
+// after a last answer that has not said so, or before the first request.
+const unannouncedDelay = 200 * time.Millisecond
 
 type (
 	connState int
@@ -45,8 +37,6 @@
 		// isInterrupted is set while reads fail because the connection is not needed
 		// any more.
 		isInterrupted bool
-		// isClosing is set once Close was called.
-		isClosing atomic.Bool
 		// readDeadline is the read deadline that the server has set.
 		readDeadline time.Time
 		// headTime is how long the first request may take to arrive, from its first byte on;
@@ -100,23 +90,8 @@
 	return c.SetWriteDeadline(deadline)
 }
 
-// Close closes the connection. The kernel resets a connection that is closed while bytes of its
-// caller are unread, and drops the end of the last answer. Those bytes are therefore read and
-// discarded for lingerTimeout at most.
+// Close closes the connection.
 func (c *conn) Close() error {
-	half, canLinger := c.Conn.(interface{ CloseWrite() error })
-	if c.isClosing.Swap(true) || !canLinger || half.CloseWrite() != nil {
-		return c.closeNow()
-	}
-	go func() {
-		_ = c.Conn.SetReadDeadline(time.Now().Add(lingerTimeout))
-		_, _ = io.CopyN(io.Discard, c.Conn, maxLingerBytes)
-		_ = c.closeNow()
-	}()
-	return nil
-}
-
-func (c *conn) closeNow() error {
 	err := c.Conn.Close()
 	c.tracker.remove(c)
 	return err
@@ -124,13 +99,12 @@
 
 // reset closes the connection in such a way that its caller gets an error.
 func (c *conn) reset() error {
-	c.isClosing.Store(true)
 	if tcp, isTCP := c.Conn.(interface{ SetLinger(seconds int) error }); isTCP {
 		if err := tcp.SetLinger(0); err != nil {
-			return errors.Join(err, c.closeNow())
+			return errors.Join(err, c.Close())
 		}
 	}
-	return c.closeNow()
+	return c.Close()
 }
 
 // becomeIdle records the end of an answer. The next request may have begun already. If the
--- a/internal/serve/conns/tracker.go
+++ b/internal/serve/conns/tracker.go
@@ -80,7 +80,7 @@
 // Listen returns a listener whose connections are tracked. It must be the listener that the
 // server accepts from, so a listener for TLS goes inside. It accepts a connection only while
 // fewer than maxOpen are open. It does so itself, because netutil.LimitListener hides the
-// methods that end a connection gracefully.
+// method that resets a connection.
 func (t *Tracker) Listen(inner net.Listener, maxOpen int) net.Listener {
 	return &listener{Listener: inner, tracker: t, free: make(chan struct{}, max(maxOpen, 1)), closed: make(chan struct{})}
 }
