--- a/internal/flow/board/board.go
+++ b/internal/flow/board/board.go
@@ -123,6 +123,10 @@
 		// CapacitySince is when this entry first saw capacity for it; zero if it sees none.
 		Queued        bool
 		CapacitySince clock.Millis
+		// Wait is the last cause for which the request waited, and WaitLoggedAt when it was
+		// logged.
+		Wait         call.Wait
+		WaitLoggedAt clock.Millis
 		// NotBefore is the earliest time of a retry after a failure, NextTryAt when the
 		// entry next looks for engines.
 		NotBefore clock.Millis
--- a/internal/flow/call/call.go
+++ b/internal/flow/call/call.go
@@ -42,10 +42,33 @@
 	ReasonBadRequest       Reason = "badRequest"
 )
 
+// The causes for which a request waits for an endpoint.
+const (
+	// WaitEngines means that too few engines have little prefill pending.
+	WaitEngines Wait = "engines"
+	// WaitQueue means that the engines are left to the prompts ahead in the queue.
+	WaitQueue Wait = "queue"
+	// WaitSpareEngines means that an oversized prompt finds too few engines that can prefill a
+	// shard of it without delaying their answers, WaitSpareTime that these can't be on time.
+	WaitSpareEngines Wait = "spareEngines"
+	WaitSpareTime    Wait = "spareTime"
+	// WaitOthers means that an oversized prompt would make a prompt late that can be on time.
+	WaitOthers Wait = "others"
+	// WaitMemory means that the engines have too little free memory for the KV cache, WaitLease
+	// that an engine refused to reserve it.
+	WaitMemory Wait = "memory"
+	WaitLease  Wait = "lease"
+	// WaitEndpoint means that no endpoint is usable.
+	WaitEndpoint Wait = "endpoint"
+)
+
 type (
 	// End is the way in which a send ended.
 	End string
 
+	// Wait is why a request waits for an endpoint.
+	Wait string
+
 	// Reason is why a request ends without an answer of an endpoint.
 	Reason string
 
@@ -104,6 +127,8 @@
 		// number of other entries whose load is known.
 		Usable  int
 		Entries int
+		// Wait is the last cause for which the request waited; empty if it did not.
+		Wait Wait
 		// ListAge is how long the list of endpoints has been unreadable; zero if it is
 		// readable.
 		ListAge clock.Millis
--- a/internal/flow/parts/load_test.go
+++ b/internal/flow/parts/load_test.go
@@ -283,3 +283,21 @@
 	}
 	require.LessOrEqual(t, atIdle, entries/4)
 }
+
+// Guards against a prompt that waits without a trace: the log must say what it waits for, once for
+// each cause.
+func TestCauseOfWaitingIsLogged(t *testing.T) {
+	e := newTestEntry(t).configure(16)
+	_, got := e.request("/long/1", 250000, 15000)
+	requireSend(t, got)
+	number, _ := e.request("/long/2", 250000, 15000)
+	e.advance(400)
+	var causes []any
+	for _, out := range e.outputs {
+		if line, isLog := out.(output.Log); isLog && line.Text == "Request waits." {
+			causes = append(causes, line.Pairs[3])
+		}
+	}
+	require.Equal(t, []any{call.WaitEngines}, causes)
+	require.Equal(t, call.WaitEngines, e.board.Requests[number].Wait)
+}
--- a/internal/flow/place/choose.go
+++ b/internal/flow/place/choose.go
@@ -49,6 +49,12 @@
 		isFull     bool
 		reason     call.Reason
 		retryAfter clock.Millis
+		// wait is why the request waits. shards is the number of engines that it needs, free
+		// the number of those that can start with it now, and own its position in the queue.
+		wait   call.Wait
+		shards int
+		free   int
+		own    position
 	}
 )
 
--- a/internal/flow/place/end.go
+++ b/internal/flow/place/end.go
@@ -47,6 +47,7 @@
 			request.Queued = true
 			b.NewsChanged = true
 			request.NotBefore = b.Now + LeaseRetryDelay
+			logWait(b, request, choice{wait: call.WaitLease})
 			return
 		}
 		request.Refusals++
--- a/internal/flow/place/engine.go
+++ b/internal/flow/place/engine.go
@@ -253,8 +253,12 @@
 	}
 	waiting := buildQueue(b, engine, request, len(candidates))
 	own := waiting.positionOf(b, request)
-	if isOversized && (!spareSuffices && !request.IsCallerRetry() || len(spare) < minOversizedEngines || !waiting.mayPrecede(b, request)) {
-		return waitForSpareEngines(b, request, own)
+	if isOversized {
+		if wait := oversizedWait(b, request, waiting, len(spare), spareSuffices); wait != "" {
+			decision := waitForSpareEngines(b, request, own)
+			decision.wait, decision.own, decision.shards, decision.free = wait, own, shards, len(spare)
+			return decision
+		}
 	}
 	shards = min(shards, len(candidates))
 	for _, c := range candidates {
@@ -269,7 +273,7 @@
 		return choice{reason: call.ReasonOverload, retryAfter: b.RetryAfter(request)}
 	case len(free) < shards:
 		request.CapacitySince = 0
-		return choice{}
+		return choice{wait: call.WaitEngines, own: own, shards: shards, free: len(free)}
 	case isOversized:
 		left := free[min(own.enginesAhead, len(free)-shards):]
 		return divideMemory(engine, left, chooseGang(b, engine, left, shards, need), need)
@@ -278,7 +282,21 @@
 	case hasWaitedForOthers(b, request, own):
 		return chooseGang(b, engine, free, shards, need)
 	}
-	return choice{}
+	return choice{wait: call.WaitQueue, own: own, shards: shards, free: len(free)}
+}
+
+// oversizedWait returns why an oversized prompt must wait, or "" if it may start. Spare engines
+// can prefill a shard of it without delaying their answers.
+func oversizedWait(b *board.Board, request *board.Request, waiting queue, spare int, spareSuffices bool) call.Wait {
+	switch {
+	case spare < minOversizedEngines:
+		return call.WaitSpareEngines
+	case !spareSuffices && !request.IsCallerRetry():
+		return call.WaitSpareTime
+	case !waiting.mayPrecede(b, request):
+		return call.WaitOthers
+	}
+	return ""
 }
 
 // shardsOf returns the number of shards into which a long prompt is divided if there are
@@ -425,7 +443,7 @@
 		holders++
 	}
 	if available < need {
-		return choice{}
+		return choice{wait: call.WaitMemory, shards: 1 + len(decision.helpers), free: len(candidates)}
 	}
 	divided := choice{lead: byFree[0].endpoint, firstEvent: decision.firstEvent, leases: map[*pool.Endpoint]int{}}
 	remaining := need - free(byFree[0])
--- a/internal/flow/place/place.go
+++ b/internal/flow/place/place.go
@@ -49,6 +49,9 @@
 	// endpoints.
 	CrashRetryAfter = 60 * clock.Second
 
+	// waitLogInterval is the minimum time between two log lines on why a request waits.
+	waitLogInterval = 500 * clock.Millis(1)
+
 	// enginesPerMilli is the number of engines that the decisions on a waiting prompt
 	// examine per millisecond on average. It limits the cost of waiting to under 1/100 of
 	// the processor.
@@ -176,12 +179,28 @@
 	case request.HasRetry && decision.reason == call.ReasonNoEndpoint:
 		// Others were usable when the send was ended. They may be in backoff by now.
 		request.NotBefore = b.Now + SilenceRetryDelay
+		decision.wait = call.WaitEndpoint
+		logWait(b, request, decision)
 	case decision.retryAfter > 0:
 		refuse(b, request, decision.reason, decision.retryAfter)
-	case !request.Queued:
+	default:
+		b.NewsChanged = b.NewsChanged || !request.Queued
 		request.Queued = true
-		b.NewsChanged = true
+		logWait(b, request, decision)
+	}
+}
+
+// logWait logs why a request waits if the cause has changed, at most once per waitLogInterval.
+func logWait(b *board.Board, request *board.Request, decision choice) {
+	if decision.wait == request.Wait || b.Now-request.WaitLoggedAt < waitLogInterval && request.Wait != "" {
+		return
 	}
+	request.Wait = decision.wait
+	request.WaitLoggedAt = b.Now
+	b.Log("Request waits.", "request", request.Request.Name, "cause", decision.wait, "promptTokens", request.Request.PromptTokens,
+		"shards", decision.shards, "free", decision.free, "ahead", decision.own.enginesAhead,
+		"startsIn", max(decision.own.startAt-b.Now, 0), "onTime", decision.own.isOnTime, "runs", request.Runs,
+		"left", request.DeadlineAt-b.Now, "usable", request.Usable)
 }
 
 // dispatchWaiting dispatches the waiting requests whose next try is due, in the order of
--- a/internal/flow/place/send.go
+++ b/internal/flow/place/send.go
@@ -64,6 +64,7 @@
 func basisOf(b *board.Board, request *board.Request) call.Basis {
 	basis := call.Basis{
 		Route: request.Route.Name, PlanVersion: b.Plan.Version, Usable: request.Usable, Entries: len(b.Peers),
+		Wait: request.Wait,
 	}
 	if b.SourceLostAt != 0 {
 		basis.ListAge = b.Now - b.SourceLostAt
--- a/internal/flow/proxy/session.go
+++ b/internal/flow/proxy/session.go
@@ -190,6 +190,7 @@
 			s.lastEndpoint = string(action.Send.Endpoint)
 			s.predicted = action.Send.Predicted
 			s.proxy.logSend(s, action.Send)
+			sentAt := time.Now()
 			result := s.send(action.Send)
 			s.stage.Store(stageWaiting)
 			s.proxy.Step(input.SendEnded{Result: result})
@@ -198,7 +199,9 @@
 			}
 			if result.End != call.EndComplete {
 				s.proxy.logger.Part("send").Info("Send failed.", "request", s.request.Name, "end", result.End,
-					"endpoint", action.Send.Endpoint, "status", result.Status, "err", result.Err)
+					"endpoint", action.Send.Endpoint, "status", result.Status, "millis", time.Since(sentAt).Milliseconds(),
+					"predicted", action.Send.Predicted, "helpers", len(action.Send.Helpers), "failedAddress", result.FailedAddress,
+					"err", result.Err)
 			}
 		case output.Deliver:
 			s.deliver()
@@ -284,7 +287,7 @@
 	}
 	basis := reply.Basis
 	s.proxy.logFinish(s, "Request refused.", reply.Reason, reply.Status, "retryAfter", reply.RetryAfter,
-		"route", basis.Route, "plan", uint64(basis.PlanVersion), "usable", basis.Usable, "entries", basis.Entries,
+		"waitCause", basis.Wait, "route", basis.Route, "plan", uint64(basis.PlanVersion), "usable", basis.Usable, "entries", basis.Entries,
 		"listAge", basis.ListAge)
 }
 
