Tests: a surge in which the longest prompts are hardly served (fails)

The simulation of long prompts now has callers that return after a refusal and sends that end for silence; TestOversizedPromptsStartBesideOthers keeps its bounds.

--- a/internal/flow/parts/silence_test.go
+++ b/internal/flow/parts/silence_test.go
@@ -1,10 +1,13 @@
 package parts
 
 import (
+	"fmt"
+	"slices"
 	"testing"
 
 	"github.com/stretchr/testify/require"
 
+	"mustardhook/internal/core/ident"
 	"mustardhook/internal/flow/call"
 	"mustardhook/internal/flow/input"
 	"mustardhook/internal/flow/output"
@@ -55,3 +58,47 @@
 		e.step(input.CallerDisconnected{Number: number})
 	}
 }
+
+// Guards against a prompt that is given up while its engines are only busy with prompts that other
+// entries sent there: what they have prefilled of it is lost when capacity is short. Until a third
+// of the time that its caller waits has passed, silence must be joined by signs that the endpoint
+// is dead or can't be reached.
+func TestPromptAtBusyEnginesIsNotGivenUp(t *testing.T) {
+	for _, isSuspect := range []bool{false, true} {
+		e := newTestEntry(t).configure(16)
+		number, got := e.request("/long/1", 154000, 15000)
+		send := requireSend(t, got)
+		patience := e.board.Requests[number].WaitsUntil() - e.board.Now
+		require.Less(t, send.FirstEventTimeout, patience/3)
+		e.advance(send.FirstEventTimeout)
+		if isSuspect {
+			endpoint := e.board.Pool.Find(send.Endpoint)
+			e.board.Pool.RecordUnreachable(endpoint, e.board.Now)
+		}
+		moved := slices.Contains(e.step(input.EndpointSilent{Number: number}), output.Output(output.MoveSend{Number: number}))
+		require.Equal(t, isSuspect, moved)
+		if !isSuspect {
+			e.advance(patience/3 - send.FirstEventTimeout)
+			require.Contains(t, e.step(input.EndpointSilent{Number: number}), output.Output(output.MoveSend{Number: number}))
+		}
+	}
+}
+
+// Guards against a prompt that waits until its deadline after its send was ended for silence: it
+// can't be refused any more, and newer prompts that can be on time went ahead of it for as long as
+// there were any.
+func TestPromptKeepsItsPlaceAfterSilence(t *testing.T) {
+	e := newTestEntry(t).configure(16)
+	number, got := e.request("/long/1", 250000, 15000)
+	requireSend(t, got)
+	e.advance(5000)
+	require.NotEmpty(t, e.step(input.EndpointSilent{Number: number}))
+	for i := range 4 {
+		e.receiveNews(ident.Entry(fmt.Sprintf("entry-%d", i+2)), func(n *input.News) {
+			n.QueuedPrompts = []input.QueuedPrompt{{
+				Service: engines, Number: 1, PromptTokens: 150000, DueAt: e.board.Now + 3000, WaitsUntil: e.board.Now + 12000,
+			}}
+		})
+	}
+	requireSend(t, e.endSend(call.Result{Number: number, End: call.EndAnswerLost}))
+}
--- a/internal/flow/parts/surge_test.go
+++ b/internal/flow/parts/surge_test.go
@@ -1,8 +1,10 @@
 package parts
 
 import (
+	"cmp"
 	"math"
 	"math/rand/v2"
+	"slices"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -24,6 +26,8 @@
 	dossiers = "dossiers"
 	// longestPrompt is the length of the longest prompt in tokens.
 	longestPrompt = 700000
+	// promptTimeout is how long callers of the longest prompts wait.
+	promptTimeout = 15 * clock.Second
 )
 
 type (
@@ -36,30 +40,75 @@
 		spread    float64
 		maximum   int
 		objective clock.Millis
+		timeout   clock.Millis
 		// answer is the time from the first event of an answer to its end.
 		answer clock.Millis
 	}
 
-	// outcome counts the prompts of a range of lengths, those of them that were sent to
-	// endpoints, and those whose first event was on time.
-	outcome struct{ asked, sent, onTime int }
+	// prompt is a prompt of a caller and what became of it.
+	prompt struct {
+		from   arrivals
+		tokens int
+		dueAt  clock.Millis
+		// deadlineAt is when the caller stops waiting, and hasRetried whether it has sent the
+		// prompt again after a refusal.
+		deadlineAt clock.Millis
+		hasRetried bool
+		// sends counts the sends to endpoints. isServed is set with the first event of the
+		// answer, isOnTime if that was in time.
+		sends    int
+		isServed bool
+		isOnTime bool
+	}
+
+	// prompts are the prompts of a run.
+	prompts []*prompt
 
-	// outcomes holds the outcome by whether a prompt exceeds the memory of an engine.
-	outcomes struct{ normal, oversized outcome }
+	// surge runs callers of long prompts and the engines that prefill them.
+	surge struct {
+		*fleet
+		random  *rand.Rand
+		prompts prompts
+		// pending holds the prompts in progress by the number of their request.
+		pending map[*fleetEntry]map[uint64]*prompt
+		// busy holds the time until which each engine prefills shards.
+		busy map[ident.Endpoint]clock.Millis
+		due  []scheduledInput
+		// returning are the callers that send their prompts again at a later time.
+		returning []returningCaller
+	}
 
-	// pendingPrompt is a prompt that has not been sent yet.
-	pendingPrompt struct {
-		entry       *fleetEntry
-		from        arrivals
-		tokens      int
-		isOversized bool
-		dueAt       clock.Millis
+	// returningCaller is a caller that was refused.
+	returningCaller struct {
+		at     clock.Millis
+		prompt *prompt
 	}
 )
 
-func (o outcome) sentRatio() float64 { return float64(o.sent) / float64(max(o.asked, 1)) }
+// filter returns the prompts for which the function returns true.
+func (p prompts) filter(isWanted func(*prompt) bool) prompts {
+	return slices.DeleteFunc(slices.Clone(p), func(one *prompt) bool { return !isWanted(one) })
+}
 
-func (o outcome) onTimeRatio() float64 { return float64(o.onTime) / float64(max(o.asked, 1)) }
+// ratio returns the share of the prompts for which the function returns true.
+func (p prompts) ratio(holds func(*prompt) bool) float64 {
+	return float64(len(p.filter(holds))) / float64(max(len(p), 1))
+}
+
+// largest returns the given share of the prompts, those with the most tokens.
+func (p prompts) largest(share float64) prompts {
+	sorted := slices.Clone(p)
+	slices.SortStableFunc(sorted, func(a, b *prompt) int { return cmp.Compare(b.tokens, a.tokens) })
+	return sorted[:int(share*float64(len(sorted)))]
+}
+
+func (p *prompt) sent() bool { return p.sends > 0 }
+
+func (p *prompt) served() bool { return p.isServed }
+
+func (p *prompt) onTime() bool { return p.isOnTime }
+
+func (p *prompt) isOversized() bool { return p.tokens+1600 > testEngine().MemoryTokens }
 
 // newLongPromptFleet starts a fleet of the given size before one service with the given
 // number of engines, and routes for reviews and dossiers.
@@ -89,94 +138,176 @@
 // largeSite returns the arrivals of a site with 135 engines, multiplied by the given factors.
 func largeSite(reviewFactor, dossierFactor float64) []arrivals {
 	return []arrivals{
-		{reviews, 13.7 * reviewFactor, 45000, 0.5, 110000, 1500, 1100},
-		{dossiers, 4.53 * dossierFactor, 220000, 0.55, longestPrompt, 4000, 900},
+		{reviews, 13.7 * reviewFactor, 45000, 0.5, 110000, 1500, 10000, 1100},
+		{dossiers, 4.53 * dossierFactor, 220000, 0.55, longestPrompt, 4000, promptTimeout, 900},
 	}
 }
 
 // prefillUntil returns when all engines of the send have prefilled their shards. Each engine
-// prefills them one after the other; busy holds the time until which it does so.
-func (f *fleet) prefillUntil(busy map[ident.Endpoint]clock.Millis, send call.Send, tokens int) clock.Millis {
+// prefills them one after the other.
+func (s *surge) prefillUntil(send call.Send, tokens int) clock.Millis {
 	engines := []ident.Endpoint{send.Endpoint}
 	for _, helper := range send.Helpers {
 		engines = append(engines, helper.Endpoint)
 	}
 	shard := clock.Millis(cost.PrefillMillis(testEngine(), tokens, len(engines)))
-	last := f.now
+	last := s.now
 	for _, engine := range engines {
-		busy[engine] = max(busy[engine], f.now) + shard
-		last = max(last, busy[engine])
+		s.busy[engine] = max(s.busy[engine], s.now) + shard
+		last = max(last, s.busy[engine])
 	}
 	return last
 }
 
-// runPrompts simulates callers of random entries for the given time, and engines that
-// prefill the prompts.
-func (f *fleet) runPrompts(duration clock.Millis, sources []arrivals) outcomes {
-	random := rand.New(rand.NewPCG(3, 4))
-	var result outcomes
-	pending := map[*fleetEntry]map[uint64]pendingPrompt{}
-	busy := map[ident.Endpoint]clock.Millis{}
-	var due []scheduledInput
-	collect := func(entry *fleetEntry) {
-		for _, out := range entry.outputs {
-			switch out := out.(type) {
-			case output.Send:
-				prompt := pending[entry][out.Send.Number]
-				delete(pending[entry], out.Send.Number)
-				first := f.prefillUntil(busy, out.Send, prompt.tokens)
-				result.of(prompt).sent++
-				if first <= prompt.dueAt {
-					result.of(prompt).onTime++
-				}
-				due = append(due, scheduledInput{first, entry, input.FirstEventSent{Number: out.Send.Number}},
-					scheduledInput{first + prompt.from.answer, entry, input.SendEnded{Result: completeResult(out.Send.Number)}})
-			case output.Reply:
-				delete(pending[entry], out.Reply.Number)
-			}
+// ask sends a prompt to a random entry.
+func (s *surge) ask(asked *prompt) {
+	entry := s.entries[s.random.IntN(len(s.entries))]
+	s.collect(entry)
+	if s.pending[entry] == nil {
+		s.pending[entry] = map[uint64]*prompt{}
+	}
+	s.pending[entry][entry.lastNumber+1] = asked
+	entry.request("/"+asked.from.route+"/1", asked.tokens, asked.deadlineAt-s.now)
+	s.carryOut(entry, entry.outputs)
+	s.collect(entry)
+}
+
+// collect schedules what follows from the outputs of the entry.
+func (s *surge) collect(entry *fleetEntry) {
+	outputs := entry.outputs
+	entry.outputs = nil
+	for _, out := range outputs {
+		switch out := out.(type) {
+		case output.Send:
+			s.schedule(entry, out.Send)
+		case output.Reply:
+			s.refuse(s.pending[entry][out.Reply.Number], out.Reply)
+			delete(s.pending[entry], out.Reply.Number)
 		}
-		entry.outputs = nil
-	}
-	for end := f.now + duration; f.now < end; {
-		f.advance(fleetTick)
-		arrived := due
-		due = nil
-		for _, next := range arrived {
-			if next.at > f.now {
-				due = append(due, next)
-				continue
-			}
-			f.carryOut(next.entry, next.entry.step(next.value))
+	}
+}
+
+// schedule schedules the results of a send: an answer if its first event comes within the
+// timeout, otherwise the end of the send for silence.
+func (s *surge) schedule(entry *fleetEntry, send call.Send) {
+	sent := s.pending[entry][send.Number]
+	sent.sends++
+	first := s.prefillUntil(send, sent.tokens)
+	if silentAt := s.now + send.FirstEventTimeout; silentAt < first {
+		s.due = append(s.due, scheduledInput{silentAt, entry, input.EndpointSilent{Number: send.Number}})
+	}
+	s.due = append(s.due, scheduledInput{first, entry, input.FirstEventSent{Number: send.Number}},
+		scheduledInput{first + sent.from.answer, entry, input.SendEnded{Result: completeResult(send.Number)}})
+}
+
+// refuse lets the caller return once, after the time that it is told.
+func (s *surge) refuse(refused *prompt, reply call.Reply) {
+	if refused.hasRetried || reply.RetryAfter == 0 {
+		return
+	}
+	refused.hasRetried = true
+	s.returning = append(s.returning, returningCaller{s.now + reply.RetryAfter, refused})
+}
+
+// stepDue passes the inputs that are due to the entries. The later inputs of a send that ended
+// for silence are dropped.
+func (s *surge) stepDue() {
+	arrived := s.due
+	s.due = nil
+	for _, next := range arrived {
+		if next.at > s.now {
+			s.due = append(s.due, next)
+			continue
 		}
-		for _, source := range sources {
-			if random.Float64() >= source.perSecond*fleetTick.Duration().Seconds() {
-				continue
-			}
-			entry := f.entries[random.IntN(len(f.entries))]
-			mu := math.Log(source.mean) - source.spread*source.spread/2
-			tokens := min(int(math.Exp(mu+source.spread*random.NormFloat64())), source.maximum)
-			collect(entry)
-			prompt := pendingPrompt{entry, source, tokens, tokens+1600 > testEngine().MemoryTokens, f.now + source.objective}
-			result.of(prompt).asked++
-			if pending[entry] == nil {
-				pending[entry] = map[uint64]pendingPrompt{}
-			}
-			pending[entry][entry.lastNumber+1] = prompt
-			entry.request("/"+source.route+"/1", tokens, 15*clock.Second)
-			f.carryOut(entry, entry.outputs)
+		s.pass(next)
+	}
+}
+
+func (s *surge) pass(next scheduledInput) {
+	outputs := next.entry.step(next.value)
+	s.carryOut(next.entry, outputs)
+	switch value := next.value.(type) {
+	case input.EndpointSilent:
+		if !slices.Contains(outputs, output.Output(output.MoveSend(value))) {
+			return
 		}
-		for _, entry := range f.entries {
-			collect(entry)
+		s.due = slices.DeleteFunc(s.due, func(other scheduledInput) bool { return other.isAbout(next.entry, value.Number) })
+		ended := input.SendEnded{Result: call.Result{Number: value.Number, End: call.EndAnswerLost}}
+		s.carryOut(next.entry, next.entry.step(ended))
+	case input.FirstEventSent:
+		if answered := s.pending[next.entry][value.Number]; answered != nil {
+			answered.isServed = true
+			answered.isOnTime = s.now <= answered.dueAt
 		}
+	case input.SendEnded:
+		delete(s.pending[next.entry], value.Result.Number)
 	}
-	return result
+	s.collect(next.entry)
 }
 
-func (o *outcomes) of(prompt pendingPrompt) *outcome {
-	if prompt.isOversized {
-		return &o.oversized
+// isAbout reports whether the input belongs to the request of the entry.
+func (i scheduledInput) isAbout(entry *fleetEntry, number uint64) bool {
+	switch value := i.value.(type) {
+	case input.FirstEventSent:
+		return i.entry == entry && value.Number == number
+	case input.SendEnded:
+		return i.entry == entry && value.Result.Number == number
 	}
-	return &o.normal
+	return false
+}
+
+// runPrompts simulates callers of random entries for the given time, and engines that
+// prefill the prompts. Prompts of the last seconds have time to end, but are not counted.
+func (f *fleet) runPrompts(duration clock.Millis, sources []arrivals) prompts {
+	s := newSurge(f, 3)
+	s.run(duration, sources)
+	counted := slices.Clone(s.prompts)
+	s.run(promptTimeout, sources)
+	return counted
+}
+
+func newSurge(f *fleet, seed uint64) *surge {
+	return &surge{
+		fleet: f, random: rand.New(rand.NewPCG(seed, 4)), pending: map[*fleetEntry]map[uint64]*prompt{},
+		busy: map[ident.Endpoint]clock.Millis{},
+	}
+}
+
+// run simulates callers and engines for the given time.
+func (s *surge) run(duration clock.Millis, sources []arrivals) {
+	for end := s.now + duration; s.now < end; {
+		s.advanceTick(sources)
+	}
+}
+
+// advanceTick moves the time forward by one tick, in which callers send prompts.
+func (s *surge) advanceTick(sources []arrivals) {
+	s.advance(fleetTick)
+	s.stepDue()
+	returning := s.returning
+	s.returning = nil
+	for _, caller := range returning {
+		if caller.at > s.now {
+			s.returning = append(s.returning, caller)
+			continue
+		}
+		s.ask(caller.prompt)
+	}
+	for _, source := range sources {
+		if s.random.Float64() < source.perSecond*fleetTick.Duration().Seconds() {
+			s.prompts = append(s.prompts, s.newPrompt(source))
+			s.ask(s.prompts[len(s.prompts)-1])
+		}
+	}
+	for _, entry := range s.entries {
+		s.collect(entry)
+	}
+}
+
+func (s *surge) newPrompt(source arrivals) *prompt {
+	mu := math.Log(source.mean) - source.spread*source.spread/2
+	tokens := min(int(math.Exp(mu+source.spread*s.random.NormFloat64())), source.maximum)
+	return &prompt{from: source, tokens: tokens, dueAt: s.now + source.objective, deadlineAt: s.now + source.timeout}
 }
 
 // Pattern: long prompts arrive faster than they start, so that the queue of a large service
@@ -186,10 +317,13 @@
 	t.Parallel()
 	for _, dossierFactor := range []float64{1, 2} {
 		got := newLongPromptFleet(t, 40, 90).runPrompts(20*clock.Second, largeSite(1, dossierFactor))
-		t.Logf("dossiers x %v: %+v", dossierFactor, got)
-		require.Greater(t, got.oversized.asked, 10)
-		require.GreaterOrEqual(t, got.normal.onTimeRatio(), 0.95)
-		require.GreaterOrEqual(t, got.oversized.sentRatio(), 0.9*got.normal.sentRatio())
+		oversized := got.filter((*prompt).isOversized)
+		normal := got.filter(func(p *prompt) bool { return !p.isOversized() })
+		t.Logf("dossiers x %v: %d and %d oversized, sent %.2f and %.2f", dossierFactor, len(normal), len(oversized),
+			normal.ratio((*prompt).sent), oversized.ratio((*prompt).sent))
+		require.Greater(t, len(oversized), 10)
+		require.GreaterOrEqual(t, normal.ratio((*prompt).onTime), 0.95)
+		require.GreaterOrEqual(t, oversized.ratio((*prompt).sent), 0.9*normal.ratio((*prompt).sent))
 	}
 }
 
@@ -214,3 +348,31 @@
 	}
 	require.GreaterOrEqual(t, len(used), 20)
 }
+
+// Guards against a surge of long prompts in which hardly any of the longest are served, because an
+// oversized prompt is refused as soon as it can't be on time, while shorter ones may start late.
+// Users require that the largest tenth is served half as often as all.
+//
+// Pattern: a surge of dossiers for 9.5 s that the engines can't serve on time, and few of them
+// before and after it.
+func TestLongestPromptsAreServedInASurge(t *testing.T) {
+	t.Parallel()
+	const floor = 0.5
+	phases := []struct {
+		duration      clock.Millis
+		dossierFactor float64
+	}{{2 * clock.Second, 0.6}, {9500, 2.2}, {promptTimeout, 0.05}}
+	var got prompts
+	for seed := range uint64(3) {
+		s := newSurge(newLongPromptFleet(t, 40, 50), seed)
+		for _, phase := range phases {
+			s.run(phase.duration, largeSite(1, phase.dossierFactor))
+		}
+		got = append(got, s.prompts.filter(func(p *prompt) bool { return p.from.route == dossiers })...)
+	}
+	largest := got.largest(0.1)
+	t.Logf("dossiers: %d, served %.2f, on time %.2f; largest tenth: %d, served %.2f, on time %.2f", len(got),
+		got.ratio((*prompt).served), got.ratio((*prompt).onTime), len(largest),
+		largest.ratio((*prompt).served), largest.ratio((*prompt).onTime))
+	require.GreaterOrEqual(t, largest.ratio((*prompt).served), floor*got.ratio((*prompt).served))
+}
