Placement: a prompt at busy engines is not given up for silence

What callers saw: long prompts that were sent in time, never answered, and ended at the deadline. What up to 17 engines had prefilled was lost in the seconds of the surge. Class of fault: silence taken for death.

Change: until a third of the time that its caller waits has passed, silence ends the send of a stream only if there are signs that the endpoint is dead or can't be reached.

TestSilentHelperIsNotBlamedOnTheLead now lets that time pass before the silence, as it must; what it checks is unchanged.

--- a/internal/flow/board/board.go
+++ b/internal/flow/board/board.go
@@ -131,6 +131,9 @@
 		// entry next looks for engines.
 		NotBefore clock.Millis
 		NextTryAt clock.Millis
+		// MoveAfter is when a send without an event is presumed lost although there are no signs
+		// that its endpoint is dead.
+		MoveAfter clock.Millis
 		// HasRetry reports whether a retry was taken from the budget for the request when its
 		// current send was ended because its endpoint was silent.
 		HasRetry bool
--- a/internal/flow/parts/silence_test.go
+++ b/internal/flow/parts/silence_test.go
@@ -51,6 +51,7 @@
 		send := requireSend(t, got)
 		require.NotEmpty(t, send.Helpers)
 		require.Greater(t, send.FirstEventTimeout, e.board.Settings.StallTimeout+send.Predicted)
+		e.advance(e.board.Requests[number].MoveAfter - e.board.Now)
 		moved := e.step(input.EndpointSilent{Number: number})
 		require.Contains(t, moved, output.Output(output.MoveSend{Number: number}))
 		e.endSend(call.Result{Number: number, End: call.EndAnswerLost})
--- a/internal/flow/place/choose.go
+++ b/internal/flow/place/choose.go
@@ -19,6 +19,10 @@
 	// the 2 s after which callers abandon a stream, and longer than the passes of an
 	// engine that prefills a long prompt.
 	MinEventTimeout = 1200 * clock.Millis(1)
+	// patienceDivisor gives the time after which a silent send of a stream is presumed lost,
+	// without signs that its endpoint is dead, as a part of the time that its caller waits. Enough
+	// is left for another send.
+	patienceDivisor = 3
 	// StallMargin is the time after the stall timeout in which an endpoint reports that a
 	// helper is unresponsive.
 	StallMargin = 300 * clock.Millis(1)
--- a/internal/flow/place/end.go
+++ b/internal/flow/place/end.go
@@ -107,14 +107,15 @@
 
 // ShouldMove reports whether a request whose endpoint is silent for longer than expected
 // should be sent to another one. Silence alone never ends an answer: there must be an endpoint,
-// an attempt and a retry left for it. Once the caller has received an event, there must also be
-// signs that the endpoint is dead or unreachable, since an engine may be busy with the prefill
-// of a long shard.
+// an attempt and a retry left for it. Before request.MoveAfter, and once the caller has received
+// an event, there must also be signs that the endpoint is dead or unreachable: an engine may be
+// busy with prompts of other entries, and what it has prefilled would be lost.
 func ShouldMove(b *board.Board, number uint64) bool {
 	request := b.Requests[number]
 	mayRetry := request != nil && request.Route.IsRepeatable() && request.Runs+1 < request.Route.Attempts &&
 		!b.EndsWithin(request, MinTimeLeft) && b.Budget.HasRetry(request.Service, retryLimits(b), b.Now)
-	if !mayRetry || request.FirstEventSent && !isSuspect(b, request.Endpoint) {
+	isPatient := request.FirstEventSent || b.Now < request.MoveAfter
+	if !mayRetry || isPatient && !isSuspect(b, request.Endpoint) {
 		return false
 	}
 	return slices.ContainsFunc(b.Pool.ByService(request.Service), func(other *pool.Endpoint) bool {
--- a/internal/flow/place/send.go
+++ b/internal/flow/place/send.go
@@ -16,6 +16,7 @@
 // send sends the request to the chosen endpoints and adds its work to them.
 func send(b *board.Board, request *board.Request, decision choice) {
 	timeLeft := request.DeadlineAt - b.Now
+	request.MoveAfter = 0
 	attempt := call.Send{
 		Number: request.Request.Number, Endpoint: decision.lead.Name, Address: decision.lead.Address,
 		Organisation: request.Organisation, TimeLeft: timeLeft, Urgency: decision.urgency, Stream: request.Route.IsStream(),
@@ -33,6 +34,7 @@
 		gap = stream.GapObjective
 		if canRetry {
 			attempt.FirstEventTimeout, attempt.NextEventTimeout = eventTimeouts(decision, stream, b.Settings.StallTimeout)
+			request.MoveAfter = b.Now + max(attempt.FirstEventTimeout, (request.WaitsUntil()-b.Now)/patienceDivisor)
 		}
 	}
 	request.Endpoint = decision.lead.Name
