Placement: a prompt whose send was ended keeps its place

What callers saw: nothing until their deadline, after their prompt had been sent once. Cause: a prompt that may have run can't be refused, and one that can't be on time any more goes to the end of the queue, behind all prompts that can. While these arrive faster than they start, it waits until its deadline. Class of fault: starvation of work that is neither refused nor started.

Change: prompts of this entry that were sent before come first in its queue, in order of age. They are few, the oldest, and have used engines already.

--- a/internal/flow/place/queue.go
+++ b/internal/flow/place/queue.go
@@ -40,6 +40,8 @@
 		// shareMillis is how long all engines of the service need for it, which is by how much the
 		// prompt delays those behind it.
 		shareMillis float64
+		// wasSent reports whether the prompt was sent before, so that it can't be refused any more.
+		wasSent bool
 		// isOnTime reports whether the prefill is scheduled to end before the prompt is due.
 		isOnTime bool
 		startAt  clock.Millis
@@ -59,10 +61,11 @@
 // maximises the number of prompts that are on time with the Moore-Hodgson algorithm:
 // prompts are scheduled in the order of their due times, and whenever one would be late,
 // the longest of those scheduled so far is moved to the end. A prompt uses at most
-// maxHelpers+1 engines, so that in a large service many are prefilled at the same time.
+// maxHelpers+1 engines, so that in a large service many are prefilled at the same time. Prompts of
+// this entry that were sent before come first.
 func buildQueue(b *board.Board, engine *plan.Engine, request *board.Request, engines int) queue {
 	var all queue
-	add := func(entry ident.Entry, prompt input.QueuedPrompt) {
+	add := func(entry ident.Entry, prompt input.QueuedPrompt, wasSent bool) {
 		if prompt.Service != request.Service {
 			return
 		}
@@ -71,11 +74,12 @@
 		all = append(all, queuedPrompt{
 			QueuedPrompt: prompt, entry: entry, engines: gang,
 			prefill: clock.Millis(work / float64(gang)), shareMillis: work / float64(engines),
+			wasSent: wasSent,
 		})
 	}
 	for _, other := range b.Requests {
 		if other == request || other.Queued {
-			add(b.Self, other.QueuedPrompt())
+			add(b.Self, other.QueuedPrompt(), other.Runs > 0)
 		}
 	}
 	for name, peer := range b.PeersWithQueue {
@@ -83,7 +87,7 @@
 			continue
 		}
 		for _, prompt := range peer.News.QueuedPrompts {
-			add(name, prompt)
+			add(name, prompt, false)
 		}
 	}
 	slices.SortFunc(all, func(a, b queuedPrompt) int {
@@ -94,10 +98,19 @@
 
 // schedule orders prompts that are sorted by due time and sets their start times.
 func (q queue) schedule(now clock.Millis) queue {
-	var onTime, late queue
+	var sent, onTime, late queue
 	delay := 0.0
 	for _, next := range q {
-		if now+next.prefill > next.DueAt {
+		if next.wasSent {
+			sent = append(sent, next)
+			delay += next.shareMillis
+		}
+	}
+	for _, next := range q {
+		switch {
+		case next.wasSent:
+			continue
+		case now+next.prefill > next.DueAt:
 			late = append(late, next)
 			continue
 		}
@@ -121,7 +134,7 @@
 	}
 	// Late prompts are ordered by age, with an advantage for short ones.
 	slices.SortStableFunc(late, func(a, b queuedPrompt) int { return cmp.Compare(a.DueAt+a.prefill, b.DueAt+b.prefill) })
-	scheduled := append(onTime, late...)
+	scheduled := slices.Concat(sent, onTime, late)
 	delay = 0
 	for i := range scheduled {
 		scheduled[i].startAt = now + clock.Millis(delay)
