Relay: a refusal of another request is not believed

Report of other operators: a faulty endpoint wrote an earlier refusal once more; callers were told that a request had not run which ran, or it ran at a second endpoint.

It could happen here: each send has a connection of its own, so that no earlier answer can be left on it, but an endpoint that wrote a copy first was believed, since Not-Executed was looked at before the id; and an answer without an id passed as one to this request. Class of fault: an answer is used before it is known whose it is.

Change: an answer must echo the id of the request before anything in it counts; otherwise its outcome is unknown (502, or a retry of what may be repeated).

TestSecondCopyOfRefusalIsNotBelieved failed before (another id, and none).

--- a/internal/flow/proxy/send.go
+++ b/internal/flow/proxy/send.go
@@ -139,13 +139,14 @@
 	}
 	head := x.session.proxy.dialect.ReadAnswer(response)
 	switch {
+	case head.Request != x.session.request.Name:
+		// Not even a refusal is believed: it may be a second copy of an earlier one.
+		return x.failedResult(&AnswerError{"it answers another request"})
 	case head.NotRun:
 		return call.Result{
 			End: call.EndNotRun, Status: response.StatusCode, FailedAddress: head.FailedAddress, Moved: head.Moved,
 			Refused: !head.Moved,
 		}
-	case head.Request != "" && head.Request != x.session.request.Name:
-		return x.failedResult(&AnswerError{"it answers another request"})
 	case !head.Signed:
 		return x.failedResult(&AnswerError{"it has no signature"})
 	case response.Header.Get("Content-Encoding") != "":
