Relay: a resumed stream goes on with the events that follow, or breaks off

Report of other operators: a stream broke off, the next endpoint answered with an error, and callers found its text or head in their stream, or the stream ended as if it were complete.

It could happen here for answers with status 200: text before a blank line passed as an event, a stream that began anew was forwarded, and an answer without any event counted as the complete rest. (Answers with another status broke the stream off already.) Class of fault: the form of an answer is taken for its content.

Change: each event needs an id above the last one that the caller received, and an answer without an event is no rest of a stream. Otherwise the send has failed: the stream is resumed elsewhere or broken off visibly.

--- a/internal/flow/proxy/send.go
+++ b/internal/flow/proxy/send.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"os"
+	"strconv"
 	"syscall"
 	"time"
 
@@ -283,12 +284,17 @@
 	for {
 		event, err := events.next()
 		if errors.Is(err, io.EOF) {
-			return x.streamResult(response)
+			return x.streamResult(response, isFirst)
 		}
 		if err != nil {
 			return x.failedResult(newReadError("event", err))
 		}
 		isProgress := !isComment(event)
+		if isProgress {
+			if err := x.checkOrder(event); err != nil {
+				return x.failedResult(err)
+			}
+		}
 		if isFirst && !isProgress {
 			continue
 		}
@@ -315,10 +321,26 @@
 	return x.session.writeEvent(event)
 }
 
+// checkOrder returns an AnswerError if the event has no id, or does not follow the last event that
+// the caller received. Text that is no event, such as that of another answer, has no id.
+func (x *exchange) checkOrder(event []byte) error {
+	id := x.session.proxy.dialect.EventID(event)
+	if id == "" {
+		return &AnswerError{"an event has no id"}
+	}
+	next, nextErr := strconv.ParseUint(id, 10, 64)
+	last, lastErr := strconv.ParseUint(x.session.lastEventID, 10, 64)
+	if nextErr == nil && lastErr == nil && next <= last {
+		return &AnswerError{"its events are out of order"}
+	}
+	return nil
+}
+
 // streamResult returns the result of a stream that the endpoint has closed after a complete
-// event. The stream is broken if it ended before the first one.
-func (x *exchange) streamResult(response *http.Response) call.Result {
-	if !x.session.streamOpen {
+// event. The stream is broken if it ended before the first one, also if another endpoint sent
+// events before.
+func (x *exchange) streamResult(response *http.Response, isEmpty bool) call.Result {
+	if isEmpty {
 		return x.failedResult(&AnswerError{"it ended without an event"})
 	}
 	return call.Result{End: call.EndComplete, Status: response.StatusCode}
