Relay: endpoints that say they leave, or ask for a pause

Cause: nothing read Server-Leaving or the Retry-After of a 503.

Change: the adapter translates both into two fields of an answer; the core hears of them before the answer is relayed, as a stream may last for long. An endpoint that announces that it leaves is out of use by its word, whatever an older list or a peer says, until it starts anew. One that asks for a pause is out of use until its end, 60 s at most; that is no failure, and RecordSuccess does not end it. Both are news for the peers (pauses in a new field of the datagram), so that not every entry has to be turned away. A send for which memory was being reserved is dropped if its endpoint went out of use meanwhile. If all usable endpoints pause, callers are told when the first pause ends, spread over half of it, and not before. One log line each, counters endpoints.leaving and endpoints.pauses.

The soak does not say either word yet.

--- a/internal/flow/call/call.go
+++ b/internal/flow/call/call.go
@@ -31,6 +31,7 @@
 	ReasonNoRoute          Reason = "noRoute"
 	ReasonBadKey           Reason = "badKey"
 	ReasonNoEndpoint       Reason = "noEndpoint"
+	ReasonPaused           Reason = "paused"
 	ReasonOverload         Reason = "overload"
 	ReasonPromptTooLong    Reason = "promptTooLong"
 	ReasonDeadlineTooShort Reason = "deadlineTooShort"
--- a/internal/flow/codec/codec.go
+++ b/internal/flow/codec/codec.go
@@ -157,6 +157,9 @@
 			AgeMillis: uint32(max(now-pace.At, 0)),
 		})
 	}
+	for _, hash := range slices.Sorted(maps.Keys(news.Pauses)) {
+		message.Pauses = append(message.Pauses, &newspb.Pause{Endpoint: uint32(hash), LeftMillis: uint32(max(news.Pauses[hash]-now, 0))})
+	}
 	for _, queued := range news.QueuedPrompts {
 		message.Waiting = append(message.Waiting, &newspb.Waiting{
 			Service:       string(queued.Service),
@@ -210,6 +213,12 @@
 			At:     now - clock.Millis(encoded.AgeMillis),
 		}
 	}
+	if len(message.Pauses) > 0 {
+		news.Pauses = map[pool.Hash]clock.Millis{}
+	}
+	for _, encoded := range message.Pauses {
+		news.Pauses[pool.Hash(encoded.Endpoint)] = now + min(clock.Millis(encoded.LeftMillis), pool.MaxPause)
+	}
 	for _, encoded := range message.Waiting {
 		news.QueuedPrompts = append(news.QueuedPrompts, input.QueuedPrompt{
 			Service:      ident.Service(encoded.Service),
--- a/internal/flow/codec/codec_test.go
+++ b/internal/flow/codec/codec_test.go
@@ -34,6 +34,9 @@
 	if rapid.Bool().Draw(t, "paces") {
 		news.Paces = map[pool.Hash]pool.Pace{4: {Factor: 2.75, At: now - 40}}
 	}
+	if rapid.Bool().Draw(t, "pauses") {
+		news.Pauses = map[pool.Hash]clock.Millis{5: now + 700, 6: now + pool.MaxPause}
+	}
 	for range rapid.IntRange(0, 3).Draw(t, "waiting") {
 		news.QueuedPrompts = append(news.QueuedPrompts, input.QueuedPrompt{
 			Service: "s", Number: rapid.Uint64().Draw(t, "number"), PromptTokens: count.Draw(t, "prompt"),
--- a/internal/flow/input/input.go
+++ b/internal/flow/input/input.go
@@ -111,6 +111,16 @@
 	// expected.
 	EndpointSilent struct{ Number uint64 }
 
+	// EndpointNoticed delivers what an endpoint says of itself in its answer to a request.
+	EndpointNoticed struct {
+		Endpoint ident.Endpoint
+		Request  ident.Request
+		// Leaving reports whether it announces that it is leaving.
+		Leaving bool
+		// RetryAfter is for how long it asks to be sent nothing; zero if it does not.
+		RetryAfter clock.Millis
+	}
+
 	// SendEnded delivers the result of a send.
 	SendEnded struct{ Result call.Result }
 
@@ -166,6 +176,8 @@
 		LeavingEndpoints []pool.Hash
 		// FailureCounts counts the recent failures of the entry's requests by endpoint.
 		FailureCounts map[pool.Hash]int
+		// Pauses holds when the pauses end that endpoints asked the entry for.
+		Pauses map[pool.Hash]clock.Millis
 		// Paces holds the paces that endpoints recently reported to the entry.
 		Paces map[pool.Hash]pool.Pace
 		// QueuedPrompts are the long prompts that wait for engines at the entry.
@@ -216,6 +228,7 @@
 func (RequestReceived) isInput()    {}
 func (FirstEventSent) isInput()     {}
 func (EndpointSilent) isInput()     {}
+func (EndpointNoticed) isInput()    {}
 func (SendEnded) isInput()          {}
 func (PaceReported) isInput()       {}
 func (CallerDisconnected) isInput() {}
--- a/internal/flow/peers/peers.go
+++ b/internal/flow/peers/peers.go
@@ -187,6 +187,7 @@
 	}
 	peer.Unresponsive = false
 	b.Pool.UpdatePeerLeaving(news.LeavingEndpoints, b.Now)
+	b.Pool.UpdatePeerPauses(news.Pauses)
 	for _, name := range b.Pool.UpdatePeerPaces(news.Paces, b.Now) {
 		b.Log("Pace of endpoint received from an entry.", "endpoint", name, "pace", b.Pool.Find(name).Pace(b.Now), "entry", news.Entry)
 	}
@@ -200,7 +201,7 @@
 func isWorthForwarding(before, news input.News) bool {
 	isBusy := func(n input.News) bool {
 		return len(n.QueuedPrompts) > 0 || len(n.CrashCounts) > 0 || len(n.LeavingEndpoints) > 0 ||
-			len(n.FailureCounts) > 0 || len(n.Paces) > 0
+			len(n.FailureCounts) > 0 || len(n.Paces) > 0 || len(n.Pauses) > 0
 	}
 	return isBusy(news) || isBusy(before) || before.PlanVersion != news.PlanVersion || before.Leaving != news.Leaving ||
 		before.ListRevision != news.ListRevision || news.ConfirmedAt > before.ConfirmedAt
--- a/internal/flow/peers/publish.go
+++ b/internal/flow/peers/publish.go
@@ -301,6 +301,7 @@
 		ConfirmedAt: b.ConfirmedAt, Leaving: b.Stopping, LeavingEndpoints: b.Pool.RecentlyLeaving(b.Now),
 		FailureCounts: b.Pool.RecentFailures(b.Now),
 		Paces:         b.Pool.RecentReports(b.Now),
+		Pauses:        b.Pool.Pauses(b.Now),
 		CrashCounts:   map[uint64]int{},
 	}
 	for _, number := range slices.Sorted(maps.Keys(b.Requests)) {
--- a/internal/flow/place/choose.go
+++ b/internal/flow/place/choose.go
@@ -99,7 +99,7 @@
 // chooseEndpoint chooses an endpoint of a plain service: the one with the lowest load
 // per slot, after loadJitter and remoteDomainLoad have been added.
 func chooseEndpoint(b *board.Board, request *board.Request) choice {
-	best := choice{reason: call.ReasonNoEndpoint, retryAfter: FullRetryAfter}
+	var best choice
 	least := math.Inf(1)
 	for _, endpoint := range usableEndpoints(b, request, nil) {
 		load := float64(endpoint.Leads())/float64(max(endpoint.Slots, 1)) + b.Random.Float64()*loadJitter
@@ -111,5 +111,8 @@
 			best = choice{lead: endpoint}
 		}
 	}
+	if best.lead == nil {
+		return noEndpoint(b, request)
+	}
 	return best
 }
--- a/internal/flow/place/engine.go
+++ b/internal/flow/place/engine.go
@@ -115,7 +115,7 @@
 	defer scratchPool.Put(memory)
 	candidates := memory.listCandidates(b, request, engine)
 	if len(candidates) == 0 {
-		return choice{reason: call.ReasonNoEndpoint, retryAfter: FullRetryAfter}
+		return noEndpoint(b, request)
 	}
 	if need > engine.MemoryTokens*min(len(candidates), maxLeaseHolders+1) {
 		return choice{reason: call.ReasonPromptTooLong, retryAfter: FullRetryAfter}
--- /dev/null
+++ b/internal/flow/place/notice.go
@@ -0,0 +1,41 @@
+package place
+
+import (
+	"mustardhook/internal/core/clock"
+	"mustardhook/internal/flow/board"
+	"mustardhook/internal/flow/call"
+	"mustardhook/internal/flow/input"
+)
+
+// pauseSpread is the share of a pause by which callers return later than its end at most, so that
+// they do not all return at the same time.
+const pauseSpread = 0.5
+
+// handleNotice records what an endpoint says of itself. Work that it runs goes on.
+func handleNotice(b *board.Board, notice input.EndpointNoticed) {
+	endpoint := b.Pool.Find(notice.Endpoint)
+	if endpoint == nil {
+		return
+	}
+	if notice.Leaving && b.Pool.AnnounceLeaving(endpoint, b.Now) {
+		b.NewsChanged = true
+		b.Log("Endpoint announces that it leaves.", "request", notice.Request, "endpoint", endpoint.Name)
+	}
+	if notice.RetryAfter > 0 {
+		b.Pool.Pause(endpoint, notice.RetryAfter, b.Now)
+		b.NewsChanged = true
+		b.Log("Endpoint asks for a pause.", "request", notice.Request, "endpoint", endpoint.Name,
+			"retryAfter", notice.RetryAfter, "until", b.Now+notice.RetryAfter)
+	}
+}
+
+// noEndpoint returns the decision on a request if no endpoint is usable. If some have only asked for
+// a pause, the caller is told to return when the first pause has ended.
+func noEndpoint(b *board.Board, request *board.Request) choice {
+	end := b.Pool.PauseEnd(request.Service, b.Now)
+	if end == 0 {
+		return choice{reason: call.ReasonNoEndpoint, retryAfter: FullRetryAfter}
+	}
+	pause := end - b.Now
+	return choice{reason: call.ReasonPaused, retryAfter: pause + clock.Millis(pauseSpread*b.Random.Float64()*float64(pause))}
+}
--- a/internal/flow/place/place.go
+++ b/internal/flow/place/place.go
@@ -72,6 +72,8 @@
 		handleFirstEvent(b, in.Number)
 	case input.EndpointSilent:
 		handleSilence(b, in.Number)
+	case input.EndpointNoticed:
+		handleNotice(b, in)
 	case input.SendEnded:
 		handleSendEnded(b, in.Result)
 	case input.CallerDisconnected:
@@ -176,8 +178,8 @@
 	switch {
 	case decision.lead != nil:
 		send(b, request, decision)
-	case request.HasRetry && decision.reason == call.ReasonNoEndpoint:
-		// Others were usable when the send was ended. They may be in backoff by now.
+	case request.HasRetry && (decision.reason == call.ReasonNoEndpoint || decision.reason == call.ReasonPaused):
+		// Others were usable when the send was ended. They may be in backoff or paused by now.
 		request.NotBefore = b.Now + SilenceRetryDelay
 		decision.wait = call.WaitEndpoint
 		logWait(b, request, decision)
--- a/internal/flow/pool/failing.go
+++ b/internal/flow/pool/failing.go
@@ -122,7 +122,7 @@
 	e.expireFailures(now)
 	hasLeavingExpired := e.LeavingAt == 0 || now-e.LeavingAt > LeavingPublishWindow
 	hasReport := e.reported.At != 0 && now-e.reported.At <= PaceTTL
-	return hasLeavingExpired && !hasReport && len(e.ownFailures) == 0 && len(e.failureReports) == 0
+	return hasLeavingExpired && !hasReport && now >= e.ownPauseUntil && len(e.ownFailures) == 0 && len(e.failureReports) == 0
 }
 
 // clearFailures discards the failures recorded so far.
--- a/internal/flow/pool/health.go
+++ b/internal/flow/pool/health.go
@@ -45,9 +45,13 @@
 // IsUsable reports whether new work may be sent to the endpoint.
 func (e *Endpoint) IsUsable(now clock.Millis) bool {
 	isListed := e.RemovedAt == 0 || now < e.RemovalGraceUntil
-	return isListed && !e.Leaving && now >= e.BackoffUntil && now >= e.PeerLeavingUntil && now >= e.ejectedUntil
+	return isListed && !e.IsLeaving() && now >= e.BackoffUntil && now >= e.PeerLeavingUntil && now >= e.ejectedUntil &&
+		now >= e.pausedUntil
 }
 
+// IsLeaving reports whether the endpoint is leaving by the list or by its own word.
+func (e *Endpoint) IsLeaving() bool { return e.Leaving || e.announcedLeaving }
+
 // RecentlyLeaving returns the hashes of the endpoints that this entry found to be leaving
 // within the last LeavingPublishWindow, in order.
 func (p *Pool) RecentlyLeaving(now clock.Millis) []Hash {
@@ -72,6 +76,18 @@
 	}
 }
 
+// AnnounceLeaving records that the endpoint has announced that it is leaving, whatever the list
+// says. It returns false if that is known.
+func (p *Pool) AnnounceLeaving(e *Endpoint, now clock.Millis) bool {
+	if e.announcedLeaving {
+		return false
+	}
+	e.announcedLeaving = true
+	e.markLeaving(now)
+	p.track(e)
+	return true
+}
+
 // track adds the endpoint to those with recent failures, reports or a leaving state.
 func (p *Pool) track(endpoint *Endpoint) { p.tracked[endpoint.hash] = endpoint }
 
--- a/internal/flow/pool/list.go
+++ b/internal/flow/pool/list.go
@@ -17,7 +17,7 @@
 // Put adds or updates an endpoint of the published list.
 func (p *Pool) Put(listing Listing, now clock.Millis) {
 	endpoint := p.upsert(listing)
-	if !endpoint.Leaving {
+	if !endpoint.IsLeaving() {
 		endpoint.LeavingAt = 0
 		return
 	}
--- a/internal/flow/pool/pace.go
+++ b/internal/flow/pool/pace.go
@@ -61,7 +61,7 @@
 	var slow []*Endpoint
 	for _, endpoint := range p.tracked {
 		isOwnReport := endpoint.reported.At != 0 && endpoint.reported == endpoint.pace
-		if isOwnReport && endpoint.Pace(now) >= SlowPace && endpoint.RemovedAt == 0 {
+		if isOwnReport && endpoint.Pace(now) >= SlowPace && endpoint.RemovedAt == 0 && !endpoint.IsLeaving() {
 			slow = append(slow, endpoint)
 		}
 	}
--- a/internal/flow/pool/pool.go
+++ b/internal/flow/pool/pool.go
@@ -80,6 +80,14 @@
 		// expires.
 		PeerLeavingUntil clock.Millis
 
+		// announcedLeaving is set once the endpoint has announced in an answer that it is leaving.
+		// Only another epoch of it is used again.
+		announcedLeaving bool
+		// pausedUntil is the end of the pause that the endpoint asked for, and ownPauseUntil that of
+		// the pause that it asked this entry for.
+		pausedUntil   clock.Millis
+		ownPauseUntil clock.Millis
+
 		// ownFailures are the times of this entry's recent failures. failureReports are
 		// the recent failures that peers have published.
 		ownFailures    []clock.Millis
--- a/internal/flow/pool/pool_test.go
+++ b/internal/flow/pool/pool_test.go
@@ -124,3 +124,42 @@
 	endpoint := p.Find(name)
 	return endpoint != nil && endpoint.IsUsable(now)
 }
+
+// Guards against an endpoint that is used again after it announced that it leaves, because an older
+// list still names it as ready. A new start of it is used.
+func TestAnnouncedLeavingOutlastsTheList(t *testing.T) {
+	p := New()
+	listing := Listing{Name: "r1", Service: "s", Address: "10.0.0.1:80", Slots: 4, Epoch: 1}
+	p.Put(listing, 100)
+	require.True(t, p.AnnounceLeaving(p.Find("r1"), 200))
+	require.False(t, p.AnnounceLeaving(p.Find("r1"), 300))
+	p.Put(listing, 400)
+	changed := listing
+	changed.Slots = 8
+	p.Put(changed, 500)
+	p.ApplySnapshot([]PeerListing{{Listing: listing}}, 600)
+	require.False(t, p.Find("r1").IsUsable(100000))
+	require.Equal(t, []Hash{HashOf("r1")}, p.RecentlyLeaving(600))
+	listing.Epoch = 2
+	p.Put(listing, 700)
+	require.True(t, p.Find("r1").IsUsable(700))
+	require.Empty(t, p.RecentlyLeaving(700))
+}
+
+// Guards against a pause that ends early, because the endpoint answered an earlier request or asked
+// for a shorter pause later, and against one that counts as a failure of the endpoint.
+func TestPauseLastsUntilItsEnd(t *testing.T) {
+	p := New()
+	p.Put(Listing{Name: "r1", Service: "s", Address: "10.0.0.1:80", Slots: 4, Epoch: 1}, 100)
+	endpoint := p.Find("r1")
+	p.Pause(endpoint, 2000, 1000)
+	p.Pause(endpoint, 500, 1100)
+	endpoint.RecordSuccess()
+	require.False(t, endpoint.IsUsable(2999))
+	require.True(t, endpoint.IsUsable(3000))
+	require.Equal(t, map[Hash]clock.Millis{endpoint.Hash(): 3000}, p.Pauses(2000))
+	require.EqualValues(t, 3000, p.PauseEnd("s", 2000))
+	require.Zero(t, p.PauseEnd("s", 3000))
+	require.Empty(t, p.RecentFailures(2000))
+	require.Nil(t, p.Pauses(3000))
+}
--- a/internal/flow/port/port.go
+++ b/internal/flow/port/port.go
@@ -59,6 +59,10 @@
 		// FailedAddress is the address of the endpoint that the answer names as the cause
 		// of the failure; empty if it names none.
 		FailedAddress string
+		// Leaving reports whether the endpoint announces that it is leaving.
+		Leaving bool
+		// RetryAfter is for how long the endpoint asks to be sent nothing; zero if it does not.
+		RetryAfter clock.Millis
 	}
 
 	// Source reads published state: the plan and the list of endpoints.
--- a/internal/flow/proxy/meters.go
+++ b/internal/flow/proxy/meters.go
@@ -16,6 +16,10 @@
 		refused  metrics.Counter
 		aborted  metrics.Counter
 		sends    metrics.Counter
+		// leaving and pauses count the answers in which endpoints announced that they leave, and
+		// those in which they asked for a pause.
+		leaving metrics.Counter
+		pauses  metrics.Counter
 		// timeToFirstEvent measures the time until the first event of a stream, and
 		// duration the time until the whole answer was delivered.
 		timeToFirstEvent metrics.Timer
@@ -32,6 +36,8 @@
 		refused:          metrics.NewRegisteredCounter("requests.refused", r),
 		aborted:          metrics.NewRegisteredCounter("requests.aborted", r),
 		sends:            metrics.NewRegisteredCounter("sends.started", r),
+		leaving:          metrics.NewRegisteredCounter("endpoints.leaving", r),
+		pauses:           metrics.NewRegisteredCounter("endpoints.pauses", r),
 		timeToFirstEvent: metrics.NewRegisteredTimer("requests.firstEvent", r),
 		duration:         metrics.NewRegisteredTimer("requests.total", r),
 	}
--- a/internal/flow/proxy/proxy.go
+++ b/internal/flow/proxy/proxy.go
@@ -15,6 +15,7 @@
 
 	"mustardhook/internal/core/clock"
 	"mustardhook/internal/core/cycle"
+	"mustardhook/internal/core/ident"
 	"mustardhook/internal/flow/board"
 	"mustardhook/internal/flow/call"
 	"mustardhook/internal/flow/input"
@@ -214,6 +215,14 @@
 	return place.ShouldMove(p.board, number)
 }
 
+// isUsable reports whether new work may be sent to the endpoint.
+func (p *Proxy) isUsable(name ident.Endpoint) bool {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	endpoint := p.board.Pool.Find(name)
+	return endpoint != nil && endpoint.IsUsable(max(Now(), p.board.Now))
+}
+
 // endSilentSend reports whether the current send of the session, whose endpoint is silent,
 // must end so that the request can be sent elsewhere.
 func (p *Proxy) endSilentSend(s *session) bool {
--- a/internal/flow/proxy/send.go
+++ b/internal/flow/proxy/send.go
@@ -14,8 +14,10 @@
 
 	"github.com/go-faster/errors"
 
+	"mustardhook/internal/core/ident"
 	"mustardhook/internal/flow/call"
 	"mustardhook/internal/flow/input"
+	"mustardhook/internal/flow/port"
 	"mustardhook/internal/serve/limit"
 )
 
@@ -40,6 +42,10 @@
 	// AnswerError reports that an endpoint's answer can't be forwarded to the caller.
 	AnswerError struct{ Reason string }
 
+	// WithdrawnError reports that an endpoint asked not to be used any more while memory for the
+	// request was being reserved.
+	WithdrawnError struct{ Endpoint ident.Endpoint }
+
 	// CallerWriteError reports that writing the answer to the caller failed.
 	CallerWriteError struct{ Err error }
 
@@ -61,6 +67,11 @@
 // Error returns a message with the reason.
 func (e *AnswerError) Error() string { return "answer of an endpoint: " + e.Reason }
 
+// Error returns a message with the endpoint.
+func (e *WithdrawnError) Error() string {
+	return "endpoint " + string(e.Endpoint) + " is out of use since memory was reserved"
+}
+
 // Error returns a message with the cause.
 func (e *CallerWriteError) Error() string { return "write answer to caller: " + e.Err.Error() }
 
@@ -85,6 +96,11 @@
 		result.LeaseRefused = true
 		return s.classifyEnd(result)
 	}
+	if len(leases.reserved) > 0 && !s.proxy.isUsable(target.Endpoint) {
+		result.Err = &WithdrawnError{target.Endpoint}
+		result.Unreachable = false
+		return s.classifyEnd(result)
+	}
 	s.stage.Store(stageSent)
 	conn, err := newDialer(userTimeoutFor(len(s.body))).DialContext(ctx, "tcp4", target.Address)
 	if err != nil {
@@ -139,6 +155,7 @@
 		return x.failedResult(newReadError("head", err))
 	}
 	head := x.session.proxy.dialect.ReadAnswer(response)
+	x.reportNotice(head)
 	switch {
 	case head.Request != x.session.request.Name:
 		// Not even a refusal is believed: it may be a second copy of an earlier one.
@@ -158,6 +175,23 @@
 	return x.bufferAnswer(response)
 }
 
+// reportNotice passes what the endpoint says of itself to the core, if the answer is its own to
+// this request. It does so before the answer is relayed, since a stream may last for long.
+func (x *exchange) reportNotice(head port.AnswerHead) {
+	if head.Request != x.session.request.Name || !head.Leaving && head.RetryAfter == 0 {
+		return
+	}
+	if head.Leaving {
+		x.session.proxy.metrics.leaving.Inc(1)
+	}
+	if head.RetryAfter > 0 {
+		x.session.proxy.metrics.pauses.Inc(1)
+	}
+	x.session.proxy.Step(input.EndpointNoticed{
+		Endpoint: x.send.Endpoint, Request: head.Request, Leaving: head.Leaving, RetryAfter: head.RetryAfter,
+	})
+}
+
 // failedResult returns the result of a send that failed after the endpoint may have run
 // the request: EndTimeout after the deadline of the endpoint, otherwise EndAnswerLost.
 func (x *exchange) failedResult(err error) call.Result {
