Relay: a late answer of a former run says nothing about the new one

Found when reading the change: an endpoint that started anew while an answer of its former run was on its way, with Server-Leaving, would have been out of use for good. Notices carry the epoch of the run that was sent the request. TestLeavingEndpointGetsNoFurtherRequests checks it; before, the new run was out of use.

--- a/internal/flow/call/call.go
+++ b/internal/flow/call/call.go
@@ -99,8 +99,10 @@
 
 	// Send is one attempt to run a request at an endpoint.
 	Send struct {
-		Number       uint64
-		Endpoint     ident.Endpoint
+		Number   uint64
+		Endpoint ident.Endpoint
+		// Epoch identifies the run of the endpoint that the request is sent to.
+		Epoch        uint64
 		Address      string
 		Organisation ident.Organisation
 		// TimeLeft is the time that the endpoint has for its answer.
--- a/internal/flow/input/input.go
+++ b/internal/flow/input/input.go
@@ -114,7 +114,9 @@
 	// EndpointNoticed delivers what an endpoint says of itself in its answer to a request.
 	EndpointNoticed struct {
 		Endpoint ident.Endpoint
-		Request  ident.Request
+		// Epoch identifies the run of the endpoint that says so.
+		Epoch   uint64
+		Request ident.Request
 		// Leaving reports whether it announces that it is leaving.
 		Leaving bool
 		// RetryAfter is for how long it asks to be sent nothing; zero if it does not.
--- a/internal/flow/parts/notice_test.go
+++ b/internal/flow/parts/notice_test.go
@@ -16,7 +16,7 @@
 // pauseAll lets all endpoints of the service desk ask for a pause.
 func (e *testEntry) pauseAll(pause clock.Millis) {
 	for _, endpoint := range e.board.Pool.ByService(desk) {
-		e.step(input.EndpointNoticed{Endpoint: endpoint.Name, RetryAfter: pause})
+		e.step(input.EndpointNoticed{Endpoint: endpoint.Name, Epoch: 1, RetryAfter: pause})
 	}
 }
 
@@ -26,7 +26,7 @@
 	e := newTestEntry(t).configure(4)
 	number, got := e.request("/short/1", 5000, 10000)
 	leaving := requireSend(t, got).Endpoint
-	e.step(input.EndpointNoticed{Endpoint: leaving, Request: "r1", Leaving: true})
+	e.step(input.EndpointNoticed{Endpoint: leaving, Epoch: 1, Request: "r1", Leaving: true})
 	record := e.board.Pool.Find(leaving).Listing
 	e.step(input.EndpointRead{Record: record, Revision: 20})
 	e.step(input.FirstEventSent{Number: number})
@@ -46,6 +46,9 @@
 	record.Epoch++
 	e.step(input.EndpointRead{Record: record, Revision: 21})
 	require.True(t, e.board.Pool.Find(leaving).IsUsable(e.board.Now))
+	// The late answer of the former run says nothing about the new one.
+	e.step(input.EndpointNoticed{Endpoint: leaving, Epoch: 1, Leaving: true, RetryAfter: 1000})
+	require.True(t, e.board.Pool.Find(leaving).IsUsable(e.board.Now))
 }
 
 // Guards against requests that reach an endpoint during the pause that it asked this entry or another
@@ -58,7 +61,7 @@
 		if isPeer {
 			e.receiveNews("entry-2", func(n *input.News) { n.Pauses = map[pool.Hash]clock.Millis{paused.Hash(): until} })
 		} else {
-			e.step(input.EndpointNoticed{Endpoint: paused.Name, RetryAfter: 3000})
+			e.step(input.EndpointNoticed{Endpoint: paused.Name, Epoch: 1, RetryAfter: 3000})
 		}
 		for e.board.Now < until {
 			number, got := e.request("/read/1", 0, 0)
@@ -82,7 +85,7 @@
 	e := newTestEntry(t).configure(4)
 	list := e.board.Pool.ByService(desk)
 	e.pauseAll(4000)
-	e.step(input.EndpointNoticed{Endpoint: list[0].Name, RetryAfter: 6000})
+	e.step(input.EndpointNoticed{Endpoint: list[0].Name, Epoch: 1, RetryAfter: 6000})
 	e.step(input.EndpointRemoved{Name: list[1].Name, Revision: 30})
 	times := map[clock.Millis]bool{}
 	for range 20 {
@@ -129,7 +132,7 @@
 				}
 				turnedAway[asksForPause]++
 				if asksForPause {
-					e.step(input.EndpointNoticed{Endpoint: send.Send.Endpoint, RetryAfter: 1000})
+					e.step(input.EndpointNoticed{Endpoint: send.Send.Endpoint, Epoch: send.Send.Epoch, RetryAfter: 1000})
 				}
 				out = e.endSend(call.Result{Number: number, End: call.EndNotRun, Status: 503, Refused: true})
 			}
--- a/internal/flow/place/notice.go
+++ b/internal/flow/place/notice.go
@@ -11,10 +11,11 @@
 // they do not all return at the same time.
 const pauseSpread = 0.5
 
-// handleNotice records what an endpoint says of itself. Work that it runs goes on.
+// handleNotice records what an endpoint says of itself, unless it has started anew since. Work that
+// it runs goes on.
 func handleNotice(b *board.Board, notice input.EndpointNoticed) {
 	endpoint := b.Pool.Find(notice.Endpoint)
-	if endpoint == nil {
+	if endpoint == nil || endpoint.Epoch != notice.Epoch {
 		return
 	}
 	if notice.Leaving && b.Pool.AnnounceLeaving(endpoint, b.Now) {
--- a/internal/flow/place/send.go
+++ b/internal/flow/place/send.go
@@ -18,7 +18,7 @@
 	timeLeft := request.DeadlineAt - b.Now
 	request.MoveAfter = 0
 	attempt := call.Send{
-		Number: request.Request.Number, Endpoint: decision.lead.Name, Address: decision.lead.Address,
+		Number: request.Request.Number, Endpoint: decision.lead.Name, Epoch: decision.lead.Epoch, Address: decision.lead.Address,
 		Organisation: request.Organisation, TimeLeft: timeLeft, Urgency: decision.urgency, Stream: request.Route.IsStream(),
 		FirstEventTimeout: timeLeft, NextEventTimeout: timeLeft, Predicted: decision.firstEvent,
 		Basis: basisOf(b, request),
--- a/internal/flow/proxy/send.go
+++ b/internal/flow/proxy/send.go
@@ -188,7 +188,7 @@
 		x.session.proxy.metrics.pauses.Inc(1)
 	}
 	x.session.proxy.Step(input.EndpointNoticed{
-		Endpoint: x.send.Endpoint, Request: head.Request, Leaving: head.Leaving, RetryAfter: head.RetryAfter,
+		Endpoint: x.send.Endpoint, Epoch: x.send.Epoch, Request: head.Request, Leaving: head.Leaving, RetryAfter: head.RetryAfter,
 	})
 }
 
