Pool: the longest pause is bounded in one place

No bound changes. Measured: TestLongestPauseIsBounded (new, endpoint and peer), TestReadPause, tests of notices on core and relay.

--- a/internal/flow/codec/codec.go
+++ b/internal/flow/codec/codec.go
@@ -217,7 +217,7 @@
 		news.Pauses = map[pool.Hash]clock.Millis{}
 	}
 	for _, encoded := range message.Pauses {
-		news.Pauses[pool.Hash(encoded.Endpoint)] = now + min(clock.Millis(encoded.LeftMillis), pool.MaxPause)
+		news.Pauses[pool.Hash(encoded.Endpoint)] = now + clock.Millis(encoded.LeftMillis)
 	}
 	for _, encoded := range message.Waiting {
 		news.QueuedPrompts = append(news.QueuedPrompts, input.QueuedPrompt{
--- a/internal/flow/peers/peers.go
+++ b/internal/flow/peers/peers.go
@@ -187,7 +187,7 @@
 	}
 	peer.Unresponsive = false
 	b.Pool.UpdatePeerLeaving(news.LeavingEndpoints, b.Now)
-	b.Pool.UpdatePeerPauses(news.Pauses)
+	b.Pool.UpdatePeerPauses(news.Pauses, b.Now)
 	for _, name := range b.Pool.UpdatePeerPaces(news.Paces, b.Now) {
 		b.Log("Pace of endpoint received from an entry.", "endpoint", name, "pace", b.Pool.Find(name).Pace(b.Now), "entry", news.Entry)
 	}
--- a/internal/flow/place/notice.go
+++ b/internal/flow/place/notice.go
@@ -23,10 +23,10 @@
 		b.Log("Endpoint announces that it leaves.", "request", notice.Request, "endpoint", endpoint.Name)
 	}
 	if notice.RetryAfter > 0 {
-		b.Pool.Pause(endpoint, notice.RetryAfter, b.Now)
+		until := b.Pool.Pause(endpoint, notice.RetryAfter, b.Now)
 		b.NewsChanged = true
 		b.Log("Endpoint asks for a pause.", "request", notice.Request, "endpoint", endpoint.Name,
-			"retryAfter", notice.RetryAfter, "until", b.Now+notice.RetryAfter)
+			"retryAfter", notice.RetryAfter, "until", until)
 	}
 }
 
--- a/internal/flow/pool/pause.go
+++ b/internal/flow/pool/pause.go
@@ -9,12 +9,13 @@
 // that no value takes an endpoint out of use for good.
 const MaxPause = 60 * clock.Second
 
-// Pause records that the endpoint asked this entry to send it nothing for the given time. That
-// is no failure of the endpoint, and a shorter pause does not end a longer one.
-func (p *Pool) Pause(e *Endpoint, duration, now clock.Millis) {
+// Pause records that the endpoint asked this entry to send it nothing for the given time, and returns
+// when that ends. It is no failure of the endpoint, and a shorter pause does not end a longer one.
+func (p *Pool) Pause(e *Endpoint, duration, now clock.Millis) clock.Millis {
 	e.ownPauseUntil = max(e.ownPauseUntil, now+min(duration, MaxPause))
 	e.pausedUntil = max(e.pausedUntil, e.ownPauseUntil)
 	p.track(e)
+	return e.ownPauseUntil
 }
 
 // Pauses returns when the pauses end that endpoints asked this entry for. It returns nil if there
@@ -35,10 +36,10 @@
 
 // UpdatePeerPauses applies the pauses that endpoints asked a peer for, so that not every entry has
 // to be turned away.
-func (p *Pool) UpdatePeerPauses(pauses map[Hash]clock.Millis) {
+func (p *Pool) UpdatePeerPauses(pauses map[Hash]clock.Millis, now clock.Millis) {
 	for hash, until := range pauses {
 		if endpoint := p.byHash[hash]; endpoint != nil {
-			endpoint.pausedUntil = max(endpoint.pausedUntil, until)
+			endpoint.pausedUntil = max(endpoint.pausedUntil, min(until, now+MaxPause))
 		}
 	}
 }
--- a/internal/flow/pool/pool_test.go
+++ b/internal/flow/pool/pool_test.go
@@ -1,6 +1,7 @@
 package pool
 
 import (
+	"math"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -163,3 +164,16 @@
 	require.Empty(t, p.RecentFailures(2000))
 	require.Nil(t, p.Pauses(3000))
 }
+
+// Guards against a pause that takes an endpoint out of use for good, whether the endpoint asks for it or
+// another entry tells of it.
+func TestLongestPauseIsBounded(t *testing.T) {
+	p := New()
+	p.Put(Listing{Name: "r1", Service: "s", Address: "10.0.0.1:80", Slots: 4, Epoch: 1}, 100)
+	endpoint := p.Find("r1")
+	require.Equal(t, 1000+MaxPause, p.Pause(endpoint, math.MaxInt32, 1000))
+	require.True(t, endpoint.IsUsable(1000+MaxPause))
+	p.UpdatePeerPauses(map[Hash]clock.Millis{endpoint.Hash(): math.MaxInt64}, 200000)
+	require.False(t, endpoint.IsUsable(200000+MaxPause-1))
+	require.True(t, endpoint.IsUsable(200000+MaxPause))
+}
