--- a/internal/flow/proxy/send.go
+++ b/internal/flow/proxy/send.go
@@ -42,8 +42,8 @@
 	// AnswerError reports that an endpoint's answer can't be forwarded to the caller.
 	AnswerError struct{ Reason string }
 
-	// WithdrawnError reports that an endpoint asked not to be used any more while memory for the
-	// request was being reserved.
+	// WithdrawnError reports that an endpoint went out of use while memory for the request was being
+	// reserved.
 	WithdrawnError struct{ Endpoint ident.Endpoint }
 
 	// CallerWriteError reports that writing the answer to the caller failed.
@@ -69,7 +69,7 @@
 
 // Error returns a message with the endpoint.
 func (e *WithdrawnError) Error() string {
-	return "endpoint " + string(e.Endpoint) + " is out of use since memory was reserved"
+	return "endpoint " + string(e.Endpoint) + " went out of use while memory was reserved"
 }
 
 // Error returns a message with the cause.
