review: show that a stream cut by a crash looks complete

Cause: an answer without a length or chunks ends with its connection. Whether it was cut is decided by one probe, sent at once; the kernel closes the connections of a killed process before its listening socket, so the probe often succeeds.

--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -27,10 +27,15 @@
 
 // cases maps the name of a case to the function that plays it and returns the exit code.
 var cases = map[string]func(*setting) (int, error){
-	"keys": playKeys,
+	"keys": playKeys, "unframed": playUnframed,
 }
 
-func main() { os.Exit(play()) }
+func main() {
+	if settings := os.Getenv(childVariable); settings != "" {
+		os.Exit(runChild(settings))
+	}
+	os.Exit(play())
+}
 
 func play() int {
 	if len(os.Args) != usageArguments || cases[os.Args[1]] == nil {
