--- a/review/rig/child.go
+++ b/review/rig/child.go
@@ -46,7 +46,7 @@
 		for lines.Scan() {
 			fields := strings.Fields(lines.Text())
 			if len(fields) > 1 && fields[0] == "run" {
-				list.add(run{runner: id, service: service, attempt: fields[1], at: time.Now()})
+				list.add(run{runner: id, service: service, attempt: fields[1], path: strings.Join(fields[2:], " "), at: time.Now()})
 			}
 			r.line("runner", "%s %s", id, lines.Text())
 		}
@@ -76,19 +76,19 @@
 	return n.entry("ready", 1)
 }
 
-// runChild is the main function of a runner's process.
-func runChild(settings string) int {
+// runChild is the main function of a runner's process. It returns only if the runner can't listen.
+func runChild(settings string) {
 	fields := strings.Fields(settings)
 	listener, err := net.Listen("tcp4", "127.0.0.1:0")
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
-		return exitNotRun
+		return
 	}
 	fmt.Println(listener.Addr())
 	for {
 		conn, err := listener.Accept()
 		if err != nil {
-			return exitNotRun
+			return
 		}
 		go works[fields[2]](fields[0], conn)
 	}
--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -32,7 +32,8 @@
 
 func main() {
 	if settings := os.Getenv(childVariable); settings != "" {
-		os.Exit(runChild(settings))
+		runChild(settings)
+		os.Exit(exitNotRun)
 	}
 	os.Exit(play())
 }
@@ -96,7 +97,7 @@
 		return nil, nil, nil, nil, err
 	}
 	for i := range entries {
-		if _, err := f.add(zoneNames[i%len(zoneNames)]); err != nil {
+		if err := f.add(zoneNames[i%len(zoneNames)]); err != nil {
 			f.stop()
 			return nil, nil, nil, nil, err
 		}
--- a/review/rig/relay.go
+++ b/review/rig/relay.go
@@ -11,7 +11,6 @@
 	"os/exec"
 	"path/filepath"
 	"regexp"
-	"strings"
 	"syscall"
 	"time"
 )
@@ -80,7 +79,7 @@
 }
 
 // add writes the settings of an entry, from the project's template, and starts it.
-func (f *fleet) add(zone string) (*relay, error) {
+func (f *fleet) add(zone string) error {
 	number := len(f.relays) + 1
 	host := fmt.Sprintf("%s.%d", f.network, number)
 	at := func(host string, port int) string { return fmt.Sprintf("%s:%d", host, port) }
@@ -100,10 +99,10 @@
 		"bounds.budget_slack": 219, "bounds.budget_window_s": 10, "bounds.stall_ms": 1500, "bounds.grace_s": f.grace,
 	}
 	if err := writeSettings(e.settings, fields); err != nil {
-		return nil, err
+		return err
 	}
 	f.relays = append(f.relays, e)
-	return e, e.start(f.record)
+	return e.start(f.record)
 }
 
 // writeSettings fills in the project's template, as the platform does.
@@ -147,12 +146,6 @@
 	return nil
 }
 
-func (e *relay) signal(r *record, signal syscall.Signal) {
-	r.line("fault", "%s gets %s", e.name, signal)
-	// A process that has ended on its own is in the record.
-	_ = e.command.Process.Signal(signal)
-}
-
 // stop ends the process.
 func (e *relay) stop() {
 	select {
@@ -196,13 +189,3 @@
 		e.stop()
 	}
 }
-
-// tail returns the last lines of the log of an entry, for the record.
-func (e *relay) tail(lines int) string {
-	text, err := os.ReadFile(e.log)
-	if err != nil {
-		return err.Error()
-	}
-	all := strings.Split(strings.TrimSpace(string(text)), "\n")
-	return strings.Join(all[max(len(all)-lines, 0):], "\n")
-}
--- a/review/rig/unframed.go
+++ b/review/rig/unframed.go
@@ -26,6 +26,8 @@
 	// heartbeat intervals, after which the store removes its entry.
 	backAfter   = 1500 * time.Millisecond
 	silenceTime = 3600 * time.Millisecond
+
+	outcomeTruncated = "truncated"
 )
 
 // serveUnframed answers one request with a stream that has neither a length nor chunks and ends with its
@@ -63,105 +65,143 @@
 	fmt.Println("finished", attempt)
 }
 
+// crashes is the state of the case: the runners that were started and the outcomes of the streams.
+type crashes struct {
+	*setting
+	published *store
+	runs      *runs
+	children  []*child
+	fleet     *fleet
+	mutex     sync.Mutex
+	outcomes  map[string]int
+}
+
 // playUnframed kills runners while they write streams without a length.
 func playUnframed(s *setting) (int, error) {
-	list := &runs{}
-	published, err := startStore(s.record)
+	c := &crashes{setting: s, runs: &runs{}, outcomes: map[string]int{}}
+	defer c.stop()
+	if err := c.start(); err != nil {
+		return exitNotRun, err
+	}
+	if !c.fleet.waitReady(15 * time.Second) {
+		s.record.line("end", "the entries did not become ready")
+		return exitNotRun, nil
+	}
+	done := make(chan struct{})
+	var group sync.WaitGroup
+	for i := range clientCount {
+		group.Go(func() { c.runClient(c.fleet.relays[i%len(c.fleet.relays)], done) })
+	}
+	err := c.killInTurn()
+	close(done)
+	group.Wait()
 	if err != nil {
 		return exitNotRun, err
 	}
+	s.record.line("end", "outcomes %v", c.outcomes)
+	if c.outcomes[outcomeTruncated] > 0 {
+		return exitBroken, nil
+	}
+	return exitHeld, nil
+}
+
+func (c *crashes) start() error {
+	published, err := startStore(c.record)
+	if err != nil {
+		return err
+	}
+	c.published = published
 	route := plainRoute("check", "/check/", "streaming", "llm", 2)
 	route["resumable"], route["gap_aim_ms"], route["timeout_ms"] = true, 250, 10000
 	published.put("op/config", map[string]any{
 		"version": 7, "limits": limits(), "services": []any{plainService("llm")}, "routes": []any{route},
 	})
-	var children []*child
-	defer func() {
-		for _, c := range children {
-			c.stop()
-		}
-	}()
-	add := func() error {
-		number := len(children) + 1
-		c, err := startChild(s.record, list, fmt.Sprintf("i-llm-%d", number), "llm", "unframed")
-		if err != nil {
+	for range runnerCount {
+		if err := c.addRunner(); err != nil {
 			return err
 		}
-		children = append(children, c)
-		published.put("servers/"+c.id, c.entry("llm", zoneNames[number%len(zoneNames)]))
-		return nil
 	}
-	for range runnerCount {
-		if err := add(); err != nil {
-			return exitNotRun, err
+	if c.fleet, err = newFleet(c.record, c.folder, published.address); err != nil {
+		return err
+	}
+	for _, zone := range zoneNames {
+		if err := c.fleet.add(zone); err != nil {
+			return err
 		}
 	}
-	f, err := newFleet(s.record, s.folder, published.address)
+	return nil
+}
+
+func (c *crashes) addRunner() error {
+	number := len(c.children) + 1
+	added, err := startChild(c.record, c.runs, fmt.Sprintf("i-llm-%d", number), "llm", "unframed")
 	if err != nil {
-		return exitNotRun, err
+		return err
 	}
-	defer f.stop()
-	for i := range 3 {
-		if _, err := f.add(zoneNames[i%len(zoneNames)]); err != nil {
-			return exitNotRun, err
-		}
+	c.children = append(c.children, added)
+	c.published.put("servers/"+added.id, added.entry("llm", zoneNames[number%len(zoneNames)]))
+	return nil
+}
+
+func (c *crashes) stop() {
+	for _, running := range c.children {
+		running.stop()
 	}
-	if !f.waitReady(15 * time.Second) {
-		return exitNotRun, nil
-	}
-	var group sync.WaitGroup
-	var mutex sync.Mutex
-	outcomes := map[string]int{}
-	done := make(chan struct{})
-	for i := range clientCount {
-		group.Go(func() {
-			for {
-				select {
-				case <-done:
-					return
-				case <-time.After(time.Duration(rand.Intn(50)) * time.Millisecond):
-				}
-				a := send(s.record, f.relays[i%len(f.relays)].frontend, request{
-					method: http.MethodPost, host: "desk.example", path: "/check/7", timeout: 10 * time.Second, body: "roof 7",
-				})
-				events := strings.Count(a.body, "id: ")
-				mutex.Lock()
-				switch {
-				case a.err != nil:
-					outcomes["broken off"]++
-				case a.status != http.StatusOK:
-					outcomes[fmt.Sprint(a.status)]++
-				case events == streamEvents:
-					outcomes["whole"]++
-				default:
-					outcomes["TRUNCATED"]++
-					s.record.line("BROKEN", "ORDER: %s ended as complete after %d of %d events; its runs: %d", a.attempt, events, streamEvents,
-						len(list.of(a.attempt)))
-				}
-				mutex.Unlock()
-			}
-		})
+	if c.fleet != nil {
+		c.fleet.stop()
 	}
+}
+
+// killInTurn kills the oldest runner each time, and starts another one.
+func (c *crashes) killInTurn() error {
 	for range kills {
 		time.Sleep(beforeKill)
-		if !s.hasTrouble {
+		if !c.hasTrouble {
+			time.Sleep(silenceTime)
 			continue
 		}
-		victim := children[len(children)-runnerCount]
-		victim.kill(s.record)
+		victim := c.children[len(c.children)-runnerCount]
+		victim.kill(c.record)
 		time.Sleep(backAfter)
-		if err := add(); err != nil {
-			return exitNotRun, err
+		if err := c.addRunner(); err != nil {
+			return err
 		}
 		time.Sleep(silenceTime - backAfter)
-		published.remove("servers/" + victim.id)
+		c.published.remove("servers/" + victim.id)
 	}
-	close(done)
-	group.Wait()
-	s.record.line("end", "outcomes %v", outcomes)
-	fmt.Println(outcomes)
-	if outcomes["TRUNCATED"] > 0 {
-		return exitBroken, nil
+	return nil
+}
+
+// runClient asks for one stream after the other.
+func (c *crashes) runClient(entry *relay, done <-chan struct{}) {
+	for {
+		select {
+		case <-done:
+			return
+		case <-time.After(time.Duration(rand.Intn(50)) * time.Millisecond):
+		}
+		a := send(c.record, entry.frontend, request{
+			method: http.MethodPost, host: "desk.example", path: "/check/7", timeout: 10 * time.Second, body: "roof 7",
+		})
+		c.judge(a)
 	}
-	return exitHeld, nil
+}
+
+func (c *crashes) judge(a answer) {
+	events := strings.Count(a.body, "id: ")
+	outcome := outcomeTruncated
+	switch {
+	case a.err != nil:
+		outcome = "broken off"
+	case a.status != http.StatusOK:
+		outcome = fmt.Sprint(a.status)
+	case events == streamEvents:
+		outcome = "whole"
+	default:
+		c.record.line("BROKEN", "ORDER: %s ended as complete after %d of %d events; its runs: %d", a.attempt, events, streamEvents,
+			len(c.runs.of(a.attempt)))
+	}
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.outcomes[outcome]++
 }
