review: show that a stop cuts a long answer of a caller that sent ahead

Cause: an entry that stops closes the connection after the answer. If the caller's next request lies unread in the kernel, the close is a reset, which drops the part of the answer that the kernel has not sent.

--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -27,7 +27,7 @@
 
 // cases maps the name of a case to the function that plays it and returns the exit code.
 var cases = map[string]func(*setting) (int, error){
-	"keys": playKeys, "unframed": playUnframed,
+	"keys": playKeys, "unframed": playUnframed, "early": playEarly,
 }
 
 func main() {
