review: show that a part that crashes runners has a sound one refused

Cause: an answer without a length or chunks that a crash cuts is often taken for whole (review/2), and a whole answer acquits the parts of its prompt. The part that crashes runners is then no more suspect than those that sound prompts share with it.

Done: review/3, a script with twelve small deployments whose runners crash on a part.

--- a/review/rig/child.go
+++ b/review/rig/child.go
@@ -95,4 +95,4 @@
 }
 
 // works are what runners in processes of their own do with a connection.
-var works = map[string]func(id string, conn net.Conn){"unframed": serveUnframed}
+var works = map[string]func(id string, conn net.Conn){"unframed": serveUnframed, "parts": serveParts}
--- a/review/rig/early.go
+++ b/review/rig/early.go
@@ -40,7 +40,7 @@
 	for _, n := range runners {
 		n.work = writeLongAnswer
 	}
-	if !f.waitReady(15 * time.Second) {
+	if !f.waitReady() {
 		s.record.line("end", "the entries did not become ready")
 		return exitNotRun, nil
 	}
--- a/review/rig/keys.go
+++ b/review/rig/keys.go
@@ -31,7 +31,7 @@
 		return exitNotRun, err
 	}
 	defer f.stop()
-	if !f.waitReady(15 * time.Second) {
+	if !f.waitReady() {
 		s.record.line("end", "the entries did not become ready")
 		return exitNotRun, nil
 	}
--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -27,7 +27,7 @@
 
 // cases maps the name of a case to the function that plays it and returns the exit code.
 var cases = map[string]func(*setting) (int, error){
-	"keys": playKeys, "unframed": playUnframed, "early": playEarly,
+	"keys": playKeys, "unframed": playUnframed, "early": playEarly, "parts": playParts,
 }
 
 func main() {
@@ -92,7 +92,7 @@
 		}
 	}
 	published.put("op/config", config)
-	f, err := newFleet(s.record, s.folder, published.address)
+	f, err := newFleet(s.record, s.folder, published.address, 0)
 	if err != nil {
 		return nil, nil, nil, nil, err
 	}
--- a/review/rig/relay.go
+++ b/review/rig/relay.go
@@ -32,6 +32,7 @@
 	// fleet is the settings that all entries share.
 	fleet struct {
 		folder   string
+		prefix   string
 		publish  string
 		network  string
 		ports    [3]int
@@ -44,12 +45,16 @@
 	}
 )
 
+const readyTime = 15 * time.Second
+
 var placeholder = regexp.MustCompile(`{{([a-z_.0-9]+)\|json}}`)
 
-// newFleet chooses a loopback network and ports that are free there.
-func newFleet(r *record, folder, publish string) (*fleet, error) {
+// newFleet chooses a loopback network and ports that are free there. The number, below 16, tells apart the
+// deployments of one case.
+func newFleet(r *record, folder, publish string, number int) (*fleet, error) {
 	f := &fleet{folder: folder, publish: publish, record: r, grace: 8, memoryMB: 206}
-	f.network = fmt.Sprintf("127.%d.%d", 20+os.Getpid()%200, 1+os.Getpid()/200%250)
+	f.prefix = fmt.Sprintf("fleet-%d-", number)
+	f.network = fmt.Sprintf("127.%d.%d", 20+os.Getpid()%200, 1+os.Getpid()/200%15*16+number)
 	for i := range f.ports {
 		port, err := freePort(f.network + ".1")
 		if err != nil {
@@ -85,8 +90,8 @@
 	at := func(host string, port int) string { return fmt.Sprintf("%s:%d", host, port) }
 	e := &relay{
 		name: fmt.Sprintf("front-%s-%d", zone, number), zone: zone, frontend: at(host, f.ports[0]), ready: at(host, f.ports[1]),
-		control: at(host, f.ports[2]), settings: filepath.Join(f.folder, fmt.Sprintf("relay-%d.jsonc", number)),
-		log: filepath.Join(f.folder, fmt.Sprintf("relay-%d.log", number)),
+		control: at(host, f.ports[2]), settings: filepath.Join(f.folder, fmt.Sprintf("%srelay-%d.jsonc", f.prefix, number)),
+		log: filepath.Join(f.folder, fmt.Sprintf("%srelay-%d.log", f.prefix, number)),
 	}
 	var seeds []string
 	for i := 1; i <= 3; i++ {
@@ -168,9 +173,9 @@
 	return response.StatusCode == http.StatusOK
 }
 
-// waitReady waits until all entries are ready.
-func (f *fleet) waitReady(limit time.Duration) bool {
-	for end := time.Now().Add(limit); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
+// waitReady waits until all entries are ready. It reports false if that takes longer than readyTime.
+func (f *fleet) waitReady() bool {
+	for end := time.Now().Add(readyTime); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
 		ready := 0
 		for _, e := range f.relays {
 			if e.isReady() {
--- a/review/rig/unframed.go
+++ b/review/rig/unframed.go
@@ -83,7 +83,7 @@
 	if err := c.start(); err != nil {
 		return exitNotRun, err
 	}
-	if !c.fleet.waitReady(15 * time.Second) {
+	if !c.fleet.waitReady() {
 		s.record.line("end", "the entries did not become ready")
 		return exitNotRun, nil
 	}
@@ -121,7 +121,7 @@
 			return err
 		}
 	}
-	if c.fleet, err = newFleet(c.record, c.folder, published.address); err != nil {
+	if c.fleet, err = newFleet(c.record, c.folder, published.address, 0); err != nil {
 		return err
 	}
 	for _, zone := range zoneNames {
