Crashes: the log has each answer that is lost at its beginning, and the evidence against a request

Change: "Answer was lost at its beginning." and "Request crashes endpoints.", both with the fingerprint and the crashes that count against it. Conclusion: losses of one fingerprint can be counted over entries, with and without a confirmed end.

--- a/internal/flow/blame/blame.go
+++ b/internal/flow/blame/blame.go
@@ -90,6 +90,12 @@
 	return count.lastAt + RequestTTL
 }
 
+// CrashesOf returns the number of crashes that count against a request.
+func (l *Ledger) CrashesOf(fingerprint uint64, now clock.Millis) int {
+	l.refresh(now)
+	return l.requests[fingerprint].crashes
+}
+
 // IsSuspect reports whether one more crash would quarantine one of the parts.
 func (l *Ledger) IsSuspect(parts []call.Part, now clock.Millis) bool {
 	l.refresh(now)
--- a/internal/flow/crash/crash.go
+++ b/internal/flow/crash/crash.go
@@ -69,12 +69,17 @@
 	return b.Blame.QuarantinedUntil(request.Request.Fingerprint, b.Now)
 }
 
-// LogVerdict logs the verdict on the parts of a prompt for which it is not sent, if there is one.
+// LogVerdict logs why a quarantined request is not sent: the verdict on the parts of its prompt, or else
+// the evidence against the request as a whole.
 func LogVerdict(b *board.Board, request *board.Request) {
 	if verdict, ok := b.Blame.Quarantine(request.Request.Parts, b.Now); ok {
 		b.Log("Prompt has parts that crash endpoints.", "request", request.Request.Name, "parts", call.FormatParts(verdict.Parts),
 			"crashes", verdict.Crashes, "lastCrash", b.Now-verdict.LastCrashAt)
+		return
 	}
+	fingerprint := request.Request.Fingerprint
+	b.Log("Request crashes endpoints.", "request", request.Request.Name, "fingerprint", fingerprint,
+		"crashes", b.Blame.CrashesOf(fingerprint, b.Now), "until", b.Blame.QuarantinedUntil(fingerprint, b.Now)-b.Now)
 }
 
 // Step handles one input.
@@ -161,6 +166,8 @@
 	}
 	known.lost = append(known.lost, lost)
 	known.lastAt = b.Now
+	b.Log("Answer was lost at its beginning.", "request", lost.name, "fingerprint", lost.Fingerprint, "endpoint", name,
+		"sent", b.Now-lost.SentAt, "closed", isClosed, "crashes", b.Blame.CrashesOf(lost.Fingerprint, b.Now))
 	switch {
 	case known.hasCrashed:
 		c.report(b, name, known)
