Crashes: a request is quarantined for the answers that it loses, with or without a seen crash

Cause: a loss was evidence only once the entry that had it also saw the engine gone within 3 s. A record lapses after three heartbeats, 3.6 s, and a port that accepts connections and stays silent proves nothing, so at each entry each crash was the first one. Class: evidence that needs a second observation by the same observer. A suspended verdict on a part also took crashes away, and an entry that started knew nothing.

Change: answers that were closed at their beginning are published as losses of a request at a run of an endpoint; three that follow one another, or two known crashes, quarantine the request at all entries. A complete answer anywhere acquits it everywhere. A loss is withdrawn if the endpoint answers a later request within a second. Verdicts on requests are told to entries that start. One loss short of a verdict, a request is not sent again. The quarantine ends at a different time at each entry. A crash is connected with a loss for as long as a record takes to lapse, by the heartbeat interval in the settings. Suspended verdicts explain no crash of a request.

--- a/internal/flow/blame/acquit.go
+++ b/internal/flow/blame/acquit.go
@@ -1,10 +1,6 @@
 package blame
 
 import (
-	"cmp"
-	"maps"
-	"slices"
-
 	"github.com/cespare/xxhash/v2"
 
 	"mustardhook/internal/core/clock"
@@ -12,25 +8,15 @@
 	"mustardhook/internal/flow/call"
 )
 
-const (
-	// vouchers is the mean number of entries that tell the others of an earlier acquittal, if all
-	// of them know of it.
-	vouchers = 8
-	// maxAcquittals bounds the own acquittals that are published, acquittalTTL is how long one is.
-	maxAcquittals = 16
-	acquittalTTL  = 10 * clock.Second
-)
-
-type (
-	// Acquittal reports that an answer to a prompt with the part went on past its beginning.
-	Acquittal struct {
-		Part call.Part
-		At   clock.Millis
-	}
+// vouchers is the mean number of entries that tell the others of an earlier acquittal, if all of them
+// know of it.
+const vouchers = 8
 
-	// publishedAcquittal is the time of an acquittal, and since when others are told.
-	publishedAcquittal struct{ at, since clock.Millis }
-)
+// Acquittal reports that an answer to a prompt with the part went on past its beginning.
+type Acquittal struct {
+	Part call.Part
+	At   clock.Millis
+}
 
 // Join sets the name of this entry and the number of entries, which share the work of vouching.
 func (l *Ledger) Join(self ident.Entry, entries int) {
@@ -48,7 +34,7 @@
 		l.acquittedAt.put(part, now)
 		// Others need the first acquittal after a crash.
 		if lastCrashAt, isLost := l.lastCrashAt[part]; isLost && previous < lastCrashAt {
-			l.publish(part, now, now)
+			l.acquittals.put(part, now, now)
 			l.lift(part, now)
 			l.isDirty = true
 			isNeeded = true
@@ -57,15 +43,6 @@
 	return isNeeded
 }
 
-// AcquitRequest records that a whole request had a complete answer.
-func (l *Ledger) AcquitRequest(fingerprint uint64, now clock.Millis) {
-	l.refresh(now)
-	if _, isSuspect := l.requests[fingerprint]; isSuspect {
-		l.requestsAcquittedAt[fingerprint] = now
-		l.isDirty = true
-	}
-}
-
 // ReceiveAcquittal records the acquittal of a part by another entry.
 func (l *Ledger) ReceiveAcquittal(acquittal Acquittal) {
 	if acquittal.At <= l.acquittedAt.get(acquittal.Part) {
@@ -86,29 +63,16 @@
 	if at == 0 || isPublished || share%max(l.vouchDivisor, 1) != 0 {
 		return false
 	}
-	l.publish(part, at, now)
+	l.acquittals.put(part, at, now)
 	return true
 }
 
-// publish adds an acquittal to those that others need.
-func (l *Ledger) publish(part call.Part, at, now clock.Millis) {
-	if _, isKnown := l.acquittals[part]; !isKnown && len(l.acquittals) == maxAcquittals {
-		oldest := slices.MinFunc(slices.Sorted(maps.Keys(l.acquittals)), func(a, b call.Part) int {
-			return cmp.Compare(l.acquittals[a].since, l.acquittals[b].since)
-		})
-		delete(l.acquittals, oldest)
-	}
-	l.acquittals[part] = publishedAcquittal{at, now}
-}
-
 // Acquittals returns the acquittals that others need since the given time, in the order of their
 // parts.
 func (l *Ledger) Acquittals(since clock.Millis) []Acquittal {
 	var acquittals []Acquittal
-	for _, part := range slices.Sorted(maps.Keys(l.acquittals)) {
-		if published := l.acquittals[part]; published.since >= since {
-			acquittals = append(acquittals, Acquittal{part, published.at})
-		}
+	for _, part := range l.acquittals.since(since) {
+		acquittals = append(acquittals, Acquittal{part, l.acquittals[part].at})
 	}
 	return acquittals
 }
--- a/internal/flow/blame/blame.go
+++ b/internal/flow/blame/blame.go
@@ -14,21 +14,14 @@
 package blame
 
 import (
-	"maps"
 	"slices"
 
 	"mustardhook/internal/core/clock"
 	"mustardhook/internal/flow/call"
 )
 
-const (
-	// requestThreshold is the number of crashes from which a whole request is quarantined.
-	requestThreshold = 2
-	// PartTTL is how long a part is quarantined after the last crash.
-	PartTTL = 600 * clock.Second
-	// RequestTTL is how long a whole request is quarantined after the last crash.
-	RequestTTL = 60 * clock.Second
-)
+// PartTTL is how long a part is quarantined after the last crash.
+const PartTTL = 600 * clock.Second
 
 type (
 	// Ledger holds the evidence and the verdicts that follow from it.
@@ -40,38 +33,46 @@
 		// acquittedAt holds the last acquittals of parts, acquittals those that others need.
 		acquittedAt recent
 		usage       usage
-		acquittals  map[call.Part]publishedAcquittal
+		acquittals  published[call.Part]
 		// One of vouchDivisor entries vouches for a part; the seed decides which ones do.
 		seed         uint64
 		vouchDivisor uint64
+		// losses holds the losses that count against whole requests, in the order of their arrival.
+		// ownLosses are the latest that this entry observed.
+		losses    []Loss
+		ownLosses []Loss
 		// requestsAcquittedAt holds when the requests of which there is evidence had complete
-		// answers.
+		// answers, requestAcquittals those that others need.
 		requestsAcquittedAt map[uint64]clock.Millis
+		requestAcquittals   published[uint64]
 		// rulings are the known verdicts, sorted by their parts.
-		rulings []*ruling
+		rulings        []*ruling
+		requestRulings map[uint64]*requestRuling
 		// isDirty reports whether the evidence has changed since it was judged, hasUnsettled
 		// whether that of a recent crash may still arrive. found holds the verdicts since the last
 		// Advance.
 		isDirty      bool
 		hasUnsettled bool
-		found        []Verdict
+		found        Findings
 		// counts holds the crashes that count against each part, lastCrashAt the last crash at which a
-		// prompt with it was lost, requests the unexplained crashes that count against a request.
+		// prompt with it was lost, requests what counts against whole requests.
 		counts      map[call.Part]int
 		lastCrashAt map[call.Part]clock.Millis
 		requests    map[uint64]requestCount
 	}
 
-	requestCount struct {
-		crashes int
-		lastAt  clock.Millis
+	// Findings are new verdicts.
+	Findings struct {
+		Parts    []Verdict
+		Requests []RequestVerdict
 	}
 )
 
 // New returns an empty ledger.
 func New() *Ledger {
 	return &Ledger{
-		acquittals: map[call.Part]publishedAcquittal{}, requestsAcquittedAt: map[uint64]clock.Millis{},
+		acquittals: published[call.Part]{}, requestAcquittals: published[uint64]{},
+		requestsAcquittedAt: map[uint64]clock.Millis{}, requestRulings: map[uint64]*requestRuling{},
 		counts: map[call.Part]int{}, lastCrashAt: map[call.Part]clock.Millis{}, requests: map[uint64]requestCount{},
 	}
 }
@@ -79,44 +80,33 @@
 // Count records that a caller has sent a prompt with the parts.
 func (l *Ledger) Count(parts []call.Part) { l.usage.count(parts) }
 
-// QuarantinedUntil returns until when a request is quarantined, which is zero if it is not. Crashes that
-// a part explains do not count against it.
-func (l *Ledger) QuarantinedUntil(fingerprint uint64, now clock.Millis) clock.Millis {
-	l.refresh(now)
-	count := l.requests[fingerprint]
-	if count.crashes < requestThreshold || now-count.lastAt > RequestTTL {
-		return 0
-	}
-	return count.lastAt + RequestTTL
-}
-
-// CrashesOf returns the number of crashes that count against a request.
-func (l *Ledger) CrashesOf(fingerprint uint64, now clock.Millis) int {
+// IsSuspect reports whether one more loss would quarantine a request with the parts, or one of the parts.
+func (l *Ledger) IsSuspect(fingerprint uint64, parts []call.Part, now clock.Millis) bool {
 	l.refresh(now)
-	return l.requests[fingerprint].crashes
-}
-
-// IsSuspect reports whether one more crash would quarantine one of the parts.
-func (l *Ledger) IsSuspect(parts []call.Part, now clock.Millis) bool {
-	l.refresh(now)
-	return slices.ContainsFunc(parts, func(part call.Part) bool { return l.counts[part] >= l.threshold(part)-1 })
+	return l.requests[fingerprint].losses >= requestLossThreshold-1 ||
+		slices.ContainsFunc(parts, func(part call.Part) bool { return l.counts[part] >= l.threshold(part)-1 })
 }
 
 // IsEmpty reports whether there is neither evidence nor a verdict.
-func (l *Ledger) IsEmpty() bool { return len(l.crashes) == 0 && len(l.rulings) == 0 }
+func (l *Ledger) IsEmpty() bool {
+	return len(l.crashes) == 0 && len(l.losses) == 0 && len(l.rulings) == 0 && len(l.requestRulings) == 0
+}
 
 // Advance forgets what is too old to matter. It returns the verdicts found since the last call.
-func (l *Ledger) Advance(now clock.Millis) []Verdict {
-	maps.DeleteFunc(l.acquittals, func(_ call.Part, a publishedAcquittal) bool { return now-a.since > acquittalTTL })
+func (l *Ledger) Advance(now clock.Millis) Findings {
+	l.acquittals.expire(now)
+	l.requestAcquittals.expire(now)
+	l.ownLosses = slices.DeleteFunc(l.ownLosses, func(loss Loss) bool { return now-loss.At > lossNewsTTL })
 	l.rulings = slices.DeleteFunc(l.rulings, func(r *ruling) bool { return now-r.LastCrashAt > PartTTL })
 	isOld := func(crash *Crash) bool { return now-crash.At > PartTTL }
 	l.own = slices.DeleteFunc(l.own, func(crash *Crash) bool { return now-crash.At > RequestTTL })
 	hasOld := len(l.crashes) > 0 && isOld(l.crashes[0])
 	l.crashes = slices.DeleteFunc(l.crashes, isOld)
+	l.losses = slices.DeleteFunc(l.losses, func(loss Loss) bool { return now-loss.At > PartTTL })
 	l.isDirty = l.isDirty || hasOld || l.hasUnsettled
 	l.refresh(now)
 	found := l.found
-	l.found = nil
+	l.found = Findings{}
 	return found
 }
 
@@ -124,6 +114,7 @@
 func (l *Ledger) refresh(now clock.Millis) {
 	if l.isDirty {
 		l.isDirty = false
-		l.found = append(l.found, l.judge(now)...)
+		l.found.Parts = append(l.found.Parts, l.judge(now)...)
+		l.found.Requests = append(l.found.Requests, l.judgeRequests(now)...)
 	}
 }
--- a/internal/flow/blame/judge.go
+++ b/internal/flow/blame/judge.go
@@ -135,7 +135,7 @@
 	return slices.ContainsFunc(l.rulings, func(r *ruling) bool { return slices.Contains(r.Parts, part) })
 }
 
-// recount sets the counts that decide on single prompts.
+// recount sets the counts of parts that decide on single prompts.
 func (l *Ledger) recount(unexplained []*Crash) {
 	clear(l.counts)
 	for _, t := range l.tallies(unexplained) {
@@ -149,20 +149,6 @@
 			}
 		}
 	}
-	clear(l.requests)
-	for _, crash := range unexplained {
-		for _, lost := range crash.Lost {
-			count := l.requests[lost.Fingerprint]
-			if crash.At > l.requestsAcquittedAt[lost.Fingerprint] && (count.crashes == 0 || lost.SentAt >= count.lastAt) {
-				l.requests[lost.Fingerprint] = requestCount{count.crashes + 1, crash.At}
-			}
-		}
-	}
-	maps.DeleteFunc(l.requestsAcquittedAt, func(fingerprint uint64, _ clock.Millis) bool {
-		return !slices.ContainsFunc(l.crashes, func(crash *Crash) bool {
-			return slices.ContainsFunc(crash.Lost, func(lost Lost) bool { return lost.Fingerprint == fingerprint })
-		})
-	})
 }
 
 // tallies returns what the crashes say of each part, in the order of the parts.
--- a/internal/flow/codec/blame.go
+++ b/internal/flow/codec/blame.go
@@ -8,7 +8,7 @@
 	"mustardhook/internal/flow/newspb"
 )
 
-// maxEvidence bounds the crashes, acquittals and verdicts each that are read from one entry's news. Entries
+// maxEvidence bounds the items of evidence of each kind that are read from one entry's news. Entries
 // publish no more.
 const maxEvidence = 16
 
@@ -33,6 +33,21 @@
 			Parts: encodeParts(verdict.Parts), Crashes: uint32(verdict.Crashes), AgeMillis: ageOf(verdict.LastCrashAt, now),
 		})
 	}
+	for _, loss := range news.Losses {
+		message.Losses = append(message.Losses, &newspb.Loss{
+			Fingerprint: loss.Fingerprint, Run: uint64(loss.Run), AgeMillis: ageOf(loss.At, now), RanMillis: ageOf(loss.SentAt, loss.At),
+		})
+	}
+	for _, acquittal := range news.RequestAcquittals {
+		message.RequestAcquittals = append(message.RequestAcquittals, &newspb.RequestAcquittal{
+			Fingerprint: acquittal.Fingerprint, AgeMillis: ageOf(acquittal.At, now),
+		})
+	}
+	for _, verdict := range news.RequestVerdicts {
+		message.RequestVerdicts = append(message.RequestVerdicts, &newspb.RequestVerdict{
+			Fingerprint: verdict.Fingerprint, Losses: uint32(verdict.Losses), AgeMillis: ageOf(verdict.LastAt, now),
+		})
+	}
 }
 
 // decodeBlame sets what the message says of requests that crash endpoints.
@@ -56,6 +71,22 @@
 			Parts: decodeParts(encoded.Parts), Crashes: int(encoded.Crashes), LastCrashAt: now - clock.Millis(encoded.AgeMillis),
 		})
 	}
+	for _, encoded := range message.Losses[:min(len(message.Losses), maxEvidence)] {
+		at := now - clock.Millis(encoded.AgeMillis)
+		news.Losses = append(news.Losses, blame.Loss{
+			Fingerprint: encoded.Fingerprint, Run: blame.Run(encoded.Run), SentAt: at - clock.Millis(encoded.RanMillis), At: at,
+		})
+	}
+	for _, encoded := range message.RequestAcquittals[:min(len(message.RequestAcquittals), maxEvidence)] {
+		news.RequestAcquittals = append(news.RequestAcquittals, blame.RequestAcquittal{
+			Fingerprint: encoded.Fingerprint, At: now - clock.Millis(encoded.AgeMillis),
+		})
+	}
+	for _, encoded := range message.RequestVerdicts[:min(len(message.RequestVerdicts), maxEvidence)] {
+		news.RequestVerdicts = append(news.RequestVerdicts, blame.RequestVerdict{
+			Fingerprint: encoded.Fingerprint, Losses: int(encoded.Losses), LastAt: now - clock.Millis(encoded.AgeMillis),
+		})
+	}
 }
 
 func ageOf(at, now clock.Millis) uint32 { return uint32(max(now-at, 0)) }
--- a/internal/flow/codec/codec_test.go
+++ b/internal/flow/codec/codec_test.go
@@ -53,6 +53,10 @@
 		news.Crashes = append(news.Crashes, blame.Crash{Run: blame.Run(i), At: now - 800, Lost: []blame.Lost{lost}})
 		news.Acquittals = append(news.Acquittals, blame.Acquittal{Part: part, At: now - 3})
 		news.Verdicts = append(news.Verdicts, blame.Verdict{Parts: []call.Part{part}, Crashes: 4, LastCrashAt: now - 9000})
+		fingerprint := lost.Fingerprint
+		news.Losses = append(news.Losses, blame.Loss{Fingerprint: fingerprint, Run: blame.Run(i), SentAt: now - 900, At: now - 700})
+		news.RequestAcquittals = append(news.RequestAcquittals, blame.RequestAcquittal{Fingerprint: fingerprint, At: now - 20})
+		news.RequestVerdicts = append(news.RequestVerdicts, blame.RequestVerdict{Fingerprint: fingerprint, Losses: 3, LastAt: now - 700})
 	}
 	return news
 }
@@ -174,7 +178,10 @@
 	crash := blame.Crash{Run: 3, At: now - 50, Lost: []blame.Lost{{SentAt: now - 90, Fingerprint: 8, Parts: []call.Part{7, 9}}}}
 	news := input.News{
 		Entry: "e", Crashes: []blame.Crash{crash}, Acquittals: []blame.Acquittal{{Part: 7, At: now - 4}},
-		Verdicts: []blame.Verdict{{Parts: []call.Part{9}, Crashes: 3, LastCrashAt: now - 50}},
+		Verdicts:          []blame.Verdict{{Parts: []call.Part{9}, Crashes: 3, LastCrashAt: now - 50}},
+		Losses:            []blame.Loss{{Fingerprint: 8, Run: 4, SentAt: now - 30, At: now - 20}},
+		RequestAcquittals: []blame.RequestAcquittal{{Fingerprint: 6, At: now - 10}},
+		RequestVerdicts:   []blame.RequestVerdict{{Fingerprint: 5, Losses: 3, LastAt: now - 20}},
 	}
 	seed, err := Encode(input.Batch{Sender: "e", News: []input.News{news}}, now)
 	require.NoError(f, err)
@@ -195,6 +202,15 @@
 			for _, verdict := range news.Verdicts {
 				ledger.ReceiveVerdict(verdict, now)
 			}
+			for _, acquittal := range news.RequestAcquittals {
+				ledger.ReceiveRequestAcquittal(acquittal)
+			}
+			for _, loss := range news.Losses {
+				ledger.ReceiveLoss(loss, now)
+			}
+			for _, verdict := range news.RequestVerdicts {
+				ledger.ReceiveRequestVerdict(verdict, now)
+			}
 		}
 		if _, isQuarantined := ledger.Quarantine(nil, now); isQuarantined {
 			t.Fatal("a prompt without parts is quarantined")
--- a/internal/flow/crash/crash.go
+++ b/internal/flow/crash/crash.go
@@ -18,9 +18,6 @@
 )
 
 const (
-	// ConfirmWindow is the longest time between the loss of an answer and the detected end of its
-	// endpoint for which the two are connected.
-	ConfirmWindow = 3 * clock.Second
 	// BeginningWindow is the time after the first event in which an answer is at its beginning.
 	BeginningWindow = 500 * clock.Millis(1)
 
@@ -28,6 +25,13 @@
 	// probeInterval between two probes: its process may end later than its connections.
 	maxProbes     = 3
 	probeInterval = 250 * clock.Millis(1)
+
+	// The record of an endpoint lapses after missedHeartbeats heartbeat intervals; listDelay is how
+	// long the change takes to reach all entries.
+	missedHeartbeats = 3
+	listDelay        = 1500 * clock.Millis(1)
+	// minRestart is less than the time in which an endpoint that has crashed answers again.
+	minRestart = 1 * clock.Second
 )
 
 type (
@@ -56,6 +60,12 @@
 	}
 )
 
+// confirmWindow returns the longest time between the loss of an answer and the detected end of its endpoint for
+// which the two are connected.
+func confirmWindow(b *board.Board) clock.Millis {
+	return missedHeartbeats*b.Settings.HeartbeatInterval + listDelay
+}
+
 // NewController returns the controller that detects requests which crash endpoints.
 func NewController() board.Controller {
 	return &controller{losses: map[ident.Endpoint]*losses{}}
@@ -79,7 +89,7 @@
 	}
 	fingerprint := request.Request.Fingerprint
 	b.Log("Request crashes endpoints.", "request", request.Request.Name, "fingerprint", fingerprint,
-		"crashes", b.Blame.CrashesOf(fingerprint, b.Now), "until", b.Blame.QuarantinedUntil(fingerprint, b.Now)-b.Now)
+		"losses", b.Blame.LossesOf(fingerprint, b.Now), "until", b.Blame.QuarantinedUntil(fingerprint, b.Now)-b.Now)
 }
 
 // Step handles one input.
@@ -87,6 +97,8 @@
 	switch in := in.(type) {
 	case input.RequestReceived:
 		b.Blame.Count(in.Request.Parts)
+	case input.FirstEventSent:
+		c.handleLife(b, b.Requests[in.Number])
 	case input.SendEnded:
 		c.handleSendEnded(b, in.Result)
 	case input.EndpointProbed:
@@ -122,6 +134,9 @@
 	if isComplete || hasBegun {
 		acquit(b, request, isComplete)
 	}
+	if result.End == call.EndComplete {
+		c.handleLife(b, request)
+	}
 	switch {
 	case result.Exited:
 		c.confirmCrash(b, request.Endpoint)
@@ -130,6 +145,21 @@
 	}
 }
 
+// handleLife drops the losses at an endpoint that answers a request which was sent after them: it has not
+// crashed.
+func (c *controller) handleLife(b *board.Board, request *board.Request) {
+	if request == nil {
+		return
+	}
+	known := c.losses[request.Endpoint]
+	endpoint := b.Pool.Find(request.Endpoint)
+	isSameRun := known != nil && endpoint != nil && known.epoch == endpoint.Epoch
+	if isSameRun && !known.hasCrashed && request.SentAt > known.lastAt && b.Now-known.lastAt < minRestart {
+		b.Blame.WithdrawLosses(blame.RunOf(request.Endpoint, known.epoch))
+		delete(c.losses, request.Endpoint)
+	}
+}
+
 // acquitBegun acquits the parts of prompts whose answers have got past their beginning.
 func acquitBegun(b *board.Board) {
 	for _, request := range b.Requests {
@@ -143,7 +173,7 @@
 func acquit(b *board.Board, request *board.Request, isComplete bool) {
 	b.NewsChanged = b.Blame.Acquit(request.Request.Parts, b.Now) || b.NewsChanged
 	if isComplete {
-		b.Blame.AcquitRequest(request.Request.Fingerprint, b.Now)
+		b.NewsChanged = b.Blame.AcquitRequest(request.Request.Fingerprint, b.Now) || b.NewsChanged
 	}
 }
 
@@ -156,7 +186,7 @@
 		return
 	}
 	known := c.losses[name]
-	if known == nil || known.epoch != endpoint.Epoch || b.Now-known.lastAt > ConfirmWindow {
+	if known == nil || known.epoch != endpoint.Epoch || b.Now-known.lastAt > confirmWindow(b) {
 		known = &losses{epoch: endpoint.Epoch, address: endpoint.Address, firstAt: b.Now}
 		c.losses[name] = known
 	}
@@ -166,8 +196,13 @@
 	}
 	known.lost = append(known.lost, lost)
 	known.lastAt = b.Now
+	if isClosed {
+		run := blame.RunOf(name, known.epoch)
+		b.Blame.ObserveLoss(blame.Loss{Fingerprint: lost.Fingerprint, Run: run, SentAt: lost.SentAt, At: b.Now}, b.Now)
+		b.NewsChanged = true
+	}
 	b.Log("Answer was lost at its beginning.", "request", lost.name, "fingerprint", lost.Fingerprint, "endpoint", name,
-		"sent", b.Now-lost.SentAt, "closed", isClosed, "crashes", b.Blame.CrashesOf(lost.Fingerprint, b.Now))
+		"sent", b.Now-lost.SentAt, "closed", isClosed, "losses", b.Blame.LossesOf(lost.Fingerprint, b.Now))
 	switch {
 	case known.hasCrashed:
 		c.report(b, name, known)
@@ -204,7 +239,7 @@
 	if known == nil || known.hasCrashed {
 		return
 	}
-	if b.Now-known.lastAt > ConfirmWindow {
+	if b.Now-known.lastAt > confirmWindow(b) {
 		b.Log("Answers were lost too long before their endpoint ended.", "endpoint", name, "count", len(known.lost),
 			"after", b.Now-known.lastAt)
 		delete(c.losses, name)
@@ -237,27 +272,45 @@
 	for _, seen := range news.Crashes {
 		b.NewsChanged = b.Blame.Receive(seen, b.Now) || b.NewsChanged
 	}
+	for _, acquittal := range news.RequestAcquittals {
+		b.Blame.ReceiveRequestAcquittal(acquittal)
+	}
+	for _, loss := range news.Losses {
+		b.Blame.ReceiveLoss(loss, b.Now)
+	}
+	var found blame.Findings
 	for _, verdict := range news.Verdicts {
 		if b.Blame.ReceiveVerdict(verdict, b.Now) {
-			announce(b, []blame.Verdict{verdict})
+			found.Parts = append(found.Parts, verdict)
 		}
 	}
+	for _, verdict := range news.RequestVerdicts {
+		if b.Blame.ReceiveRequestVerdict(verdict, b.Now) {
+			found.Requests = append(found.Requests, verdict)
+		}
+	}
+	announce(b, found)
 }
 
 // announce logs and publishes verdicts, and ends the sends of prompts that they quarantine and that
 // have not begun.
-func announce(b *board.Board, verdicts []blame.Verdict) {
-	for _, verdict := range verdicts {
-		b.NewsChanged = true
+func announce(b *board.Board, found blame.Findings) {
+	for _, verdict := range found.Parts {
 		b.Log("Parts of prompts crash endpoints; such prompts are refused.", "parts", call.FormatParts(verdict.Parts),
 			"crashes", verdict.Crashes, "lastCrash", b.Now-verdict.LastCrashAt)
 	}
-	if len(verdicts) == 0 {
+	for _, verdict := range found.Requests {
+		b.Log("A request crashes endpoints; it is refused.", "fingerprint", verdict.Fingerprint, "losses", verdict.Losses,
+			"lastLoss", b.Now-verdict.LastAt)
+	}
+	if len(found.Parts) == 0 && len(found.Requests) == 0 {
 		return
 	}
+	b.NewsChanged = true
 	var numbers []uint64
 	for number, request := range b.Requests {
-		if _, isQuarantined := b.Blame.Quarantine(request.Request.Parts, b.Now); isQuarantined && request.Endpoint != "" && !request.FirstEventSent {
+		isPrompt := request.Route.IsStream() || len(request.Request.Parts) > 0
+		if isPrompt && request.Endpoint != "" && !request.FirstEventSent && QuarantinedUntil(b, request) != 0 {
 			numbers = append(numbers, number)
 		}
 	}
@@ -273,7 +326,7 @@
 	announce(b, b.Blame.Advance(b.Now))
 	for _, name := range slices.Sorted(maps.Keys(c.losses)) {
 		known := c.losses[name]
-		if b.Now-known.lastAt <= ConfirmWindow {
+		if b.Now-known.lastAt <= confirmWindow(b) {
 			continue
 		}
 		if !known.hasCrashed {
--- a/internal/flow/input/input.go
+++ b/internal/flow/input/input.go
@@ -45,6 +45,9 @@
 		StallTimeout clock.Millis
 		// GracePeriod is how long a stopping entry may continue to run.
 		GracePeriod clock.Millis
+		// HeartbeatInterval is the time in which an endpoint renews its record. The record lapses after
+		// three such intervals.
+		HeartbeatInterval clock.Millis
 	}
 
 	// SettingsRead delivers changed settings.
@@ -196,11 +199,15 @@
 		// in brief news.
 		HubAddresses []string
 		// Crashes are crashes of endpoints that lost answers of the entry, Acquittals and Verdicts what
-		// the entry knows of the parts of prompts that crash endpoints. Brief news has only what is
-		// recent.
-		Crashes    []blame.Crash
-		Acquittals []blame.Acquittal
-		Verdicts   []blame.Verdict
+		// the entry knows of the parts of prompts that crash endpoints. Losses are answers of the entry that
+		// were lost whether or not a crash is known, RequestAcquittals and RequestVerdicts what it knows of
+		// whole requests. Brief news has only what is recent, and no RequestVerdicts.
+		Crashes           []blame.Crash
+		Acquittals        []blame.Acquittal
+		Verdicts          []blame.Verdict
+		Losses            []blame.Loss
+		RequestAcquittals []blame.RequestAcquittal
+		RequestVerdicts   []blame.RequestVerdict
 	}
 
 	// QueuedPrompt is a long prompt that waits for engines.
--- a/internal/flow/parts/entry_test.go
+++ b/internal/flow/parts/entry_test.go
@@ -46,7 +46,7 @@
 	e.board.Now = 100 * clock.Second
 	started := input.Started{
 		Self: "entry-1", Epoch: 1, Domain: "north", Address: "10.0.0.1:9000", Seed: 1,
-		Settings: input.Settings{RetryRatio: 0.2, RetrySlack: 200, RetryWindow: retryWindow, GracePeriod: gracePeriod},
+		Settings: input.Settings{RetryRatio: 0.2, RetrySlack: 200, RetryWindow: retryWindow, GracePeriod: gracePeriod, HeartbeatInterval: 1200},
 	}
 	e.board.Start(started)
 	e.step(started)
--- a/internal/flow/parts/poison_request_test.go
+++ b/internal/flow/parts/poison_request_test.go
@@ -13,7 +13,11 @@
 // seen late or not at all.
 func TestRequestThatEndsEnginesIsQuarantined(t *testing.T) {
 	t.Parallel()
-	const lateRecord, veryLateRecord = 3600 * clock.Millis(1), 4800 * clock.Millis(1)
+	const (
+		lateRecord     = 3600 * clock.Millis(1)
+		veryLateRecord = 4800 * clock.Millis(1)
+		duration       = 24 * clock.Second
+	)
 	for _, c := range []struct {
 		name         string
 		entries      int
@@ -22,14 +26,16 @@
 		isAccepting  bool
 		recordTTL    clock.Millis
 		killInterval clock.Millis
+		duration     clock.Millis
 	}{
-		{"refused connections", 15, 16, 1, false, lateRecord, 0},
-		{"refused connections, entries are killed", 9, 16, 6, false, lateRecord, 1500},
-		{"early removal", 9, 16, 6, true, 1 * clock.Second, 0},
-		{"late removal", 15, 16, 1, true, lateRecord, 0},
-		{"late removal, many requests", 9, 16, 6, true, veryLateRecord, 0},
-		{"late removal, entries are killed", 15, 16, 2, true, veryLateRecord, 1500},
-		{"late removal, 195 entries", 195, 135, 2, true, lateRecord, 0},
+		{"refused connections", 15, 16, 1, false, lateRecord, 0, duration},
+		{"refused connections, entries are killed", 9, 16, 6, false, lateRecord, 1500, duration},
+		{"early removal", 9, 16, 6, true, 1 * clock.Second, 0, duration},
+		{"late removal", 15, 16, 1, true, lateRecord, 0, duration},
+		{"late removal, many requests", 9, 16, 6, true, veryLateRecord, 0, duration},
+		{"late removal, entries are killed", 15, 16, 2, true, veryLateRecord, 1500, duration},
+		{"late removal, 195 entries", 195, 135, 2, true, lateRecord, 0, duration},
+		{"longer than the quarantine", 15, 16, 6, true, lateRecord, 0, 90 * clock.Second},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			p := newPoisoning(t, c.entries, c.engines, 1)
@@ -40,7 +46,7 @@
 			start := p.now
 			p.run(4*clock.Second, 60, 0)
 			poisonedAt := p.now
-			p.run(24*clock.Second, 60, c.badPerSecond)
+			p.run(c.duration, 60, c.badPerSecond)
 			end := p.now
 			p.run(2*clock.Second, 0, 0)
 			calmAt := poisonedAt + 2*stabilityWindow
--- a/internal/flow/parts/poison_test.go
+++ b/internal/flow/parts/poison_test.go
@@ -404,17 +404,19 @@
 		engines          int
 		isBadFirst       bool
 		crashesPerSecond float64
+		isAccepting      bool
 	}{
-		{"bad part in the middle", 9, 16, false, 0},
-		{"bad part first", 9, 16, true, 0},
-		{"engines that crash by themselves", 9, 16, false, 0.3},
-		{"18 entries", 18, 16, false, 0},
-		{"195 entries", 195, 135, false, 0},
+		{"bad part in the middle", 9, 16, false, 0, false},
+		{"bad part first", 9, 16, true, 0, false},
+		{"engines that crash by themselves", 9, 16, false, 0.3, false},
+		{"18 entries", 18, 16, false, 0, false},
+		{"195 entries", 195, 135, false, 0, false},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			p := newPoisoning(t, c.entries, c.engines, 1)
 			p.isBadFirst = c.isBadFirst
 			p.crashesPerSecond = c.crashesPerSecond
+			p.isAccepting = c.isAccepting
 			start := p.now
 			p.run(4*clock.Second, 60, 0)
 			poisonedAt := p.now
--- a/internal/flow/peers/peers.go
+++ b/internal/flow/peers/peers.go
@@ -215,12 +215,22 @@
 		before.ListRevision != news.ListRevision || news.ConfirmedAt > before.ConfirmedAt
 }
 
-// hasRecentEvidence reports whether the news tells of a recent crash of an endpoint, or of the acquittal
-// of a part that the news before did not name.
+// hasRecentEvidence reports whether the news tells of a recent crash of an endpoint, or of a loss or an
+// acquittal that the news before did not name.
 func hasRecentEvidence(b *board.Board, before, news input.News) bool {
 	return slices.ContainsFunc(news.Crashes, func(crash blame.Crash) bool { return b.Now-crash.At <= recentEvidence }) ||
+		slices.ContainsFunc(news.Losses, func(loss blame.Loss) bool {
+			return !slices.ContainsFunc(before.Losses, func(known blame.Loss) bool {
+				return known.Fingerprint == loss.Fingerprint && known.Run == loss.Run
+			})
+		}) ||
 		slices.ContainsFunc(news.Acquittals, func(a blame.Acquittal) bool {
 			return !slices.ContainsFunc(before.Acquittals, func(known blame.Acquittal) bool { return known.Part == a.Part })
+		}) ||
+		slices.ContainsFunc(news.RequestAcquittals, func(a blame.RequestAcquittal) bool {
+			return !slices.ContainsFunc(before.RequestAcquittals, func(known blame.RequestAcquittal) bool {
+				return known.Fingerprint == a.Fingerprint
+			})
 		})
 }
 
--- a/internal/flow/peers/publish.go
+++ b/internal/flow/peers/publish.go
@@ -319,9 +319,12 @@
 	news.Crashes = b.Blame.OwnCrashes(since)
 	news.Acquittals = b.Blame.Acquittals(since)
 	news.Verdicts = b.Blame.Verdicts(since)
+	news.Losses = b.Blame.OwnLosses(since)
+	news.RequestAcquittals = b.Blame.RequestAcquittals(since)
 	if !isFull {
 		return news
 	}
+	news.RequestVerdicts = b.Blame.RequestVerdicts(b.Now)
 	news.Domain = b.Domain
 	news.Address = b.Address
 	news.Capacity = b.Capacity
--- a/internal/flow/place/end.go
+++ b/internal/flow/place/end.go
@@ -165,7 +165,8 @@
 // enough time left, is no suspect of ending endpoints, and the attempts of its route and the retry
 // budget permit it.
 func retry(b *board.Board, request *board.Request) bool {
-	canRetry := request.Route.IsRepeatable() && request.Runs < request.Route.Attempts && !b.Blame.IsSuspect(request.Request.Parts, b.Now)
+	canRetry := request.Route.IsRepeatable() && request.Runs < request.Route.Attempts &&
+		!b.Blame.IsSuspect(request.Request.Fingerprint, request.Request.Parts, b.Now)
 	if !canRetry || b.EndsWithin(request, MinTimeLeft) {
 		return false
 	}
--- a/internal/flow/setup/setup.go
+++ b/internal/flow/setup/setup.go
@@ -26,6 +26,8 @@
 	DefaultNewsRate     = 32_000
 	DefaultStallTimeout = 1500 * clock.Millis(1)
 	DefaultGracePeriod  = 8 * clock.Second
+	// DefaultHeartbeatInterval is the time in which endpoints renew their records.
+	DefaultHeartbeatInterval = 1200 * clock.Millis(1)
 
 	maxCount = 1 << 30
 	maxPort  = 65535
@@ -126,6 +128,7 @@
 	core := input.Settings{
 		RetryRatio: DefaultRetryRatio, RetrySlack: DefaultRetrySlack, RetryWindow: DefaultRetryWindow,
 		NewsRate: DefaultNewsRate, StallTimeout: DefaultStallTimeout, GracePeriod: DefaultGracePeriod,
+		HeartbeatInterval: DefaultHeartbeatInterval,
 	}
 	if bounds == nil {
 		return core
@@ -141,6 +144,7 @@
 	core.RetryWindow = duration("retryWindowSeconds", clock.Second, core.RetryWindow)
 	core.StallTimeout = duration("stallMillis", 1, core.StallTimeout)
 	core.GracePeriod = duration("graceSeconds", clock.Second, core.GracePeriod)
+	core.HeartbeatInterval = duration("heartbeatMillis", 1, core.HeartbeatInterval)
 	if bounds.Has("retryRatio") {
 		core.RetryRatio = bounds.Float("retryRatio", 0, maxCount)
 	}
