Crashes: an engine that closed an answer and gives no report has crashed

What callers saw: the same fault with a part of prompts as the cause. While the ports of crashed engines accept connections, prompts with such a part crash one engine after the other, and sound ones are lost.

Cause: as for whole requests, a crash counted only once the engine refused a connection or its record lapsed. Parts need known crashes, since a lost answer alone says too little of them.

Change: the second probe of an engine asks for its report. An engine that accepts two connections and gives no report within 400 ms on either has crashed; one that answers has not, and its losses are withdrawn. A connection that the engine closes says nothing: it may have too many.

Plain services have no report, so a crash there is seen by refused connections and records only.

--- a/internal/flow/crash/crash.go
+++ b/internal/flow/crash/crash.go
@@ -22,8 +22,10 @@
 	BeginningWindow = 500 * clock.Millis(1)
 
 	// An endpoint that closed the connection of an answer is probed up to maxProbes times, with
-	// probeInterval between two probes: its process may end later than its connections.
+	// probeInterval between two probes: its process may end later than its connections. It has crashed if
+	// it gives no report silentProbes times.
 	maxProbes     = 3
+	silentProbes  = 2
 	probeInterval = 250 * clock.Millis(1)
 
 	// The record of an endpoint lapses after missedHeartbeats heartbeat intervals; listDelay is how
@@ -49,14 +51,19 @@
 	// losses are the answers that were lost at one run of an endpoint.
 	losses struct {
 		epoch   uint64
+		service ident.Service
 		address string
 		lost    []lostAnswer
 		firstAt clock.Millis
 		lastAt  clock.Millis
 		// hasCrashed is set once the endpoint is known to have crashed.
 		hasCrashed bool
-		probes     int
-		probeAt    clock.Millis
+		// probes counts the probes, silent those that the endpoint did not answer. The last one is
+		// running while isProbing is set, and ended at probedAt otherwise.
+		probes    int
+		silent    int
+		isProbing bool
+		probedAt  clock.Millis
 	}
 )
 
@@ -145,18 +152,25 @@
 	}
 }
 
-// handleLife drops the losses at an endpoint that answers a request which was sent after them: it has not
-// crashed.
+// handleLife drops the losses at an endpoint that answers a request which was sent after them.
 func (c *controller) handleLife(b *board.Board, request *board.Request) {
 	if request == nil {
 		return
 	}
 	known := c.losses[request.Endpoint]
 	endpoint := b.Pool.Find(request.Endpoint)
-	isSameRun := known != nil && endpoint != nil && known.epoch == endpoint.Epoch
-	if isSameRun && !known.hasCrashed && request.SentAt > known.lastAt && b.Now-known.lastAt < minRestart {
-		b.Blame.WithdrawLosses(blame.RunOf(request.Endpoint, known.epoch))
-		delete(c.losses, request.Endpoint)
+	if known != nil && endpoint != nil && known.epoch == endpoint.Epoch && request.SentAt > known.lastAt {
+		c.withdraw(b, request.Endpoint)
+	}
+}
+
+// withdraw drops the losses at an endpoint that has just answered: it has not crashed, unless there was time
+// for a restart.
+func (c *controller) withdraw(b *board.Board, name ident.Endpoint) {
+	known := c.losses[name]
+	if !known.hasCrashed && b.Now-known.lastAt < minRestart {
+		b.Blame.WithdrawLosses(blame.RunOf(name, known.epoch))
+		delete(c.losses, name)
 	}
 }
 
@@ -187,7 +201,7 @@
 	}
 	known := c.losses[name]
 	if known == nil || known.epoch != endpoint.Epoch || b.Now-known.lastAt > confirmWindow(b) {
-		known = &losses{epoch: endpoint.Epoch, address: endpoint.Address, firstAt: b.Now}
+		known = &losses{epoch: endpoint.Epoch, service: endpoint.Service, address: endpoint.Address, firstAt: b.Now}
 		c.losses[name] = known
 	}
 	lost := lostAnswer{blame.Lost{SentAt: request.SentAt, Fingerprint: request.Request.Fingerprint}, request.Request.Name}
@@ -211,25 +225,46 @@
 	}
 }
 
+// emitProbe asks whether an endpoint still accepts connections, and later whether an engine still reports: the
+// first probe may come before its process has ended.
 func emitProbe(b *board.Board, name ident.Endpoint, known *losses) {
+	wantsReport := known.probes > 0 && b.Plan.Services[known.service].Engine != nil
 	known.probes++
-	known.probeAt = b.Now
-	b.Emit(output.ProbeEndpoint{Endpoint: name, Epoch: known.epoch, Address: known.address})
+	known.isProbing = true
+	b.Emit(output.ProbeEndpoint{Endpoint: name, Epoch: known.epoch, Address: known.address, WantsReport: wantsReport})
 }
 
-// probe repeats the probes of endpoints that still accepted connections.
+// probe repeats the probes of endpoints that are not known to have crashed.
 func (c *controller) probe(b *board.Board) {
 	for _, name := range slices.Sorted(maps.Keys(c.losses)) {
 		known := c.losses[name]
-		if !known.hasCrashed && known.probes > 0 && known.probes < maxProbes && b.Now-known.probeAt >= probeInterval {
+		isDue := known.probes > 0 && known.probes < maxProbes && !known.isProbing && b.Now-known.probedAt >= probeInterval
+		if isDue && !known.hasCrashed {
 			emitProbe(b, name, known)
 		}
 	}
 }
 
 func (c *controller) handleProbe(b *board.Board, probed input.EndpointProbed) {
-	if known := c.losses[probed.Endpoint]; known != nil && known.epoch == probed.Epoch && probed.HasExited {
+	known := c.losses[probed.Endpoint]
+	if known == nil || known.epoch != probed.Epoch {
+		return
+	}
+	known.isProbing = false
+	known.probedAt = b.Now
+	switch probed.Outcome {
+	case input.ProbeRefused:
+		c.confirmCrash(b, probed.Endpoint)
+	case input.ProbeAnswered:
+		c.withdraw(b, probed.Endpoint)
+	case input.ProbeSilent:
+		known.silent++
+		if known.silent < silentProbes {
+			emitProbe(b, probed.Endpoint, known)
+			return
+		}
 		c.confirmCrash(b, probed.Endpoint)
+	case input.ProbeUnknown:
 	}
 }
 
--- a/internal/flow/input/input.go
+++ b/internal/flow/input/input.go
@@ -12,6 +12,19 @@
 	"mustardhook/internal/flow/tally"
 )
 
+// The possible outcomes of a probe.
+const (
+	// ProbeRefused means that the connection was refused: the process of the endpoint has exited.
+	ProbeRefused ProbeOutcome = "refused"
+	// ProbeAnswered means that the endpoint gave its report.
+	ProbeAnswered ProbeOutcome = "answered"
+	// ProbeSilent means that it accepted the connection and gave none in time.
+	ProbeSilent ProbeOutcome = "silent"
+	// ProbeUnknown means that nothing can be told: no report was asked for, or the connection could not be
+	// opened or was closed.
+	ProbeUnknown ProbeOutcome = "unknown"
+)
+
 type (
 	// Input is one of the input types of this package.
 	Input interface{ isInput() }
@@ -136,13 +149,16 @@
 		Factor   float64
 	}
 
-	// EndpointProbed reports whether the process of a run of an endpoint has exited.
+	// EndpointProbed reports what a probe shows of a run of an endpoint.
 	EndpointProbed struct {
-		Endpoint  ident.Endpoint
-		Epoch     uint64
-		HasExited bool
+		Endpoint ident.Endpoint
+		Epoch    uint64
+		Outcome  ProbeOutcome
 	}
 
+	// ProbeOutcome is what a probe of an endpoint shows.
+	ProbeOutcome string
+
 	// CallerDisconnected reports that a caller closed its connection while its request
 	// was not at an endpoint.
 	CallerDisconnected struct{ Number uint64 }
--- a/internal/flow/output/output.go
+++ b/internal/flow/output/output.go
@@ -61,12 +61,13 @@
 		Address  string
 	}
 
-	// ProbeEndpoint asks whether the process of an endpoint accepts connections. The answer follows
-	// as an input.EndpointProbed.
+	// ProbeEndpoint asks whether the process of an endpoint accepts connections, and if WantsReport is
+	// set, whether it gives its report. The answer follows as an input.EndpointProbed.
 	ProbeEndpoint struct {
-		Endpoint ident.Endpoint
-		Epoch    uint64
-		Address  string
+		Endpoint    ident.Endpoint
+		Epoch       uint64
+		Address     string
+		WantsReport bool
 	}
 
 	// Log writes a log line about a change in the state of the entry. Pairs are
--- a/internal/flow/parts/poison_request_test.go
+++ b/internal/flow/parts/poison_request_test.go
@@ -1,11 +1,14 @@
 package parts
 
 import (
+	"net/http"
 	"testing"
 
 	"github.com/stretchr/testify/require"
 
 	"mustardhook/internal/core/clock"
+	"mustardhook/internal/flow/call"
+	"mustardhook/internal/flow/input"
 )
 
 // Guards against the incident BUDGET: a request that crashes each engine which begins with it, and
@@ -63,3 +66,23 @@
 		})
 	}
 }
+
+// Guards against sound requests that are refused because endpoints which live on have lost their answers.
+func TestLossAtEndpointThatLivesIsNoEvidence(t *testing.T) {
+	e := newTestEntry(t).configure(6)
+	for range 4 {
+		e.lastNumber++
+		number := e.lastNumber
+		request := call.Request{
+			Number: number, Host: host, Path: "/short/1", Key: callerKey, PromptTokens: 5000, CallerTimeout: 10000,
+			Fingerprint: 77,
+		}
+		send := requireSend(t, e.outputFor(number, e.step(input.RequestReceived{Request: request})))
+		e.endSend(call.Result{Number: number, End: call.EndAnswerLost, Closed: true})
+		require.Equal(t, 1, e.board.Blame.LossesOf(77, e.board.Now))
+		e.advance(300)
+		e.step(input.EndpointProbed{Endpoint: send.Endpoint, Epoch: 1, Outcome: input.ProbeAnswered})
+		require.Zero(t, e.board.Blame.LossesOf(77, e.board.Now))
+		e.endSend(call.Result{Number: number, End: call.EndComplete, Status: http.StatusOK})
+	}
+}
--- a/internal/flow/parts/poison_test.go
+++ b/internal/flow/parts/poison_test.go
@@ -254,10 +254,19 @@
 			}
 		})
 	case output.ProbeEndpoint:
-		const connect = 2
-		p.schedule(connect, func() {
-			isRunning := slices.ContainsFunc(p.engines, func(e *poisonedEngine) bool { return e.name() == out.Endpoint && !e.isDown })
-			probed := input.EndpointProbed{Endpoint: out.Endpoint, Epoch: out.Epoch, HasExited: !isRunning && !p.isAccepting}
+		const connect, report, reportTimeout = 2, 5, 400
+		isRunning := slices.ContainsFunc(p.engines, func(e *poisonedEngine) bool { return e.name() == out.Endpoint && !e.isDown })
+		outcome, after := input.ProbeUnknown, clock.Millis(connect)
+		switch {
+		case !isRunning && !p.isAccepting:
+			outcome = input.ProbeRefused
+		case !isRunning && out.WantsReport:
+			outcome, after = input.ProbeSilent, reportTimeout
+		case out.WantsReport:
+			outcome, after = input.ProbeAnswered, report
+		}
+		p.schedule(after, func() {
+			probed := input.EndpointProbed{Endpoint: out.Endpoint, Epoch: out.Epoch, Outcome: outcome}
 			p.carryOut(entry, entry.step(probed))
 		})
 	case output.Deliver:
@@ -411,6 +420,7 @@
 		{"engines that crash by themselves", 9, 16, false, 0.3, false},
 		{"18 entries", 18, 16, false, 0, false},
 		{"195 entries", 195, 135, false, 0, false},
+		{"ports that accept connections", 15, 16, false, 0, true},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			p := newPoisoning(t, c.entries, c.engines, 1)
--- a/internal/flow/proxy/probe.go
+++ b/internal/flow/proxy/probe.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/url"
 	"syscall"
 
 	"github.com/go-faster/errors"
@@ -19,8 +20,33 @@
 	ctx, cancel := context.WithTimeout(p.lifetime, probeTimeout.Duration())
 	defer cancel()
 	hasExited, err := probe(ctx, action.Address)
-	p.logger.Part("probe").Info("Endpoint probed.", "endpoint", action.Endpoint, "exited", hasExited, "err", err)
-	p.Step(input.EndpointProbed{Endpoint: action.Endpoint, Epoch: action.Epoch, HasExited: hasExited})
+	outcome := input.ProbeUnknown
+	switch {
+	case hasExited:
+		outcome = input.ProbeRefused
+	case err == nil && action.WantsReport:
+		outcome, err = p.probeReport(action.Address)
+	}
+	p.logger.Part("probe").Info("Endpoint probed.", "endpoint", action.Endpoint, "outcome", outcome, "err", err)
+	p.Step(input.EndpointProbed{Endpoint: action.Endpoint, Epoch: action.Epoch, Outcome: outcome})
+}
+
+// probeReport finds out whether an endpoint that accepts connections answers the call for its report. Any
+// answer shows that its process lives. A connection that it closes may be one too many for it.
+func (p *Proxy) probeReport(address string) (input.ProbeOutcome, error) {
+	_, err := p.fetchPace(address)
+	var callErr *url.Error
+	switch {
+	case p.lifetime.Err() != nil:
+		return input.ProbeUnknown, err
+	case errors.Is(err, syscall.ECONNREFUSED):
+		return input.ProbeRefused, err
+	case errors.As(err, &callErr) && callErr.Timeout():
+		return input.ProbeSilent, err
+	case callErr != nil:
+		return input.ProbeUnknown, err
+	}
+	return input.ProbeAnswered, err
 }
 
 // probe opens a connection and closes it at once. A refused connection means that the process at the
