--- a/internal/flow/blame/request_test.go
+++ b/internal/flow/blame/request_test.go
@@ -108,3 +108,28 @@
 	require.Zero(t, l.LossesOf(suspect, 5000))
 	require.Empty(t, l.OwnLosses(0))
 }
+
+// Guards against evidence on whole requests that takes memory without bound.
+func TestMemoryOfRequestsIsBounded(t *testing.T) {
+	l := newExperienced()
+	for i := range 5000 {
+		at := clock.Millis(1000 + 10*i)
+		for run := range requestLossThreshold {
+			loss := Loss{Fingerprint: uint64(i), Run: Run(run), SentAt: at + clock.Millis(run), At: at + clock.Millis(run)}
+			l.ObserveLoss(loss, at)
+		}
+		l.ReceiveRequestVerdict(RequestVerdict{Fingerprint: uint64(100_000 + i), Losses: 3, LastAt: at}, at)
+		if i%2 == 0 {
+			l.AcquitRequest(uint64(i), at+10)
+		}
+		l.Advance(at + 10)
+	}
+	require.LessOrEqual(t, len(l.losses), maxLosses)
+	require.LessOrEqual(t, len(l.ownLosses), maxOwnLosses)
+	require.LessOrEqual(t, len(l.requests), maxLosses)
+	require.LessOrEqual(t, len(l.requestRulings), maxLosses+maxRequestVerdicts)
+	require.LessOrEqual(t, len(l.RequestVerdicts(51_000)), maxRequestVerdicts)
+	require.LessOrEqual(t, len(l.requestAcquittals), maxAcquittals)
+	// One acquittal each 20 ms, kept for acquittalTTL, in addition to those with evidence.
+	require.LessOrEqual(t, len(l.requestsAcquittedAt), int(acquittalTTL/20)+maxLosses+1)
+}
