--- a/internal/flow/parts/poison_test.go
+++ b/internal/flow/parts/poison_test.go
@@ -37,8 +37,9 @@
 	sharedPart call.Part = 0xa0
 	badPart    call.Part = 0xbad
 	// ownPart is the part that only the request with badFingerprint has.
-	ownPart        call.Part = 0xbae
-	badFingerprint           = 0xbaf
+	ownPart call.Part = 0xbae
+
+	badFingerprint = 0xbaf
 )
 
 type (
