Plan: organisations without keys admit nobody

What callers saw: after the last key of all organisations was taken away, requests with any key ran, without an organisation.

Cause: whether keys are required was read off the number of keys, so a plan whose organisations hold none was taken for one without organisations.

Change: the plan says whether it requires keys.

--- a/internal/flow/parts/requests_test.go
+++ b/internal/flow/parts/requests_test.go
@@ -335,3 +335,18 @@
 	e.step(input.EndpointRead{Record: restored, Revision: 24})
 	require.Empty(t, e.board.Pool.RecentlyLeaving(e.board.Now))
 }
+
+// Guards against keys that are taken away, the last one too, and still admit requests: those with the key,
+// with another one and without any. Anonymous routes need none.
+func TestRevokedKeysAdmitNobody(t *testing.T) {
+	e := newTestEntry(t).configure(4)
+	_, got := e.request("/read/1", 0, 800)
+	requireSend(t, got)
+	e.step(input.PlanRead{Plan: testPlan(6).WithOrganisations(nil)})
+	for _, key := range []string{callerKey, "made-up", ""} {
+		e.lastNumber++
+		request := call.Request{Number: e.lastNumber, Host: host, Path: "/read/1", Key: key, CallerTimeout: 800}
+		got := e.outputFor(e.lastNumber, e.step(input.RequestReceived{Request: request}))
+		requireReply(t, got, call.ReasonBadKey, http.StatusUnauthorized)
+	}
+}
--- a/internal/flow/place/place.go
+++ b/internal/flow/place/place.go
@@ -134,7 +134,7 @@
 		return call.RoutedRequest{}, &call.Reply{Reason: call.ReasonNoRoute, Status: http.StatusNotFound}
 	}
 	routed := call.RoutedRequest{Request: received, Route: route, Rank: route.Rank}
-	if b.Plan.HasKeys() && !route.Anonymous {
+	if b.Plan.RequiresKeys && !route.Anonymous {
 		organisation, isValid := b.Plan.Organisations[received.Key]
 		if !isValid {
 			return call.RoutedRequest{}, &call.Reply{Reason: call.ReasonBadKey, Status: http.StatusUnauthorized}
--- a/internal/flow/plan/plan.go
+++ b/internal/flow/plan/plan.go
@@ -19,8 +19,12 @@
 
 	// Plan is a complete published configuration. It is immutable.
 	Plan struct {
-		Version       Version
-		Services      map[ident.Service]Service
+		Version  Version
+		Services map[ident.Service]Service
+		// RequiresKeys reports whether requests on routes that are not anonymous need an API key. It
+		// holds for a plan with organisations, also if none of them has a key.
+		RequiresKeys bool
+		// Organisations are keyed by API key.
 		Organisations map[string]Organisation
 		Limits        Limits
 
@@ -75,9 +79,10 @@
 	return p
 }
 
-// WithOrganisations returns a copy of the plan with the given organisations, which are
-// keyed by API key.
+// WithOrganisations returns a copy of the plan that requires keys, with the given
+// organisations, which are keyed by API key.
 func (p Plan) WithOrganisations(keys map[string]Organisation) Plan {
+	p.RequiresKeys = true
 	p.Organisations = keys
 	return p
 }
@@ -85,9 +90,6 @@
 // IsZero reports whether the plan is the zero value, that is, none has been read yet.
 func (p Plan) IsZero() bool { return p.Version == 0 }
 
-// HasKeys reports whether requests on routes that are not anonymous need an API key.
-func (p Plan) HasKeys() bool { return len(p.Organisations) > 0 }
-
 // Match returns the route of the host with the longest prefix that matches the path.
 // It ignores the case and the port of the host.
 func (p Plan) Match(host, path string) (Route, bool) {
