--- a/internal/flow/crash/crash.go
+++ b/internal/flow/crash/crash.go
@@ -14,26 +14,16 @@
 	"mustardhook/internal/flow/board"
 	"mustardhook/internal/flow/call"
 	"mustardhook/internal/flow/input"
-	"mustardhook/internal/flow/output"
 )
 
 const (
 	// BeginningWindow is the time after the first event in which an answer is at its beginning.
 	BeginningWindow = 500 * clock.Millis(1)
 
-	// An endpoint that closed the connection of an answer is probed up to maxProbes times, with
-	// probeInterval between two probes: its process may end later than its connections. It has crashed if
-	// it gives no report silentProbes times.
-	maxProbes     = 3
-	silentProbes  = 2
-	probeInterval = 250 * clock.Millis(1)
-
 	// The record of an endpoint lapses after missedHeartbeats heartbeat intervals; listDelay is how
 	// long the change takes to reach all entries.
 	missedHeartbeats = 3
 	listDelay        = 1500 * clock.Millis(1)
-	// minRestart is less than the time in which an endpoint that has crashed answers again.
-	minRestart = 1 * clock.Second
 )
 
 type (
@@ -78,27 +68,6 @@
 	return &controller{losses: map[ident.Endpoint]*losses{}}
 }
 
-// QuarantinedUntil returns until when the request must not be sent, which is zero if it may be.
-func QuarantinedUntil(b *board.Board, request *board.Request) clock.Millis {
-	if verdict, ok := b.Blame.Quarantine(request.Request.Parts, b.Now); ok {
-		return verdict.LastCrashAt + blame.PartTTL
-	}
-	return b.Blame.QuarantinedUntil(request.Request.Fingerprint, b.Now)
-}
-
-// LogVerdict logs why a quarantined request is not sent: the verdict on the parts of its prompt, or else
-// the evidence against the request as a whole.
-func LogVerdict(b *board.Board, request *board.Request) {
-	if verdict, ok := b.Blame.Quarantine(request.Request.Parts, b.Now); ok {
-		b.Log("Prompt has parts that crash endpoints.", "request", request.Request.Name, "parts", call.FormatParts(verdict.Parts),
-			"crashes", verdict.Crashes, "lastCrash", b.Now-verdict.LastCrashAt)
-		return
-	}
-	fingerprint := request.Request.Fingerprint
-	b.Log("Request crashes endpoints.", "request", request.Request.Name, "fingerprint", fingerprint,
-		"losses", b.Blame.LossesOf(fingerprint, b.Now), "until", b.Blame.QuarantinedUntil(fingerprint, b.Now)-b.Now)
-}
-
 // Step handles one input.
 func (c *controller) Step(b *board.Board, in input.Input) {
 	switch in := in.(type) {
@@ -152,28 +121,6 @@
 	}
 }
 
-// handleLife drops the losses at an endpoint that answers a request which was sent after them.
-func (c *controller) handleLife(b *board.Board, request *board.Request) {
-	if request == nil {
-		return
-	}
-	known := c.losses[request.Endpoint]
-	endpoint := b.Pool.Find(request.Endpoint)
-	if known != nil && endpoint != nil && known.epoch == endpoint.Epoch && request.SentAt > known.lastAt {
-		c.withdraw(b, request.Endpoint)
-	}
-}
-
-// withdraw drops the losses at an endpoint that has just answered: it has not crashed, unless there was time
-// for a restart.
-func (c *controller) withdraw(b *board.Board, name ident.Endpoint) {
-	known := c.losses[name]
-	if !known.hasCrashed && b.Now-known.lastAt < minRestart {
-		b.Blame.WithdrawLosses(blame.RunOf(name, known.epoch))
-		delete(c.losses, name)
-	}
-}
-
 // acquitBegun acquits the parts of prompts whose answers have got past their beginning.
 func acquitBegun(b *board.Board) {
 	for _, request := range b.Requests {
@@ -225,49 +172,6 @@
 	}
 }
 
-// emitProbe asks whether an endpoint still accepts connections, and later whether an engine still reports: the
-// first probe may come before its process has ended.
-func emitProbe(b *board.Board, name ident.Endpoint, known *losses) {
-	wantsReport := known.probes > 0 && b.Plan.Services[known.service].Engine != nil
-	known.probes++
-	known.isProbing = true
-	b.Emit(output.ProbeEndpoint{Endpoint: name, Epoch: known.epoch, Address: known.address, WantsReport: wantsReport})
-}
-
-// probe repeats the probes of endpoints that are not known to have crashed.
-func (c *controller) probe(b *board.Board) {
-	for _, name := range slices.Sorted(maps.Keys(c.losses)) {
-		known := c.losses[name]
-		isDue := known.probes > 0 && known.probes < maxProbes && !known.isProbing && b.Now-known.probedAt >= probeInterval
-		if isDue && !known.hasCrashed {
-			emitProbe(b, name, known)
-		}
-	}
-}
-
-func (c *controller) handleProbe(b *board.Board, probed input.EndpointProbed) {
-	known := c.losses[probed.Endpoint]
-	if known == nil || known.epoch != probed.Epoch {
-		return
-	}
-	known.isProbing = false
-	known.probedAt = b.Now
-	switch probed.Outcome {
-	case input.ProbeRefused:
-		c.confirmCrash(b, probed.Endpoint)
-	case input.ProbeAnswered:
-		c.withdraw(b, probed.Endpoint)
-	case input.ProbeSilent:
-		known.silent++
-		if known.silent < silentProbes {
-			emitProbe(b, probed.Endpoint, known)
-			return
-		}
-		c.confirmCrash(b, probed.Endpoint)
-	case input.ProbeUnknown:
-	}
-}
-
 // confirmCrash reports the answers that were lost at an endpoint which has crashed.
 func (c *controller) confirmCrash(b *board.Board, name ident.Endpoint) {
 	known := c.losses[name]
@@ -297,64 +201,6 @@
 	known.lost = nil
 }
 
-func receiveNews(b *board.Board, news input.News) {
-	if news.Entry == b.Self {
-		return
-	}
-	for _, acquittal := range news.Acquittals {
-		b.Blame.ReceiveAcquittal(acquittal)
-	}
-	for _, seen := range news.Crashes {
-		b.NewsChanged = b.Blame.Receive(seen, b.Now) || b.NewsChanged
-	}
-	for _, acquittal := range news.RequestAcquittals {
-		b.Blame.ReceiveRequestAcquittal(acquittal)
-	}
-	for _, loss := range news.Losses {
-		b.Blame.ReceiveLoss(loss, b.Now)
-	}
-	var found blame.Findings
-	for _, verdict := range news.Verdicts {
-		if b.Blame.ReceiveVerdict(verdict, b.Now) {
-			found.Parts = append(found.Parts, verdict)
-		}
-	}
-	for _, verdict := range news.RequestVerdicts {
-		if b.Blame.ReceiveRequestVerdict(verdict, b.Now) {
-			found.Requests = append(found.Requests, verdict)
-		}
-	}
-	announce(b, found)
-}
-
-// announce logs and publishes verdicts, and ends the sends of prompts that they quarantine and that
-// have not begun.
-func announce(b *board.Board, found blame.Findings) {
-	for _, verdict := range found.Parts {
-		b.Log("Parts of prompts crash endpoints; such prompts are refused.", "parts", call.FormatParts(verdict.Parts),
-			"crashes", verdict.Crashes, "lastCrash", b.Now-verdict.LastCrashAt)
-	}
-	for _, verdict := range found.Requests {
-		b.Log("A request crashes endpoints; it is refused.", "fingerprint", verdict.Fingerprint, "losses", verdict.Losses,
-			"lastLoss", b.Now-verdict.LastAt)
-	}
-	if len(found.Parts) == 0 && len(found.Requests) == 0 {
-		return
-	}
-	b.NewsChanged = true
-	var numbers []uint64
-	for number, request := range b.Requests {
-		isPrompt := request.Route.IsStream() || len(request.Request.Parts) > 0
-		if isPrompt && request.Endpoint != "" && !request.FirstEventSent && QuarantinedUntil(b, request) != 0 {
-			numbers = append(numbers, number)
-		}
-	}
-	slices.Sort(numbers)
-	for _, number := range numbers {
-		b.Emit(output.CancelSend{Number: number})
-	}
-}
-
 // expire forgets what no longer matters.
 func (c *controller) expire(b *board.Board) {
 	b.Blame.Join(b.Self, len(b.Peers)+1)
