Relay: comments without end break a stream off

Cause: comments are no progress, but nothing bounded them between two events. Change: over 64 KiB of comments since the last event the answer has failed, and the stream goes on elsewhere or breaks off. Conclusion: this form of bytes without end is bounded.

--- a/internal/flow/proxy/events.go
+++ b/internal/flow/proxy/events.go
@@ -14,6 +14,8 @@
 	// maxEventBytes is the maximum size of an event of a stream, with the blank lines before
 	// it.
 	maxEventBytes = 1 << 20
+	// maxCommentBytes is the maximum size of the comments between two events of a stream.
+	maxCommentBytes = 64 << 10
 )
 
 type (
--- a/internal/flow/proxy/send.go
+++ b/internal/flow/proxy/send.go
@@ -363,6 +363,7 @@
 func (x *exchange) relayStream(response *http.Response) call.Result {
 	events := newEventReader(response.Body, x.session.memory)
 	isFirst := true
+	commentBytes := 0
 	for {
 		event, err := events.next()
 		if errors.Is(err, io.EOF) {
@@ -372,7 +373,12 @@
 			return x.failedResult(newReadError("event", err))
 		}
 		isProgress := !isComment(event)
+		commentBytes += len(event)
+		if !isProgress && commentBytes > maxCommentBytes {
+			return x.failedResult(newReadError("comments", &limit.ExceededError{Bytes: maxCommentBytes}))
+		}
 		if isProgress {
+			commentBytes = 0
 			if err := x.checkOrder(event); err != nil {
 				return x.failedResult(err)
 			}
