Crashes: an answer to a probe withdraws only losses that came before the probe

Cause: an engine may give its report and crash a millisecond later; the losses of that crash were then withdrawn with the older ones, and the crash never confirmed by this entry. Change: what an endpoint answers counts as life after the losses that were known when it was asked. Figures: TestReportBeforeLossWithdrawsNothing; without the change the loss is gone. The test of endpoints that live lets the first probe end, as it does in the program.

--- a/internal/flow/crash/crash.go
+++ b/internal/flow/crash/crash.go
@@ -48,12 +48,13 @@
 		lastAt  clock.Millis
 		// hasCrashed is set once the endpoint is known to have crashed.
 		hasCrashed bool
-		// probes counts the probes, silent those that the endpoint did not answer. The last one is
-		// running while isProbing is set, and ended at probedAt otherwise.
-		probes    int
-		silent    int
-		isProbing bool
-		probedAt  clock.Millis
+		// probes counts the probes, silent those that the endpoint did not answer. The last one began
+		// at probeSentAt. It is running while isProbing is set, and ended at probeEndedAt otherwise.
+		probes       int
+		silent       int
+		isProbing    bool
+		probeSentAt  clock.Millis
+		probeEndedAt clock.Millis
 	}
 )
 
@@ -74,7 +75,9 @@
 	case input.RequestReceived:
 		b.Blame.Count(in.Request.Parts)
 	case input.FirstEventSent:
-		c.handleLife(b, b.Requests[in.Number])
+		if request := b.Requests[in.Number]; request != nil {
+			c.handleLife(b, request.Endpoint, request.SentAt)
+		}
 	case input.SendEnded:
 		c.handleSendEnded(b, in.Result)
 	case input.EndpointProbed:
@@ -111,7 +114,7 @@
 		acquit(b, request, isComplete)
 	}
 	if result.End == call.EndComplete {
-		c.handleLife(b, request)
+		c.handleLife(b, request.Endpoint, request.SentAt)
 	}
 	switch {
 	case result.Exited:
--- a/internal/flow/crash/probe.go
+++ b/internal/flow/crash/probe.go
@@ -29,6 +29,7 @@
 	wantsReport := known.probes > 0 && b.Plan.Services[known.service].Engine != nil
 	known.probes++
 	known.isProbing = true
+	known.probeSentAt = b.Now
 	b.Emit(output.ProbeEndpoint{Endpoint: name, Epoch: known.epoch, Address: known.address, WantsReport: wantsReport})
 }
 
@@ -36,7 +37,7 @@
 func (c *controller) probe(b *board.Board) {
 	for _, name := range slices.Sorted(maps.Keys(c.losses)) {
 		known := c.losses[name]
-		isDue := known.probes > 0 && known.probes < maxProbes && !known.isProbing && b.Now-known.probedAt >= probeInterval
+		isDue := known.probes > 0 && known.probes < maxProbes && !known.isProbing && b.Now-known.probeEndedAt >= probeInterval
 		if isDue && !known.hasCrashed {
 			emitProbe(b, name, known)
 		}
@@ -49,12 +50,12 @@
 		return
 	}
 	known.isProbing = false
-	known.probedAt = b.Now
+	known.probeEndedAt = b.Now
 	switch probed.Outcome {
 	case input.ProbeRefused:
 		c.confirmCrash(b, probed.Endpoint)
 	case input.ProbeAnswered:
-		c.withdraw(b, probed.Endpoint)
+		c.handleLife(b, probed.Endpoint, known.probeSentAt)
 	case input.ProbeSilent:
 		known.silent++
 		if known.silent < silentProbes {
@@ -66,23 +67,13 @@
 	}
 }
 
-// handleLife drops the losses at an endpoint that answers a request which was sent after them.
-func (c *controller) handleLife(b *board.Board, request *board.Request) {
-	if request == nil {
-		return
-	}
-	known := c.losses[request.Endpoint]
-	endpoint := b.Pool.Find(request.Endpoint)
-	if known != nil && endpoint != nil && known.epoch == endpoint.Epoch && request.SentAt > known.lastAt {
-		c.withdraw(b, request.Endpoint)
-	}
-}
-
-// withdraw drops the losses at an endpoint that has just answered: it has not crashed, unless there was time
-// for a restart.
-func (c *controller) withdraw(b *board.Board, name ident.Endpoint) {
+// handleLife drops the losses at an endpoint that has just answered a probe or a request. If that was sent after the
+// losses, it has not crashed, unless there was time for a restart.
+func (c *controller) handleLife(b *board.Board, name ident.Endpoint, sentAt clock.Millis) {
 	known := c.losses[name]
-	if !known.hasCrashed && b.Now-known.lastAt < minRestart {
+	endpoint := b.Pool.Find(name)
+	isSameRun := known != nil && endpoint != nil && known.epoch == endpoint.Epoch
+	if isSameRun && !known.hasCrashed && sentAt > known.lastAt && b.Now-known.lastAt < minRestart {
 		b.Blame.WithdrawLosses(blame.RunOf(name, known.epoch))
 		delete(c.losses, name)
 	}
--- a/internal/flow/parts/poison_request_test.go
+++ b/internal/flow/parts/poison_request_test.go
@@ -80,9 +80,29 @@
 		send := requireSend(t, e.outputFor(number, e.step(input.RequestReceived{Request: request})))
 		e.endSend(call.Result{Number: number, End: call.EndAnswerLost, Closed: true})
 		require.Equal(t, 1, e.board.Blame.LossesOf(77, e.board.Now))
+		e.step(input.EndpointProbed{Endpoint: send.Endpoint, Epoch: 1, Outcome: input.ProbeUnknown})
 		e.advance(300)
 		e.step(input.EndpointProbed{Endpoint: send.Endpoint, Epoch: 1, Outcome: input.ProbeAnswered})
 		require.Zero(t, e.board.Blame.LossesOf(77, e.board.Now))
 		e.endSend(call.Result{Number: number, End: call.EndComplete, Status: http.StatusOK})
 	}
 }
+
+// Guards against evidence that is withdrawn for an answer which the endpoint gave before it crashed.
+func TestReportBeforeLossWithdrawsNothing(t *testing.T) {
+	e := newTestEntry(t).configure(1)
+	for _, fingerprint := range []uint64{77, 78} {
+		e.lastNumber++
+		request := call.Request{
+			Number: e.lastNumber, Host: host, Path: "/fixed/1", Key: callerKey, PromptTokens: 5000, CallerTimeout: 10000,
+			Fingerprint: fingerprint,
+		}
+		requireSend(t, e.outputFor(e.lastNumber, e.step(input.RequestReceived{Request: request})))
+	}
+	e.endSend(call.Result{Number: 1, End: call.EndAnswerLost, Closed: true})
+	e.step(input.EndpointProbed{Endpoint: "engine-00", Epoch: 1, Outcome: input.ProbeUnknown})
+	e.advance(300)
+	e.endSend(call.Result{Number: 2, End: call.EndAnswerLost, Closed: true})
+	e.step(input.EndpointProbed{Endpoint: "engine-00", Epoch: 1, Outcome: input.ProbeAnswered})
+	require.Equal(t, 1, e.board.Blame.LossesOf(78, e.board.Now))
+}
