Logs: refusals say whether the caller returned, what time it had left and the planned start

Hypotheses 8 (refused early, back early) and 9 (nobody knows the debt) could not be told apart: a refusal did not say whether its caller had been refused before, nor how much of its time was left. No decision changes.

--- a/internal/flow/call/call.go
+++ b/internal/flow/call/call.go
@@ -141,6 +141,11 @@
 		Entries int
 		// Wait is the last cause for which the request waited; empty if it did not.
 		Wait Wait
+		// IsCallerRetry reports whether the caller was refused before, TimeLeft is the time until its
+		// deadline, and StartsIn the time until the queue would start the prompt; zero if it was not queued.
+		IsCallerRetry bool
+		TimeLeft      clock.Millis
+		StartsIn      clock.Millis
 		// ListAge is how long the list of endpoints has been unreadable; zero if it is
 		// readable.
 		ListAge clock.Millis
--- a/internal/flow/place/long.go
+++ b/internal/flow/place/long.go
@@ -52,6 +52,7 @@
 	}
 	waiting := buildQueue(b, engine, request, len(candidates))
 	own := waiting.positionOf(b, request)
+	request.PlannedStart = own.startAt
 	if isOversized {
 		if wait := oversizedWait(b, request, waiting, len(spare), spareSuffices); wait != "" {
 			decision := waitForSpareEngines(b, request, own)
--- a/internal/flow/place/send.go
+++ b/internal/flow/place/send.go
@@ -67,7 +67,8 @@
 func basisOf(b *board.Board, request *board.Request) call.Basis {
 	basis := call.Basis{
 		Route: request.Route.Name, PlanVersion: b.Plan.Version, Usable: request.Usable, Entries: len(b.Peers),
-		Wait: request.Wait,
+		Wait: request.Wait, IsCallerRetry: request.IsCallerRetry(), TimeLeft: max(request.DeadlineAt-b.Now, 0),
+		StartsIn: max(request.PlannedStart-b.Now, 0),
 	}
 	if b.SourceLostAt != 0 {
 		basis.ListAge = b.Now - b.SourceLostAt
