Requests: a first attempt with less than the timeout of its route is no retry

Callers saw prompts refused at once or started out of order, though they had just been sent. Cause: a request with less than 0.95 of the timeout of its route counted as sent again after a refusal.

Change: a retry has at most what RetryAfter leaves of the time, three quarters; the time of its first attempt is estimated from that and no longer from the timeout of the route.

--- a/internal/flow/board/board.go
+++ b/internal/flow/board/board.go
@@ -23,9 +23,9 @@
 	// retryAfterDivisor; callers wait at most a third of that time.
 	retryAfterDivisor = 4
 	minRetryAfter     = 100 * clock.Millis(1)
-	// firstAttemptShare is the smallest fraction of the timeout of its route that a
-	// request has left if it is the caller's first attempt.
-	firstAttemptShare = 0.95
+	// retryShare is the largest fraction of its time that a caller has left when it retries after
+	// RetryAfter. First attempts may have less than the timeout of their route, too.
+	retryShare = 1 - 1.0/retryAfterDivisor
 	// Callers abandon a stream that has no events for the longest of these times:
 	// minCallerPatience, or the objective or the gap objective of the route times its
 	// factor.
@@ -196,21 +196,23 @@
 // IsReady reports whether the entry can serve callers.
 func (b *Board) IsReady() bool { return !b.Plan.IsZero() && b.HasList && !b.Stopping }
 
-// IsCallerRetry reports whether the caller was refused before. Such a request arrives
-// with less time than the timeout of its route.
+// IsCallerRetry reports whether the caller was refused before and has waited for RetryAfter.
 func (r *Request) IsCallerRetry() bool {
-	return float64(r.DeadlineAt-r.ArrivedAt) < firstAttemptShare*float64(r.Route.Timeout)
+	return float64(r.timeLeftAtArrival()) < retryShare*float64(r.Route.Timeout)
 }
 
 // DueAt returns when the first event of the request is due. For a caller's retry, the
-// objective counts from the caller's first attempt.
+// objective counts from the caller's first attempt, which is estimated from RetryAfter.
 func (r *Request) DueAt() clock.Millis {
 	if r.IsCallerRetry() {
-		return r.DeadlineAt - r.Route.Timeout + r.Route.Objective
+		timeout := min(clock.Millis(float64(r.timeLeftAtArrival())/retryShare), r.Route.Timeout)
+		return r.DeadlineAt - timeout + r.Route.Objective
 	}
 	return r.ArrivedAt + r.Route.Objective
 }
 
+func (r *Request) timeLeftAtArrival() clock.Millis { return r.DeadlineAt - r.ArrivedAt }
+
 // WaitsUntil returns when the caller stops waiting for a first event.
 func (r *Request) WaitsUntil() clock.Millis {
 	patience := max(minCallerPatience, objectivePatienceFactor*r.Route.Objective)
--- a/internal/flow/parts/stop_test.go
+++ b/internal/flow/parts/stop_test.go
@@ -19,7 +19,7 @@
 func (e *testEntry) occupy() (sent, queued uint64) {
 	sent, got := e.request("/long/1", 540000, 15000)
 	requireSend(e.t, got)
-	queued, got = e.request("/long/2", 540000, 12000)
+	queued, got = e.request("/long/2", 540000, 11000)
 	require.Nil(e.t, got)
 	return sent, queued
 }
