Silence: a request that has ended is not looked at

Cause: ShouldMove read a field of the request before it checked that there is one, so silence reported for a request that has ended would end the core. The test panicked before.

--- a/internal/flow/parts/silence_test.go
+++ b/internal/flow/parts/silence_test.go
@@ -11,6 +11,7 @@
 	"mustardhook/internal/flow/call"
 	"mustardhook/internal/flow/input"
 	"mustardhook/internal/flow/output"
+	"mustardhook/internal/flow/place"
 )
 
 // Guards against requests that fail because more sends were ended for silence than retries
@@ -103,3 +104,13 @@
 	}
 	requireSend(t, e.endSend(call.Result{Number: number, End: call.EndAnswerLost}))
 }
+
+// Guards against a core that ends when a timer reports silence for a request that has just ended.
+func TestSilenceOfAnEndedRequestIsIgnored(t *testing.T) {
+	e := newTestEntry(t).configure(4)
+	number, got := e.request("/long/1", 154000, 15000)
+	requireSend(t, got)
+	e.step(input.CallerDisconnected{Number: number})
+	require.NotPanics(t, func() { require.Empty(t, e.step(input.EndpointSilent{Number: number})) })
+	require.False(t, place.ShouldMove(e.board, number))
+}
--- a/internal/flow/place/end.go
+++ b/internal/flow/place/end.go
@@ -128,7 +128,10 @@
 // busy with prompts of other entries, and what it has prefilled would be lost.
 func ShouldMove(b *board.Board, number uint64) bool {
 	request := b.Requests[number]
-	mayRetry := request != nil && request.Route.IsRepeatable() && request.Runs+1 < request.Route.Attempts &&
+	if request == nil {
+		return false
+	}
+	mayRetry := request.Route.IsRepeatable() && request.Runs+1 < request.Route.Attempts &&
 		!b.EndsWithin(request, MinTimeLeft) && b.Budget.HasRetry(request.Service, retryLimits(b), b.Now)
 	isPatient := request.FirstEventSent || b.Now < request.MoveAfter
 	if !mayRetry || isPatient && !isSuspect(b, request.Endpoint) {
