Oversized prompts: a late one leaves the engines to others until its latest start

Cause: an oversized prompt was refused as soon as the queue left it no time to be on time, though its caller waits four times as long; after a refusal it could start as soon as engines were spare, in the midst of the surge.

Change: it waits while it can be served. While it can be on time it starts as before. Later it gains nothing by an early start, so it leaves the engines to prompts that can be on time, unless three quarters of the long size class are idle, until its caller waits for two prefills more; then it starts with half of its usual engines at least, if no prompt that can be on time becomes late by it. It is refused as soon as its caller would no longer wait for its prefill. Nothing tells retries apart any more there.

--- a/internal/flow/call/call.go
+++ b/internal/flow/call/call.go
@@ -58,6 +58,9 @@
 	WaitSpareTime    Wait = "spareTime"
 	// WaitOthers means that an oversized prompt would make a prompt late that can be on time.
 	WaitOthers Wait = "others"
+	// WaitLatestStart means that an oversized prompt, which can't be on time, leaves the engines to
+	// prompts that can until its latest start.
+	WaitLatestStart Wait = "latestStart"
 	// WaitMemory means that the engines have too little free memory for the KV cache, WaitLease
 	// that an engine refused to reserve it.
 	WaitMemory Wait = "memory"
--- /dev/null
+++ b/internal/flow/parts/late_test.go
@@ -0,0 +1,95 @@
+package parts
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"mustardhook/internal/core/clock"
+	"mustardhook/internal/flow/call"
+	"mustardhook/internal/flow/output"
+	"mustardhook/internal/flow/pool"
+	"mustardhook/internal/flow/tally"
+)
+
+// oversizedTokens is the length of a prompt that exceeds the memory of one engine.
+const oversizedTokens = 400000
+
+// prefillingLoads returns loads of long prompts that the given number of the engines prefill for the
+// given time from now.
+func (e *testEntry) prefillingLoads(count int, duration clock.Millis) tally.Loads {
+	loads := tally.Loads{}
+	for _, endpoint := range e.board.Pool.ByService(engines)[:count] {
+		loads[endpoint.Hash()] = pool.Load{
+			Leads: 1, Prefilling: 1, PendingTokens: 100000, MemoryTokens: 100000, PrefillMillis: int(duration),
+			LastPrefillEndsAt: e.board.Now + duration,
+		}
+	}
+	return loads
+}
+
+// advanceUntilOutput advances the time until the request is sent or refused, at most by the duration.
+func (e *testEntry) advanceUntilOutput(number uint64, duration clock.Millis) output.Output {
+	e.outputs = nil
+	for end := e.board.Now + duration; e.board.Now < end; {
+		e.advance(50)
+		if out := e.outputFor(number, e.outputs); out != nil {
+			return out
+		}
+	}
+	return nil
+}
+
+// Guards against an oversized prompt that is refused in a surge because it can't be on time, though its
+// caller waits until the surge has ebbed, and is refused again when it comes back.
+func TestOversizedPromptOutlastsASurge(t *testing.T) {
+	e := newTestEntry(t).configure(40)
+	e.receiveLoads(e.prefillingLoads(40, 8*clock.Second))
+	number, got := e.request("/long/1", oversizedTokens, 15*clock.Second)
+	require.Nil(t, got)
+	arrivedAt := e.board.Now
+	for e.board.Now < arrivedAt+7*clock.Second {
+		require.Nil(t, e.advanceUntilOutput(number, 500))
+		e.receiveLoads(e.prefillingLoads(40, arrivedAt+8*clock.Second-e.board.Now))
+	}
+	e.receiveLoads(tally.Loads{})
+	requireSend(t, e.advanceUntilOutput(number, 2*clock.Second))
+}
+
+// Guards against prompts that can't be on time and take engines from prompts that can: a late one gains
+// nothing by an early start. It starts at the latest when its caller waits for two prefills more.
+func TestLatePromptLeavesEnginesToOthers(t *testing.T) {
+	e := newTestEntry(t).configure(60)
+	e.receiveLoads(e.prefillingLoads(60, 4*clock.Second))
+	number, got := e.request("/long/1", oversizedTokens, 15*clock.Second)
+	require.Nil(t, got)
+	request := e.board.Requests[number]
+	for e.board.Now < request.DueAt() {
+		require.Nil(t, e.advanceUntilOutput(number, 500))
+		e.receiveLoads(e.prefillingLoads(60, 4*clock.Second))
+	}
+	for e.board.Now < request.WaitsUntil()-3500 {
+		e.receiveLoads(e.prefillingLoads(30, 2*clock.Second))
+		require.Nil(t, e.advanceUntilOutput(number, 500))
+		require.Equal(t, call.WaitLatestStart, request.Wait)
+	}
+	requireSend(t, e.advanceUntilOutput(number, 1500))
+	require.GreaterOrEqual(t, request.WaitsUntil()-e.board.Now, 2*clock.Second)
+}
+
+// A prompt that its caller no longer waits for is refused as soon as that is known.
+func TestOversizedPromptIsRefusedWhenItIsTooLate(t *testing.T) {
+	e := newTestEntry(t).configure(40)
+	e.receiveLoads(e.prefillingLoads(40, 20*clock.Second))
+	number, _ := e.request("/long/1", oversizedTokens, 15*clock.Second)
+	waitsUntil := e.board.Requests[number].WaitsUntil()
+	for e.board.Requests[number] != nil {
+		e.receiveLoads(e.prefillingLoads(40, 20*clock.Second))
+		e.advance(50)
+		require.Less(t, e.board.Now, waitsUntil)
+	}
+	require.Equal(t, call.ReasonOverload, e.replyTo(number).Reason)
+
+	_, got := e.request("/long/1", oversizedTokens, 700)
+	require.Equal(t, call.ReasonOverload, got.(output.Reply).Reply.Reason, "less time than the prefill takes")
+}
--- a/internal/flow/place/long.go
+++ b/internal/flow/place/long.go
@@ -33,7 +33,8 @@
 // among them, which decodes the answer. The prompt waits while the engines that the prompts
 // ahead of it in the queue leave have much prefill pending, because shards that accumulate
 // on an engine make one long pass. Before its first send, it is refused if it would start
-// after half of the time that its caller still waits.
+// after half of the time that its caller still waits, or, if it is oversized, if its caller would
+// no longer wait for it.
 func chooseLong(
 	b *board.Board, engine *plan.Engine, short, long []*candidate, request *board.Request, need int,
 ) choice {
@@ -46,34 +47,45 @@
 	candidates := withShortClass(engine, short, long, prompt, shards)
 	isOversized := need > maxTokensPerEngine(engine)
 	spare := spareEngines(engine, candidates, prompt, shards)
-	spareSuffices := isOnTime(b, spare, request, shards)
-	if spareSuffices || isOversized && len(spare) > 0 {
+	capacity := spareCapacity{
+		count: len(spare), suffices: isOnTime(b, spare, request, shards),
+		isIdle: float64(len(withLittlePending(spare))) >= idleShare*float64(len(long)),
+	}
+	if capacity.suffices || isOversized && len(spare) > 0 {
 		candidates = spare
 	}
 	waiting := buildQueue(b, engine, request, len(candidates))
 	own := waiting.positionOf(b, request)
 	request.PlannedStart = own.startAt
 	if isOversized {
-		if wait := oversizedWait(b, request, waiting, len(spare), spareSuffices); wait != "" {
-			decision := waitForSpareEngines(b, request, own)
+		if wait := oversizedWait(b, request, waiting, own, capacity); wait != "" {
+			decision := refuseIfTooLate(b, request, own)
 			decision.wait, decision.own, decision.shards, decision.free = wait, own, shards, len(spare)
 			return decision
 		}
 	}
+	free := withLittlePending(candidates)
 	shards = min(shards, len(candidates))
+	if isOversized && !own.canBeOnTime(b, request) {
+		shards = lateShards(shards, len(free))
+	}
 	for _, c := range candidates {
 		c.price = cost.FirstEventMillis(c.engine, c.load, prompt, shards) * (1 + priceJitter*b.Random.Float64())
 	}
-	slices.SortStableFunc(candidates, func(a, b *candidate) int { return cmp.Compare(a.price, b.price) })
-	free := slices.DeleteFunc(slices.Clone(candidates), func(c *candidate) bool { return c.load.PendingMillis > maxPendingMillis })
+	slices.SortStableFunc(free, func(a, b *candidate) int { return cmp.Compare(a.price, b.price) })
 	switch {
 	case request.Runs == 0 && b.StopEndsWithin(own.startAt-b.Now+minDuration(b, request)):
 		return choice{reason: call.ReasonStopping, retryAfter: StoppingRetryAfter}
-	case request.Runs == 0 && own.startAt > b.Now+(request.WaitsUntil()-b.Now)/2:
+	case !isOversized && request.Runs == 0 && own.startAt > b.Now+(request.WaitsUntil()-b.Now)/2:
 		return choice{reason: call.ReasonOverload, retryAfter: b.RetryAfter(request)}
 	case len(free) < shards:
 		request.CapacitySince = 0
-		return choice{wait: call.WaitEngines, own: own, shards: shards, free: len(free)}
+		decision := choice{}
+		if isOversized {
+			decision = refuseIfTooLate(b, request, own)
+		}
+		decision.wait, decision.own, decision.shards, decision.free = call.WaitEngines, own, shards, len(free)
+		return decision
 	case isOversized:
 		left := free[min(own.enginesAhead, len(free)-shards):]
 		return divideMemory(engine, left, chooseGang(b, engine, left, shards, need), need)
@@ -85,6 +97,11 @@
 	return choice{wait: call.WaitQueue, own: own, shards: shards, free: len(free)}
 }
 
+// withLittlePending returns the candidates at which the next shard can be prefilled soon.
+func withLittlePending(candidates []*candidate) []*candidate {
+	return slices.DeleteFunc(slices.Clone(candidates), func(c *candidate) bool { return c.load.PendingMillis > maxPendingMillis })
+}
+
 // shardsOf returns the number of shards into which a long prompt is divided if there are
 // enough engines.
 func shardsOf(engine *plan.Engine, prompt int) int {
--- a/internal/flow/place/oversized.go
+++ b/internal/flow/place/oversized.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"slices"
 
+	"mustardhook/internal/core/clock"
 	"mustardhook/internal/flow/board"
 	"mustardhook/internal/flow/call"
 	"mustardhook/internal/flow/plan"
@@ -14,6 +15,12 @@
 	// minOversizedEngines is the minimum number of engines for the prefill of an oversized
 	// prompt, that is, one that exceeds the memory of a single engine.
 	minOversizedEngines = 3
+	// latePrefills is how often an oversized prompt could be prefilled in the time that its caller still
+	// waits when a late prompt starts at the latest.
+	latePrefills = 2
+	// idleShare is the fraction of the engines of the long size class that are idle when a late
+	// prompt need not leave them to others.
+	idleShare = 0.75
 	// maxLeaseHolders is the maximum number of helpers that store parts of the KV cache of
 	// a prompt.
 	maxLeaseHolders = 4
@@ -22,29 +29,55 @@
 	memoryMargin = 0.03
 )
 
+// spareCapacity describes the spare engines for a prompt: their number, whether they suffice to be on
+// time, and whether most engines are idle.
+type spareCapacity struct {
+	count    int
+	suffices bool
+	isIdle   bool
+}
+
 // oversizedWait returns why an oversized prompt must wait, or "" if it may start. Spare engines
 // can prefill a shard of it without delaying their answers.
-func oversizedWait(b *board.Board, request *board.Request, waiting queue, spare int, spareSuffices bool) call.Wait {
+//
+// While the prompt can be on time, it waits for spare engines that suffice for that. Later it gains
+// nothing by an early start, so it leaves the engines to prompts that can be on time, unless most
+// engines are idle, until its latest start.
+func oversizedWait(b *board.Board, request *board.Request, waiting queue, own position, spare spareCapacity) call.Wait {
+	isLate := !own.canBeOnTime(b, request)
 	switch {
-	case spare < minOversizedEngines:
+	case spare.count < minOversizedEngines:
 		return call.WaitSpareEngines
-	case !spareSuffices && !request.IsCallerRetry():
+	case !isLate && !spare.suffices:
 		return call.WaitSpareTime
+	case isLate && !spare.isIdle && b.Now < own.latestStart(request):
+		return call.WaitLatestStart
 	case !waiting.mayPrecede(b, request):
 		return call.WaitOthers
 	}
 	return ""
 }
 
-// waitForSpareEngines lets an oversized prompt wait while it can be on time, or, if its
-// caller was refused before, for half of the time that its caller waits. It is refused as
-// soon as the queue leaves it no time.
-func waitForSpareEngines(b *board.Board, request *board.Request, own position) choice {
-	limit := request.DueAt()
-	if request.IsCallerRetry() {
-		limit = request.ArrivedAt + (request.WaitsUntil()-request.ArrivedAt)/2
-	}
-	if request.Runs == 0 && own.startAt+own.prefill > limit {
+// canBeOnTime reports whether the prompt could be on time if all its engines began with it now.
+func (p position) canBeOnTime(b *board.Board, request *board.Request) bool {
+	return b.Now+p.prefill <= request.DueAt()
+}
+
+// latestStart returns when the prompt has to start so that its caller still waits for the first event.
+func (p position) latestStart(request *board.Request) clock.Millis {
+	return request.WaitsUntil() - latePrefills*p.prefill
+}
+
+// lateShards returns the number of shards for a late start with the given number of free engines. Fewer
+// engines than usual suffice, as the time left is latePrefills times the usual prefill.
+func lateShards(shards, free int) int {
+	return min(shards, max(free, (shards+latePrefills-1)/latePrefills, minOversizedEngines))
+}
+
+// refuseIfTooLate refuses an oversized prompt that has to wait if its caller would no longer wait for
+// the first event when the queue lets it start.
+func refuseIfTooLate(b *board.Board, request *board.Request, own position) choice {
+	if request.Runs == 0 && b.Now+own.prefill > request.WaitsUntil() {
 		return choice{reason: call.ReasonOverload, retryAfter: b.RetryAfter(request)}
 	}
 	return choice{}
