Oversized prompts: entries that decide at the same time choose different leads

Callers of oversized prompts got no answer although their prompts had been sent: two entries that decided within the delay of the news chose the same lead, whose memory sufficed for one; the other waited there, its lease refused with 409 or its send given up for silence after a third of its time. Cause: the engine with the most free memory led, the same one for all entries.

Change: engines whose free memory differs by less than an eighth of their memory count alike, and are taken in random order, as the gang is. The test failed before: one engine led the prompts of 20 of 20 entries.

--- a/internal/flow/parts/late_test.go
+++ b/internal/flow/parts/late_test.go
@@ -1,11 +1,13 @@
 package parts
 
 import (
+	"math/rand/v2"
 	"testing"
 
 	"github.com/stretchr/testify/require"
 
 	"mustardhook/internal/core/clock"
+	"mustardhook/internal/core/ident"
 	"mustardhook/internal/flow/call"
 	"mustardhook/internal/flow/output"
 	"mustardhook/internal/flow/pool"
@@ -93,3 +95,24 @@
 	_, got := e.request("/long/1", oversizedTokens, 700)
 	require.Equal(t, call.ReasonOverload, got.(output.Reply).Reply.Reason, "less time than the prefill takes")
 }
+
+// Guards against entries that decide at the same time and all choose the engine with the most free memory as
+// the lead of an oversized prompt: its memory suffices for one, and the others wait there until they are
+// given up.
+func TestEntriesChooseDifferentLeadsForOversizedPrompts(t *testing.T) {
+	leads := map[ident.Endpoint]int{}
+	for seed := range uint64(20) {
+		e := newTestEntry(t).configure(60)
+		e.board.Random = rand.New(rand.NewPCG(seed, 1))
+		loads := tally.Loads{}
+		for i, endpoint := range e.board.Pool.ByService(engines) {
+			loads[endpoint.Hash()] = pool.Load{Leads: 1, Decoding: 1, ContextTokens: 1000 + 100*i, MemoryTokens: 1000 + 100*i, MinGap: 1200}
+		}
+		e.receiveLoads(loads)
+		_, got := e.request("/long/1", oversizedTokens, 15*clock.Second)
+		leads[requireSend(t, got).Endpoint]++
+	}
+	for lead, count := range leads {
+		require.LessOrEqual(t, count, 5, "%s leads the prompts of %d of 20 entries", lead, count)
+	}
+}
--- a/internal/flow/place/long.go
+++ b/internal/flow/place/long.go
@@ -88,7 +88,7 @@
 		return decision
 	case isOversized:
 		left := free[min(own.enginesAhead, len(free)-shards):]
-		return divideMemory(engine, left, chooseGang(b, engine, left, shards, need), need)
+		return divideMemory(b, engine, left, chooseGang(b, engine, left, shards, need), need)
 	case own.enginesAhead+shards <= len(free):
 		return chooseGang(b, engine, free[own.enginesAhead:], shards, need)
 	case hasWaitedForOthers(b, request, own):
--- a/internal/flow/place/oversized.go
+++ b/internal/flow/place/oversized.go
@@ -24,6 +24,9 @@
 	// maxLeaseHolders is the maximum number of helpers that store parts of the KV cache of
 	// a prompt.
 	maxLeaseHolders = 4
+	// memorySteps is the number of steps of free memory that are told apart when holders are
+	// chosen.
+	memorySteps = 8
 	// memoryMargin is the fraction of the memory of an engine that is reserved for errors
 	// of the estimate.
 	memoryMargin = 0.03
@@ -92,10 +95,12 @@
 // divideMemory leases memory at helpers for a KV cache that is too large for one engine. It
 // uses the engines with the most free memory, as few as suffice. If the memory does not
 // suffice, the request waits.
-func divideMemory(engine *plan.Engine, candidates []*candidate, decision choice, need int) choice {
+func divideMemory(b *board.Board, engine *plan.Engine, candidates []*candidate, decision choice, need int) choice {
 	free := func(c *candidate) int { return maxTokensPerEngine(engine) - c.load.MemoryTokens }
 	byFree := slices.Clone(candidates)
-	slices.SortStableFunc(byFree, func(a, b *candidate) int { return cmp.Compare(free(b), free(a)) })
+	b.Random.Shuffle(len(byFree), func(i, j int) { byFree[i], byFree[j] = byFree[j], byFree[i] })
+	step := max(engine.MemoryTokens/memorySteps, 1)
+	slices.SortStableFunc(byFree, func(a, b *candidate) int { return cmp.Compare(free(b)/step, free(a)/step) })
 	available := 0
 	holders := 0
 	for holders < len(byFree) && holders <= maxLeaseHolders && available < need {
