Tests: no size of prompts is starved in a surge, at four sizes of the fleet

Fleets of 15 to 60 entries and 25 to 100 engines, callers that wait for 0.7 to 1 of the timeout; the largest tenth of the dossiers and the fifth below it against the floor of half.

--- a/internal/flow/parts/surge_test.go
+++ b/internal/flow/parts/surge_test.go
@@ -7,6 +7,7 @@
 	"slices"
 	"testing"
 
+	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
 	"mustardhook/internal/core/clock"
@@ -76,6 +77,8 @@
 		due  []scheduledInput
 		// returning are the callers that send their prompts again at a later time.
 		returning []returningCaller
+		// minPatience is the smallest part of the timeout of its route that a caller waits.
+		minPatience float64
 	}
 
 	// returningCaller is a caller that was refused.
@@ -269,7 +272,7 @@
 func newSurge(f *fleet, seed uint64) *surge {
 	return &surge{
 		fleet: f, random: rand.New(rand.NewPCG(seed, 4)), pending: map[*fleetEntry]map[uint64]*prompt{},
-		busy: map[ident.Endpoint]clock.Millis{},
+		busy: map[ident.Endpoint]clock.Millis{}, minPatience: 1,
 	}
 }
 
@@ -307,7 +310,11 @@
 func (s *surge) newPrompt(source arrivals) *prompt {
 	mu := math.Log(source.mean) - source.spread*source.spread/2
 	tokens := min(int(math.Exp(mu+source.spread*s.random.NormFloat64())), source.maximum)
-	return &prompt{from: source, tokens: tokens, dueAt: s.now + source.objective, deadlineAt: s.now + source.timeout}
+	timeout := source.timeout
+	if s.minPatience < 1 {
+		timeout = clock.Millis((s.minPatience + (1-s.minPatience)*s.random.Float64()) * float64(timeout))
+	}
+	return &prompt{from: source, tokens: tokens, dueAt: s.now + source.objective, deadlineAt: s.now + timeout}
 }
 
 // Pattern: long prompts arrive faster than they start, so that the queue of a large service
@@ -376,3 +383,35 @@
 		largest.ratio((*prompt).served), largest.ratio((*prompt).onTime))
 	require.GreaterOrEqual(t, largest.ratio((*prompt).served), floor*got.ratio((*prompt).served))
 }
+
+// Guards against a size of prompts that is hardly served in a surge, in fleets of other sizes and with callers
+// that wait for less than the timeout of their route. Users require that the largest tenth and the fifth
+// below it are served half as often as all.
+//
+// Pattern: surges of dossiers that the engines can't serve on time.
+func TestNoSizeIsStarvedInASurge(t *testing.T) {
+	t.Parallel()
+	const floor = 0.5
+	for _, test := range []struct {
+		entries, engines int
+		load             float64
+		minPatience      float64
+	}{{15, 25, 0.5, 0.85}, {60, 100, 2, 0.85}, {30, 50, 1, 0.7}, {40, 44, 1, 1}} {
+		var got prompts
+		for seed := range uint64(max(1, int(2/test.load))) {
+			s := newSurge(newLongPromptFleet(t, test.entries, test.engines), seed+10)
+			s.minPatience = test.minPatience
+			s.run(2*clock.Second, largeSite(test.load, 0.6*test.load))
+			s.run(9500, largeSite(test.load, 2.2*test.load))
+			s.run(promptTimeout, largeSite(test.load, 0.05*test.load))
+			got = append(got, s.prompts.filter(func(p *prompt) bool { return p.from.route == dossiers })...)
+		}
+		all := got.ratio((*prompt).served)
+		tenth := got.largest(0.1)
+		fifth := got.largest(0.3)[len(tenth):]
+		t.Logf("%d entries, %d engines: %d dossiers, served %.2f, on time %.2f; largest tenth %.2f, fifth below %.2f", test.entries,
+			test.engines, len(got), all, got.ratio((*prompt).onTime), tenth.ratio((*prompt).served), fifth.ratio((*prompt).served))
+		assert.GreaterOrEqual(t, tenth.ratio((*prompt).served), floor*all, "largest tenth at %d engines", test.engines)
+		assert.GreaterOrEqual(t, fifth.ratio((*prompt).served), floor*all, "fifth below it at %d engines", test.engines)
+	}
+}
