Oversized prompts: more than half may make others late at their latest start

Users require that the largest tenth is served half as often as all.

Change: 0.6 of the oversized prompts, drawn once for each, start at their latest start whatever it does to others.

--- a/internal/flow/board/board.go
+++ b/internal/flow/board/board.go
@@ -126,6 +126,9 @@
 		// CapacitySince is when this entry first saw capacity for it; zero if it sees none.
 		Queued        bool
 		CapacitySince clock.Millis
+		// PrecedenceDraw is the random number that decides whether the request may make others late;
+		// zero before it is drawn.
+		PrecedenceDraw float64
 		// PlannedStart is when the queue last planned to start the request; zero if it was not queued.
 		PlannedStart clock.Millis
 		// Wait is the last cause for which the request waited, and WaitLoggedAt when it was
--- a/internal/flow/parts/late_test.go
+++ b/internal/flow/parts/late_test.go
@@ -9,6 +9,7 @@
 	"mustardhook/internal/core/clock"
 	"mustardhook/internal/core/ident"
 	"mustardhook/internal/flow/call"
+	"mustardhook/internal/flow/input"
 	"mustardhook/internal/flow/output"
 	"mustardhook/internal/flow/pool"
 	"mustardhook/internal/flow/tally"
@@ -116,3 +117,42 @@
 		require.LessOrEqual(t, count, 5, "%s leads the prompts of %d of 20 entries", lead, count)
 	}
 }
+
+// Guards against oversized prompts of which none is served while there are always prompts that can be on time
+// and would be late by them. Users require that the largest tenth is served half as often as all.
+func TestOversizedPromptsAreNotAllHeldUpByOthers(t *testing.T) {
+	const runs = 40
+	started := 0
+	for seed := range uint64(runs) {
+		e := newTestEntry(t).configure(40)
+		e.board.Random = rand.New(rand.NewPCG(seed, 2))
+		holdUp := func(busy int) {
+			e.receiveLoads(e.prefillingLoads(busy, 2*clock.Second))
+			e.receiveNews("entry-9", func(n *input.News) {
+				for i := range uint64(3) {
+					due := e.board.Now + 500
+					n.QueuedPrompts = append(n.QueuedPrompts, input.QueuedPrompt{
+						Service: engines, Number: i, PromptTokens: 100000, DueAt: due, WaitsUntil: due + 9*clock.Second,
+					})
+				}
+			})
+		}
+		holdUp(40)
+		number, _ := e.request("/long/1", oversizedTokens, 15*clock.Second)
+		for e.board.Requests[number] != nil && e.board.Requests[number].Endpoint == "" {
+			request := e.board.Requests[number]
+			if e.board.Now < request.DueAt() {
+				holdUp(40)
+			} else {
+				holdUp(10)
+			}
+			e.advance(100)
+		}
+		if e.board.Requests[number] != nil {
+			started++
+		}
+	}
+	t.Logf("%d of %d started", started, runs)
+	require.GreaterOrEqual(t, started, runs/2)
+	require.Less(t, started, runs)
+}
--- a/internal/flow/place/oversized.go
+++ b/internal/flow/place/oversized.go
@@ -18,6 +18,10 @@
 	// latePrefills is how often an oversized prompt could be prefilled in the time that its caller still
 	// waits when a late prompt starts at the latest.
 	latePrefills = 2
+	// precedenceShare is the fraction of the oversized prompts that start at their latest start also
+	// if a prompt that can be on time becomes late by it. Users require that they are served half as
+	// often as all; the rest covers places that are lost with engines and entries.
+	precedenceShare = 0.6
 	// idleShare is the fraction of the engines of the long size class that are idle when a late
 	// prompt need not leave them to others.
 	idleShare = 0.75
@@ -45,7 +49,8 @@
 //
 // While the prompt can be on time, it waits for spare engines that suffice for that. Later it gains
 // nothing by an early start, so it leaves the engines to prompts that can be on time, unless most
-// engines are idle, until its latest start.
+// engines are idle, until its latest start. Then it starts, unless it has no precedence and would
+// make a prompt late that can be on time.
 func oversizedWait(b *board.Board, request *board.Request, waiting queue, own position, spare spareCapacity) call.Wait {
 	isLate := !own.canBeOnTime(b, request)
 	switch {
@@ -55,12 +60,23 @@
 		return call.WaitSpareTime
 	case isLate && !spare.isIdle && b.Now < own.latestStart(request):
 		return call.WaitLatestStart
+	case isLate && b.Now >= own.latestStart(request) && hasPrecedence(b, request):
+		return ""
 	case !waiting.mayPrecede(b, request):
 		return call.WaitOthers
 	}
 	return ""
 }
 
+// hasPrecedence reports whether the prompt is one of precedenceShare, which may make others late. That
+// is drawn once for each request.
+func hasPrecedence(b *board.Board, request *board.Request) bool {
+	if request.PrecedenceDraw == 0 {
+		request.PrecedenceDraw = b.Random.Float64()
+	}
+	return request.PrecedenceDraw < precedenceShare
+}
+
 // canBeOnTime reports whether the prompt could be on time if all its engines began with it now.
 func (p position) canBeOnTime(b *board.Board, request *board.Request) bool {
 	return b.Now+p.prefill <= request.DueAt()
