Oversized prompts: one place refuses those that are too late

A prompt that waited for memory was not refused when its caller no longer waited for its prefill, only at its deadline; the refusal also stood in two places. It is checked once now, before anything else.

--- a/internal/flow/place/long.go
+++ b/internal/flow/place/long.go
@@ -58,10 +58,11 @@
 	own := waiting.positionOf(b, request)
 	request.PlannedStart = own.startAt
 	if isOversized {
+		if own.isTooLate(b, request) {
+			return choice{reason: call.ReasonOverload, retryAfter: b.RetryAfter(request)}
+		}
 		if wait := oversizedWait(b, request, waiting, own, capacity); wait != "" {
-			decision := refuseIfTooLate(b, request, own)
-			decision.wait, decision.own, decision.shards, decision.free = wait, own, shards, len(spare)
-			return decision
+			return choice{wait: wait, own: own, shards: shards, free: len(spare)}
 		}
 	}
 	free := withLittlePending(candidates)
@@ -80,12 +81,7 @@
 		return choice{reason: call.ReasonOverload, retryAfter: b.RetryAfter(request)}
 	case len(free) < shards:
 		request.CapacitySince = 0
-		decision := choice{}
-		if isOversized {
-			decision = refuseIfTooLate(b, request, own)
-		}
-		decision.wait, decision.own, decision.shards, decision.free = call.WaitEngines, own, shards, len(free)
-		return decision
+		return choice{wait: call.WaitEngines, own: own, shards: shards, free: len(free)}
 	case isOversized:
 		left := free[min(own.enginesAhead, len(free)-shards):]
 		return divideMemory(b, engine, left, chooseGang(b, engine, left, shards, need), need)
--- a/internal/flow/place/oversized.go
+++ b/internal/flow/place/oversized.go
@@ -93,13 +93,10 @@
 	return min(shards, max(free, (shards+latePrefills-1)/latePrefills, minOversizedEngines))
 }
 
-// refuseIfTooLate refuses an oversized prompt that has to wait if its caller would no longer wait for
-// the first event when the queue lets it start.
-func refuseIfTooLate(b *board.Board, request *board.Request, own position) choice {
-	if request.Runs == 0 && b.Now+own.prefill > request.WaitsUntil() {
-		return choice{reason: call.ReasonOverload, retryAfter: b.RetryAfter(request)}
-	}
-	return choice{}
+// isTooLate reports whether the caller of the request, which was not sent yet, would no longer wait for
+// the first event if all engines of the prompt began with it now.
+func (p position) isTooLate(b *board.Board, request *board.Request) bool {
+	return request.Runs == 0 && b.Now+p.prefill > request.WaitsUntil()
 }
 
 // maxTokensPerEngine returns the size of the largest prompt and answer that fit into the
