Oversized prompts: three in ten start as soon as enough engines are spare

Cause: in a long surge of the large site hardly ever are nine engines spare at once, and at the latest start fewer come too late: three need six seconds for 400,000 tokens.

Change: 0.3 of the oversized prompts don't wait for their latest start once they can't be on time; a late start takes as many engines as are free, if these end while the caller still waits. The floor costs prompts that would be on time.

--- a/internal/flow/parts/late_test.go
+++ b/internal/flow/parts/late_test.go
@@ -67,6 +67,7 @@
 	number, got := e.request("/long/1", oversizedTokens, 15*clock.Second)
 	require.Nil(t, got)
 	request := e.board.Requests[number]
+	request.PrecedenceDraw = 1
 	for e.board.Now < request.DueAt() {
 		require.Nil(t, e.advanceUntilOutput(number, 500))
 		e.receiveLoads(e.prefillingLoads(60, 4*clock.Second))
--- a/internal/flow/place/long.go
+++ b/internal/flow/place/long.go
@@ -68,7 +68,7 @@
 	free := withLittlePending(candidates)
 	shards = min(shards, len(candidates))
 	if isOversized && !own.canBeOnTime(b, request) {
-		shards = lateShards(shards, len(free))
+		shards = lateShards(b, request, own, shards, len(free))
 	}
 	for _, c := range candidates {
 		c.price = cost.FirstEventMillis(c.engine, c.load, prompt, shards) * (1 + priceJitter*b.Random.Float64())
--- a/internal/flow/place/oversized.go
+++ b/internal/flow/place/oversized.go
@@ -22,6 +22,9 @@
 	// if a prompt that can be on time becomes late by it. Users require that they are served half as
 	// often as all; the rest covers places that are lost with engines and entries.
 	precedenceShare = 0.6
+	// earlyShare is the fraction of the oversized prompts that start as soon as they can't be on time and
+	// enough engines are spare. In a long surge seldom enough are at the latest start.
+	earlyShare = 0.3
 	// idleShare is the fraction of the engines of the long size class that are idle when a late
 	// prompt need not leave them to others.
 	idleShare = 0.75
@@ -50,7 +53,7 @@
 // While the prompt can be on time, it waits for spare engines that suffice for that. Later it gains
 // nothing by an early start, so it leaves the engines to prompts that can be on time, unless most
 // engines are idle, until its latest start. Then it starts, unless it has no precedence and would
-// make a prompt late that can be on time.
+// make a prompt late that can be on time. earlyShare of the prompts don't wait for their latest start.
 func oversizedWait(b *board.Board, request *board.Request, waiting queue, own position, spare spareCapacity) call.Wait {
 	isLate := !own.canBeOnTime(b, request)
 	switch {
@@ -58,9 +61,11 @@
 		return call.WaitSpareEngines
 	case !isLate && !spare.suffices:
 		return call.WaitSpareTime
+	case isLate && drawPrecedence(b, request) < earlyShare:
+		return ""
 	case isLate && !spare.isIdle && b.Now < own.latestStart(request):
 		return call.WaitLatestStart
-	case isLate && b.Now >= own.latestStart(request) && hasPrecedence(b, request):
+	case isLate && drawPrecedence(b, request) < precedenceShare:
 		return ""
 	case !waiting.mayPrecede(b, request):
 		return call.WaitOthers
@@ -68,13 +73,13 @@
 	return ""
 }
 
-// hasPrecedence reports whether the prompt is one of precedenceShare, which may make others late. That
+// drawPrecedence returns the random number below 1 that decides whether the prompt may make others late. It
 // is drawn once for each request.
-func hasPrecedence(b *board.Board, request *board.Request) bool {
+func drawPrecedence(b *board.Board, request *board.Request) float64 {
 	if request.PrecedenceDraw == 0 {
 		request.PrecedenceDraw = b.Random.Float64()
 	}
-	return request.PrecedenceDraw < precedenceShare
+	return request.PrecedenceDraw
 }
 
 // canBeOnTime reports whether the prompt could be on time if all its engines began with it now.
@@ -87,10 +92,13 @@
 	return request.WaitsUntil() - latePrefills*p.prefill
 }
 
-// lateShards returns the number of shards for a late start with the given number of free engines. Fewer
-// engines than usual suffice, as the time left is latePrefills times the usual prefill.
-func lateShards(shards, free int) int {
-	return min(shards, max(free, (shards+latePrefills-1)/latePrefills, minOversizedEngines))
+// lateShards returns the number of shards for a late start with the given number of free engines: as many as
+// are free, if the prefill ends while the caller still waits, and at least as many as that takes.
+func lateShards(b *board.Board, request *board.Request, own position, shards, free int) int {
+	work := own.prefill * clock.Millis(shards)
+	left := max(request.WaitsUntil()-b.Now, 1)
+	enough := int((work + left - 1) / left)
+	return min(shards, max(free, enough, minOversizedEngines))
 }
 
 // isTooLate reports whether the caller of the request, which was not sent yet, would no longer wait for
