--- a/internal/flow/place/engine.go
+++ b/internal/flow/place/engine.go
@@ -108,6 +108,9 @@
 		return decision
 	}
 	decision := chooseLong(b, engine, short, long, request, need)
+	if decision.wait != "" && need > maxTokensPerEngine(engine) && decision.own.isTooLate(b, request) {
+		return choice{reason: call.ReasonOverload, retryAfter: b.RetryAfter(request)}
+	}
 	decision.urgency = urgencyLong
 	return decision
 }
--- a/internal/flow/place/long.go
+++ b/internal/flow/place/long.go
@@ -58,9 +58,6 @@
 	own := waiting.positionOf(b, request)
 	request.PlannedStart = own.startAt
 	if isOversized {
-		if own.isTooLate(b, request) {
-			return choice{reason: call.ReasonOverload, retryAfter: b.RetryAfter(request)}
-		}
 		if wait := oversizedWait(b, request, waiting, own, capacity); wait != "" {
 			return choice{wait: wait, own: own, shards: shards, free: len(spare)}
 		}
@@ -84,7 +81,7 @@
 		return choice{wait: call.WaitEngines, own: own, shards: shards, free: len(free)}
 	case isOversized:
 		left := free[min(own.enginesAhead, len(free)-shards):]
-		return divideMemory(b, engine, left, chooseGang(b, engine, left, shards, need), need)
+		return divideMemory(b, engine, left, chooseGang(b, engine, left, shards, need), need, own)
 	case own.enginesAhead+shards <= len(free):
 		return chooseGang(b, engine, free[own.enginesAhead:], shards, need)
 	case hasWaitedForOthers(b, request, own):
--- a/internal/flow/place/oversized.go
+++ b/internal/flow/place/oversized.go
@@ -116,7 +116,7 @@
 // divideMemory leases memory at helpers for a KV cache that is too large for one engine. It
 // uses the engines with the most free memory, as few as suffice. If the memory does not
 // suffice, the request waits.
-func divideMemory(b *board.Board, engine *plan.Engine, candidates []*candidate, decision choice, need int) choice {
+func divideMemory(b *board.Board, engine *plan.Engine, candidates []*candidate, decision choice, need int, own position) choice {
 	free := func(c *candidate) int { return maxTokensPerEngine(engine) - c.load.MemoryTokens }
 	byFree := slices.Clone(candidates)
 	b.Random.Shuffle(len(byFree), func(i, j int) { byFree[i], byFree[j] = byFree[j], byFree[i] })
@@ -129,7 +129,7 @@
 		holders++
 	}
 	if available < need {
-		return choice{wait: call.WaitMemory, shards: 1 + len(decision.helpers), free: len(candidates)}
+		return choice{wait: call.WaitMemory, own: own, shards: 1 + len(decision.helpers), free: len(candidates)}
 	}
 	divided := choice{lead: byFree[0].endpoint, firstEvent: decision.firstEvent, leases: map[*pool.Endpoint]int{}}
 	remaining := need - free(byFree[0])
