--- a/internal/flow/place/engine.go
+++ b/internal/flow/place/engine.go
@@ -84,7 +84,7 @@
 // chooseEngine chooses the engines for a prompt. Short prompts run on an engine of the
 // short size class; long prompts are sharded across engines of the long size class. If all
 // engines are full, a short prompt is refused, unless it is a retry by the caller or by this
-// entry.
+// entry. An oversized prompt that has to wait is refused when its caller would no longer wait for it.
 func chooseEngine(b *board.Board, request *board.Request, engine *plan.Engine) choice {
 	prompt := request.Request.PromptTokens
 	need := prompt + estimateOutput(request.Request)
--- a/internal/flow/place/long.go
+++ b/internal/flow/place/long.go
@@ -33,8 +33,7 @@
 // among them, which decodes the answer. The prompt waits while the engines that the prompts
 // ahead of it in the queue leave have much prefill pending, because shards that accumulate
 // on an engine make one long pass. Before its first send, it is refused if it would start
-// after half of the time that its caller still waits, or, if it is oversized, if its caller would
-// no longer wait for it.
+// after half of the time that its caller still waits, unless it is oversized.
 func chooseLong(
 	b *board.Board, engine *plan.Engine, short, long []*candidate, request *board.Request, need int,
 ) choice {
