--- a/internal/flow/place/oversized.go
+++ b/internal/flow/place/oversized.go
@@ -22,9 +22,6 @@
 	// if a prompt that can be on time becomes late by it. Users require that they are served half as
 	// often as all; the rest covers places that are lost with engines and entries.
 	precedenceShare = 0.6
-	// earlyShare is the fraction of the oversized prompts that start as soon as they can't be on time and
-	// enough engines are spare. In a long surge seldom enough are at the latest start.
-	earlyShare = 0.3
 	// idleShare is the fraction of the engines of the long size class that are idle when a late
 	// prompt need not leave them to others.
 	idleShare = 0.75
@@ -53,7 +50,7 @@
 // While the prompt can be on time, it waits for spare engines that suffice for that. Later it gains
 // nothing by an early start, so it leaves the engines to prompts that can be on time, unless most
 // engines are idle, until its latest start. Then it starts, unless it has no precedence and would
-// make a prompt late that can be on time. earlyShare of the prompts don't wait for their latest start.
+// make a prompt late that can be on time.
 func oversizedWait(b *board.Board, request *board.Request, waiting queue, own position, spare spareCapacity) call.Wait {
 	isLate := !own.canBeOnTime(b, request)
 	switch {
@@ -61,8 +58,6 @@
 		return call.WaitSpareEngines
 	case !isLate && !spare.suffices:
 		return call.WaitSpareTime
-	case isLate && drawPrecedence(b, request) < earlyShare:
-		return ""
 	case isLate && !spare.isIdle && b.Now < own.latestStart(request):
 		return call.WaitLatestStart
 	case isLate && drawPrecedence(b, request) < precedenceShare:
