Plan: an empty key admits nobody

Looking for another way in: a configuration with an organisation whose list of keys holds an empty text admitted every request without a key.

Cause: the organisation was looked up by the text of the key, which is empty for a request without one.

Ruled out, by reading: keys taken away one by one or all at once, in the first configuration, and by peers only go through the same DecodePlan and the same check; a request that waits was sent while its key was held.

Change: Plan.OrganisationOf finds no organisation for an empty key.

Evidence: TestEmptyKeyAdmitsNobody fails on the code before (the request is sent), and passes with the change. Conclusion: a request runs only with a key that the configuration in force holds.

--- a/internal/flow/parts/requests_test.go
+++ b/internal/flow/parts/requests_test.go
@@ -69,6 +69,14 @@
 	require.Positive(t, reply.RetryAfter)
 }
 
+// Guards against a request without a key that an organisation with an empty key admits.
+func TestEmptyKeyAdmitsNobody(t *testing.T) {
+	e := newTestEntry(t).configure(4)
+	e.step(input.PlanRead{Plan: testPlan(6).WithOrganisations(map[string]plan.Organisation{"": {Name: "city"}})})
+	emitted := e.step(input.RequestReceived{Request: call.Request{Number: 900, Host: host, Path: "/book/"}})
+	requireReply(t, e.outputFor(900, emitted), call.ReasonBadKey, http.StatusUnauthorized)
+}
+
 func TestFailedReadIsRetriedOnce(t *testing.T) {
 	e := newTestEntry(t).configure(4)
 	number, got := e.request("/read/1", 0, 1500)
--- a/internal/flow/place/place.go
+++ b/internal/flow/place/place.go
@@ -135,7 +135,7 @@
 	}
 	routed := call.RoutedRequest{Request: received, Route: route, Rank: route.Rank}
 	if b.Plan.RequiresKeys && !route.Anonymous {
-		organisation, isValid := b.Plan.Organisations[received.Key]
+		organisation, isValid := b.Plan.OrganisationOf(received.Key)
 		if !isValid {
 			return call.RoutedRequest{}, &call.Reply{Reason: call.ReasonBadKey, Status: http.StatusUnauthorized}
 		}
--- a/internal/flow/plan/plan.go
+++ b/internal/flow/plan/plan.go
@@ -87,6 +87,13 @@
 	return p
 }
 
+// OrganisationOf returns the organisation that the key belongs to. An empty key, which is that of a
+// request without one, belongs to none.
+func (p Plan) OrganisationOf(key string) (Organisation, bool) {
+	organisation, isKnown := p.Organisations[key]
+	return organisation, isKnown && key != ""
+}
+
 // IsZero reports whether the plan is the zero value, that is, none has been read yet.
 func (p Plan) IsZero() bool { return p.Version == 0 }
 
