Refusals: a caller that returns waits as long as its answer can begin in time

What callers saw: a long prompt that was refused in a surge came back after Retry-After, as asked, and was refused again.

Cause: a first attempt is refused if its planned start lies after half of its caller's patience, so that time is left for another attempt. The same rule held for the other attempt, after which the caller has none.

Change: a returning caller is refused only if its answer would begin after it has stopped waiting. Prompts that can be on time still go before it, by the order of the queue.

TestReturningCallerIsNotRefusedAgain fails on the code before.

--- a/internal/flow/parts/late_test.go
+++ b/internal/flow/parts/late_test.go
@@ -157,3 +157,34 @@
 	require.GreaterOrEqual(t, started, runs/2)
 	require.Less(t, started, runs)
 }
+
+// Guards against a caller that returns after a refusal and is refused again, though its prompt could start
+// while the caller still waits.
+//
+// Pattern: long prompts that the engines can't begin for some seconds.
+func TestReturningCallerIsNotRefusedAgain(t *testing.T) {
+	const (
+		tokens  = 150000
+		timeout = 15 * clock.Second
+		busy    = 7 * clock.Second
+	)
+	e := newTestEntry(t).configure(12)
+	e.receiveLoads(e.prefillingLoads(12, busy))
+	e.receiveNews("entry-3", func(n *input.News) {
+		for i := range clock.Millis(50) {
+			n.QueuedPrompts = append(n.QueuedPrompts, input.QueuedPrompt{
+				Service: engines, Number: uint64(i), PromptTokens: 100000, DueAt: e.board.Now + 190*(i+1), WaitsUntil: e.board.Now + timeout,
+			})
+		}
+	})
+	_, got := e.request("/long/1", tokens, timeout)
+	refused := requireReply(t, got, call.ReasonOverload, 503)
+	number, got := e.request("/long/1", tokens, timeout-refused.RetryAfter-50)
+	require.Nil(t, got)
+	e.advance(busy / 4)
+	require.Nil(t, e.outputFor(number, e.outputs))
+	e.receiveNews("entry-3", nil)
+	e.receiveLoads(tally.Loads{})
+	e.advance(clock.Second)
+	requireSend(t, e.outputFor(number, e.outputs))
+}
--- a/internal/flow/place/long.go
+++ b/internal/flow/place/long.go
@@ -73,7 +73,7 @@
 	switch {
 	case request.Runs == 0 && b.StopEndsWithin(own.startAt-b.Now+minDuration(b, request)):
 		return choice{reason: call.ReasonStopping, retryAfter: StoppingRetryAfter}
-	case !isOversized && request.Runs == 0 && own.startAt > b.Now+(request.WaitsUntil()-b.Now)/2:
+	case !isOversized && request.Runs == 0 && own.startAt > latestPlannedStart(b, request, own):
 		return choice{reason: call.ReasonOverload, retryAfter: b.RetryAfter(request)}
 	case len(free) < shards:
 		request.CapacitySince = 0
@@ -89,6 +89,16 @@
 	return choice{wait: call.WaitQueue, own: own, shards: shards, free: len(free)}
 }
 
+// latestPlannedStart returns the planned start after which a prompt that was not sent yet is refused. A
+// first attempt leaves time for another one. A caller that has returned has no further attempt, so its
+// prompt is refused only if the caller would no longer wait for the first event.
+func latestPlannedStart(b *board.Board, request *board.Request, own position) clock.Millis {
+	if request.IsCallerRetry() {
+		return request.WaitsUntil() - own.prefill
+	}
+	return b.Now + (request.WaitsUntil()-b.Now)/2
+}
+
 // withLittlePending returns the candidates at which the next shard can be prefilled soon.
 func withLittlePending(candidates []*candidate) []*candidate {
 	return slices.DeleteFunc(slices.Clone(candidates), func(c *candidate) bool { return c.load.PendingMillis > maxPendingMillis })
