Failure domains can be evacuated: nothing new goes to their endpoints

Operators ask that nothing more be sent to the endpoints of a failure domain until they take it back. Nothing of that was read.

Change: package evac holds the evacuated failure domains, each with the revision of its instruction. They belong to the published list: an entry whose list has revision R knows the instructions up to R, so that intake's rule for revisions keeps older state out, and an entry that can't read the store fetches the complete set with the list (Share.GetPublished, also in a delta, also if no endpoint changed). The shell checks once more after each order for a lease and after the connection is open: a send that is not begun is withdrawn, its leases are released, and it is placed anew without a retry of the budget. What runs goes on, renewals too. If all endpoints of a service are evacuated, callers are refused at once (reason evacuated, Retry-After a quarter of the time that is left). Evacuated endpoints no longer count as those in use when failing ones are ejected. Gauge domains.evacuated, counter sends.withdrawn.

--- a/internal/flow/call/call.go
+++ b/internal/flow/call/call.go
@@ -35,6 +35,7 @@
 	ReasonBadKey           Reason = "badKey"
 	ReasonNoEndpoint       Reason = "noEndpoint"
 	ReasonPaused           Reason = "paused"
+	ReasonEvacuated        Reason = "evacuated"
 	ReasonOverload         Reason = "overload"
 	ReasonPromptTooLong    Reason = "promptTooLong"
 	ReasonDeadlineTooShort Reason = "deadlineTooShort"
@@ -201,6 +202,8 @@
 		Moved   bool
 		// LeaseRefused means that an endpoint had no memory for a lease.
 		LeaseRefused bool
+		// Withdrawn means that nothing was sent, because an endpoint of the send was evacuated first.
+		Withdrawn bool
 		// Unreachable means that no connection could be opened.
 		Unreachable bool
 		// Exited means that the connection was refused, so the process of the endpoint has
--- a/internal/flow/codec/codec.go
+++ b/internal/flow/codec/codec.go
@@ -14,6 +14,7 @@
 
 	"mustardhook/internal/core/clock"
 	"mustardhook/internal/core/ident"
+	"mustardhook/internal/flow/evac"
 	"mustardhook/internal/flow/input"
 	"mustardhook/internal/flow/newspb"
 	"mustardhook/internal/flow/plan"
@@ -125,6 +126,24 @@
 	return list
 }
 
+// EncodeEvacuated encodes a set of evacuated failure domains.
+func EncodeEvacuated(set evac.Set) []*newspb.Evacuation {
+	encoded := make([]*newspb.Evacuation, 0, set.Len())
+	for domain, revision := range set.All() {
+		encoded = append(encoded, &newspb.Evacuation{Domain: string(domain), Revision: revision})
+	}
+	return encoded
+}
+
+// DecodeEvacuated decodes a set of evacuated failure domains from another entry.
+func DecodeEvacuated(encoded []*newspb.Evacuation) evac.Set {
+	revisions := make(map[ident.Domain]uint64, len(encoded))
+	for _, instruction := range encoded {
+		revisions[ident.Domain(instruction.Domain)] = instruction.Revision
+	}
+	return evac.NewSet(revisions)
+}
+
 func encodeNews(news input.News, now clock.Millis) *newspb.News {
 	message := &newspb.News{
 		Entry:        string(news.Entry),
--- a/internal/flow/crash/probe.go
+++ b/internal/flow/crash/probe.go
@@ -24,9 +24,11 @@
 )
 
 // emitProbe asks whether an endpoint still accepts connections, and later whether an engine still reports: the
-// first probe may come before its process has ended.
+// first probe may come before its process has ended. Evacuated engines are not asked for reports.
 func emitProbe(b *board.Board, name ident.Endpoint, known *losses) {
-	wantsReport := known.probes > 0 && b.Plan.Services[known.service].Engine != nil
+	endpoint := b.Pool.Find(name)
+	isEvacuated := endpoint != nil && endpoint.IsEvacuated()
+	wantsReport := known.probes > 0 && b.Plan.Services[known.service].Engine != nil && !isEvacuated
 	known.probes++
 	known.isProbing = true
 	known.probeSentAt = b.Now
--- a/internal/flow/input/input.go
+++ b/internal/flow/input/input.go
@@ -7,6 +7,7 @@
 	"mustardhook/internal/core/ident"
 	"mustardhook/internal/flow/blame"
 	"mustardhook/internal/flow/call"
+	"mustardhook/internal/flow/evac"
 	"mustardhook/internal/flow/plan"
 	"mustardhook/internal/flow/pool"
 	"mustardhook/internal/flow/tally"
@@ -82,6 +83,8 @@
 	ListRead struct {
 		List     []pool.Listing
 		Revision uint64
+		// Evacuated are all evacuated failure domains.
+		Evacuated evac.Set
 	}
 
 	// ListReceived delivers the list of endpoints of another entry.
@@ -92,6 +95,8 @@
 		// entry asked for, and Removed the endpoints removed since then.
 		IsDelta bool
 		Removed []ident.Endpoint
+		// Evacuated are all evacuated failure domains, also in a delta.
+		Evacuated evac.Set
 	}
 
 	// EndpointRead delivers one changed record of the list of endpoints.
@@ -106,6 +111,18 @@
 		Revision uint64
 	}
 
+	// EvacuationRead reports that a failure domain was evacuated.
+	EvacuationRead struct {
+		Domain   ident.Domain
+		Revision uint64
+	}
+
+	// EvacuationRemoved reports that the evacuation of a failure domain was taken back.
+	EvacuationRemoved struct {
+		Domain   ident.Domain
+		Revision uint64
+	}
+
 	// FetchEnded reports that a call for published state to another entry has ended.
 	FetchEnded struct{}
 
@@ -259,6 +276,8 @@
 func (Confirmed) isInput()          {}
 func (EndpointRead) isInput()       {}
 func (EndpointRemoved) isInput()    {}
+func (EvacuationRead) isInput()     {}
+func (EvacuationRemoved) isInput()  {}
 func (SourceLost) isInput()         {}
 func (SourceRecovered) isInput()    {}
 func (RequestReceived) isInput()    {}
--- a/internal/flow/intake/intake.go
+++ b/internal/flow/intake/intake.go
@@ -1,10 +1,12 @@
 // Package intake provides the controller that applies published state: the list of
-// endpoints and the configuration, which never returns to a lower version.
+// endpoints, the evacuated failure domains and the configuration, which never returns to a lower
+// version.
 package intake
 
 import (
 	"mustardhook/internal/core/clock"
 	"mustardhook/internal/flow/board"
+	"mustardhook/internal/flow/evac"
 	"mustardhook/internal/flow/input"
 )
 
@@ -28,10 +30,12 @@
 			b.Pool.Replace(in.List, b.Now)
 			b.HasList = true
 			b.Log("List of endpoints read.", "endpoints", len(in.List), "revision", in.Revision)
+			setEvacuated(b, b.Pool.Evacuated().Replace(in.Evacuated, in.Revision), in.Revision)
 		}
 	case input.ListReceived:
 		if advanceRevision(b, in.Revision) {
 			applyReceivedList(b, in)
+			setEvacuated(b, b.Pool.Evacuated().Replace(in.Evacuated, in.Revision), in.Revision)
 		}
 	case input.EndpointRead:
 		if !b.Pool.Has(in.Record) && advanceRevision(b, in.Revision) {
@@ -43,6 +47,15 @@
 			b.Pool.Remove(in.Name, b.Now)
 			b.Log("Endpoint gone from the list.", "endpoint", in.Name)
 		}
+	case input.EvacuationRead:
+		// A known instruction counts, too, so that no state from before it can end the evacuation.
+		if advanceRevision(b, in.Revision) {
+			setEvacuated(b, b.Pool.Evacuated().With(in.Domain, in.Revision), in.Revision)
+		}
+	case input.EvacuationRemoved:
+		if advanceRevision(b, in.Revision) {
+			setEvacuated(b, b.Pool.Evacuated().Without(in.Domain), in.Revision)
+		}
 	case input.Confirmed:
 		b.ConfirmedAt = b.Now
 		b.NewsChanged = true
@@ -79,6 +92,22 @@
 	b.Log("List of endpoints told.", "endpoints", len(received.List), "revision", received.Revision)
 }
 
+// setEvacuated replaces the set of evacuated failure domains, and logs the changes.
+func setEvacuated(b *board.Board, evacuated evac.Set, revision uint64) {
+	before := b.Pool.Evacuated()
+	for domain, at := range evacuated.All() {
+		if !before.Contains(domain) {
+			b.Log("Failure domain is evacuated.", "failureDomain", domain, "revision", at)
+		}
+	}
+	for domain := range before.All() {
+		if !evacuated.Contains(domain) {
+			b.Log("Failure domain is taken back.", "failureDomain", domain, "revision", revision)
+		}
+	}
+	b.Pool.SetEvacuated(evacuated, b.Now)
+}
+
 // advanceRevision sets the revision of the list if it is newer than the current one, and
 // reports whether it is. Changes with an older revision must be ignored: a newer list may
 // have been received from another entry.
--- a/internal/flow/pace/pace.go
+++ b/internal/flow/pace/pace.go
@@ -61,9 +61,9 @@
 }
 
 // requestReport requests a pace report unless the endpoint sent or was asked for one
-// recently.
+// recently, or is evacuated.
 func requestReport(b *board.Board, endpoint *pool.Endpoint) {
-	if endpoint == nil || !endpoint.BeginReportRequest(b.Now) {
+	if endpoint == nil || endpoint.IsEvacuated() || !endpoint.BeginReportRequest(b.Now) {
 		return
 	}
 	b.Emit(output.RequestPace{Endpoint: endpoint.Name, Address: endpoint.Address})
--- a/internal/flow/parts/fleet_test.go
+++ b/internal/flow/parts/fleet_test.go
@@ -39,7 +39,9 @@
 		// their bytes by host.
 		sentDatagrams int
 		isMeasuring   bool
-		traffic       map[string]*traffic
+		// disturb returns by how much a datagram is late, and whether it is lost; may be nil.
+		disturb func() (late clock.Millis, isLost bool)
+		traffic map[string]*traffic
 	}
 
 	// fleetEntry is one entry of a fleet.
@@ -121,7 +123,13 @@
 			for _, address := range out.Addresses {
 				f.sentDatagrams++
 				entry.sentDatagrams++
-				f.inTransit = append(f.inTransit, datagram{f.now + datagramDelay, address, out.Batch})
+				late, isLost := clock.Millis(0), false
+				if f.disturb != nil {
+					late, isLost = f.disturb()
+				}
+				if !isLost {
+					f.inTransit = append(f.inTransit, datagram{f.now + datagramDelay + late, address, out.Batch})
+				}
 			}
 		case output.SetTimer:
 			f.pendingTimers = append(f.pendingTimers, pendingTimer{f.now + out.After, entry})
@@ -198,9 +206,11 @@
 		case !fetch.from.isDown:
 			fetch.from.board.Now = f.now
 			source := fetch.to.board
-			received := input.ListReceived{List: source.Pool.Snapshot(f.now), Revision: source.ListRevision}
+			received := input.ListReceived{
+				List: source.Pool.Snapshot(f.now), Revision: source.ListRevision, Evacuated: source.Pool.Evacuated(),
+			}
 			if list, removed, isDelta := source.Pool.Delta(fetch.from.board.ListRevision, f.now); isDelta {
-				received = input.ListReceived{List: list, Removed: removed, Revision: source.ListRevision, IsDelta: true}
+				received.List, received.Removed, received.IsDelta = list, removed, true
 			}
 			f.carryOut(fetch.from, fetch.from.step(received))
 			f.carryOut(fetch.from, fetch.from.step(input.PlanRead{Plan: source.Plan}))
--- a/internal/flow/place/end.go
+++ b/internal/flow/place/end.go
@@ -52,6 +52,11 @@
 			logWait(b, request, choice{wait: call.WaitLease})
 			return
 		}
+		if result.Withdrawn && !b.EndsWithin(request, MinTimeLeft) {
+			// Nothing was sent, so that this is no retry.
+			dispatch(b, request)
+			return
+		}
 		request.Refusals++
 		handleNotRun(b, request)
 	case call.EndAnswerLost:
--- a/internal/flow/place/notice.go
+++ b/internal/flow/place/notice.go
@@ -31,9 +31,13 @@
 }
 
 // noEndpoint returns the decision on a request if no endpoint is usable. If some have only asked for
-// a pause, the caller is told to return when the first pause has ended.
+// a pause, the caller is told to return when the first pause has ended. Nobody knows when an evacuation
+// will end: the caller keeps most of its time for its next attempt.
 func noEndpoint(b *board.Board, request *board.Request) choice {
 	end := b.Pool.PauseEnd(request.Service, b.Now)
+	if end == 0 && b.Pool.IsServiceEvacuated(request.Service) {
+		return choice{reason: call.ReasonEvacuated, retryAfter: b.RetryAfter(request)}
+	}
 	if end == 0 {
 		return choice{reason: call.ReasonNoEndpoint, retryAfter: FullRetryAfter}
 	}
--- a/internal/flow/place/reach.go
+++ b/internal/flow/place/reach.go
@@ -48,7 +48,8 @@
 }
 
 // readmitDomains readmits the unreachable failure domains whose entries respond again. For
-// the others it requests a report from one engine, as all their entries may have stopped.
+// the others it requests a report from one engine, as all their entries may have stopped, unless they
+// are evacuated.
 func readmitDomains(b *board.Board) {
 	for _, domain := range b.Pool.Unreachable() {
 		if b.HasResponsiveEntry(domain, DomainTimeout) {
@@ -56,7 +57,7 @@
 			b.Log("Failure domain can be reached.", "failureDomain", domain)
 			continue
 		}
-		if !b.Pool.BeginCheck(domain, b.Now) {
+		if b.Pool.Evacuated().Contains(domain) || !b.Pool.BeginCheck(domain, b.Now) {
 			continue
 		}
 		engine, hasService := anyEngine(b, domain)
--- a/internal/flow/pool/failing.go
+++ b/internal/flow/pool/failing.go
@@ -154,7 +154,7 @@
 func (p *Pool) canEjectFrom(service ident.Service, now clock.Millis) bool {
 	listed, inUse := 0, 0
 	for _, endpoint := range p.ByService(service) {
-		if endpoint.RemovedAt != 0 {
+		if endpoint.RemovedAt != 0 || endpoint.isEvacuated {
 			continue
 		}
 		listed++
--- a/internal/flow/pool/list.go
+++ b/internal/flow/pool/list.go
@@ -38,6 +38,7 @@
 		delete(p.byService, listing.Service)
 	}
 	endpoint.Listing = listing
+	endpoint.isEvacuated = p.evacuated.Contains(listing.Domain)
 	endpoint.RemovedAt = 0
 	endpoint.RemovalGraceUntil = 0
 	endpoint.revision = p.revision
@@ -49,7 +50,7 @@
 func (p *Pool) create(listing Listing, previous *Endpoint) *Endpoint {
 	created := &Endpoint{
 		Listing: listing, Work: map[uint64]Work{}, revision: p.revision, hash: HashOf(listing.Name),
-		sortKey: xxhash.Sum64String(string(listing.Name)),
+		sortKey: xxhash.Sum64String(string(listing.Name)), isEvacuated: p.evacuated.Contains(listing.Domain),
 	}
 	if previous != nil {
 		created.RemoteLoad = previous.RemoteLoad
--- a/internal/flow/pool/pool.go
+++ b/internal/flow/pool/pool.go
@@ -11,6 +11,7 @@
 
 	"mustardhook/internal/core/clock"
 	"mustardhook/internal/core/ident"
+	"mustardhook/internal/flow/evac"
 )
 
 const (
@@ -87,6 +88,8 @@
 		// the pause that it asked this entry for.
 		pausedUntil   clock.Millis
 		ownPauseUntil clock.Millis
+		// isEvacuated reports whether the endpoint's failure domain is evacuated.
+		isEvacuated bool
 
 		// ownFailures are the times of this entry's recent failures. failureReports are
 		// the recent failures that peers have published.
@@ -155,6 +158,10 @@
 		availableAt clock.Millis
 		// unreachable holds the failure domains that can't be reached.
 		unreachable map[ident.Domain]unreachableDomain
+		// evacuated are the evacuated failure domains. takenBackAt holds when the evacuations of
+		// others ended.
+		evacuated   evac.Set
+		takenBackAt map[ident.Domain]clock.Millis
 		// durations holds how long this entry's sends to each service took.
 		durations map[ident.Service]*durations
 	}
@@ -172,6 +179,7 @@
 	return &Pool{
 		endpoints: map[ident.Endpoint]*Endpoint{}, unreachable: map[ident.Domain]unreachableDomain{}, tracked: map[Hash]*Endpoint{},
 		byHash: map[Hash]*Endpoint{}, durations: map[ident.Service]*durations{}, byService: map[ident.Service][]*Endpoint{},
+		takenBackAt: map[ident.Domain]clock.Millis{},
 	}
 }
 
--- a/internal/flow/pool/pool_test.go
+++ b/internal/flow/pool/pool_test.go
@@ -1,6 +1,7 @@
 package pool
 
 import (
+	"fmt"
 	"math"
 	"testing"
 
@@ -9,6 +10,7 @@
 
 	"mustardhook/internal/core/clock"
 	"mustardhook/internal/core/ident"
+	"mustardhook/internal/flow/evac"
 )
 
 // testListing returns the listing of endpoint e-1. Its epoch is the length of the text.
@@ -177,3 +179,25 @@
 	require.False(t, endpoint.IsUsable(200000+MaxPause-1))
 	require.True(t, endpoint.IsUsable(200000+MaxPause))
 }
+
+// Guards against ejections that leave few endpoints in use beside an evacuated failure domain.
+func TestEvacuatedEndpointsAreNotInUse(t *testing.T) {
+	p := New()
+	failures := map[Hash]int{}
+	for i := range 9 {
+		name := ident.Endpoint(fmt.Sprintf("e-%d", i))
+		p.Put(Listing{Name: name, Service: "s", Domain: []ident.Domain{"north", "south", "harbour"}[i%3], Epoch: 1}, 1000)
+		failures[HashOf(name)] = 3
+	}
+	p.SetEvacuated(evac.NewSet(map[ident.Domain]uint64{"south": 7}), 1000)
+	p.UpdatePeerFailures("a", failures, 1000)
+	p.UpdatePeerFailures("b", failures, 1000)
+	p.EjectFailing(1000)
+	usable := 0
+	for _, endpoint := range p.ByService("s") {
+		if endpoint.IsUsable(1000) {
+			usable++
+		}
+	}
+	require.GreaterOrEqual(t, usable, 4)
+}
--- a/internal/flow/proxy/lease.go
+++ b/internal/flow/proxy/lease.go
@@ -64,10 +64,10 @@
 // reserve acquires all leases of a send and starts to renew them. If one fails it returns
 // an error, and the caller must release the returned leases, which include the failed one.
 // Orders are sent in the order of the endpoints' names, so that two sends can't wait for
-// each other.
-func (s *session) reserve(ctx context.Context, helpers []call.Helper) (*leases, error) {
+// each other. If an endpoint of the send is evacuated meanwhile, the error is an EvacuatedError.
+func (s *session) reserve(ctx context.Context, target call.Send) (*leases, error) {
 	acquired := &leases{session: s, unanswered: map[string]time.Time{}}
-	withLease := slices.DeleteFunc(slices.Clone(helpers), func(h call.Helper) bool { return h.Lease == "" })
+	withLease := slices.DeleteFunc(slices.Clone(target.Helpers), func(h call.Helper) bool { return h.Lease == "" })
 	slices.SortFunc(withLease, func(a, b call.Helper) int { return cmp.Compare(a.Endpoint, b.Endpoint) })
 	for _, helper := range withLease {
 		// If the answer is lost, the endpoint may still have reserved the memory, so
@@ -76,6 +76,9 @@
 		if err := acquired.order(ctx, helper, helper.LeaseTokens); err != nil {
 			return acquired, err
 		}
+		if err := s.proxy.checkEvacuated(target); err != nil {
+			return acquired, err
+		}
 	}
 	if len(acquired.reserved) > 0 {
 		renewCtx, cancel := context.WithCancel(ctx)
--- a/internal/flow/proxy/lease_test.go
+++ b/internal/flow/proxy/lease_test.go
@@ -62,7 +62,7 @@
 	p.dialect = orderDialect{}
 	s := &session{proxy: p}
 	helper := call.Helper{Address: strings.TrimPrefix(server.URL, "http://"), Endpoint: "e1", Lease: "l1", LeaseTokens: 100}
-	acquired, err := s.reserve(t.Context(), []call.Helper{helper})
+	acquired, err := s.reserve(t.Context(), call.Send{Helpers: []call.Helper{helper}})
 	require.Error(t, err)
 	acquired.release()
 	<-endpoint.reserve
--- a/internal/flow/proxy/meters.go
+++ b/internal/flow/proxy/meters.go
@@ -20,6 +20,8 @@
 		// those in which they asked for a pause.
 		leaving metrics.Counter
 		pauses  metrics.Counter
+		// withdrawn counts the sends that were given up because an endpoint was evacuated first.
+		withdrawn metrics.Counter
 		// timeToFirstEvent measures the time until the first event of a stream, and
 		// duration the time until the whole answer was delivered.
 		timeToFirstEvent metrics.Timer
@@ -38,11 +40,17 @@
 		sends:            metrics.NewRegisteredCounter("sends.started", r),
 		leaving:          metrics.NewRegisteredCounter("endpoints.leaving", r),
 		pauses:           metrics.NewRegisteredCounter("endpoints.pauses", r),
+		withdrawn:        metrics.NewRegisteredCounter("sends.withdrawn", r),
 		timeToFirstEvent: metrics.NewRegisteredTimer("requests.firstEvent", r),
 		duration:         metrics.NewRegisteredTimer("requests.total", r),
 	}
 }
 
+// registerEvacuated registers a gauge with the number of evacuated failure domains.
+func (m *entryMetrics) registerEvacuated(count func() int64) {
+	metrics.NewRegisteredFunctionalGauge("domains.evacuated", m.registry, count)
+}
+
 // write writes all metrics as text, one per line.
 func (m *entryMetrics) write(to io.Writer) { metrics.WriteOnce(m.registry, to) }
 
--- a/internal/flow/proxy/news.go
+++ b/internal/flow/proxy/news.go
@@ -106,7 +106,7 @@
 }
 
 // fillList adds the changes of the endpoint list after the revision to the reply, or
-// the whole list if those changes are no longer available.
+// the whole list if those changes are no longer available, and all evacuated failure domains.
 func fillList(b *board.Board, reply *newspb.PublishedGive, after uint64) {
 	list, removed, isDelta := b.Pool.Delta(after, b.Now)
 	if !isDelta {
@@ -114,6 +114,7 @@
 	}
 	reply.Endpoints = codec.EncodeList(list)
 	reply.Changes = isDelta
+	reply.Evacuated = codec.EncodeEvacuated(b.Pool.Evacuated())
 	for _, name := range removed {
 		reply.Gone = append(reply.Gone, string(name))
 	}
@@ -125,6 +126,7 @@
 func decodeList(reply *newspb.PublishedGive) input.ListReceived {
 	received := input.ListReceived{
 		List: codec.DecodeList(reply.GetEndpoints()), Revision: reply.GetListRevision(), IsDelta: reply.GetChanges(),
+		Evacuated: codec.DecodeEvacuated(reply.GetEvacuated()),
 	}
 	for _, name := range reply.GetGone() {
 		received.Removed = append(received.Removed, ident.Endpoint(name))
@@ -145,7 +147,7 @@
 		logger.Warn("Published state could not be fetched from another entry.", "address", action.Address, "err", err)
 		return
 	}
-	if len(reply.GetEndpoints()) > 0 || reply.GetChanges() {
+	if reply.GetListRevision() > action.ListRevision {
 		p.Step(decodeList(reply))
 	}
 	if len(reply.GetDocument()) == 0 {
--- a/internal/flow/proxy/proxy.go
+++ b/internal/flow/proxy/proxy.go
@@ -92,7 +92,7 @@
 func New(config Config) *Proxy {
 	ctx, cancel := context.WithCancel(context.Background())
 	memoryBytes := float64(config.Settings.Limits.MemoryMegabytes) * megabyte
-	return &Proxy{
+	p := &Proxy{
 		settings:     config.Settings,
 		dialect:      config.Dialect,
 		source:       config.Source,
@@ -108,6 +108,8 @@
 		lifetime:     ctx,
 		cancel:       cancel,
 	}
+	p.metrics.registerEvacuated(p.countEvacuated)
+	return p
 }
 
 // Now returns the time since the instance booted, including time spent suspended. The
@@ -225,6 +227,32 @@
 	return endpoint != nil && endpoint.IsUsable(max(Now(), p.board.Now))
 }
 
+// checkEvacuated returns an EvacuatedError if one of the endpoints of a send is evacuated.
+func (p *Proxy) checkEvacuated(send call.Send) error {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	if p.board.Pool.Evacuated().Len() == 0 {
+		return nil
+	}
+	names := []ident.Endpoint{send.Endpoint}
+	for _, helper := range send.Helpers {
+		names = append(names, helper.Endpoint)
+	}
+	for _, name := range names {
+		if endpoint := p.board.Pool.Find(name); endpoint != nil && endpoint.IsEvacuated() {
+			return &EvacuatedError{name}
+		}
+	}
+	return nil
+}
+
+// countEvacuated returns the number of evacuated failure domains.
+func (p *Proxy) countEvacuated() int64 {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	return int64(p.board.Pool.Evacuated().Len())
+}
+
 // endSilentSend reports whether the current send of the session, whose endpoint is silent,
 // must end so that the request can be sent elsewhere.
 func (p *Proxy) endSilentSend(s *session) bool {
--- a/internal/flow/proxy/send.go
+++ b/internal/flow/proxy/send.go
@@ -50,6 +50,9 @@
 	// reserved.
 	WithdrawnError struct{ Endpoint ident.Endpoint }
 
+	// EvacuatedError reports that an endpoint of a send was evacuated before the request was sent.
+	EvacuatedError struct{ Endpoint ident.Endpoint }
+
 	// CallerWriteError reports that writing the answer to the caller failed.
 	CallerWriteError struct{ Err error }
 
@@ -76,6 +79,11 @@
 	return "endpoint " + string(e.Endpoint) + " went out of use while memory was reserved"
 }
 
+// Error returns a message with the endpoint.
+func (e *EvacuatedError) Error() string {
+	return "endpoint " + string(e.Endpoint) + " was evacuated before the request was sent"
+}
+
 // Error returns a message with the cause.
 func (e *CallerWriteError) Error() string { return "write answer to caller: " + e.Err.Error() }
 
@@ -92,8 +100,12 @@
 	ctx, cancel := context.WithDeadline(s.sending, deadline)
 	defer cancel()
 	s.stage.Store(stageReserving)
-	leases, err := s.reserve(ctx, target.Helpers)
+	leases, err := s.reserve(ctx, target)
 	defer leases.release()
+	var evacuated *EvacuatedError
+	if errors.As(err, &evacuated) {
+		return s.withdraw(result, err)
+	}
 	if err != nil {
 		result.Err = err
 		result.Unreachable = false
@@ -113,6 +125,10 @@
 		return s.classifyEnd(result)
 	}
 	defer func() { _ = conn.Close() }()
+	// Opening the connection may have taken long.
+	if err := s.proxy.checkEvacuated(target); err != nil {
+		return s.withdraw(result, err)
+	}
 	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
 	defer stop()
 	x := &exchange{session: s, send: target, conn: conn, deadline: deadline}
@@ -123,6 +139,15 @@
 	return s.classifyEnd(result)
 }
 
+// withdraw returns the result of a send whose request was not sent because of an EvacuatedError.
+func (s *session) withdraw(result call.Result, err error) call.Result {
+	s.proxy.metrics.withdrawn.Inc(1)
+	result.Err = err
+	result.Unreachable = false
+	result.Withdrawn = true
+	return s.classifyEnd(result)
+}
+
 // classifyEnd changes the result of a failed send if the caller closed its connection or
 // the core cancelled the send, so that the failure is not attributed to the endpoint.
 func (s *session) classifyEnd(result call.Result) call.Result {
