Evacuations: a failure domain that is evacuated while it is cut off

TestEvacuationIsInForceInTime cuts the second failure domain off for 1.2 s from the moment of its evacuation. Its entries must know of the instructions within 2 s of the heal, the others within 2 s. The fleet of the tests can lose and delay datagrams by sender and receiver.

--- a/internal/flow/parts/evacuation_test.go
+++ b/internal/flow/parts/evacuation_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
+	"strings"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -149,15 +150,27 @@
 // evacuationLimit is the time in which an instruction must be in force at all entries.
 const evacuationLimit = 2 * clock.Second
 
-// evacuationRun is a fleet under load. evacuatedAt holds since when each failure domain is evacuated.
+// evacuationRun is a fleet under load. evacuatedAt holds since when each failure domain is evacuated. The domain
+// cut is cut off from the others until healedAt.
 type evacuationRun struct {
 	*fleet
 	random      *rand.Rand
 	evacuatedAt map[ident.Domain]clock.Millis
+	cut         ident.Domain
+	healedAt    clock.Millis
+}
+
+// isLost reports whether a datagram is lost: one that crosses the cut, and a tenth of the others.
+func (r *evacuationRun) isLost(from *fleetEntry, to string) bool {
+	host, _, _ := strings.Cut(to, ":")
+	receiver := r.entriesByHost[host]
+	isAcross := receiver != nil && (from.board.Domain == r.cut) != (receiver.board.Domain == r.cut)
+	return isAcross && r.now < r.healedAt || r.random.IntN(10) == 0
 }
 
 // run sends requests at random entries for the given time, and returns how many endpoints of each failure
-// domain got one. None may in one that has been evacuated for evacuationLimit.
+// domain got one. None may in one that has been evacuated for evacuationLimit, by an entry that was not cut
+// off meanwhile.
 func (r *evacuationRun) run(duration clock.Millis) map[ident.Domain]int {
 	total := map[ident.Domain]int{}
 	for end := r.now + duration; r.now < end; r.advance(20) {
@@ -171,6 +184,9 @@
 			for domain, count := range counts {
 				total[domain] += count
 				since, isEvacuated := r.evacuatedAt[domain]
+				if entry.board.Domain == r.cut {
+					since = max(since, r.healedAt)
+				}
 				require.False(r.t, isEvacuated && r.now-since >= evacuationLimit, "%s to %s after %d ms", entry.board.Self, domain, r.now-since)
 			}
 		}
@@ -191,17 +207,23 @@
 
 // Pattern: two failure domains are evacuated one after the other under a load of all kinds of requests, while a tenth of the
 // datagrams between entries is lost and the others are late. A single entry can read the store. One entry
-// is started meanwhile with a list from before. One domain is taken back, and another one within a second.
+// is started meanwhile with a list from before. One domain is evacuated while it is cut off. The other is taken back, and a third one within a second.
 func TestEvacuationIsInForceInTime(t *testing.T) {
 	for _, size := range []int{20, 66, 138, 370} {
 		t.Run(fmt.Sprint(size), func(t *testing.T) {
 			t.Parallel()
-			r := &evacuationRun{newFleet(t, size), rand.New(rand.NewPCG(uint64(size), 6)), map[ident.Domain]clock.Millis{}}
-			r.disturb = func() (clock.Millis, bool) { return clock.Millis(r.random.IntN(40)), r.random.IntN(10) == 0 }
+			r := &evacuationRun{
+				fleet: newFleet(t, size), random: rand.New(rand.NewPCG(uint64(size), 6)), cut: "harbour",
+				evacuatedAt: map[ident.Domain]clock.Millis{},
+			}
+			r.disturb = func(from *fleetEntry, to string) (clock.Millis, bool) {
+				return clock.Millis(r.random.IntN(40)), r.isLost(from, to)
+			}
 			r.advance(3 * clock.Second)
 			reader := r.entries[0]
 			r.publish(reader, input.EvacuationRead{Domain: "south", Revision: 20})
 			r.run(700)
+			r.healedAt = r.now + 1200
 			r.start(size - 1)
 			r.publish(reader, input.EvacuationRead{Domain: "harbour", Revision: 21})
 			r.run(evacuationLimit + 500)
--- a/internal/flow/parts/fleet_test.go
+++ b/internal/flow/parts/fleet_test.go
@@ -39,8 +39,8 @@
 		// their bytes by host.
 		sentDatagrams int
 		isMeasuring   bool
-		// disturb returns by how much a datagram is late, and whether it is lost; may be nil.
-		disturb func() (late clock.Millis, isLost bool)
+		// disturb returns by how much a datagram to the address is late, and whether it is lost; may be nil.
+		disturb func(from *fleetEntry, to string) (late clock.Millis, isLost bool)
 		traffic map[string]*traffic
 	}
 
@@ -125,7 +125,7 @@
 				entry.sentDatagrams++
 				late, isLost := clock.Millis(0), false
 				if f.disturb != nil {
-					late, isLost = f.disturb()
+					late, isLost = f.disturb(entry, address)
 				}
 				if !isLost {
 					f.inTransit = append(f.inTransit, datagram{f.now + datagramDelay + late, address, out.Batch})
