--- /dev/null
+++ b/internal/flow/learn/learn.go
@@ -0,0 +1,217 @@
+// Package learn estimates what requests cost their endpoints, from what earlier ones took.
+package learn
+
+import (
+	"math"
+
+	"github.com/cespare/xxhash/v2"
+
+	"mustardhook/internal/core/clock"
+	"mustardhook/internal/core/ident"
+)
+
+const (
+	// HalfLife is the time in which evidence on costs loses half of its weight.
+	HalfLife = 60 * clock.Second
+	// MaxCells bounds the keys of each level. The least recently used ones are dropped.
+	MaxCells = 4096
+
+	pathBuckets = 64
+	// sizeFactorBits is the binary logarithm of the ratio of the sizes in one bucket.
+	sizeFactorBits = 2
+	// priorWeight is the number of observations that a key needs to count as much as the
+	// coarser one.
+	priorWeight = 2.0
+	// priorVariance is the variance of the logarithm of a cost of which little is known, and
+	// maxVariance bounds the one that an estimate uses.
+	priorVariance = 0.5
+	maxVariance   = 1.0
+	// minDifference is the standard deviation, of the logarithms of the estimates of a service,
+	// from which on its costs differ. minEvidence is the number of observations that it takes.
+	minDifference = 0.4
+	minEvidence   = 8.0
+)
+
+// The levels of keys, from coarse to fine.
+const (
+	levelService = iota
+	levelRoute
+	levelSize
+	levelPath
+	levelOrganisation
+	levelAll
+	levelCount
+)
+
+type (
+	// Subject is what is known of a request before it runs. It holds hashes, so that its size does
+	// not depend on what callers send.
+	Subject struct {
+		Service, Route, Organisation uint32
+		Path, Size                   uint8
+	}
+
+	// Observation is the evidence of a number of requests that are alike.
+	Observation struct {
+		Subject Subject
+		// Count is the number of requests; fractions are partial evidence. Mean and Variance
+		// are those of the logarithms of their costs in milliseconds.
+		Count, Mean, Variance float64
+	}
+
+	// Estimate is what a request is expected to cost, in milliseconds. Weight is the evidence on
+	// its service, zero if there is none.
+	Estimate struct{ Mean, Deviation, Weight float64 }
+
+	// Estimator holds what was learned.
+	Estimator struct {
+		levels   [levelCount]*cells
+		services map[uint32]*service
+		// own holds the evidence for the entries of this failure domain that was not passed on
+		// yet, and remote that of other failure domains.
+		own, remote pending
+	}
+
+	// service sums up the evidence on one service.
+	service struct {
+		// difference is the distribution of the logarithms of the estimates about that of the service.
+		difference Cell
+		// work is the decayed sum of the costs.
+		work Cell
+	}
+)
+
+// NewSubject returns the subject of a request. path is the part of its path after the prefix of the
+// route, and size the size of the request in bytes or tokens.
+func NewSubject(service ident.Service, route string, organisation ident.Organisation, path string, size int) Subject {
+	segment := path
+	for i := range len(path) {
+		if path[i] == '/' || path[i] == '?' {
+			segment = path[:i]
+			break
+		}
+	}
+	return Subject{
+		Service: hash(string(service)), Route: hash(route), Organisation: hash(string(organisation)),
+		Path: uint8(xxhash.Sum64String(segment) % pathBuckets), Size: sizeBucket(size),
+	}
+}
+
+func hash(text string) uint32 { return uint32(xxhash.Sum64String(text)) }
+
+func sizeBucket(size int) uint8 {
+	bucket := uint8(0)
+	for ; size > 0; size >>= sizeFactorBits {
+		bucket++
+	}
+	return bucket
+}
+
+// key returns the key of the subject at a level.
+func (s Subject) key(level int) Subject {
+	switch level {
+	case levelService:
+		return Subject{Service: s.Service}
+	case levelRoute:
+		return Subject{Service: s.Service, Route: s.Route}
+	case levelSize:
+		return Subject{Service: s.Service, Route: s.Route, Size: s.Size}
+	case levelPath:
+		return Subject{Service: s.Service, Route: s.Route, Path: s.Path}
+	case levelOrganisation:
+		return Subject{Service: s.Service, Route: s.Route, Organisation: s.Organisation}
+	}
+	return s
+}
+
+// New returns an estimator without evidence.
+func New() *Estimator {
+	e := &Estimator{services: map[uint32]*service{}, own: pending{}, remote: pending{}}
+	for level := range e.levels {
+		e.levels[level] = newCells()
+	}
+	return e
+}
+
+// Observe adds evidence of this entry. The cost is taken to be at most limit; weight is the part of an
+// observation that it counts as.
+func (e *Estimator) Observe(subject Subject, cost, limit clock.Millis, weight float64, now clock.Millis) {
+	observation := Observation{Subject: subject, Count: weight, Mean: math.Log(float64(max(min(cost, limit), 1)))}
+	e.add(observation, now)
+	e.own.add(observation)
+}
+
+// add adds evidence to the keys of its subject. The requests of one organisation weigh in keys that it
+// shares with others by the logarithm of their number.
+func (e *Estimator) add(o Observation, now clock.Millis) {
+	if !o.isValid() {
+		return
+	}
+	shared := o.Count / (1 + e.levels[levelOrganisation].weight(o.Subject.key(levelOrganisation), now))
+	for level, cells := range e.levels {
+		count := o.Count
+		if level < levelOrganisation {
+			count = shared
+		}
+		cells.add(o.Subject.key(level), count, o.Mean, o.Variance, now)
+	}
+	e.addToService(o, now)
+}
+
+func (e *Estimator) addToService(o Observation, now clock.Millis) {
+	total := e.services[o.Subject.Service]
+	if total == nil {
+		if len(e.services) >= MaxCells {
+			return
+		}
+		total = &service{}
+		e.services[o.Subject.Service] = total
+	}
+	base := e.levels[levelService].cells[Subject{Service: o.Subject.Service}]
+	total.difference.Add(o.Count, e.blend(o.Subject).Mean-base.Mean, 0, HalfLife, now)
+	total.work.Add(o.Count, math.Exp(o.Mean+o.Variance/2), 0, HalfLife, now)
+}
+
+// Estimate returns what a request is expected to cost.
+func (e *Estimator) Estimate(subject Subject) Estimate {
+	weight := e.levels[levelService].cells[subject.key(levelService)].Weight
+	if weight == 0 {
+		return Estimate{}
+	}
+	blended := e.blend(subject)
+	variance := min(blended.Variance, maxVariance)
+	mean := math.Exp(blended.Mean + variance/2)
+	return Estimate{Mean: mean, Deviation: mean * math.Sqrt(math.Exp(variance)-1), Weight: weight}
+}
+
+// blend returns the distribution of the logarithm of the cost. The finest key that has evidence
+// weighs most; among size, path and organisation it follows the one that leaves the least variance.
+func (e *Estimator) blend(subject Subject) Cell {
+	at := func(level int) Cell { return e.levels[level].cells[subject.key(level)] }
+	base := at(levelService)
+	base = base.shrink(Cell{Mean: base.Mean, Variance: priorVariance})
+	base = at(levelRoute).shrink(base)
+	best := base
+	for level := levelSize; level <= levelOrganisation; level++ {
+		if next := at(level).shrink(base); next.Variance < best.Variance {
+			best = next
+		}
+	}
+	return at(levelAll).shrink(best)
+}
+
+// Differs reports whether the requests of a service are known to differ in cost.
+func (e *Estimator) Differs(name ident.Service) bool {
+	total := e.services[hash(string(name))]
+	return total != nil && total.difference.Weight >= minEvidence && math.Sqrt(total.difference.Variance) >= minDifference
+}
+
+// WorkRate returns the work that the entries give the endpoints of a service, as the number of slots that
+// it keeps busy on average.
+func (e *Estimator) WorkRate(name ident.Service, now clock.Millis) float64 {
+	total := e.services[hash(string(name))]
+	if total == nil {
+		return 0
+	}
+	return total.work.weightAt(HalfLife, now) * total.work.Mean * math.Ln2 / float64(HalfLife)
+}
