Plain services: an endpoint is chosen by the cost of requests

Cause: requests of a route that look alike may cost their endpoint 20 times as much, and an entry counted them; cheap ones waited behind dear ones of which other entries knew. Change: internal/flow/learn estimates costs by service, route, size, path and organisation. Once the estimates of a service differ, an entry fills up the endpoints evenly by the work that they still have, within the time that the request takes and others learn of it; the draw is spread over as much work as others send unseen in that time. Work over 120 ms is published in the existing loads, evidence on costs in rows (Batch.costs).

--- a/internal/flow/board/board.go
+++ b/internal/flow/board/board.go
@@ -12,6 +12,7 @@
 	"mustardhook/internal/flow/budget"
 	"mustardhook/internal/flow/call"
 	"mustardhook/internal/flow/input"
+	"mustardhook/internal/flow/learn"
 	"mustardhook/internal/flow/output"
 	"mustardhook/internal/flow/plan"
 	"mustardhook/internal/flow/pool"
@@ -84,6 +85,10 @@
 		Blame *blame.Ledger
 		// LeaseCount is the number of leases requested in this epoch.
 		LeaseCount int
+		// Costs holds what requests of plain services were seen to cost, and Delays how much longer
+		// than predicted they took.
+		Costs  *learn.Estimator
+		Delays *learn.Delays
 		// Tally holds the load of all entries.
 		Tally *tally.Tally
 		// WorkChanged reports whether the load of this entry changed since it was last
@@ -113,6 +118,12 @@
 		// request waits.
 		Endpoint ident.Endpoint
 		SentAt   clock.Millis
+		// Subject is what the cost of a request of a plain service is learned by, and Price what its
+		// current send was expected to take.
+		Subject learn.Subject
+		Price   Price
+		// IsPriced reports whether the endpoint was chosen by its price.
+		IsPriced bool
 		Helpers  []ident.Endpoint
 		Tried    []ident.Endpoint
 		// Runs counts sends after which the endpoint may have run the request.
@@ -154,6 +165,10 @@
 		Delivered   bool
 	}
 
+	// Price is what a send to a plain service was expected to take, in milliseconds. It is zero if nothing
+	// was known.
+	Price struct{ Wait, Way, Cost, Deviation, Pace float64 }
+
 	// Peer is another entry.
 	Peer struct {
 		News input.News
@@ -178,11 +193,16 @@
 		Peers:          map[ident.Entry]*Peer{},
 		PeersWithQueue: map[ident.Entry]*Peer{},
 		Blame:          blame.New(),
+		Costs:          learn.New(),
+		Delays:         learn.NewDelays(),
 		Budget:         budget.New(),
 		MaxMembers:     1,
 	}
 }
 
+// Millis returns how long the send was expected to take.
+func (p Price) Millis() float64 { return (p.Wait+p.Cost)*p.Pace + p.Way }
+
 // Emit adds an output for the shell to carry out.
 func (b *Board) Emit(out output.Output) { b.outputs = append(b.outputs, out) }
 
--- a/internal/flow/call/call.go
+++ b/internal/flow/call/call.go
@@ -94,6 +94,8 @@
 		// CallerTimeout is how long the caller waits from the start of the request; zero
 		// if it gives no limit.
 		CallerTimeout clock.Millis
+		// BodyBytes is the size of the body.
+		BodyBytes int
 		// PromptTokens and OutputTokens are zero for plain services.
 		PromptTokens int
 		OutputTokens int
--- a/internal/flow/codec/codec.go
+++ b/internal/flow/codec/codec.go
@@ -47,6 +47,7 @@
 	for _, hash := range batch.Missing {
 		message.Missing = append(message.Missing, uint32(hash))
 	}
+	message.Costs = encodeCosts(batch.Costs)
 	message.Share = encodeContribution(batch.Contribution, now)
 	for _, aggregate := range batch.Aggregates {
 		message.Parts = append(message.Parts, encodeAggregate(aggregate, now))
@@ -81,6 +82,7 @@
 	for _, hash := range message.Missing {
 		batch.Missing = append(batch.Missing, tally.EntryHash(hash))
 	}
+	decodeCosts(&batch, message.Costs)
 	if err := decodeWork(&batch, &message, now); err != nil {
 		return input.Batch{}, err
 	}
--- a/internal/flow/input/input.go
+++ b/internal/flow/input/input.go
@@ -7,6 +7,7 @@
 	"mustardhook/internal/core/ident"
 	"mustardhook/internal/flow/blame"
 	"mustardhook/internal/flow/call"
+	"mustardhook/internal/flow/learn"
 	"mustardhook/internal/flow/plan"
 	"mustardhook/internal/flow/pool"
 	"mustardhook/internal/flow/tally"
@@ -183,6 +184,8 @@
 		Contribution *tally.Contribution
 		// Aggregates hold the added-up work of the entries of a hub.
 		Aggregates []tally.Aggregate
+		// Costs is evidence on the costs of requests.
+		Costs learn.Sketch
 	}
 
 	// News is the state that an entry publishes. It replaces earlier news of that entry.
--- a/internal/flow/learn/cell.go
+++ b/internal/flow/learn/cell.go
@@ -70,8 +70,9 @@
 	}
 }
 
-// weight returns the weight that is left of the evidence on a key.
-func (c *cells) weight(key Subject, now clock.Millis) float64 {
+// at returns the evidence on a key that is left.
+func (c *cells) at(key Subject, now clock.Millis) Cell {
 	cell := c.cells[key]
-	return cell.weightAt(HalfLife, now)
+	cell.Weight = cell.weightAt(HalfLife, now)
+	return cell
 }
--- a/internal/flow/learn/learn.go
+++ b/internal/flow/learn/learn.go
@@ -30,6 +30,10 @@
 	// from which on its costs differ. minEvidence is the number of observations that it takes.
 	minDifference = 0.4
 	minEvidence   = 8.0
+	// rateHalfLife is the time in which evidence on the rate of requests loses half of its weight, and
+	// minRateSpan is added to the time since the first one.
+	rateHalfLife = 10 * clock.Second
+	minRateSpan  = 2 * clock.Second
 )
 
 // The levels of keys, from coarse to fine.
@@ -76,8 +80,9 @@
 	service struct {
 		// difference is the distribution of the logarithms of the estimates about that of the service.
 		difference Cell
-		// work is the decayed sum of the costs.
-		work Cell
+		// work is the decayed distribution of the costs since startedAt.
+		work      Cell
+		startedAt clock.Millis
 	}
 )
 
@@ -147,7 +152,7 @@
 	if !o.isValid() {
 		return
 	}
-	shared := o.Count / (1 + e.levels[levelOrganisation].weight(o.Subject.key(levelOrganisation), now))
+	shared := math.Log1p(o.Count / (1 + e.levels[levelOrganisation].at(o.Subject.key(levelOrganisation), now).Weight))
 	for level, cells := range e.levels {
 		count := o.Count
 		if level < levelOrganisation {
@@ -164,21 +169,21 @@
 		if len(e.services) >= MaxCells {
 			return
 		}
-		total = &service{}
+		total = &service{startedAt: now}
 		e.services[o.Subject.Service] = total
 	}
-	base := e.levels[levelService].cells[Subject{Service: o.Subject.Service}]
-	total.difference.Add(o.Count, e.blend(o.Subject).Mean-base.Mean, 0, HalfLife, now)
-	total.work.Add(o.Count, math.Exp(o.Mean+o.Variance/2), 0, HalfLife, now)
+	base := e.levels[levelService].at(o.Subject.key(levelService), now)
+	total.difference.Add(o.Count, e.blend(o.Subject, now).Mean-base.Mean, 0, HalfLife, now)
+	total.work.Add(o.Count, math.Exp(o.Mean+o.Variance/2), 0, rateHalfLife, now)
 }
 
 // Estimate returns what a request is expected to cost.
-func (e *Estimator) Estimate(subject Subject) Estimate {
-	weight := e.levels[levelService].cells[subject.key(levelService)].Weight
+func (e *Estimator) Estimate(subject Subject, now clock.Millis) Estimate {
+	weight := e.levels[levelService].at(subject.key(levelService), now).Weight
 	if weight == 0 {
 		return Estimate{}
 	}
-	blended := e.blend(subject)
+	blended := e.blend(subject, now)
 	variance := min(blended.Variance, maxVariance)
 	mean := math.Exp(blended.Mean + variance/2)
 	return Estimate{Mean: mean, Deviation: mean * math.Sqrt(math.Exp(variance)-1), Weight: weight}
@@ -186,8 +191,8 @@
 
 // blend returns the distribution of the logarithm of the cost. The finest key that has evidence
 // weighs most; among size, path and organisation it follows the one that leaves the least variance.
-func (e *Estimator) blend(subject Subject) Cell {
-	at := func(level int) Cell { return e.levels[level].cells[subject.key(level)] }
+func (e *Estimator) blend(subject Subject, now clock.Millis) Cell {
+	at := func(level int) Cell { return e.levels[level].at(subject.key(level), now) }
 	base := at(levelService)
 	base = base.shrink(Cell{Mean: base.Mean, Variance: priorVariance})
 	base = at(levelRoute).shrink(base)
@@ -201,9 +206,10 @@
 }
 
 // Differs reports whether the requests of a service are known to differ in cost.
-func (e *Estimator) Differs(name ident.Service) bool {
+func (e *Estimator) Differs(name ident.Service, now clock.Millis) bool {
 	total := e.services[hash(string(name))]
-	return total != nil && total.difference.Weight >= minEvidence && math.Sqrt(total.difference.Variance) >= minDifference
+	return total != nil && total.difference.weightAt(HalfLife, now) >= minEvidence &&
+		math.Sqrt(total.difference.Variance) >= minDifference
 }
 
 // WorkRate returns the work that the entries give the endpoints of a service, as the number of slots that
@@ -213,5 +219,6 @@
 	if total == nil {
 		return 0
 	}
-	return total.work.weightAt(HalfLife, now) * total.work.Mean * math.Ln2 / float64(HalfLife)
+	seen := 1 - math.Exp2(-float64(now-total.startedAt+minRateSpan)/float64(rateHalfLife))
+	return total.work.weightAt(rateHalfLife, now) * total.work.Mean * math.Ln2 / float64(rateHalfLife) / seen
 }
--- a/internal/flow/learn/sketch.go
+++ b/internal/flow/learn/sketch.go
@@ -9,9 +9,9 @@
 )
 
 const (
-	// MaxRows bounds the rows of a sketch from one failure domain, and MaxRemoteRows those
-	// that a hub passes on from all others.
-	MaxRows       = 16
+	// MaxRows bounds the rows of a sketch from one failure domain.
+	MaxRows = 16
+	// MaxRemoteRows bounds the rows that a hub passes on from all other failure domains.
 	MaxRemoteRows = 32
 	// maxPending bounds the rows that wait.
 	maxPending = 128
--- a/internal/flow/peers/peers.go
+++ b/internal/flow/peers/peers.go
@@ -123,6 +123,7 @@
 	for _, aggregate := range batch.Aggregates {
 		b.Tally.ReceiveAggregate(aggregate, b.Now)
 	}
+	p.receiveCosts(b, batch)
 	p.receiveLiveness(b, batch)
 }
 
--- a/internal/flow/peers/publish.go
+++ b/internal/flow/peers/publish.go
@@ -75,6 +75,8 @@
 		// were deferred since.
 		aggregatesSentAt clock.Millis
 		isDeferred       bool
+		// nextCostsAt is when evidence on costs is next published.
+		nextCostsAt clock.Millis
 	}
 
 	// change describes news that has to be forwarded.
@@ -141,6 +143,7 @@
 	if !p.isForwarding {
 		clear(p.changed)
 		b.Tally.DiscardPending()
+		b.Costs.DropRemote()
 		return
 	}
 	p.forward(b, own, isHub, isRound)
@@ -185,6 +188,9 @@
 	}
 	p.publishLimit.charge(datagramHeaderBytes+newsBytes*len(toMembers.News), b.Now)
 	p.addAggregates(b, &toMembers, &toHubs, isRound)
+	if isHub && p.areCostsDue(b, isRound) {
+		p.addCosts(b, &toMembers, &toHubs)
+	}
 	p.send(b, p.memberAddresses(b), toMembers)
 	p.send(b, p.hubAddresses(b), toHubs)
 }
@@ -252,7 +258,8 @@
 // send emits the batch as datagrams of bounded size. The first one carries everything but
 // the news and aggregates that don't fit.
 func (p *publisher) send(b *board.Board, addresses []string, batch input.Batch) {
-	isEmpty := len(batch.News) == 0 && len(batch.DomainsSeenAt) == 0 && batch.Contribution == nil && len(batch.Aggregates) == 0
+	isEmpty := len(batch.News) == 0 && len(batch.DomainsSeenAt) == 0 && batch.Contribution == nil && len(batch.Aggregates) == 0 &&
+		len(batch.Costs) == 0
 	if len(addresses) == 0 || isEmpty {
 		return
 	}
@@ -274,6 +281,7 @@
 		batch.DomainsSeenAt = nil
 		batch.Missing = nil
 		batch.Contribution = nil
+		batch.Costs = nil
 	}
 }
 
--- a/internal/flow/peers/work.go
+++ b/internal/flow/peers/work.go
@@ -42,6 +42,10 @@
 // left out while its rate limit is exhausted.
 func (p *publisher) publishToHub(b *board.Board, hub board.Member, own []input.News, isRound bool) {
 	batch := input.Batch{Sender: b.Self, Forward: true, News: own}
+	if p.areCostsDue(b, isRound) {
+		batch.Costs = b.Costs.TakeOwn()
+		p.contributionLimit.charge(costBytes*len(batch.Costs), b.Now)
+	}
 	if p.contributionLimit.isExhausted(b.Now) {
 		p.send(b, []string{p.newsAddress(hub.Address)}, batch)
 		return
@@ -119,6 +123,7 @@
 	for number, request := range b.Requests {
 		engine := b.Plan.Services[request.Service].Engine
 		if engine == nil {
+			addPlain(b, own, request)
 			continue
 		}
 		add(engine, request.Endpoint, number)
@@ -128,3 +133,17 @@
 	}
 	return own
 }
+
+// addPlain adds the work of a request at a plain service if it takes long enough.
+func addPlain(b *board.Board, loads tally.Loads, request *board.Request) {
+	if !request.IsPriced || request.Endpoint == "" {
+		return
+	}
+	endpoint := b.Pool.Find(request.Endpoint)
+	if endpoint == nil {
+		return
+	}
+	if load := cost.PlainLoad(endpoint.Work[request.Request.Number], b.Now); load.Leads > 0 {
+		loads[endpoint.Hash()] = loads[endpoint.Hash()].Add(load)
+	}
+}
--- a/internal/flow/place/choose.go
+++ b/internal/flow/place/choose.go
@@ -96,12 +96,20 @@
 	return untried
 }
 
-// chooseEndpoint chooses an endpoint of a plain service: the one with the lowest load
-// per slot, after loadJitter and remoteDomainLoad have been added.
+// chooseEndpoint chooses an endpoint of a plain service: the one with the least price if its
+// requests differ in cost, else the one with the lowest load per slot, after loadJitter and
+// remoteDomainLoad have been added.
 func chooseEndpoint(b *board.Board, request *board.Request) choice {
+	endpoints := usableEndpoints(b, request, nil)
+	estimate := b.Costs.Estimate(request.Subject, b.Now)
+	request.Price = board.Price{Cost: estimate.Mean, Deviation: estimate.Deviation, Pace: 1}
+	request.IsPriced = b.Costs.Differs(request.Service, b.Now)
+	if request.IsPriced && len(endpoints) > 0 {
+		return choice{lead: choosePriced(b, request, endpoints)}
+	}
 	var best choice
 	least := math.Inf(1)
-	for _, endpoint := range usableEndpoints(b, request, nil) {
+	for _, endpoint := range endpoints {
 		load := float64(endpoint.Leads())/float64(max(endpoint.Slots, 1)) + b.Random.Float64()*loadJitter
 		if endpoint.Domain != b.Domain {
 			load += remoteDomainLoad
--- a/internal/flow/place/end.go
+++ b/internal/flow/place/end.go
@@ -41,6 +41,9 @@
 		remove(b, request)
 	case call.EndComplete:
 		recordDuration(b, request)
+		if result.Status < http.StatusInternalServerError {
+			recordCost(b, request, endpoint)
+		}
 		request.Runs++
 		handleAnswer(b, request, result)
 	case call.EndNotRun:
--- a/internal/flow/place/engine.go
+++ b/internal/flow/place/engine.go
@@ -36,9 +36,6 @@
 	// longClassPenalty is the cost in milliseconds of running a short prompt in the long
 	// size class, where its events wait for shards of long prompts.
 	longClassPenalty = 200
-	// newsDelay is the time until all entries know of a send: two hubs batch changes for
-	// 25 ms each, and three datagrams are in transit.
-	newsDelay = 60 * clock.Millis(1)
 	// spreadMillis is how much later the first event may be predicted at an engine that is
 	// chosen to spread the load: a fifth of the objective of short prompts.
 	spreadMillis = 60.0
@@ -198,7 +195,7 @@
 		c.price *= 1 + priceJitter*b.Random.Float64()
 	}
 	slices.SortFunc(byPrice, func(a, b *candidate) int { return cmp.Compare(a.price, b.price) })
-	delay := newsDelay + b.Tally.MaxDeferral()
+	delay := cost.NewsDelay + b.Tally.MaxDeferral()
 	unpublished := int(math.Round(float64(shortPrompts) * float64(delay) / float64(cost.ShortRequestDuration)))
 	// The cheapest engine gets all unpublished prompts if the others cost much more.
 	spread := spreadMillis * max(1, float64(unpublished)/maxPromptsForSpread)
--- a/internal/flow/place/long.go
+++ b/internal/flow/place/long.go
@@ -122,7 +122,7 @@
 	for _, c := range candidates {
 		prefilling += c.load.Prefilling
 	}
-	unpublished := int(math.Round(float64(prefilling) * float64(newsDelay+b.Tally.MaxDeferral()) / float64(shardDuration)))
+	unpublished := int(math.Round(float64(prefilling) * float64(cost.NewsDelay+b.Tally.MaxDeferral()) / float64(shardDuration)))
 	choices := shards
 	for choices < min(shards+unpublished, len(candidates)) && candidates[choices].price <= candidates[shards-1].price+spreadMillis {
 		choices++
--- a/internal/flow/place/place.go
+++ b/internal/flow/place/place.go
@@ -107,6 +107,9 @@
 		timeout = min(timeout, received.CallerTimeout)
 	}
 	request := &board.Request{RoutedRequest: routed, ArrivedAt: b.Now, DeadlineAt: b.Now + timeout}
+	if b.Plan.Services[routed.Service].Engine == nil {
+		request.Subject = subjectOf(routed)
+	}
 	if b.Stopping && b.Now-b.StoppingAt > StopNotice {
 		refuse(b, request, call.ReasonStopping, StoppingRetryAfter)
 		return
--- a/internal/flow/place/send.go
+++ b/internal/flow/place/send.go
@@ -8,6 +8,7 @@
 	"mustardhook/internal/core/ident"
 	"mustardhook/internal/flow/board"
 	"mustardhook/internal/flow/call"
+	"mustardhook/internal/flow/cost"
 	"mustardhook/internal/flow/output"
 	"mustardhook/internal/flow/plan"
 	"mustardhook/internal/flow/pool"
@@ -59,8 +60,14 @@
 		request.Helpers = append(request.Helpers, helper.Name)
 		attempt.Helpers = append(attempt.Helpers, newHelper(b, helper, leased))
 	}
+	if b.Plan.Services[request.Service].Engine == nil {
+		attempt.Predicted = clock.Millis(request.Price.Millis())
+		if request.IsPriced {
+			work.Cost = clock.Millis(max(request.Price.Cost+request.Price.Deviation, 1))
+		}
+	}
 	decision.lead.Work[id] = work
-	markWorkChanged(b, request)
+	markWorkChanged(b, request, work)
 	b.Emit(output.Send{Send: attempt})
 }
 
@@ -113,7 +120,7 @@
 		lead.RecordSuccess()
 		b.Pool.MarkReachable(lead.Domain)
 	}
-	markWorkChanged(b, request)
+	markWorkChanged(b, request, pool.Work{})
 }
 
 // endPrefill releases the helpers that only prefilled. Helpers with a lease keep their
@@ -148,19 +155,21 @@
 // release removes the work of the request from its endpoints.
 func release(b *board.Board, request *board.Request) {
 	releaseHelpers(b, request)
+	var work pool.Work
 	if lead := b.Pool.Find(request.Endpoint); lead != nil {
+		work = lead.Work[request.Request.Number]
 		delete(lead.Work, request.Request.Number)
 	}
 	request.Endpoint = ""
 	request.FirstEventSent = false
 	request.IsAcquitted = false
-	markWorkChanged(b, request)
+	markWorkChanged(b, request, work)
 }
 
-// markWorkChanged marks the load of this entry for publication. Only the load of model
-// engines is published.
-func markWorkChanged(b *board.Board, request *board.Request) {
-	if b.Plan.Services[request.Service].Engine != nil {
+// markWorkChanged marks the load of this entry for publication. That of plain services is
+// published only if the work takes long enough.
+func markWorkChanged(b *board.Board, request *board.Request, work pool.Work) {
+	if b.Plan.Services[request.Service].Engine != nil || cost.PlainLoad(work, b.Now).Leads > 0 {
 		b.WorkChanged = true
 	}
 }
--- a/internal/flow/pool/pool.go
+++ b/internal/flow/pool/pool.go
@@ -128,6 +128,8 @@
 		MaxGap clock.Millis
 		// MemoryTokens is the memory, in tokens, that the work occupies when it ends.
 		MemoryTokens int
+		// Cost is how long a plain service is expected to take; zero if it is not priced.
+		Cost clock.Millis
 		// StartedAt is when the work was sent. PrefillEndsAt is when the prefill of its
 		// shard is expected to end.
 		StartedAt     clock.Millis
--- a/internal/flow/proxy/session.go
+++ b/internal/flow/proxy/session.go
@@ -129,6 +129,7 @@
 		return
 	}
 	s.request.Fingerprint = fingerprint(s.request, s.body)
+	s.request.BodyBytes = len(s.body)
 	s.stage.Store(stageWaiting)
 	p.Step(input.RequestReceived{Request: s.request})
 	s.run()
