Hubs: the load of an entry that restarts idle is discarded

Cause: an entry that restarts within the timeouts and runs nothing sends no contribution, since it takes its hub to know of none; its messages kept the contribution of its earlier epoch alive, at all entries. Evidence: TestLoadOfRestartedEntryVanishes fails without the change (30 of 30 entries still count the load 2 s after the restart). Change: a message of a later epoch without a contribution discards the one before.

--- a/internal/flow/parts/fleet_test.go
+++ b/internal/flow/parts/fleet_test.go
@@ -289,6 +289,20 @@
 	require.Zero(t, f.countInformed(send.Endpoint))
 }
 
+// Guards against load that outlives its entry: one that restarts within the timeouts and runs nothing sends no
+// load, and its hub must not keep the one from before the restart.
+func TestLoadOfRestartedEntryVanishes(t *testing.T) {
+	f := newFleet(t, 30)
+	f.advance(5 * clock.Second)
+	_, out := f.request(f.entries[20], "/short/1", 5000)
+	send := requireSend(t, out)
+	f.advance(200)
+	require.Equal(t, 30, f.countInformed(send.Endpoint))
+	f.start(20)
+	f.advance(2 * clock.Second)
+	require.Zero(t, f.countInformed(send.Endpoint))
+}
+
 // When the hub of a failure domain fails, another entry replaces it. After the restart of
 // the former hub each domain must again have exactly one hub.
 func TestHubIsReplaced(t *testing.T) {
--- a/internal/flow/peers/peers.go
+++ b/internal/flow/peers/peers.go
@@ -108,7 +108,9 @@
 	for _, news := range batch.News {
 		p.receiveNews(b, batch, news)
 	}
+	epoch := uint64(0)
 	if sender := b.Peers[batch.Sender]; sender != nil {
+		epoch = sender.News.Epoch
 		sender.DirectlySeenAt = b.Now
 		sender.LastSeenAt = b.Now
 		sender.ForwardBackoffUntil = 0
@@ -118,7 +120,7 @@
 	case batch.Contribution != nil:
 		b.Tally.ReceiveContribution(batch.Sender, *batch.Contribution, b.Now)
 	default:
-		b.Tally.KeepAlive(batch.Sender, b.Now)
+		b.Tally.KeepAlive(batch.Sender, epoch, b.Now)
 	}
 	for _, aggregate := range batch.Aggregates {
 		b.Tally.ReceiveAggregate(aggregate, b.Now)
--- a/internal/flow/tally/contribution.go
+++ b/internal/flow/tally/contribution.go
@@ -147,10 +147,18 @@
 	}
 }
 
-// KeepAlive records that a member sent a message without a contribution, so that its last
-// one doesn't expire.
-func (t *Tally) KeepAlive(from ident.Entry, now clock.Millis) {
-	if state := t.contributions[EntryHashOf(from)]; state != nil {
+// KeepAlive records that a member sent a message of an epoch without a contribution, so that its last
+// one doesn't expire. One of an earlier epoch is discarded: a member that has restarted and runs nothing
+// sends none.
+func (t *Tally) KeepAlive(from ident.Entry, epoch uint64, now clock.Millis) {
+	hash := EntryHashOf(from)
+	state := t.contributions[hash]
+	switch {
+	case state == nil:
+	case state.epoch < epoch:
+		t.markChanged(state.loads)
+		delete(t.contributions, hash)
+	default:
 		state.receivedAt = now
 	}
 }
--- a/internal/flow/tally/tally_test.go
+++ b/internal/flow/tally/tally_test.go
@@ -188,7 +188,7 @@
 	hub := New("hub", 1)
 	hub.ReceiveContribution("a", Contribution{Epoch: 5, Sequence: 1, Loads: Loads{1: {Leads: 2}}}, 100)
 	for now := clock.Millis(100); now < 100+3*ContributionTTL; now += round {
-		hub.KeepAlive("a", now)
+		hub.KeepAlive("a", 1, now)
 		hub.Expire(now)
 		require.Equal(t, 2, hub.RemoteLoad(1).Leads)
 	}
