Costs: dear requests lean towards the same endpoints; rates from late evidence; tests

Cause: cheap requests still met dear ones wherever those were spread evenly, and an entry that had just started took the rate of work for far too low, so that all entries chose the same endpoints. Change: dear requests (twice the mean cost) lean towards the first endpoints in the shared order, most with slots 2/3 in use; the rate counts the lateness of sketches, and no choice by cost before 6 s; callers weigh in shared keys by the logarithm of their number; a change shows after as many requests as the evidence before, at most 32.

--- a/internal/flow/learn/cell.go
+++ b/internal/flow/learn/cell.go
@@ -7,72 +7,101 @@
 	"mustardhook/internal/core/clock"
 )
 
+// decaySteps is the number of steps in which evidence loses half of its weight.
+const decaySteps = 64
+
 type (
 	// Cell is a weighted mean and variance whose evidence is forgotten over time.
 	Cell struct {
 		Weight, Mean, Variance float64
-		updatedAt              clock.Millis
+		decayedAt              clock.Millis
 	}
 
 	// cells holds at most MaxCells cells, the least recently updated of which is dropped.
 	cells struct {
-		cells map[Subject]Cell
-		order *list.List
-		index map[Subject]*list.Element
+		elements map[Subject]*list.Element
+		order    *list.List
+	}
+
+	// keyedCell is the cell of one key.
+	keyedCell struct {
+		Cell
+		key Subject
 	}
 )
 
 // Add adds a number of values with the given mean and variance.
 func (c *Cell) Add(count, mean, variance float64, halfLife, now clock.Millis) {
-	weight := c.weightAt(halfLife, now)
-	c.updatedAt = now
-	c.Weight = weight + count
-	if c.Weight <= 0 {
+	c.decay(halfLife, now)
+	c.add(count, mean, variance, math.Inf(1))
+}
+
+// add adds values. The evidence before counts as at most inertia of them.
+func (c *Cell) add(count, mean, variance, inertia float64) {
+	previous := min(c.Weight, inertia)
+	total := previous + count
+	if total <= 0 {
 		return
 	}
 	difference := mean - c.Mean
-	c.Variance = (weight*c.Variance + count*variance + weight*count/c.Weight*difference*difference) / c.Weight
-	c.Mean += difference * count / c.Weight
+	c.Variance = (previous*c.Variance + count*variance + previous*count/total*difference*difference) / total
+	c.Mean += difference * count / total
+	c.Weight += count
+}
+
+// decay reduces the weight of the evidence to what is left of it.
+func (c *Cell) decay(halfLife, now clock.Millis) {
+	if c.isDecayDue(halfLife, now) {
+		c.Weight = c.weightAt(halfLife, now)
+		c.decayedAt = now
+	}
+}
+
+func (c *Cell) isDecayDue(halfLife, now clock.Millis) bool {
+	return decaySteps*(now-c.decayedAt) >= halfLife
 }
 
 // weightAt returns the weight that is left of the evidence.
 func (c *Cell) weightAt(halfLife, now clock.Millis) float64 {
-	return c.Weight * math.Exp2(-float64(max(now-c.updatedAt, 0))/float64(halfLife))
+	if !c.isDecayDue(halfLife, now) {
+		return c.Weight
+	}
+	return c.Weight * math.Exp(-math.Ln2*float64(now-c.decayedAt)/float64(halfLife))
 }
 
 // shrink returns the distribution that the evidence and the prior give together.
 func (c Cell) shrink(prior Cell) Cell {
 	total := c.Weight + priorWeight
-	difference := c.Mean - prior.Mean
 	return Cell{
 		Weight: total, Mean: (c.Weight*c.Mean + priorWeight*prior.Mean) / total,
-		Variance: (c.Weight*c.Variance + priorWeight*prior.Variance + c.Weight*priorWeight/total*difference*difference) / total,
+		Variance: (c.Weight*c.Variance + priorWeight*prior.Variance) / total,
 	}
 }
 
-func newCells() *cells {
-	return &cells{cells: map[Subject]Cell{}, order: list.New(), index: map[Subject]*list.Element{}}
-}
+func newCells() *cells { return &cells{elements: map[Subject]*list.Element{}, order: list.New()} }
 
 func (c *cells) add(key Subject, count, mean, variance float64, now clock.Millis) {
-	cell := c.cells[key]
-	cell.Add(count, mean, variance, HalfLife, now)
-	c.cells[key] = cell
-	if element := c.index[key]; element != nil {
-		c.order.MoveToFront(element)
-		return
-	}
-	c.index[key] = c.order.PushFront(key)
-	if c.order.Len() > MaxCells {
-		oldest := c.order.Remove(c.order.Back()).(Subject)
-		delete(c.index, oldest)
-		delete(c.cells, oldest)
+	element := c.elements[key]
+	if element == nil {
+		if c.order.Len() >= MaxCells {
+			delete(c.elements, c.order.Remove(c.order.Back()).(*keyedCell).key)
+		}
+		element = c.order.PushFront(&keyedCell{key: key})
+		c.elements[key] = element
 	}
+	c.order.MoveToFront(element)
+	cell := element.Value.(*keyedCell)
+	cell.decay(HalfLife, now)
+	cell.add(count, mean, variance, maxInertia)
 }
 
 // at returns the evidence on a key that is left.
 func (c *cells) at(key Subject, now clock.Millis) Cell {
-	cell := c.cells[key]
+	element := c.elements[key]
+	if element == nil {
+		return Cell{}
+	}
+	cell := element.Value.(*keyedCell).Cell
 	cell.Weight = cell.weightAt(HalfLife, now)
 	return cell
 }
--- a/internal/flow/learn/delay.go
+++ b/internal/flow/learn/delay.go
@@ -11,7 +11,7 @@
 const (
 	// PaceHalfLife is the time in which evidence on the pace of an endpoint loses half of its weight. It
 	// is short, so that an endpoint that has recovered is used again.
-	PaceHalfLife = 10 * clock.Second
+	PaceHalfLife = 5 * clock.Second
 	// paceWeight is the number of answers that count as much as the assumption that the pace is normal.
 	paceWeight = 4.0
 	maxPace    = 8.0
@@ -65,6 +65,9 @@
 	if cell == nil {
 		return 1
 	}
+	if cell.Mean <= 0 {
+		return 1
+	}
 	weight := cell.weightAt(PaceHalfLife, now)
 	total := weight + paceWeight
 	deviation := math.Sqrt((weight*cell.Variance + paceWeight*priorVariance) / total / total)
@@ -72,13 +75,13 @@
 }
 
 // Way returns the price of the way from the failure domain of the entry to another one, in milliseconds.
-func (d *Delays) Way(home, domain ident.Domain, now clock.Millis) float64 {
+func (d *Delays) Way(home, domain ident.Domain) float64 {
 	if domain == home {
 		return 0
 	}
 	price := DefaultWay
 	if there, here := d.ways[domain], d.ways[home]; there != nil && here != nil {
-		weight := min(there.weightAt(HalfLife, now), here.weightAt(HalfLife, now))
+		weight := min(there.Weight, here.Weight)
 		price = (weight*(there.Mean-here.Mean) + wayWeight*DefaultWay) / (weight + wayWeight)
 	}
 	return min(max(price, 0), MaxWay)
--- a/internal/flow/learn/learn.go
+++ b/internal/flow/learn/learn.go
@@ -22,6 +22,9 @@
 	// priorWeight is the number of observations that a key needs to count as much as the
 	// coarser one.
 	priorWeight = 2.0
+	// maxInertia bounds the evidence that new evidence on a key is weighed against, so that a change shows
+	// after as many requests.
+	maxInertia = 32.0
 	// priorVariance is the variance of the logarithm of a cost of which little is known, and
 	// maxVariance bounds the one that an estimate uses.
 	priorVariance = 0.5
@@ -29,11 +32,12 @@
 	// minDifference is the standard deviation, of the logarithms of the estimates of a service,
 	// from which on its costs differ. minEvidence is the number of observations that it takes.
 	minDifference = 0.4
-	minEvidence   = 8.0
-	// rateHalfLife is the time in which evidence on the rate of requests loses half of its weight, and
-	// minRateSpan is added to the time since the first one.
+	minEvidence   = 20.0
+	// rateHalfLife is the time in which evidence on the rate of requests loses half of its weight. That of
+	// other entries is up to evidenceLag late. Before minSpan the rate is not known well enough.
 	rateHalfLife = 10 * clock.Second
-	minRateSpan  = 2 * clock.Second
+	evidenceLag  = 3 * clock.Second
+	minSpan      = 2 * evidenceLag
 )
 
 // The levels of keys, from coarse to fine.
@@ -67,6 +71,14 @@
 	// its service, zero if there is none.
 	Estimate struct{ Mean, Deviation, Weight float64 }
 
+	// Mix is how the requests of a service differ. Differs reports whether they are known to differ in
+	// cost, BusySlots is how many slots they keep busy on average, and MeanCost their mean cost in
+	// milliseconds.
+	Mix struct {
+		Differs             bool
+		BusySlots, MeanCost float64
+	}
+
 	// Estimator holds what was learned.
 	Estimator struct {
 		levels   [levelCount]*cells
@@ -146,23 +158,29 @@
 	e.own.add(observation)
 }
 
-// add adds evidence to the keys of its subject. The requests of one organisation weigh in keys that it
+// add adds evidence to the keys of its subject. The requests of one organisation weigh in a key that it
 // shares with others by the logarithm of their number.
 func (e *Estimator) add(o Observation, now clock.Millis) {
 	if !o.isValid() {
 		return
 	}
-	shared := math.Log1p(o.Count / (1 + e.levels[levelOrganisation].at(o.Subject.key(levelOrganisation), now).Weight))
+	e.addToService(o, now)
+	ofCaller := e.levels[levelOrganisation].at(o.Subject.key(levelOrganisation), now).Weight
+	ofSubject := e.levels[levelAll].at(o.Subject, now).Weight
 	for level, cells := range e.levels {
 		count := o.Count
-		if level < levelOrganisation {
-			count = shared
+		switch level {
+		case levelService, levelRoute:
+			count = math.Log1p(count / (1 + ofCaller))
+		case levelSize, levelPath:
+			count = math.Log1p(count / (1 + ofSubject))
 		}
 		cells.add(o.Subject.key(level), count, o.Mean, o.Variance, now)
 	}
-	e.addToService(o, now)
 }
 
+// addToService adds evidence to the sums of its service. Whether costs differ is told from what was
+// estimated before.
 func (e *Estimator) addToService(o Observation, now clock.Millis) {
 	total := e.services[o.Subject.Service]
 	if total == nil {
@@ -172,9 +190,9 @@
 		total = &service{startedAt: now}
 		e.services[o.Subject.Service] = total
 	}
+	total.work.Add(o.Count, math.Exp(o.Mean+o.Variance/2), 0, rateHalfLife, now)
 	base := e.levels[levelService].at(o.Subject.key(levelService), now)
 	total.difference.Add(o.Count, e.blend(o.Subject, now).Mean-base.Mean, 0, HalfLife, now)
-	total.work.Add(o.Count, math.Exp(o.Mean+o.Variance/2), 0, rateHalfLife, now)
 }
 
 // Estimate returns what a request is expected to cost.
@@ -205,20 +223,18 @@
 	return at(levelAll).shrink(best)
 }
 
-// Differs reports whether the requests of a service are known to differ in cost.
-func (e *Estimator) Differs(name ident.Service, now clock.Millis) bool {
-	total := e.services[hash(string(name))]
-	return total != nil && total.difference.weightAt(HalfLife, now) >= minEvidence &&
-		math.Sqrt(total.difference.Variance) >= minDifference
-}
-
-// WorkRate returns the work that the entries give the endpoints of a service, as the number of slots that
-// it keeps busy on average.
-func (e *Estimator) WorkRate(name ident.Service, now clock.Millis) float64 {
-	total := e.services[hash(string(name))]
+// Mix returns how the requests of a service differ.
+func (e *Estimator) Mix(subject Subject, now clock.Millis) Mix {
+	total := e.services[subject.Service]
 	if total == nil {
-		return 0
+		return Mix{}
+	}
+	span := now - total.startedAt
+	seen := 1 - math.Exp(-math.Ln2*float64(max(span, minSpan)-evidenceLag)/float64(rateHalfLife))
+	perMilli := total.work.weightAt(rateHalfLife, now) * math.Ln2 / float64(rateHalfLife) / seen
+	return Mix{
+		Differs: span >= minSpan && total.difference.weightAt(HalfLife, now) >= minEvidence &&
+			total.difference.Variance >= minDifference*minDifference,
+		BusySlots: perMilli * total.work.Mean, MeanCost: total.work.Mean,
 	}
-	seen := 1 - math.Exp2(-float64(now-total.startedAt+minRateSpan)/float64(rateHalfLife))
-	return total.work.weightAt(rateHalfLife, now) * total.work.Mean * math.Ln2 / float64(rateHalfLife) / seen
 }
--- a/internal/flow/parts/price_test.go
+++ b/internal/flow/parts/price_test.go
@@ -25,6 +25,8 @@
 	bulkKey   = "key-of-bulk"
 	cheapCost = 20 * clock.Millis(1)
 	dearCost  = 20 * cheapCost
+	// desks is the number of endpoints, and deskSlots how many requests each runs at the same time.
+	desks     = 7
 	deskSlots = 6
 	// sameDomainDelay and otherDomainDelay are the delays from entries to endpoints, one way.
 	sameDomainDelay  = 1 * clock.Millis(1)
@@ -32,8 +34,8 @@
 )
 
 type (
-	// deskFleet simulates endpoints of the plain service desk before a fleet. Each runs deskSlots requests
-	// at the same time, and the others in order of arrival.
+	// deskFleet simulates endpoints of the plain service desk before a fleet. Each runs
+	// deskSlots requests at the same time, and the others in order of arrival.
 	deskFleet struct {
 		*fleet
 		random *rand.Rand
@@ -51,31 +53,32 @@
 	deskLoad struct {
 		perSecond float64
 		dearShare float64
-		// path and key tell dear requests from cheap ones.
+		// path and key tell dear requests from cheap ones. noise is the deviation of the logarithms of the costs.
 		path, key string
+		noise     float64
 	}
 )
 
-// newDeskFleet starts entries before the given number of endpoints of the service desk.
-func newDeskFleet(t *testing.T, entries, endpoints int) *deskFleet {
+// newDeskFleet starts entries before desks endpoints of the service desk.
+func newDeskFleet(t *testing.T, entries int) *deskFleet {
 	f := &deskFleet{
 		fleet: newFleet(t, entries), random: rand.New(rand.NewPCG(3, 4)), running: map[ident.Endpoint][]clock.Millis{},
 		slow: map[ident.Endpoint]clock.Millis{}, sentTo: map[ident.Endpoint]int{},
 	}
-	for i, e := range f.entries {
-		e.board.Random = rand.New(rand.NewPCG(uint64(i), 5))
-		f.configure(e, endpoints)
+	for _, e := range f.entries {
+		f.configure(e)
 	}
 	f.advance(3 * clock.Second)
 	return f
 }
 
-func (f *deskFleet) configure(e *fleetEntry, endpoints int) {
+func (f *deskFleet) configure(e *fleetEntry) {
+	e.board.Random = rand.New(rand.NewPCG(f.random.Uint64(), 5))
 	newPlan := testPlan(6).WithOrganisations(map[string]plan.Organisation{callerKey: {Name: "city"}, bulkKey: {Name: "bulk"}})
 	e.step(input.PlanRead{Plan: newPlan})
 	var list []pool.Listing
 	domains := []ident.Domain{"north", "south", "harbour"}
-	for i := range endpoints {
+	for i := range desks {
 		list = append(list, pool.Listing{
 			Name: ident.Endpoint(fmt.Sprintf("desk-%d", i)), Service: desk, Slots: deskSlots,
 			Address: fmt.Sprintf("10.2.0.%d:80", i), Domain: domains[i%len(domains)], Epoch: 1,
@@ -85,6 +88,15 @@
 	e.outputs = nil
 }
 
+// restart restarts entries with empty state.
+func (f *deskFleet) restart(entries []*fleetEntry) {
+	for _, e := range entries {
+		f.start(slices.Index(f.entries, e))
+		f.configure(e)
+	}
+	f.pending = slices.DeleteFunc(f.pending, func(next scheduledInput) bool { return slices.Contains(entries, next.entry) })
+}
+
 // run simulates the load for the given time. It returns how long each cheap request took, sorted.
 func (f *deskFleet) run(duration clock.Millis, load deskLoad) []clock.Millis {
 	var cheap []clock.Millis
@@ -100,7 +112,11 @@
 		}
 		for sent := f.random.Float64(); sent < load.perSecond*fleetTick.Duration().Seconds(); sent++ {
 			isDear := f.random.Float64() < load.dearShare
-			took := f.send(f.entries[f.random.IntN(len(f.entries))], load, isDear)
+			entry := f.entries[f.random.IntN(len(f.entries))]
+			if entry.isDown {
+				continue
+			}
+			took := f.send(entry, load, isDear)
 			if !isDear && took > 0 {
 				cheap = append(cheap, took)
 			}
@@ -119,6 +135,7 @@
 	if isDear {
 		path, key, cost = load.path, load.key, dearCost
 	}
+	cost = clock.Millis(float64(cost) * math.Exp(load.noise*f.random.NormFloat64()))
 	e.lastNumber++
 	number := e.lastNumber
 	outputs := e.step(input.RequestReceived{Request: call.Request{Number: number, Host: host, Path: path, Key: key, BodyBytes: 600, Fingerprint: number}})
@@ -162,13 +179,104 @@
 			t.Parallel()
 			last := map[bool]clock.Millis{}
 			for _, byCount := range []bool{false, true} {
-				f := newDeskFleet(t, test.entries, 7)
+				f := newDeskFleet(t, test.entries)
 				f.byCount = byCount
-				f.run(12*clock.Second, test.load)
-				last[byCount] = percentile(f.run(12*clock.Second, test.load), 0.99)
+				f.run(16*clock.Second, test.load)
+				last[byCount] = percentile(f.run(16*clock.Second, test.load), 0.99)
 			}
 			t.Logf("by cost %v, by count %v", last[false], last[true])
 			require.Less(t, 2*last[false], last[true])
 		})
 	}
 }
+
+// Guards against a changed choice in deployments whose requests cost the same but for chance: each request must go
+// to the endpoint that a choice by count takes.
+func TestEqualCostsAreChosenByCount(t *testing.T) {
+	sentTo := map[bool]map[ident.Endpoint]int{}
+	for _, byCount := range []bool{false, true} {
+		f := newDeskFleet(t, 12)
+		f.byCount = byCount
+		f.run(20*clock.Second, deskLoad{perSecond: 300, noise: 0.5})
+		sentTo[byCount] = f.sentTo
+	}
+	require.Equal(t, sentTo[true], sentTo[false])
+}
+
+// Guards against failures halfway through: after the restart of an entry, after that of all of them, and while news
+// is lost with the hubs, cheap requests must not wait longer than by count, and what was lost must be learned again.
+func TestCostsSurviveFailures(t *testing.T) {
+	load := deskLoad{perSecond: 450, dearShare: 0.12, path: "/order/export", key: callerKey}
+	failures := map[string]func(f *deskFleet){
+		"restart":        func(f *deskFleet) { f.restart(f.entries[7:8]) },
+		"restart of all": func(f *deskFleet) { f.restart(f.entries) },
+		"loss of all hubs": func(f *deskFleet) {
+			for _, hub := range f.entries[:3] {
+				hub.isDown = true
+			}
+		},
+	}
+	for name, fail := range failures {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			last := map[bool]clock.Millis{}
+			for _, byCount := range []bool{false, true} {
+				f := newDeskFleet(t, 20)
+				f.byCount = byCount
+				f.run(12*clock.Second, load)
+				fail(f)
+				last[byCount] = percentile(f.run(10*clock.Second, load), 0.99)
+				for _, e := range f.entries {
+					subject := learn.NewSubject(desk, "order", "city", "export", 600)
+					require.Equal(t, !byCount && !e.isDown, e.board.Costs.Mix(subject, f.now).Differs && !e.isDown)
+				}
+			}
+			t.Logf("by cost %v, by count %v", last[false], last[true])
+			require.LessOrEqual(t, last[false], last[true])
+		})
+	}
+}
+
+// Guards against an endpoint that turns slow and gets as many requests as others, or none ever after.
+func TestSlowEndpointGetsFewRequests(t *testing.T) {
+	const name = "desk-2"
+	f := newDeskFleet(t, 20)
+	load := deskLoad{perSecond: 250, dearShare: 0.1, path: "/order/export", key: callerKey}
+	share := func(duration clock.Millis) float64 {
+		f.sentTo = map[ident.Endpoint]int{}
+		f.run(duration, load)
+		total := 0
+		for _, count := range f.sentTo {
+			total += count
+		}
+		return float64(f.sentTo[name]) / float64(total)
+	}
+	share(10 * clock.Second)
+	before := share(10 * clock.Second)
+	f.slow[name] = 8
+	share(4 * clock.Second)
+	require.Less(t, share(10*clock.Second), before/2)
+	f.slow[name] = 1
+	share(20 * clock.Second)
+	require.Greater(t, share(10*clock.Second), before/2)
+}
+
+// BenchmarkPlainDecision measures the time to choose an endpoint of a plain service by count and by cost.
+func BenchmarkPlainDecision(b *testing.B) {
+	for _, byCount := range []bool{true, false} {
+		b.Run(fmt.Sprintf("byCount=%v", byCount), func(b *testing.B) {
+			f := newDeskFleet(&testing.T{}, 3)
+			f.byCount = byCount
+			f.run(6*clock.Second, deskLoad{perSecond: 300, dearShare: 0.12, path: "/order/export", key: callerKey})
+			e := f.entries[0]
+			b.ReportAllocs()
+			for b.Loop() {
+				e.lastNumber++
+				request := call.Request{Number: e.lastNumber, Host: host, Path: "/order/list", Key: callerKey, BodyBytes: 600}
+				e.cycle.Step(e.board, input.RequestReceived{Request: request})
+				e.cycle.Step(e.board, input.SendEnded{Result: completeResult(request.Number)})
+				e.board.TakeOutputs()
+			}
+		})
+	}
+}
--- a/internal/flow/place/choose.go
+++ b/internal/flow/place/choose.go
@@ -103,9 +103,10 @@
 	endpoints := usableEndpoints(b, request, nil)
 	estimate := b.Costs.Estimate(request.Subject, b.Now)
 	request.Price = board.Price{Cost: estimate.Mean, Deviation: estimate.Deviation, Pace: 1}
-	request.IsPriced = b.Costs.Differs(request.Service, b.Now)
-	if request.IsPriced && len(endpoints) > 0 {
-		return choice{lead: choosePriced(b, request, endpoints)}
+	mix := b.Costs.Mix(request.Subject, b.Now)
+	request.IsPriced = mix.Differs
+	if mix.Differs && len(endpoints) > 0 {
+		return choice{lead: choosePriced(b, request, mix, endpoints)}
 	}
 	var best choice
 	least := math.Inf(1)
--- a/internal/flow/place/plain.go
+++ b/internal/flow/place/plain.go
@@ -17,6 +17,13 @@
 const (
 	// remoteLeft is the fraction of the published cost of a running request that is left on average.
 	remoteLeft = 0.5
+	// horizonDelays is the number of delays of the news that the horizon of a decision exceeds the cost of the request by: what is seen
+	// is as old as one, and what follows is seen after another.
+	horizonDelays = 2
+	// dearFactor is the ratio to the mean cost from which on requests are dear. separation is how much they lean towards the first
+	// endpoints; that vanishes with little work, when nobody waits, and with much, when all slots are needed.
+	dearFactor = 2
+	separation = 6
 	// minUnseen is the least work that other entries are taken to send within the delay of the news, in milliseconds.
 	minUnseen = 1.0
 	// minOwnShare is the least part of the duration of a request that is its cost.
@@ -40,17 +47,26 @@
 // choosePriced chooses an endpoint of a plain service by the time of its slots that is taken within a
 // horizon, the way there included. Entries that decide within the delay of the news see the same work, so
 // each draws an endpoint with the chance with which the work that they send in that time fills up the
-// least loaded ones evenly.
-func choosePriced(b *board.Board, request *board.Request, endpoints []*pool.Endpoint) *pool.Endpoint {
+// least loaded ones evenly. Dear requests lean towards the first endpoints in the order that all entries share,
+// so that others have few of them.
+func choosePriced(b *board.Board, request *board.Request, mix learn.Mix, endpoints []*pool.Endpoint) *pool.Endpoint {
 	delay := float64(cost.NewsDelay + b.Tally.MaxDeferral())
-	horizon := request.Price.Cost + delay
+	horizon := request.Price.Cost + horizonDelays*delay
 	var storage [16]offer
 	offers := storage[:0]
+	slots := 0.0
 	for _, endpoint := range endpoints {
 		offers = append(offers, offerOf(b, request, endpoint, horizon))
+		slots += offers[len(offers)-1].slots
+	}
+	if request.Price.Cost >= dearFactor*mix.MeanCost {
+		use := min(mix.BusySlots/slots, 1)
+		for i := range offers {
+			offers[i].height += separation * use * use * (1 - use) * horizon * float64(i) / float64(len(offers))
+		}
 	}
 	slices.SortFunc(offers, func(a, b offer) int { return cmp.Compare(a.height, b.height) })
-	unseen := max(b.Costs.WorkRate(request.Service, b.Now)*delay, minUnseen)
+	unseen := max(mix.BusySlots*delay, minUnseen)
 	level := waterLevel(offers, unseen)
 	draw := b.Random.Float64() * unseen
 	best := offers[0]
@@ -85,7 +101,7 @@
 func offerOf(b *board.Board, request *board.Request, endpoint *pool.Endpoint, horizon float64) offer {
 	price := request.Price
 	price.Pace = b.Delays.Pace(endpoint.Hash(), b.Now)
-	price.Way = b.Delays.Way(b.Domain, endpoint.Domain, b.Now)
+	price.Way = b.Delays.Way(b.Domain, endpoint.Domain)
 	slots := float64(max(endpoint.Slots, 1))
 	leads := float64(endpoint.RemoteLoad.Leads)
 	left := remoteLeft * float64(endpoint.RemoteLoad.PrefillMillis)
