--- a/internal/flow/proxy/meters.go
+++ b/internal/flow/proxy/meters.go
@@ -24,6 +24,9 @@
 		// duration the time until the whole answer was delivered.
 		timeToFirstEvent metrics.Timer
 		duration         metrics.Timer
+		// predictionError measures by how much the duration of a send to a plain service differs from the
+		// predicted one.
+		predictionError metrics.Timer
 	}
 )
 
@@ -40,6 +43,7 @@
 		pauses:           metrics.NewRegisteredCounter("endpoints.pauses", r),
 		timeToFirstEvent: metrics.NewRegisteredTimer("requests.firstEvent", r),
 		duration:         metrics.NewRegisteredTimer("requests.total", r),
+		predictionError:  metrics.NewRegisteredTimer("sends.predictionError", r),
 	}
 }
 
--- a/internal/flow/proxy/session.go
+++ b/internal/flow/proxy/session.go
@@ -194,6 +194,9 @@
 			sentAt := time.Now()
 			result := s.send(action.Send)
 			s.stage.Store(stageWaiting)
+			if !action.Send.Stream && action.Send.Predicted > 0 && result.End == call.EndComplete {
+				s.proxy.metrics.predictionError.Update((time.Since(sentAt) - action.Send.Predicted.Duration()).Abs())
+			}
 			s.proxy.Step(input.SendEnded{Result: result})
 			if result.End == call.EndDisconnected {
 				s.abandon()
