--- a/internal/flow/board/board.go
+++ b/internal/flow/board/board.go
@@ -89,6 +89,8 @@
 		// than predicted they took.
 		Costs  *learn.Estimator
 		Delays *learn.Delays
+		// Priced holds the services whose endpoints are chosen by cost.
+		Priced map[ident.Service]bool
 		// Tally holds the load of all entries.
 		Tally *tally.Tally
 		// WorkChanged reports whether the load of this entry changed since it was last
@@ -195,6 +197,7 @@
 		Blame:          blame.New(),
 		Costs:          learn.New(),
 		Delays:         learn.NewDelays(),
+		Priced:         map[ident.Service]bool{},
 		Budget:         budget.New(),
 		MaxMembers:     1,
 	}
--- a/internal/flow/parts/price_test.go
+++ b/internal/flow/parts/price_test.go
@@ -261,6 +261,42 @@
 	require.Greater(t, share(10*clock.Second), before/2)
 }
 
+// Guards against waiting that is learned as cost: a cheap request that waits for the entry's own dear ones is still
+// expected to cost little.
+func TestWaitingIsNotLearnedAsCost(t *testing.T) {
+	const maxFactor = 2
+	f := newDeskFleet(t, 1)
+	f.run(30*clock.Second, deskLoad{perSecond: 520, dearShare: 0.15, path: "/order/export", key: callerKey})
+	estimate := f.entries[0].board.Costs.Estimate(learn.NewSubject(desk, "order", "city", "list", 600), f.now)
+	require.Less(t, estimate.Mean, float64(maxFactor*cheapCost))
+}
+
+// Guards against a herd when the news of an overloaded failure domain arrives: all entries turn away from it at once, and
+// none of the endpoints that are left may get much more than its share.
+func TestOverloadedDomainDragsDownNoOther(t *testing.T) {
+	const maxFactor = 2
+	f := newDeskFleet(t, 138)
+	f.run(16*clock.Second, deskLoad{perSecond: 450, dearShare: 0.12, path: "/order/export", key: callerKey})
+	f.sentTo = map[ident.Endpoint]int{}
+	left := 0
+	for _, e := range f.entries {
+		left = 0
+		for _, endpoint := range e.board.Pool.ByService(desk) {
+			endpoint.RemoteLoad = pool.Load{Leads: 2, Prefilling: 2, PrefillMillis: 800}
+			if endpoint.Domain == "north" {
+				endpoint.RemoteLoad = pool.Load{Leads: 30, Prefilling: 30, PrefillMillis: 12000}
+				continue
+			}
+			left++
+		}
+		f.send(e, deskLoad{}, false)
+	}
+	require.Len(t, f.sentTo, left)
+	for name, count := range f.sentTo {
+		require.LessOrEqual(t, count*left, maxFactor*len(f.entries), name)
+	}
+}
+
 // BenchmarkPlainDecision measures the time to choose an endpoint of a plain service by count and by cost.
 func BenchmarkPlainDecision(b *testing.B) {
 	for _, byCount := range []bool{true, false} {
--- a/internal/flow/place/choose.go
+++ b/internal/flow/place/choose.go
@@ -105,6 +105,10 @@
 	request.Price = board.Price{Cost: estimate.Mean, Deviation: estimate.Deviation, Pace: 1}
 	mix := b.Costs.Mix(request.Subject, b.Now)
 	request.IsPriced = mix.Differs
+	if mix.Differs != b.Priced[request.Service] {
+		b.Priced[request.Service] = mix.Differs
+		b.Log("Choice by cost changed.", "service", request.Service, "byCost", mix.Differs, "meanCost", int(mix.MeanCost), "busySlots", int(mix.BusySlots))
+	}
 	if mix.Differs && len(endpoints) > 0 {
 		return choice{lead: choosePriced(b, request, mix, endpoints)}
 	}
