--- a/internal/flow/parts/price_test.go
+++ b/internal/flow/parts/price_test.go
@@ -190,17 +190,25 @@
 	}
 }
 
-// Guards against a changed choice in deployments whose requests cost the same but for chance: each request must go
-// to the endpoint that a choice by count takes.
-func TestEqualCostsAreChosenByCount(t *testing.T) {
-	sentTo := map[bool]map[ident.Endpoint]int{}
-	for _, byCount := range []bool{false, true} {
-		f := newDeskFleet(t, 12)
-		f.byCount = byCount
-		f.run(20*clock.Second, deskLoad{perSecond: 300, noise: 0.5})
-		sentTo[byCount] = f.sentTo
+// Guards against a changed choice in deployments whose requests cost the same but for chance, or keep few slots
+// busy: each request must go to the endpoint that a choice by count takes.
+func TestEqualCostsAndLittleWorkAreChosenByCount(t *testing.T) {
+	loads := map[string]deskLoad{
+		"equal costs": {perSecond: 300, noise: 0.5},
+		"little work": {perSecond: 60, dearShare: 0.12, path: "/order/export", key: callerKey},
+	}
+	for name, load := range loads {
+		t.Run(name, func(t *testing.T) {
+			sentTo := map[bool]map[ident.Endpoint]int{}
+			for _, byCount := range []bool{false, true} {
+				f := newDeskFleet(t, 12)
+				f.byCount = byCount
+				f.run(20*clock.Second, load)
+				sentTo[byCount] = f.sentTo
+			}
+			require.Equal(t, sentTo[true], sentTo[false])
+		})
 	}
-	require.Equal(t, sentTo[true], sentTo[false])
 }
 
 // Guards against failures halfway through: after the restart of an entry, after that of all of them, and while news
--- a/internal/flow/place/choose.go
+++ b/internal/flow/place/choose.go
@@ -96,20 +96,15 @@
 	return untried
 }
 
-// chooseEndpoint chooses an endpoint of a plain service: the one with the least price if its
-// requests differ in cost, else the one with the lowest load per slot, after loadJitter and
-// remoteDomainLoad have been added.
+// chooseEndpoint chooses an endpoint of a plain service: by price where isPriced, else the one with
+// the lowest load per slot, after loadJitter and remoteDomainLoad have been added.
 func chooseEndpoint(b *board.Board, request *board.Request) choice {
 	endpoints := usableEndpoints(b, request, nil)
 	estimate := b.Costs.Estimate(request.Subject, b.Now)
 	request.Price = board.Price{Cost: estimate.Mean, Deviation: estimate.Deviation, Pace: 1}
 	mix := b.Costs.Mix(request.Subject, b.Now)
-	request.IsPriced = mix.Differs
-	if mix.Differs != b.Priced[request.Service] {
-		b.Priced[request.Service] = mix.Differs
-		b.Log("Choice by cost changed.", "service", request.Service, "byCost", mix.Differs, "meanCost", int(mix.MeanCost), "busySlots", int(mix.BusySlots))
-	}
-	if mix.Differs && len(endpoints) > 0 {
+	request.IsPriced = isPriced(b, request, mix, endpoints)
+	if request.IsPriced {
 		return choice{lead: choosePriced(b, request, mix, endpoints)}
 	}
 	var best choice
--- a/internal/flow/place/plain.go
+++ b/internal/flow/place/plain.go
@@ -24,6 +24,10 @@
 	// endpoints; that vanishes with little work, when nobody waits, and with much, when all slots are needed.
 	dearFactor = 2
 	separation = 6
+	// minUse is the use of its slots from which on a service is priced, and keptUse that below which it is no
+	// longer. With less work nobody waits.
+	minUse  = 0.25
+	keptUse = 0.15
 	// minUnseen is the least work that other entries are taken to send within the delay of the news, in milliseconds.
 	minUnseen = 1.0
 	// minOwnShare is the least part of the duration of a request that is its cost.
@@ -44,6 +48,29 @@
 	return learn.NewSubject(request.Service, request.Route.Name, request.Organisation, path, request.Request.BodyBytes)
 }
 
+// isPriced reports whether the endpoint is chosen by price: the requests of the service are known to differ in
+// cost, and keep enough of its slots busy for some to wait.
+func isPriced(b *board.Board, request *board.Request, mix learn.Mix, endpoints []*pool.Endpoint) bool {
+	isPriced := mix.Differs && len(endpoints) > 0
+	if isPriced {
+		slots := 0
+		for _, endpoint := range endpoints {
+			slots += max(endpoint.Slots, 1)
+		}
+		least := minUse
+		if b.Priced[request.Service] {
+			least = keptUse
+		}
+		isPriced = mix.BusySlots >= least*float64(slots)
+	}
+	if isPriced != b.Priced[request.Service] {
+		b.Priced[request.Service] = isPriced
+		b.Log("Choice by cost changed.", "service", request.Service, "byCost", isPriced, "meanCost", int(mix.MeanCost),
+			"busySlots", int(mix.BusySlots))
+	}
+	return isPriced
+}
+
 // choosePriced chooses an endpoint of a plain service by the time of its slots that is taken within a
 // horizon, the way there included. Entries that decide within the delay of the news see the same work, so
 // each draws an endpoint with the chance with which the work that they send in that time fills up the
