--- a/internal/flow/input/input.go
+++ b/internal/flow/input/input.go
@@ -8,6 +8,7 @@
 	"mustardhook/internal/flow/blame"
 	"mustardhook/internal/flow/call"
 	"mustardhook/internal/flow/evac"
+	"mustardhook/internal/flow/learn"
 	"mustardhook/internal/flow/plan"
 	"mustardhook/internal/flow/pool"
 	"mustardhook/internal/flow/tally"
@@ -200,6 +201,8 @@
 		Contribution *tally.Contribution
 		// Aggregates hold the added-up work of the entries of a hub.
 		Aggregates []tally.Aggregate
+		// Costs is evidence on the costs of requests.
+		Costs learn.Sketch
 	}
 
 	// News is the state that an entry publishes. It replaces earlier news of that entry.
--- a/internal/flow/proxy/meters.go
+++ b/internal/flow/proxy/meters.go
@@ -26,6 +26,9 @@
 		// duration the time until the whole answer was delivered.
 		timeToFirstEvent metrics.Timer
 		duration         metrics.Timer
+		// predictionError measures by how much the duration of a send to a plain service differs from the
+		// predicted one.
+		predictionError metrics.Timer
 	}
 )
 
@@ -43,6 +46,7 @@
 		withdrawn:        metrics.NewRegisteredCounter("sends.withdrawn", r),
 		timeToFirstEvent: metrics.NewRegisteredTimer("requests.firstEvent", r),
 		duration:         metrics.NewRegisteredTimer("requests.total", r),
+		predictionError:  metrics.NewRegisteredTimer("sends.predictionError", r),
 	}
 }
 
