--- a/internal/flow/board/board.go
+++ b/internal/flow/board/board.go
@@ -45,10 +45,12 @@
 		Now clock.Millis
 		// LastStep is the time of the previous input.
 		LastStep clock.Millis
-		Self     ident.Entry
-		Epoch    uint64
-		Domain   ident.Domain
-		Address  string
+		// StartedAt is when this epoch began.
+		StartedAt clock.Millis
+		Self      ident.Entry
+		Epoch     uint64
+		Domain    ident.Domain
+		Address   string
 		// Capacity is the processor share of the entry, in thousandths of a core.
 		Capacity int
 		Settings input.Settings
--- a/internal/flow/call/call.go
+++ b/internal/flow/call/call.go
@@ -35,6 +35,7 @@
 	ReasonBadKey           Reason = "badKey"
 	ReasonNoEndpoint       Reason = "noEndpoint"
 	ReasonPaused           Reason = "paused"
+	ReasonCold             Reason = "cold"
 	ReasonOverload         Reason = "overload"
 	ReasonPromptTooLong    Reason = "promptTooLong"
 	ReasonDeadlineTooShort Reason = "deadlineTooShort"
@@ -67,6 +68,8 @@
 	WaitLease  Wait = "lease"
 	// WaitEndpoint means that no endpoint is usable.
 	WaitEndpoint Wait = "endpoint"
+	// WaitCold means that all usable endpoints are cold and have got their requests.
+	WaitCold Wait = "cold"
 )
 
 type (
@@ -122,6 +125,8 @@
 		// Urgency is the priority of the request at the endpoint; 0 is the highest.
 		Urgency int
 		Stream  bool
+		// IsCold reports whether the endpoint is cold.
+		IsCold bool
 		// Helpers prefill shards of the prompt.
 		Helpers []Helper
 		// Predicted is the predicted time to the first event.
--- a/internal/flow/codec/codec.go
+++ b/internal/flow/codec/codec.go
@@ -100,6 +100,7 @@
 			Leaving:     listing.Leaving,
 			Born:        listing.Epoch,
 			DoubtMillis: uint32(listing.RemovalGrace),
+			Cold:        encodeCold(listing),
 		})
 	}
 	return encoded
@@ -111,20 +112,30 @@
 	for _, listing := range encoded {
 		list = append(list, pool.PeerListing{
 			Listing: pool.Listing{
-				Name:    ident.Endpoint(listing.Name),
-				Service: ident.Service(listing.Service),
-				Address: listing.Address,
-				Domain:  ident.Domain(listing.Domain),
-				Slots:   int(listing.Slots),
-				Leaving: listing.Leaving,
-				Epoch:   listing.Born,
+				Name:     ident.Endpoint(listing.Name),
+				Service:  ident.Service(listing.Service),
+				Address:  listing.Address,
+				Domain:   ident.Domain(listing.Domain),
+				Slots:    int(listing.Slots),
+				Leaving:  listing.Leaving,
+				Epoch:    listing.Born,
+				ColdLeft: clock.Millis(listing.GetCold().GetListedMillis()),
 			},
-			RemovalGrace: clock.Millis(listing.DoubtMillis),
+			RemovalGrace:  clock.Millis(listing.DoubtMillis),
+			ColdRemaining: clock.Millis(listing.GetCold().GetLeftMillis()),
 		})
 	}
 	return list
 }
 
+// encodeCold returns the coldness of an endpoint, or nil if there is none.
+func encodeCold(listing pool.PeerListing) *newspb.Cold {
+	if listing.ColdLeft == 0 && listing.ColdRemaining == 0 {
+		return nil
+	}
+	return &newspb.Cold{ListedMillis: uint32(listing.ColdLeft), LeftMillis: uint32(listing.ColdRemaining)}
+}
+
 func encodeNews(news input.News, now clock.Millis) *newspb.News {
 	message := &newspb.News{
 		Entry:        string(news.Entry),
@@ -136,6 +147,7 @@
 		Leaving:      news.Leaving,
 		Known:        news.HubAddresses,
 		Capacity:     uint32(news.Capacity),
+		Members:      uint32(news.Members),
 		ListRevision: news.ListRevision,
 	}
 	if news.ConfirmedAt != 0 {
@@ -183,6 +195,7 @@
 		Leaving:      message.Leaving,
 		HubAddresses: message.Known,
 		Capacity:     int(message.Capacity),
+		Members:      int(message.Members),
 		ListRevision: message.ListRevision,
 	}
 	if message.ConfirmedAgeMillis > 0 {
--- a/internal/flow/input/input.go
+++ b/internal/flow/input/input.go
@@ -138,6 +138,8 @@
 		Leaving bool
 		// RetryAfter is for how long it asks to be sent nothing; zero if it does not.
 		RetryAfter clock.Millis
+		// ColdLeft is how much longer it says that it is cold; zero if it does not.
+		ColdLeft clock.Millis
 	}
 
 	// SendEnded delivers the result of a send.
@@ -201,6 +203,9 @@
 		// if it never did.
 		ConfirmedAt clock.Millis
 		Leaving     bool
+		// Members is the largest number of entries that the entry has known at a time. Brief
+		// news has none.
+		Members int
 		// LeavingEndpoints are endpoints that the entry recently found to be leaving.
 		LeavingEndpoints []pool.Hash
 		// FailureCounts counts the recent failures of the entry's requests by endpoint.
@@ -244,6 +249,7 @@
 	n.Domain = ""
 	n.Address = ""
 	n.Capacity = 0
+	n.Members = 0
 	n.HubAddresses = nil
 	return n
 }
--- a/internal/flow/intake/intake.go
+++ b/internal/flow/intake/intake.go
@@ -21,6 +21,8 @@
 	switch in := in.(type) {
 	case input.SettingsRead:
 		b.Settings = in.Settings
+	case input.Started:
+		b.StartedAt = b.Now
 	case input.PlanRead:
 		applyPlan(b, in)
 	case input.ListRead:
@@ -100,5 +102,6 @@
 	b.Log("Configuration in force.", "version", uint64(read.Plan.Version), "before", uint64(b.Plan.Version))
 	b.Plan = read.Plan
 	b.PlanDocument = read.Document
+	b.Pool.SetColdTimes(b.Plan.ColdTimes(), b.Now)
 	b.NewsChanged = true
 }
--- a/internal/flow/parts/fleet_test.go
+++ b/internal/flow/parts/fleet_test.go
@@ -40,6 +40,10 @@
 		sentDatagrams int
 		isMeasuring   bool
 		traffic       map[string]*traffic
+		// loss is the share of datagrams that are lost, isCut reports whether two hosts can't reach
+		// each other; nil if all can.
+		loss  float64
+		isCut func(from, to string) bool
 	}
 
 	// fleetEntry is one entry of a fleet.
@@ -95,6 +99,7 @@
 	host := fmt.Sprintf("10.0.%d.%d", i%len(domains), i)
 	e.board.Self = ident.Entry(fmt.Sprintf("entry-%03d", i))
 	e.board.Epoch = uint64(f.now)
+	e.board.StartedAt = f.now
 	e.board.Tally = tally.New(e.board.Self, e.board.Epoch)
 	e.board.Domain = domains[i%len(domains)]
 	e.board.Address = host + ":9000"
@@ -121,6 +126,10 @@
 			for _, address := range out.Addresses {
 				f.sentDatagrams++
 				entry.sentDatagrams++
+				to, _, _ := strings.Cut(address, ":")
+				if f.isCut != nil && f.isCut(entry.host, to) || f.loss > 0 && entry.board.Random.Float64() < f.loss {
+					continue
+				}
 				f.inTransit = append(f.inTransit, datagram{f.now + datagramDelay, address, out.Batch})
 			}
 		case output.SetTimer:
@@ -128,7 +137,7 @@
 		case output.FetchPublished:
 			entry.fetchCount++
 			host, _, _ := strings.Cut(out.Address, ":")
-			if other := f.entriesByHost[host]; other != nil && !other.isDown {
+			if other := f.entriesByHost[host]; other != nil && !other.isDown && (f.isCut == nil || !f.isCut(entry.host, host)) {
 				f.pendingFetches = append(f.pendingFetches, pendingFetch{f.now + fetchDuration, entry, other})
 			}
 		}
--- a/internal/flow/peers/peers.go
+++ b/internal/flow/peers/peers.go
@@ -178,6 +178,7 @@
 		news.Domain = before.Domain
 		news.Address = before.Address
 		news.Capacity = before.Capacity
+		news.Members = before.Members
 		// Brief news leaves out older crashes. An entry that starts learns them from the news that
 		// its hub repeats.
 		if len(news.Crashes) == 0 {
--- a/internal/flow/peers/publish.go
+++ b/internal/flow/peers/publish.go
@@ -328,6 +328,7 @@
 	news.Domain = b.Domain
 	news.Address = b.Address
 	news.Capacity = b.Capacity
+	news.Members = b.MaxMembers
 	news.HubAddresses = p.knownHubAddresses(b)
 	return news
 }
--- a/internal/flow/place/choose.go
+++ b/internal/flow/place/choose.go
@@ -53,6 +53,8 @@
 		isFull     bool
 		reason     call.Reason
 		retryAfter clock.Millis
+		// notBefore is when a request that waits for cold endpoints looks for one again.
+		notBefore clock.Millis
 		// wait is why the request waits. shards is the number of engines that it needs, free
 		// the number of those that can start with it now, and own its position in the queue.
 		wait   call.Wait
@@ -78,11 +80,13 @@
 // there are no others. The result may use the memory of the buffer.
 func usableEndpoints(b *board.Board, request *board.Request, buffer []*pool.Endpoint) []*pool.Endpoint {
 	all := b.Pool.ByService(request.Service)
+	coldRate := b.Plan.Services[request.Service].ColdRate
 	untried := slices.Grow(buffer[:0], len(all))
 	var tried []*pool.Endpoint
 	for _, endpoint := range all {
 		switch {
 		case !endpoint.IsUsable(b.Now), b.Pool.IsUnreachable(endpoint.Domain):
+		case coldRate > 0 && !maySend(b, endpoint, coldRate):
 		case slices.Contains(request.Tried, endpoint.Name):
 			tried = append(tried, endpoint)
 		default:
@@ -112,7 +116,7 @@
 		}
 	}
 	if best.lead == nil {
-		return noEndpoint(b, request)
+		return noEndpoint(b, request, false)
 	}
 	return best
 }
--- a/internal/flow/place/end.go
+++ b/internal/flow/place/end.go
@@ -90,6 +90,10 @@
 	if endpoint == nil {
 		return
 	}
+	if result.Exited {
+		// Its process is gone. It starts anew, maybe before the list says so.
+		defer markColdAfterBackoff(b, endpoint)
+	}
 	switch {
 	case result.Moved, result.Unreachable, result.FailedAddress != "":
 		b.Pool.RecordUnreachable(endpoint, b.Now)
@@ -137,8 +141,10 @@
 	if !mayRetry || isPatient && !isSuspect(b, request.Endpoint) {
 		return false
 	}
+	coldRate := b.Plan.Services[request.Service].ColdRate
 	return slices.ContainsFunc(b.Pool.ByService(request.Service), func(other *pool.Endpoint) bool {
-		return other.Name != request.Endpoint && other.IsUsable(b.Now) && !b.Pool.IsUnreachable(other.Domain)
+		return other.Name != request.Endpoint && other.IsUsable(b.Now) && !b.Pool.IsUnreachable(other.Domain) &&
+			(coldRate == 0 || maySend(b, other, coldRate))
 	})
 }
 
--- a/internal/flow/place/engine.go
+++ b/internal/flow/place/engine.go
@@ -90,16 +90,25 @@
 	need := prompt + estimateOutput(request.Request)
 	memory := scratchPool.Get().(*scratch)
 	defer scratchPool.Put(memory)
-	candidates := memory.listCandidates(b, request, engine)
-	if len(candidates) == 0 {
-		return noEndpoint(b, request)
+	isLong := cost.IsLong(engine, prompt)
+	candidates, cold := splitCold(memory.listCandidates(b, request, engine), b.Now)
+	if isLong {
+		// A shard on a cold engine delays all others.
+		cold = nil
+	}
+	if len(candidates)+len(cold) == 0 {
+		return noEndpoint(b, request, isLong)
 	}
-	if need > engine.MemoryTokens*min(len(candidates), maxLeaseHolders+1) {
+	if need > engine.MemoryTokens*min(len(candidates)+len(cold), maxLeaseHolders+1) {
+		if next := nextColdSend(b, request.Service, isLong); next != 0 {
+			return awaitCold(b, request, next)
+		}
 		return choice{reason: call.ReasonPromptTooLong, retryAfter: FullRetryAfter}
 	}
 	normal, slow := splitSlow(candidates, b.Now)
 	short, long := splitSizeClasses(engine, normal)
-	if !cost.IsLong(engine, prompt) {
+	if !isLong {
+		short = append(slices.Clip(short), cold...)
 		decision := memory.chooseShort(b, short, long, slow, prompt, need)
 		decision.urgency = urgencyShort
 		if decision.isFull && !request.IsCallerRetry() && request.Runs == 0 {
@@ -157,6 +166,9 @@
 // short class follows from the number of recent short prompts; older ones, which are
 // being delayed, must not enlarge it.
 func splitSizeClasses(engine *plan.Engine, candidates []*candidate) (short, long []*candidate) {
+	if len(candidates) == 0 {
+		return nil, nil
+	}
 	shortPrompts := 0
 	for _, c := range candidates {
 		shortPrompts += c.load.ShortPrompts
--- a/internal/flow/place/notice.go
+++ b/internal/flow/place/notice.go
@@ -22,6 +22,9 @@
 		b.NewsChanged = true
 		b.Log("Endpoint announces that it leaves.", "request", notice.Request, "endpoint", endpoint.Name)
 	}
+	if notice.ColdLeft > 0 {
+		b.Pool.MarkEndpointCold(endpoint, b.Now+notice.ColdLeft, b.Now)
+	}
 	if notice.RetryAfter > 0 {
 		until := b.Pool.Pause(endpoint, notice.RetryAfter, b.Now)
 		b.NewsChanged = true
@@ -30,13 +33,23 @@
 	}
 }
 
-// noEndpoint returns the decision on a request if no endpoint is usable. If some have only asked for
-// a pause, the caller is told to return when the first pause has ended.
-func noEndpoint(b *board.Board, request *board.Request) choice {
+// noEndpoint returns the decision on a request if no endpoint is usable. If some are only cold, it
+// waits for them or the caller is told when it may be served. If some have only asked for a pause, the
+// caller is told to return when the first pause has ended.
+func noEndpoint(b *board.Board, request *board.Request, isLong bool) choice {
+	if next := nextColdSend(b, request.Service, isLong); next != 0 {
+		return awaitCold(b, request, next)
+	}
 	end := b.Pool.PauseEnd(request.Service, b.Now)
 	if end == 0 {
 		return choice{reason: call.ReasonNoEndpoint, retryAfter: FullRetryAfter}
 	}
-	pause := end - b.Now
-	return choice{reason: call.ReasonPaused, retryAfter: pause + clock.Millis(pauseSpread*b.Random.Float64()*float64(pause))}
+	return choice{reason: call.ReasonPaused, retryAfter: spreadReturn(b, end)}
+}
+
+// spreadReturn returns the delay after which a caller should return that can be served from the given time
+// on.
+func spreadReturn(b *board.Board, from clock.Millis) clock.Millis {
+	delay := from - b.Now
+	return delay + clock.Millis(pauseSpread*b.Random.Float64()*float64(delay))
 }
--- a/internal/flow/place/place.go
+++ b/internal/flow/place/place.go
@@ -181,6 +181,9 @@
 		request.NotBefore = b.Now + SilenceRetryDelay
 		decision.wait = call.WaitEndpoint
 		logWait(b, request, decision)
+	case decision.wait == call.WaitCold:
+		request.NotBefore = decision.notBefore
+		logWait(b, request, decision)
 	case decision.retryAfter > 0:
 		refuse(b, request, decision.reason, decision.retryAfter)
 	default:
--- a/internal/flow/place/send.go
+++ b/internal/flow/place/send.go
@@ -21,7 +21,8 @@
 		Number: request.Request.Number, Endpoint: decision.lead.Name, Epoch: decision.lead.Epoch, Address: decision.lead.Address,
 		Organisation: request.Organisation, TimeLeft: timeLeft, Urgency: decision.urgency, Stream: request.Route.IsStream(),
 		FirstEventTimeout: timeLeft, NextEventTimeout: timeLeft, Predicted: decision.firstEvent,
-		Basis: basisOf(b, request),
+		IsCold: decision.lead.IsCold(b.Now),
+		Basis:  basisOf(b, request),
 	}
 	canRetry := request.Route.IsRepeatable() && request.Runs+1 < request.Route.Attempts
 	if canRetry && !request.Route.IsStream() {
@@ -37,6 +38,7 @@
 			request.MoveAfter = b.Now + max(attempt.FirstEventTimeout, (request.WaitsUntil()-b.Now)/patienceDivisor)
 		}
 	}
+	decision.lead.MarkSent(b.Now)
 	request.Endpoint = decision.lead.Name
 	request.SentAt = b.Now
 	request.HasRetry = false
--- a/internal/flow/plan/plan.go
+++ b/internal/flow/plan/plan.go
@@ -53,6 +53,10 @@
 		Name        ident.Service
 		HealthPath  string
 		Connections int
+		// ColdRate is the number of requests a second that a cold endpoint tolerates, zero if
+		// there is no bound. ColdTime is how long an endpoint is cold after its start.
+		ColdRate float64
+		ColdTime clock.Millis
 		// Engine is nil for a plain service.
 		Engine *Engine
 	}
@@ -87,6 +91,18 @@
 	return p
 }
 
+// ColdTimes returns how long endpoints are cold after their start, for the services that bound
+// the requests to cold endpoints.
+func (p Plan) ColdTimes() map[ident.Service]clock.Millis {
+	times := map[ident.Service]clock.Millis{}
+	for name, service := range p.Services {
+		if service.ColdRate > 0 {
+			times[name] = service.ColdTime
+		}
+	}
+	return times
+}
+
 // IsZero reports whether the plan is the zero value, that is, none has been read yet.
 func (p Plan) IsZero() bool { return p.Version == 0 }
 
--- a/internal/flow/pool/list.go
+++ b/internal/flow/pool/list.go
@@ -15,8 +15,17 @@
 func (p *Pool) SetRevision(revision uint64) { p.revision = revision }
 
 // Put adds or updates an endpoint of the published list.
-func (p *Pool) Put(listing Listing, now clock.Millis) {
-	endpoint := p.upsert(listing)
+func (p *Pool) Put(listing Listing, now clock.Millis) { p.put(listing, listing.ColdLeft, now) }
+
+// putPeerListing adds or updates an endpoint of a peer's list.
+func (p *Pool) putPeerListing(listing PeerListing, now clock.Millis) {
+	p.put(listing.Listing, listing.ColdRemaining, now)
+	p.MarkEndpointCold(p.endpoints[listing.Name], now+listing.ColdRemaining, now)
+}
+
+// put adds or updates an endpoint that is cold for the given time if its record changed.
+func (p *Pool) put(listing Listing, coldLeft, now clock.Millis) {
+	endpoint := p.upsert(listing, coldLeft, now)
 	if !endpoint.IsLeaving() {
 		endpoint.LeavingAt = 0
 		return
@@ -25,13 +34,18 @@
 	p.track(endpoint)
 }
 
-func (p *Pool) upsert(listing Listing) *Endpoint {
+func (p *Pool) upsert(listing Listing, coldLeft, now clock.Millis) *Endpoint {
 	if p.Has(listing) {
 		return p.endpoints[listing.Name]
 	}
 	endpoint := p.endpoints[listing.Name]
 	if endpoint == nil || endpoint.Epoch != listing.Epoch || endpoint.Address != listing.Address {
-		return p.create(listing, endpoint)
+		created := p.create(listing, endpoint)
+		p.markStart(created, coldLeft, now)
+		return created
+	}
+	if listing.ColdLeft != endpoint.ColdLeft {
+		p.MarkEndpointCold(endpoint, now+coldLeft, now)
 	}
 	if endpoint.Service != listing.Service {
 		delete(p.byService, endpoint.Service)
@@ -102,6 +116,7 @@
 			p.Remove(name, now)
 		}
 	}
+	p.hasList = true
 }
 
 // ApplySnapshot applies the complete list of a peer. Removal grace periods are taken over
@@ -114,13 +129,14 @@
 			p.startRemovalGrace(listing, now)
 			continue
 		}
-		p.Put(listing.Listing, now)
+		p.putPeerListing(listing, now)
 	}
 	for name, endpoint := range p.endpoints {
 		if !isListed[name] {
 			p.confirmRemoval(endpoint, now)
 		}
 	}
+	p.hasList = true
 }
 
 // ApplyDelta applies a peer's changes to the list. The endpoints in removed are removed
@@ -131,7 +147,7 @@
 			p.startRemovalGrace(listing, now)
 			continue
 		}
-		p.Put(listing.Listing, now)
+		p.putPeerListing(listing, now)
 	}
 	for _, name := range removed {
 		if endpoint := p.endpoints[name]; endpoint != nil {
@@ -150,10 +166,8 @@
 	for name, endpoint := range p.endpoints {
 		switch {
 		case endpoint.revision <= after:
-		case endpoint.RemovedAt == 0:
-			list = append(list, PeerListing{Listing: endpoint.Listing})
-		case now < endpoint.RemovalGraceUntil:
-			list = append(list, PeerListing{Listing: endpoint.Listing, RemovalGrace: endpoint.RemovalGraceUntil - now})
+		case endpoint.RemovedAt == 0, now < endpoint.RemovalGraceUntil:
+			list = append(list, endpoint.peerListing(now))
 		default:
 			removed = append(removed, name)
 		}
@@ -199,15 +213,22 @@
 	for _, name := range slices.Sorted(maps.Keys(p.endpoints)) {
 		endpoint := p.endpoints[name]
 		switch {
-		case endpoint.RemovedAt == 0:
-			list = append(list, PeerListing{Listing: endpoint.Listing})
-		case now < endpoint.RemovalGraceUntil:
-			list = append(list, PeerListing{Listing: endpoint.Listing, RemovalGrace: endpoint.RemovalGraceUntil - now})
+		case endpoint.RemovedAt == 0, now < endpoint.RemovalGraceUntil:
+			list = append(list, endpoint.peerListing(now))
 		}
 	}
 	return list
 }
 
+// peerListing returns the listing of the endpoint as it is sent to peers.
+func (e *Endpoint) peerListing(now clock.Millis) PeerListing {
+	listing := PeerListing{Listing: e.Listing, ColdRemaining: max(e.cold.until-now, 0)}
+	if e.RemovedAt != 0 {
+		listing.RemovalGrace = e.RemovalGraceUntil - now
+	}
+	return listing
+}
+
 // MarkListUnavailable records that the list can't be read.
 func (p *Pool) MarkListUnavailable(now clock.Millis) {
 	if p.unavailableSince == 0 {
@@ -224,11 +245,13 @@
 // Expire deletes the endpoints that were removed, have no removal grace left and run no
 // work of this entry.
 func (p *Pool) Expire(now clock.Millis) {
+	maps.DeleteFunc(p.expiredRuns, func(_ ident.Endpoint, run expiredRun) bool { return now-run.at > expiredRunTTL })
 	for name, endpoint := range p.endpoints {
 		if endpoint.RemovedAt == 0 || now <= endpoint.RemovalGraceUntil || len(endpoint.Work) > 0 {
 			continue
 		}
 		p.expiredRevision = max(p.expiredRevision, endpoint.revision)
+		p.expiredRuns[name] = expiredRun{endpoint.Epoch, now}
 		delete(p.endpoints, name)
 		delete(p.byHash, endpoint.hash)
 		delete(p.byService, endpoint.Service)
--- a/internal/flow/pool/pace.go
+++ b/internal/flow/pool/pace.go
@@ -26,11 +26,11 @@
 	At     clock.Millis
 }
 
-// Pace returns how many times as long as published the endpoint takes for its work. It is
-// 1 without a report within PaceTTL.
+// Pace returns how many times as long as published the endpoint takes for its work. Without
+// a report within PaceTTL, it is 1, or more for an endpoint that is cold.
 func (e *Endpoint) Pace(now clock.Millis) float64 {
 	if e.pace.At == 0 || now-e.pace.At > PaceTTL {
-		return normalPace
+		return e.startPace(now)
 	}
 	return e.pace.Factor
 }
--- a/internal/flow/pool/pool.go
+++ b/internal/flow/pool/pool.go
@@ -43,6 +43,8 @@
 		// Epoch identifies the run of the endpoint: it changes if the endpoint restarts
 		// under the same name.
 		Epoch uint64
+		// ColdLeft is how much longer the endpoint was cold when the record was written.
+		ColdLeft clock.Millis
 	}
 
 	// PeerListing is a listing as one entry sends it to another.
@@ -51,6 +53,8 @@
 		// RemovalGrace is how much longer an endpoint that was removed from the list
 		// stays in use. It is zero while the endpoint is listed.
 		RemovalGrace clock.Millis
+		// ColdRemaining is how much longer the endpoint is cold by what the sender knows.
+		ColdRemaining clock.Millis
 	}
 
 	// Hash is a short hash of an endpoint's name. Entries exchange hashes instead of
@@ -88,6 +92,8 @@
 		pausedUntil   clock.Millis
 		ownPauseUntil clock.Millis
 
+		cold coldness
+
 		// ownFailures are the times of this entry's recent failures. failureReports are
 		// the recent failures that peers have published.
 		ownFailures    []clock.Millis
@@ -157,6 +163,12 @@
 		unreachable map[ident.Domain]unreachableDomain
 		// durations holds how long this entry's sends to each service took.
 		durations map[ident.Service]*durations
+		// hasList is set once a complete list was applied. coldTimes holds how long the
+		// endpoints of each service are cold after their start.
+		hasList   bool
+		coldTimes map[ident.Service]clock.Millis
+		// expiredRuns holds the runs of endpoints that were deleted lately.
+		expiredRuns map[ident.Endpoint]expiredRun
 	}
 
 	// unreachableDomain is a failure domain whose entries are unresponsive and one of whose
@@ -172,6 +184,7 @@
 	return &Pool{
 		endpoints: map[ident.Endpoint]*Endpoint{}, unreachable: map[ident.Domain]unreachableDomain{}, tracked: map[Hash]*Endpoint{},
 		byHash: map[Hash]*Endpoint{}, durations: map[ident.Service]*durations{}, byService: map[ident.Service][]*Endpoint{},
+		expiredRuns: map[ident.Endpoint]expiredRun{},
 	}
 }
 
--- a/internal/flow/port/port.go
+++ b/internal/flow/port/port.go
@@ -63,6 +63,8 @@
 		Leaving bool
 		// RetryAfter is for how long the endpoint asks to be sent nothing; zero if it does not.
 		RetryAfter clock.Millis
+		// ColdLeft is how much longer the endpoint says that it is cold; zero if it does not.
+		ColdLeft clock.Millis
 	}
 
 	// Source reads published state: the plan and the list of endpoints.
--- a/internal/flow/proxy/meters.go
+++ b/internal/flow/proxy/meters.go
@@ -16,6 +16,8 @@
 		refused  metrics.Counter
 		aborted  metrics.Counter
 		sends    metrics.Counter
+		// coldSends counts the sends to cold endpoints.
+		coldSends metrics.Counter
 		// leaving and pauses count the answers in which endpoints announced that they leave, and
 		// those in which they asked for a pause.
 		leaving metrics.Counter
@@ -36,6 +38,7 @@
 		refused:          metrics.NewRegisteredCounter("requests.refused", r),
 		aborted:          metrics.NewRegisteredCounter("requests.aborted", r),
 		sends:            metrics.NewRegisteredCounter("sends.started", r),
+		coldSends:        metrics.NewRegisteredCounter("sends.cold", r),
 		leaving:          metrics.NewRegisteredCounter("endpoints.leaving", r),
 		pauses:           metrics.NewRegisteredCounter("endpoints.pauses", r),
 		timeToFirstEvent: metrics.NewRegisteredTimer("requests.firstEvent", r),
--- a/internal/flow/proxy/send.go
+++ b/internal/flow/proxy/send.go
@@ -87,6 +87,9 @@
 // by itself.
 func (s *session) send(target call.Send) call.Result {
 	s.proxy.metrics.sends.Inc(1)
+	if target.IsCold {
+		s.proxy.metrics.coldSends.Inc(1)
+	}
 	result := call.Result{Number: target.Number, End: call.EndNotRun, Unreachable: true}
 	deadline := time.Now().Add(target.TimeLeft.Duration() + answerGrace)
 	ctx, cancel := context.WithDeadline(s.sending, deadline)
@@ -213,7 +216,7 @@
 // reportNotice passes what the endpoint says of itself to the core, if the answer is its own to
 // this request. It does so before the answer is relayed, since a stream may last for long.
 func (x *exchange) reportNotice(head port.AnswerHead) {
-	if head.Request != x.session.request.Name || !head.Leaving && head.RetryAfter == 0 {
+	if head.Request != x.session.request.Name || !head.Leaving && head.RetryAfter == 0 && head.ColdLeft == 0 {
 		return
 	}
 	if head.Leaving {
@@ -224,6 +227,7 @@
 	}
 	x.session.proxy.Step(input.EndpointNoticed{
 		Endpoint: x.send.Endpoint, Epoch: x.send.Epoch, Request: head.Request, Leaving: head.Leaving, RetryAfter: head.RetryAfter,
+		ColdLeft: head.ColdLeft,
 	})
 }
 
