Test: entries that start or are cut off have no part in a cold endpoint

An entry that has just started doesn't know the others and would take the whole rate. The test fails with SettleTime at zero and without the seeds among the members. A changed record with the same coldness starts no new one; that test fails if it does.

--- a/internal/flow/parts/cold_test.go
+++ b/internal/flow/parts/cold_test.go
@@ -256,10 +256,12 @@
 	until := e.board.Now + 2000
 	e.advance(500)
 	e.step(input.ListRead{List: []pool.Listing{record}, Revision: 22})
+	record.Slots = 5
+	e.step(input.EndpointRead{Record: record, Revision: 23})
 	require.Equal(t, until, endpoint().ColdUntil())
 	other := newTestEntry(t).configureCold(6, coldRate)
 	list, removed, _ := e.board.Pool.Delta(20, e.board.Now)
-	other.step(input.ListReceived{List: list, Removed: removed, IsDelta: true, Revision: 22})
+	other.step(input.ListReceived{List: list, Removed: removed, IsDelta: true, Revision: 24})
 	require.Equal(t, coldTime, other.board.Pool.Find("engine-0001").ColdUntil()-other.board.Now, "it has started anew")
 	other.step(input.ListRead{List: []pool.Listing{record}, Revision: 23})
 	require.Equal(t, coldTime, other.board.Pool.Find("engine-0001").ColdUntil()-other.board.Now)
@@ -338,3 +340,22 @@
 	require.False(t, e.board.Pool.Find("engine-01").IsCold(e.board.Now))
 	require.InDelta(t, 1, e.board.Pool.Find("engine-01").Pace(e.board.Now), 0)
 }
+
+// Guards against entries that start together and each take the whole rate, since they know no others yet.
+func TestEntryThatHasJustStartedAvoidsColdEngines(t *testing.T) {
+	e := newTestEntry(t).configureCold(6, coldRate)
+	e.coldAll(10 * clock.Second)
+	number, got := e.request("/model-00/1", 5000, 10000)
+	requireReply(t, got, call.ReasonCold, 503)
+	e.advance(warm.SettleTime)
+	require.Nil(t, e.board.Requests[number])
+	_, got = e.request("/model-00/1", 5000, 10000)
+	requireSend(t, got)
+	// Entries that can't reach the others after their start know from their settings that there are some.
+	cutOff := newTestEntry(t).configureCold(6, coldRate)
+	cutOff.board.Seeds = []string{"10.0.0.1:9000", "10.0.0.2:9000", "10.0.0.3:9000"}
+	cutOff.coldAll(10 * clock.Second)
+	cutOff.advance(warm.SettleTime)
+	_, got = cutOff.request("/model-00/1", 5000, 10000)
+	requireReply(t, got, call.ReasonCold, 503)
+}
