--- a/internal/flow/parts/cold_test.go
+++ b/internal/flow/parts/cold_test.go
@@ -341,8 +341,9 @@
 	require.InDelta(t, 1, e.board.Pool.Find("engine-01").Pace(e.board.Now), 0)
 }
 
-// Guards against entries that start together and each take the whole rate, since they know no others yet.
-func TestEntryThatHasJustStartedAvoidsColdEngines(t *testing.T) {
+// Guards against entries that start together and each take the whole rate, since they know no others yet, and
+// against a stopping entry that takes a part which the others have given to the next one.
+func TestStartingAndStoppingEntriesAvoidColdEngines(t *testing.T) {
 	e := newTestEntry(t).configureCold(6, coldRate)
 	e.coldAll(10 * clock.Second)
 	number, got := e.request("/model-00/1", 5000, 10000)
@@ -351,6 +352,9 @@
 	require.Nil(t, e.board.Requests[number])
 	_, got = e.request("/model-00/1", 5000, 10000)
 	requireSend(t, got)
+	e.step(input.StopRequested{})
+	_, got = e.request("/model-00/1", 5000, 10000)
+	requireReply(t, got, call.ReasonCold, 503)
 	// Entries that can't reach the others after their start know from their settings that there are some.
 	cutOff := newTestEntry(t).configureCold(6, coldRate)
 	cutOff.board.Seeds = []string{"10.0.0.1:9000", "10.0.0.2:9000", "10.0.0.3:9000"}
--- a/internal/flow/place/cold.go
+++ b/internal/flow/place/cold.go
@@ -42,9 +42,10 @@
 	return hasPart && b.Now >= endpoint.NextSend(part)
 }
 
-// partOf returns the part of this entry in the rate of the endpoint.
+// partOf returns the part of this entry in the rate of the endpoint. A stopping entry has none: the
+// others have given its place to the next one.
 func partOf(b *board.Board, endpoint *pool.Endpoint, rate float64) (warm.Part, bool) {
-	if b.Now-b.StartedAt < warm.SettleTime {
+	if b.Stopping || b.Now-b.StartedAt < warm.SettleTime {
 		return warm.Part{}, false
 	}
 	return warm.PartOf(rate, endpoint.View(b.Now, func(run uint64) warm.View { return rankEntries(b, run) }))
