Cold endpoints: equal size classes, few list changes, a shorter ramp

Cause: records of cold endpoints are renewed with a smaller cold_left_ms at each heartbeat (2987, 1767, 647 and 0 ms in the log of a hub). Each was a change of the list, which all entries fetched. And an entry left out the engines that it had no permit for before it formed the size classes, so that entries disagreed on them, and long prompts found few engines in the ramp.

Change: a coldness that is known, but for 1.5 s, is no change of the listing; peers send what is left of it (Endpoint.cold_millis). The size classes come from all usable engines; short prompts then leave out those without a permit, long prompts those that are cold. The ramp takes 2 s. An endpoint that has only been cold once no longer makes a prompt wait that fits no engine.

Evidence: TestColdnessStartsOnce; TestLongPromptsAvoidColdEngines fails if a long prompt leaves out slow engines where all others are cold. No test fails if nextColdSend counts bounds that have ended; a short prompt that fits no engine would be needed.

--- a/internal/flow/codec/codec.go
+++ b/internal/flow/codec/codec.go
@@ -100,7 +100,7 @@
 			Leaving:     listing.Leaving,
 			Born:        listing.Epoch,
 			DoubtMillis: uint32(listing.RemovalGrace),
-			Cold:        encodeCold(listing),
+			ColdMillis:  uint32(listing.ColdRemaining),
 		})
 	}
 	return encoded
@@ -112,30 +112,21 @@
 	for _, listing := range encoded {
 		list = append(list, pool.PeerListing{
 			Listing: pool.Listing{
-				Name:     ident.Endpoint(listing.Name),
-				Service:  ident.Service(listing.Service),
-				Address:  listing.Address,
-				Domain:   ident.Domain(listing.Domain),
-				Slots:    int(listing.Slots),
-				Leaving:  listing.Leaving,
-				Epoch:    listing.Born,
-				ColdLeft: clock.Millis(listing.GetCold().GetListedMillis()),
+				Name:    ident.Endpoint(listing.Name),
+				Service: ident.Service(listing.Service),
+				Address: listing.Address,
+				Domain:  ident.Domain(listing.Domain),
+				Slots:   int(listing.Slots),
+				Leaving: listing.Leaving,
+				Epoch:   listing.Born,
 			},
 			RemovalGrace:  clock.Millis(listing.DoubtMillis),
-			ColdRemaining: clock.Millis(listing.GetCold().GetLeftMillis()),
+			ColdRemaining: clock.Millis(listing.ColdMillis),
 		})
 	}
 	return list
 }
 
-// encodeCold returns the coldness of an endpoint, or nil if there is none.
-func encodeCold(listing pool.PeerListing) *newspb.Cold {
-	if listing.ColdLeft == 0 && listing.ColdRemaining == 0 {
-		return nil
-	}
-	return &newspb.Cold{ListedMillis: uint32(listing.ColdLeft), LeftMillis: uint32(listing.ColdRemaining)}
-}
-
 func encodeNews(news input.News, now clock.Millis) *newspb.News {
 	message := &newspb.News{
 		Entry:        string(news.Entry),
--- a/internal/flow/intake/intake.go
+++ b/internal/flow/intake/intake.go
@@ -36,9 +36,12 @@
 			applyReceivedList(b, in)
 		}
 	case input.EndpointRead:
-		if !b.Pool.Has(in.Record) && advanceRevision(b, in.Revision) {
+		if b.Pool.Has(in.Record, b.Now) {
+			b.Pool.UpdateColdness(in.Record, b.Now)
+		} else if advanceRevision(b, in.Revision) {
 			b.Pool.Put(in.Record, b.Now)
-			b.Log("Endpoint changed.", "endpoint", in.Record.Name, "leaving", in.Record.Leaving)
+			b.Log("Endpoint changed.", "endpoint", in.Record.Name, "leaving", in.Record.Leaving,
+				"coldLeft", in.Record.ColdLeft)
 		}
 	case input.EndpointRemoved:
 		if advanceRevision(b, in.Revision) {
--- a/internal/flow/parts/cold_test.go
+++ b/internal/flow/parts/cold_test.go
@@ -293,6 +293,18 @@
 	for _, name := range append([]ident.Endpoint{send.Endpoint}, helperNames(send)...) {
 		require.False(t, e.board.Pool.Find(name).IsCold(e.board.Now))
 	}
+	// The only engines that are not cold are slow ones.
+	for i, endpoint := range e.board.Pool.ByService(coldService) {
+		if i < 3 {
+			e.step(input.PaceReported{Endpoint: endpoint.Name, Factor: 3})
+			continue
+		}
+		e.board.Pool.MarkEndpointCold(endpoint, e.board.Now+coldTime, e.board.Now)
+	}
+	require.NotPanics(t, func() { _, got = e.request("/model-00/1", 154000, 10000) })
+	if got != nil {
+		require.False(t, requireSend(t, got).IsCold)
+	}
 	e.coldAll(coldTime)
 	_, got = e.request("/model-00/1", 154000, 10000)
 	reply := requireReply(t, got, call.ReasonCold, 503)
@@ -305,6 +317,10 @@
 		got = e.outputFor(number, e.outputs)
 	}
 	require.True(t, requireSend(t, got).IsCold)
+	// A prompt that no engine can hold is refused as such once they are warm.
+	e.advance(coldTime + warm.RampTime)
+	_, got = e.request("/model-00/1", 5000000, 10000)
+	requireReply(t, got, call.ReasonPromptTooLong, 503)
 }
 
 func helperNames(send call.Send) []ident.Endpoint {
--- a/internal/flow/place/choose.go
+++ b/internal/flow/place/choose.go
@@ -80,13 +80,11 @@
 // there are no others. The result may use the memory of the buffer.
 func usableEndpoints(b *board.Board, request *board.Request, buffer []*pool.Endpoint) []*pool.Endpoint {
 	all := b.Pool.ByService(request.Service)
-	coldRate := b.Plan.Services[request.Service].ColdRate
 	untried := slices.Grow(buffer[:0], len(all))
 	var tried []*pool.Endpoint
 	for _, endpoint := range all {
 		switch {
 		case !endpoint.IsUsable(b.Now), b.Pool.IsUnreachable(endpoint.Domain):
-		case coldRate > 0 && !maySend(b, endpoint, coldRate):
 		case slices.Contains(request.Tried, endpoint.Name):
 			tried = append(tried, endpoint)
 		default:
@@ -105,7 +103,11 @@
 func chooseEndpoint(b *board.Board, request *board.Request) choice {
 	var best choice
 	least := math.Inf(1)
+	coldRate := b.Plan.Services[request.Service].ColdRate
 	for _, endpoint := range usableEndpoints(b, request, nil) {
+		if coldRate > 0 && !maySend(b, endpoint, coldRate) {
+			continue
+		}
 		load := float64(endpoint.Leads())/float64(max(endpoint.Slots, 1)) + b.Random.Float64()*loadJitter
 		if endpoint.Domain != b.Domain {
 			load += remoteDomainLoad
--- a/internal/flow/place/cold.go
+++ b/internal/flow/place/cold.go
@@ -72,20 +72,35 @@
 	return view
 }
 
-// splitCold separates the engines that are cold.
-func splitCold(candidates []*candidate, now clock.Millis) (normal, cold []*candidate) {
-	isCold := func(c *candidate) bool { return c.endpoint.IsCold(now) }
-	if !slices.ContainsFunc(candidates, isCold) {
-		return candidates, nil
+// withoutCold returns the engines that are not cold. A shard of a long prompt on a cold engine would
+// delay all others; few enough are sent to need no permit afterwards.
+func withoutCold(candidates []*candidate) []*candidate {
+	return slices.DeleteFunc(slices.Clone(candidates), func(c *candidate) bool { return c.isCold })
+}
+
+// withPermit returns the engines to which this entry may send a short prompt now. Cold ones belong to
+// the short size class, since they get no others.
+func withPermit(short, long, slow []*candidate) (permittedShort, permittedLong, permittedSlow []*candidate) {
+	for _, c := range short {
+		if !c.isBarred {
+			permittedShort = append(permittedShort, c)
+		}
 	}
-	for _, c := range candidates {
-		if isCold(c) {
-			cold = append(cold, c)
-			continue
+	for _, c := range long {
+		switch {
+		case c.isBarred:
+		case c.isCold:
+			permittedShort = append(permittedShort, c)
+		default:
+			permittedLong = append(permittedLong, c)
+		}
+	}
+	for _, c := range slow {
+		if !c.isBarred {
+			permittedSlow = append(permittedSlow, c)
 		}
-		normal = append(normal, c)
 	}
-	return normal, cold
+	return permittedShort, permittedLong, permittedSlow
 }
 
 // nextColdSend returns when this entry may first send a request to an endpoint of the service that
@@ -99,12 +114,13 @@
 	first := clock.Millis(0)
 	for _, endpoint := range b.Pool.ByService(service) {
 		until := endpoint.ColdUntil()
-		if until == 0 || !endpoint.IsUsable(b.Now) || b.Pool.IsUnreachable(endpoint.Domain) {
+		isBounded := until != 0 && b.Now < until+warm.RampTime
+		if !isBounded || isLong && !endpoint.IsCold(b.Now) || !endpoint.IsUsable(b.Now) || b.Pool.IsUnreachable(endpoint.Domain) {
 			continue
 		}
-		next := nextSend(b, endpoint, coldRate, until)
-		if isLong {
-			next = max(next, until)
+		next := until
+		if !isLong {
+			next = nextSend(b, endpoint, coldRate, until)
 		}
 		if first == 0 || next < first {
 			first = next
--- a/internal/flow/place/engine.go
+++ b/internal/flow/place/engine.go
@@ -68,6 +68,10 @@
 		// firstEvent is the predicted time to the first event.
 		firstEvent clock.Millis
 		isFull     bool
+		// isCold reports whether the engine is cold. isBarred reports whether it is or was cold
+		// and this entry may not send it a request now.
+		isCold   bool
+		isBarred bool
 	}
 
 	// scratch holds the memory of a decision, which is reused by later ones.
@@ -76,6 +80,8 @@
 		storage    []candidate
 		candidates []*candidate
 		byPrice    []*candidate
+		// hasBounded reports whether a candidate is cold or barred.
+		hasBounded bool
 	}
 )
 
@@ -91,24 +97,31 @@
 	memory := scratchPool.Get().(*scratch)
 	defer scratchPool.Put(memory)
 	isLong := cost.IsLong(engine, prompt)
-	candidates, cold := splitCold(memory.listCandidates(b, request, engine), b.Now)
-	if isLong {
-		// A shard on a cold engine delays all others.
-		cold = nil
+	candidates := memory.listCandidates(b, request, engine)
+	normal, slow := splitSlow(candidates, b.Now)
+	short, long := splitSizeClasses(engine, normal)
+	switch {
+	case !memory.hasBounded:
+	case isLong:
+		short, long = withoutCold(short), withoutCold(long)
+		if len(short)+len(long) == 0 {
+			short = withoutCold(slow)
+		}
+		slow = nil
+	default:
+		short, long, slow = withPermit(short, long, slow)
 	}
-	if len(candidates)+len(cold) == 0 {
+	count := len(short) + len(long) + len(slow)
+	if count == 0 {
 		return noEndpoint(b, request, isLong)
 	}
-	if need > engine.MemoryTokens*min(len(candidates)+len(cold), maxLeaseHolders+1) {
+	if need > engine.MemoryTokens*min(count, maxLeaseHolders+1) {
 		if next := nextColdSend(b, request.Service, isLong); next != 0 {
 			return awaitCold(b, request, next)
 		}
 		return choice{reason: call.ReasonPromptTooLong, retryAfter: FullRetryAfter}
 	}
-	normal, slow := splitSlow(candidates, b.Now)
-	short, long := splitSizeClasses(engine, normal)
 	if !isLong {
-		short = append(slices.Clip(short), cold...)
 		decision := memory.chooseShort(b, short, long, slow, prompt, need)
 		decision.urgency = urgencyShort
 		if decision.isFull && !request.IsCallerRetry() && request.Runs == 0 {
@@ -129,11 +142,18 @@
 	s.endpoints = usableEndpoints(b, request, s.endpoints)
 	s.storage = slices.Grow(s.storage[:0], len(s.endpoints))[:len(s.endpoints)]
 	candidates := s.candidates[:0]
+	s.hasBounded = false
+	coldRate := b.Plan.Services[request.Service].ColdRate
 	for i, endpoint := range s.endpoints {
 		s.storage[i] = candidate{endpoint: endpoint, engine: engine, load: cost.EngineLoadOf(engine, endpoint, b.Now)}
 		if pace := endpoint.Pace(b.Now); pace > 1 {
 			s.storage[i].engine = engine.WithPace(pace)
 		}
+		if coldRate > 0 {
+			s.storage[i].isCold = endpoint.IsCold(b.Now)
+			s.storage[i].isBarred = !maySend(b, endpoint, coldRate)
+			s.hasBounded = s.hasBounded || s.storage[i].isCold || s.storage[i].isBarred
+		}
 		candidates = append(candidates, &s.storage[i])
 	}
 	s.candidates = candidates
--- a/internal/flow/pool/cold.go
+++ b/internal/flow/pool/cold.go
@@ -12,6 +12,9 @@
 	// startPace is how many times as long as published an endpoint takes for its work when
 	// its coldness begins. The pace falls to the normal one until the coldness ends.
 	startPace = 1.4
+	// coldTolerance is by how much a record may tell of a longer coldness than is known
+	// without being a change that entries tell each other: a record may be read late.
+	coldTolerance = 1500 * clock.Millis(1)
 	// expiredRunTTL is how long the run of an endpoint that was removed from the list is
 	// remembered. If it is listed again, it has not started anew.
 	expiredRunTTL = 60 * clock.Second
@@ -78,6 +81,21 @@
 	e.cold.until = until
 }
 
+// UpdateColdness records the coldness that a record tells of whose other values are known.
+func (p *Pool) UpdateColdness(listing Listing, now clock.Millis) {
+	p.updateColdness(p.endpoints[listing.Name], listing, listing.ColdLeft, now)
+}
+
+// updateColdness records that the endpoint is cold for the given time. A record that is read again
+// says nothing new.
+func (p *Pool) updateColdness(e *Endpoint, listing Listing, coldLeft, now clock.Millis) {
+	if listing.ColdLeft > 0 && listing.ColdLeft == e.ColdLeft {
+		return
+	}
+	e.ColdLeft = listing.ColdLeft
+	p.MarkEndpointCold(e, now+coldLeft, now)
+}
+
 // ColdTime returns how long the endpoints of the service are cold after their start; zero if
 // they never are.
 func (p *Pool) ColdTime(service ident.Service) clock.Millis { return p.coldTimes[service] }
--- a/internal/flow/pool/list.go
+++ b/internal/flow/pool/list.go
@@ -20,10 +20,9 @@
 // putPeerListing adds or updates an endpoint of a peer's list.
 func (p *Pool) putPeerListing(listing PeerListing, now clock.Millis) {
 	p.put(listing.Listing, listing.ColdRemaining, now)
-	p.MarkEndpointCold(p.endpoints[listing.Name], now+listing.ColdRemaining, now)
 }
 
-// put adds or updates an endpoint that is cold for the given time if its record changed.
+// put adds or updates an endpoint that is cold for the given time.
 func (p *Pool) put(listing Listing, coldLeft, now clock.Millis) {
 	endpoint := p.upsert(listing, coldLeft, now)
 	if !endpoint.IsLeaving() {
@@ -35,22 +34,22 @@
 }
 
 func (p *Pool) upsert(listing Listing, coldLeft, now clock.Millis) *Endpoint {
-	if p.Has(listing) {
-		return p.endpoints[listing.Name]
-	}
 	endpoint := p.endpoints[listing.Name]
+	if p.Has(listing, now) {
+		p.updateColdness(endpoint, listing, coldLeft, now)
+		return endpoint
+	}
 	if endpoint == nil || endpoint.Epoch != listing.Epoch || endpoint.Address != listing.Address {
 		created := p.create(listing, endpoint)
 		p.markStart(created, coldLeft, now)
 		return created
 	}
-	if listing.ColdLeft != endpoint.ColdLeft {
-		p.MarkEndpointCold(endpoint, now+coldLeft, now)
-	}
+	p.updateColdness(endpoint, listing, coldLeft, now)
 	if endpoint.Service != listing.Service {
 		delete(p.byService, endpoint.Service)
 		delete(p.byService, listing.Service)
 	}
+	listing.ColdLeft = endpoint.ColdLeft
 	endpoint.Listing = listing
 	endpoint.RemovedAt = 0
 	endpoint.RemovalGraceUntil = 0
@@ -76,10 +75,17 @@
 	return created
 }
 
-// Has reports whether the endpoint is listed with exactly these values.
-func (p *Pool) Has(listing Listing) bool {
+// Has reports whether the endpoint is listed with these values, and the coldness that the
+// record tells of is known, but for coldTolerance.
+func (p *Pool) Has(listing Listing, now clock.Millis) bool {
 	endpoint := p.endpoints[listing.Name]
-	return endpoint != nil && endpoint.RemovedAt == 0 && endpoint.Listing == listing
+	if endpoint == nil || endpoint.RemovedAt != 0 {
+		return false
+	}
+	coldLeft := listing.ColdLeft
+	listing.ColdLeft = endpoint.ColdLeft
+	return endpoint.Listing == listing &&
+		(coldLeft == 0 || p.ColdTime(listing.Service) == 0 || now+coldLeft <= endpoint.cold.until+coldTolerance)
 }
 
 // Remove records that the endpoint was removed from the list. While the list can't be
--- a/internal/flow/pool/pool.go
+++ b/internal/flow/pool/pool.go
@@ -43,7 +43,8 @@
 		// Epoch identifies the run of the endpoint: it changes if the endpoint restarts
 		// under the same name.
 		Epoch uint64
-		// ColdLeft is how much longer the endpoint was cold when the record was written.
+		// ColdLeft is how much longer the endpoint was cold when the record was written. It
+		// falls with each renewal of the record, which is no change of the listing.
 		ColdLeft clock.Millis
 	}
 
--- a/internal/flow/warm/warm.go
+++ b/internal/flow/warm/warm.go
@@ -13,7 +13,7 @@
 const (
 	// RampTime is how long the rate stays bounded after an endpoint was cold. The bound
 	// doubles each second.
-	RampTime = 3 * clock.Second
+	RampTime = 2 * clock.Second
 	// SettleTime is how long after its start an entry sends nothing to cold endpoints, as
 	// it may not know the other entries yet.
 	SettleTime = 3 * clock.Second
