--- a/internal/flow/codec/codec.go
+++ b/internal/flow/codec/codec.go
@@ -103,6 +103,7 @@
 			Leaving:     listing.Leaving,
 			Born:        listing.Epoch,
 			DoubtMillis: uint32(listing.RemovalGrace),
+			ColdMillis:  uint32(listing.ColdRemaining),
 		})
 	}
 	return encoded
@@ -122,7 +123,8 @@
 				Leaving: listing.Leaving,
 				Epoch:   listing.Born,
 			},
-			RemovalGrace: clock.Millis(listing.DoubtMillis),
+			RemovalGrace:  clock.Millis(listing.DoubtMillis),
+			ColdRemaining: clock.Millis(listing.ColdMillis),
 		})
 	}
 	return list
@@ -157,6 +159,7 @@
 		Leaving:      news.Leaving,
 		Known:        news.HubAddresses,
 		Capacity:     uint32(news.Capacity),
+		Members:      uint32(news.Members),
 		ListRevision: news.ListRevision,
 	}
 	if news.ConfirmedAt != 0 {
@@ -204,6 +207,7 @@
 		Leaving:      message.Leaving,
 		HubAddresses: message.Known,
 		Capacity:     int(message.Capacity),
+		Members:      int(message.Members),
 		ListRevision: message.ListRevision,
 	}
 	if message.ConfirmedAgeMillis > 0 {
--- a/internal/flow/intake/intake.go
+++ b/internal/flow/intake/intake.go
@@ -23,6 +23,8 @@
 	switch in := in.(type) {
 	case input.SettingsRead:
 		b.Settings = in.Settings
+	case input.Started:
+		b.StartedAt = b.Now
 	case input.PlanRead:
 		applyPlan(b, in)
 	case input.ListRead:
@@ -38,9 +40,12 @@
 			setEvacuated(b, b.Pool.Evacuated().Replace(in.Evacuated, in.Revision), in.Revision)
 		}
 	case input.EndpointRead:
-		if !b.Pool.Has(in.Record) && advanceRevision(b, in.Revision) {
+		if b.Pool.Has(in.Record, b.Now) {
+			b.Pool.UpdateColdness(in.Record, b.Now)
+		} else if advanceRevision(b, in.Revision) {
 			b.Pool.Put(in.Record, b.Now)
-			b.Log("Endpoint changed.", "endpoint", in.Record.Name, "leaving", in.Record.Leaving)
+			b.Log("Endpoint changed.", "endpoint", in.Record.Name, "leaving", in.Record.Leaving,
+				"coldLeft", in.Record.ColdLeft)
 		}
 	case input.EndpointRemoved:
 		if advanceRevision(b, in.Revision) {
@@ -129,5 +134,6 @@
 	b.Log("Configuration in force.", "version", uint64(read.Plan.Version), "before", uint64(b.Plan.Version))
 	b.Plan = read.Plan
 	b.PlanDocument = read.Document
+	b.Pool.SetColdTimes(b.Plan.ColdTimes(), b.Now)
 	b.NewsChanged = true
 }
--- a/internal/flow/parts/evacuation_test.go
+++ b/internal/flow/parts/evacuation_test.go
@@ -69,7 +69,6 @@
 	}
 	e.board.Pool.MarkReachable("south")
 	e.step(input.EvacuationRemoved{Domain: "south", Revision: 21})
-	require.Equal(t, e.board.Now, e.board.Pool.TakenBackAt("south"))
 	counts := map[ident.Domain]int{}
 	for range 12 {
 		_, got := e.request("/read/1", 0, 800)
--- a/internal/flow/parts/fleet_test.go
+++ b/internal/flow/parts/fleet_test.go
@@ -42,6 +42,10 @@
 		// disturb returns by how much a datagram to the address is late, and whether it is lost; may be nil.
 		disturb func(from *fleetEntry, to string) (late clock.Millis, isLost bool)
 		traffic map[string]*traffic
+		// loss is the share of datagrams that are lost, isCut reports whether two hosts can't reach
+		// each other; nil if all can.
+		loss  float64
+		isCut func(from, to string) bool
 	}
 
 	// fleetEntry is one entry of a fleet.
@@ -97,6 +101,7 @@
 	host := fmt.Sprintf("10.0.%d.%d", i%len(domains), i)
 	e.board.Self = ident.Entry(fmt.Sprintf("entry-%03d", i))
 	e.board.Epoch = uint64(f.now)
+	e.board.StartedAt = f.now
 	e.board.Tally = tally.New(e.board.Self, e.board.Epoch)
 	e.board.Domain = domains[i%len(domains)]
 	e.board.Address = host + ":9000"
@@ -127,6 +132,8 @@
 				if f.disturb != nil {
 					late, isLost = f.disturb(entry, address)
 				}
+				to, _, _ := strings.Cut(address, ":")
+				isLost = isLost || f.isCut != nil && f.isCut(entry.host, to) || f.loss > 0 && entry.board.Random.Float64() < f.loss
 				if !isLost {
 					f.inTransit = append(f.inTransit, datagram{f.now + datagramDelay + late, address, out.Batch})
 				}
@@ -136,7 +143,7 @@
 		case output.FetchPublished:
 			entry.fetchCount++
 			host, _, _ := strings.Cut(out.Address, ":")
-			if other := f.entriesByHost[host]; other != nil && !other.isDown {
+			if other := f.entriesByHost[host]; other != nil && !other.isDown && (f.isCut == nil || !f.isCut(entry.host, host)) {
 				f.pendingFetches = append(f.pendingFetches, pendingFetch{f.now + fetchDuration, entry, other})
 			}
 		}
--- a/internal/flow/place/choose.go
+++ b/internal/flow/place/choose.go
@@ -53,6 +53,8 @@
 		isFull     bool
 		reason     call.Reason
 		retryAfter clock.Millis
+		// notBefore is when a request that waits for cold endpoints looks for one again.
+		notBefore clock.Millis
 		// wait is why the request waits. shards is the number of engines that it needs, free
 		// the number of those that can start with it now, and own its position in the queue.
 		wait   call.Wait
@@ -100,6 +102,9 @@
 // the lowest load per slot, after loadJitter and remoteDomainLoad have been added.
 func chooseEndpoint(b *board.Board, request *board.Request) choice {
 	endpoints := usableEndpoints(b, request, nil)
+	if coldRate := b.Plan.Services[request.Service].ColdRate; coldRate > 0 {
+		endpoints = slices.DeleteFunc(endpoints, func(e *pool.Endpoint) bool { return !maySend(b, e, coldRate) })
+	}
 	estimate := b.Costs.Estimate(request.Subject, b.Now)
 	request.Price = board.Price{Cost: estimate.Mean, Deviation: estimate.Deviation, Pace: 1}
 	mix := b.Costs.Mix(request.Subject, b.Now)
@@ -120,7 +125,7 @@
 		}
 	}
 	if best.lead == nil {
-		return noEndpoint(b, request)
+		return noEndpoint(b, request, false)
 	}
 	return best
 }
--- a/internal/flow/place/engine.go
+++ b/internal/flow/place/engine.go
@@ -65,6 +65,10 @@
 		// firstEvent is the predicted time to the first event.
 		firstEvent clock.Millis
 		isFull     bool
+		// isCold reports whether the engine is cold. isBarred reports whether it is or was cold
+		// and this entry may not send it a request now.
+		isCold   bool
+		isBarred bool
 	}
 
 	// scratch holds the memory of a decision, which is reused by later ones.
@@ -73,6 +77,8 @@
 		storage    []candidate
 		candidates []*candidate
 		byPrice    []*candidate
+		// hasBounded reports whether a candidate is cold or barred.
+		hasBounded bool
 	}
 )
 
@@ -87,16 +93,32 @@
 	need := prompt + estimateOutput(request.Request)
 	memory := scratchPool.Get().(*scratch)
 	defer scratchPool.Put(memory)
+	isLong := cost.IsLong(engine, prompt)
 	candidates := memory.listCandidates(b, request, engine)
-	if len(candidates) == 0 {
-		return noEndpoint(b, request)
+	normal, slow := splitSlow(candidates, b.Now)
+	short, long := splitSizeClasses(engine, normal)
+	switch {
+	case !memory.hasBounded:
+	case isLong:
+		short, long = withoutCold(short), withoutCold(long)
+		if len(short)+len(long) == 0 {
+			short = withoutCold(slow)
+		}
+		slow = nil
+	default:
+		short, long, slow = withPermit(short, long, slow)
+	}
+	count := len(short) + len(long) + len(slow)
+	if count == 0 {
+		return noEndpoint(b, request, isLong)
 	}
-	if need > engine.MemoryTokens*min(len(candidates), maxLeaseHolders+1) {
+	if need > engine.MemoryTokens*min(count, maxLeaseHolders+1) {
+		if next := nextColdSend(b, request.Service, isLong); next != 0 {
+			return awaitCold(b, request, next)
+		}
 		return choice{reason: call.ReasonPromptTooLong, retryAfter: FullRetryAfter}
 	}
-	normal, slow := splitSlow(candidates, b.Now)
-	short, long := splitSizeClasses(engine, normal)
-	if !cost.IsLong(engine, prompt) {
+	if !isLong {
 		decision := memory.chooseShort(b, short, long, slow, prompt, need)
 		decision.urgency = urgencyShort
 		if decision.isFull && !request.IsCallerRetry() && request.Runs == 0 {
@@ -117,11 +139,18 @@
 	s.endpoints = usableEndpoints(b, request, s.endpoints)
 	s.storage = slices.Grow(s.storage[:0], len(s.endpoints))[:len(s.endpoints)]
 	candidates := s.candidates[:0]
+	s.hasBounded = false
+	coldRate := b.Plan.Services[request.Service].ColdRate
 	for i, endpoint := range s.endpoints {
 		s.storage[i] = candidate{endpoint: endpoint, engine: engine, load: cost.EngineLoadOf(engine, endpoint, b.Now)}
 		if pace := endpoint.Pace(b.Now); pace > 1 {
 			s.storage[i].engine = engine.WithPace(pace)
 		}
+		if coldRate > 0 {
+			s.storage[i].isCold = endpoint.IsCold(b.Now)
+			s.storage[i].isBarred = !maySend(b, endpoint, coldRate)
+			s.hasBounded = s.hasBounded || s.storage[i].isCold || s.storage[i].isBarred
+		}
 		candidates = append(candidates, &s.storage[i])
 	}
 	s.candidates = candidates
@@ -154,6 +183,9 @@
 // short class follows from the number of recent short prompts; older ones, which are
 // being delayed, must not enlarge it.
 func splitSizeClasses(engine *plan.Engine, candidates []*candidate) (short, long []*candidate) {
+	if len(candidates) == 0 {
+		return nil, nil
+	}
 	shortPrompts := 0
 	for _, c := range candidates {
 		shortPrompts += c.load.ShortPrompts
@@ -200,7 +232,8 @@
 	// The cheapest engine gets all unpublished prompts if the others cost much more.
 	spread := spreadMillis * max(1, float64(unpublished)/maxPromptsForSpread)
 	choices := 1
-	for choices < min(1+unpublished, len(byPrice)) && byPrice[choices].price <= byPrice[0].price+spread {
+	// Permits keep entries from choosing the same cold engine at the same time.
+	for !byPrice[0].endpoint.IsBounded(b.Now) && choices < min(1+unpublished, len(byPrice)) && byPrice[choices].price <= byPrice[0].price+spread {
 		choices++
 	}
 	best := byPrice[b.Random.IntN(choices)]
--- a/internal/flow/pool/evacuation.go
+++ b/internal/flow/pool/evacuation.go
@@ -7,15 +7,18 @@
 )
 
 // SetEvacuated replaces the set of evacuated failure domains. New work is sent to none of their
-// endpoints; what runs there goes on.
+// endpoints; what runs there goes on. The endpoints of a failure domain that is taken back are cold: they
+// may have become so unnoticed.
 func (p *Pool) SetEvacuated(set evac.Set, now clock.Millis) {
 	for domain := range p.evacuated.All() {
-		if !set.Contains(domain) {
-			p.takenBackAt[domain] = now
+		if set.Contains(domain) {
+			continue
+		}
+		for _, endpoint := range p.endpoints {
+			if endpoint.Domain == domain {
+				p.MarkEndpointCold(endpoint, now+p.coldTimes[endpoint.Service], now)
+			}
 		}
-	}
-	for domain := range set.All() {
-		delete(p.takenBackAt, domain)
 	}
 	p.evacuated = set
 	for _, endpoint := range p.endpoints {
@@ -26,10 +29,6 @@
 // Evacuated returns the set of evacuated failure domains.
 func (p *Pool) Evacuated() evac.Set { return p.evacuated }
 
-// TakenBackAt returns when the last evacuation of the failure domain ended at this entry; zero if it
-// was never evacuated here, or is now.
-func (p *Pool) TakenBackAt(domain ident.Domain) clock.Millis { return p.takenBackAt[domain] }
-
 // IsServiceEvacuated reports whether the service has endpoints, and all of them that are not leaving are
 // in evacuated failure domains.
 func (p *Pool) IsServiceEvacuated(service ident.Service) bool {
--- a/internal/flow/pool/pool.go
+++ b/internal/flow/pool/pool.go
@@ -44,6 +44,9 @@
 		// Epoch identifies the run of the endpoint: it changes if the endpoint restarts
 		// under the same name.
 		Epoch uint64
+		// ColdLeft is how much longer the endpoint was cold when the record was written. It
+		// falls with each renewal of the record, which is no change of the listing.
+		ColdLeft clock.Millis
 	}
 
 	// PeerListing is a listing as one entry sends it to another.
@@ -52,6 +55,8 @@
 		// RemovalGrace is how much longer an endpoint that was removed from the list
 		// stays in use. It is zero while the endpoint is listed.
 		RemovalGrace clock.Millis
+		// ColdRemaining is how much longer the endpoint is cold by what the sender knows.
+		ColdRemaining clock.Millis
 	}
 
 	// Hash is a short hash of an endpoint's name. Entries exchange hashes instead of
@@ -91,6 +96,8 @@
 		// isEvacuated reports whether the endpoint's failure domain is evacuated.
 		isEvacuated bool
 
+		cold coldness
+
 		// ownFailures are the times of this entry's recent failures. failureReports are
 		// the recent failures that peers have published.
 		ownFailures    []clock.Millis
@@ -160,12 +167,16 @@
 		availableAt clock.Millis
 		// unreachable holds the failure domains that can't be reached.
 		unreachable map[ident.Domain]unreachableDomain
-		// evacuated are the evacuated failure domains. takenBackAt holds when the evacuations of
-		// others ended.
-		evacuated   evac.Set
-		takenBackAt map[ident.Domain]clock.Millis
+		// evacuated are the evacuated failure domains.
+		evacuated evac.Set
 		// durations holds how long this entry's sends to each service took.
 		durations map[ident.Service]*durations
+		// hasList is set once a complete list was applied. coldTimes holds how long the
+		// endpoints of each service are cold after their start.
+		hasList   bool
+		coldTimes map[ident.Service]clock.Millis
+		// expiredRuns holds the runs of endpoints that were deleted lately.
+		expiredRuns map[ident.Endpoint]expiredRun
 	}
 
 	// unreachableDomain is a failure domain whose entries are unresponsive and one of whose
@@ -181,7 +192,7 @@
 	return &Pool{
 		endpoints: map[ident.Endpoint]*Endpoint{}, unreachable: map[ident.Domain]unreachableDomain{}, tracked: map[Hash]*Endpoint{},
 		byHash: map[Hash]*Endpoint{}, durations: map[ident.Service]*durations{}, byService: map[ident.Service][]*Endpoint{},
-		takenBackAt: map[ident.Domain]clock.Millis{},
+		expiredRuns: map[ident.Endpoint]expiredRun{},
 	}
 }
 
