--- a/internal/flow/place/cold.go
+++ b/internal/flow/place/cold.go
@@ -148,9 +148,3 @@
 	}
 	return choice{wait: call.WaitCold, notBefore: min(max(next, b.Now+1), b.Now+maxColdSleep)}
 }
-
-// markColdAfterBackoff records that an endpoint whose process is gone is cold when it can next be used.
-func markColdAfterBackoff(b *board.Board, endpoint *pool.Endpoint) {
-	until := max(endpoint.BackoffUntil, b.Now) + b.Pool.ColdTime(endpoint.Service)
-	b.Pool.MarkEndpointCold(endpoint, until, b.Now)
-}
--- a/internal/flow/place/end.go
+++ b/internal/flow/place/end.go
@@ -90,10 +90,6 @@
 	if endpoint == nil {
 		return
 	}
-	if result.Exited {
-		// Its process is gone. It starts anew, maybe before the list says so.
-		defer markColdAfterBackoff(b, endpoint)
-	}
 	switch {
 	case result.Moved, result.Unreachable, result.FailedAddress != "":
 		b.Pool.RecordUnreachable(endpoint, b.Now)
--- a/internal/flow/pool/cold.go
+++ b/internal/flow/pool/cold.go
@@ -96,10 +96,6 @@
 	p.MarkEndpointCold(e, now+coldLeft, now)
 }
 
-// ColdTime returns how long the endpoints of the service are cold after their start; zero if
-// they never are.
-func (p *Pool) ColdTime(service ident.Service) clock.Millis { return p.coldTimes[service] }
-
 // IsCold reports whether the endpoint is cold.
 func (e *Endpoint) IsCold(now clock.Millis) bool { return now < e.cold.until }
 
--- a/internal/flow/pool/list.go
+++ b/internal/flow/pool/list.go
@@ -85,7 +85,7 @@
 	coldLeft := listing.ColdLeft
 	listing.ColdLeft = endpoint.ColdLeft
 	return endpoint.Listing == listing &&
-		(coldLeft == 0 || p.ColdTime(listing.Service) == 0 || now+coldLeft <= endpoint.cold.until+coldTolerance)
+		(coldLeft == 0 || p.coldTimes[listing.Service] == 0 || now+coldLeft <= endpoint.cold.until+coldTolerance)
 }
 
 // Remove records that the endpoint was removed from the list. While the list can't be
