Costs: no evidence is sent while a service has little work

Change: sketches are sent only from 12% of the slots busy on, so such deployments exchange what they did before.

--- a/internal/flow/learn/learn.go
+++ b/internal/flow/learn/learn.go
@@ -76,11 +76,11 @@
 	Estimate struct{ Mean, Deviation, Weight float64 }
 
 	// Mix is how the requests of a service differ. Differs reports whether they are known to differ in
-	// cost, BusySlots is how many slots they keep busy on average, and MeanCost their mean cost in
-	// milliseconds.
+	// cost, BusySlots is how many slots they keep busy on average, OwnSlots how many those of this entry do,
+	// and MeanCost their mean cost in milliseconds.
 	Mix struct {
-		Differs             bool
-		BusySlots, MeanCost float64
+		Differs                       bool
+		BusySlots, OwnSlots, MeanCost float64
 	}
 
 	// Estimator holds what was learned.
@@ -102,9 +102,11 @@
 	service struct {
 		// difference is the distribution of the logarithms of the estimates about that of the service.
 		difference Cell
-		// work is the decayed distribution of the costs since startedAt.
-		work      Cell
-		startedAt clock.Millis
+		// work is the decayed distribution of the costs since startedAt, and ownWork that of this entry.
+		work, ownWork Cell
+		startedAt     clock.Millis
+		// isShared reports whether other entries get the evidence of this one.
+		isShared bool
 	}
 )
 
@@ -174,7 +176,12 @@
 	e.foldedAt = now
 	for _, o := range e.fresh.take(maxPending) {
 		e.add(o, now)
-		e.own.add(o)
+		if total := e.services[o.Subject.Service]; total != nil {
+			total.ownWork.Add(o.Count, o.cost(), 0, rateHalfLife, now)
+			if total.isShared {
+				e.own.add(o)
+			}
+		}
 	}
 }
 
@@ -211,7 +218,7 @@
 		total = &service{startedAt: now}
 		e.services[o.Subject.Service] = total
 	}
-	total.work.Add(o.Count, math.Exp(o.Mean+o.Variance/2), 0, rateHalfLife, now)
+	total.work.Add(o.Count, o.cost(), 0, rateHalfLife, now)
 	base := e.levels[levelService].at(o.Subject.key(levelService), now)
 	total.difference.Add(o.Count, e.blend(o.Subject, now).Mean-base.Mean, 0, HalfLife, now)
 }
@@ -264,10 +271,19 @@
 	}
 	span := now - total.startedAt
 	seen := 1 - math.Exp(-math.Ln2*float64(max(span, minSpan)-evidenceLag)/float64(rateHalfLife))
-	perMilli := total.work.weightAt(rateHalfLife, now) * math.Ln2 / float64(rateHalfLife) / seen
+	busySlots := func(work Cell) float64 {
+		return work.weightAt(rateHalfLife, now) * work.Mean * math.Ln2 / float64(rateHalfLife) / seen
+	}
 	return Mix{
 		Differs: span >= minSpan && total.difference.weightAt(HalfLife, now) >= minEvidence &&
 			total.difference.Variance >= minDifference*minDifference,
-		BusySlots: perMilli * total.work.Mean, MeanCost: total.work.Mean,
+		BusySlots: busySlots(total.work), OwnSlots: busySlots(total.ownWork), MeanCost: total.work.Mean,
+	}
+}
+
+// Share sets whether other entries get the evidence of this one on a service.
+func (e *Estimator) Share(subject Subject, isShared bool) {
+	if total := e.services[subject.Service]; total != nil {
+		total.isShared = isShared
 	}
 }
--- a/internal/flow/learn/learn_test.go
+++ b/internal/flow/learn/learn_test.go
@@ -121,6 +121,8 @@
 		source, target := New(), New()
 		s := subject("order", "city", "list")
 		now := clock.Millis(0)
+		source.Observe(s, 200, limit, 1, now+foldInterval)
+		source.Share(s, true)
 		for range rapid.IntRange(3, 10).Draw(t, "sketches") {
 			now = observe(source, s, 10, 200, now)
 			sketch := source.TakeOwn()
--- a/internal/flow/learn/sketch.go
+++ b/internal/flow/learn/sketch.go
@@ -35,6 +35,9 @@
 		!math.IsNaN(o.Count+o.Mean+o.Variance)
 }
 
+// cost returns the mean cost in milliseconds.
+func (o Observation) cost() float64 { return math.Exp(o.Mean + o.Variance/2) }
+
 func (p pending) add(o Observation) {
 	cell, isKnown := p[o.Subject]
 	if !isKnown && len(p) >= maxPending || !o.isValid() {
--- a/internal/flow/parts/price_test.go
+++ b/internal/flow/parts/price_test.go
@@ -47,6 +47,8 @@
 		sentTo  map[ident.Endpoint]int
 		// byCount makes entries forget all costs, so that they choose by count.
 		byCount bool
+		// hasSketches reports whether an entry has sent evidence on costs.
+		hasSketches bool
 	}
 
 	// deskLoad is a pattern of requests of one route.
@@ -102,6 +104,7 @@
 	var cheap []clock.Millis
 	for end := f.now + duration; f.now < end; {
 		f.advance(fleetTick)
+		f.hasSketches = f.hasSketches || slices.ContainsFunc(f.inTransit, func(d datagram) bool { return len(d.batch.Costs) > 0 })
 		slices.SortStableFunc(f.pending, func(a, b scheduledInput) int { return cmp.Compare(a.at, b.at) })
 		for len(f.pending) > 0 && f.pending[0].at <= f.now {
 			next := f.pending[0]
@@ -191,7 +194,7 @@
 }
 
 // Guards against a changed choice in deployments whose requests cost the same but for chance, or keep few slots
-// busy: each request must go to the endpoint that a choice by count takes.
+// busy: each request must go to the endpoint that a choice by count takes, and little work sends no evidence.
 func TestEqualCostsAndLittleWorkAreChosenByCount(t *testing.T) {
 	loads := map[string]deskLoad{
 		"equal costs": {perSecond: 300, noise: 0.5},
@@ -205,6 +208,7 @@
 				f.byCount = byCount
 				f.run(20*clock.Second, load)
 				sentTo[byCount] = f.sentTo
+				require.Equal(t, !byCount && load.dearShare == 0, f.hasSketches)
 			}
 			require.Equal(t, sentTo[true], sentTo[false])
 		})
--- a/internal/flow/peers/costs.go
+++ b/internal/flow/peers/costs.go
@@ -13,7 +13,7 @@
 	CostInterval = 2 * clock.Second
 
 	// costBytes is the typical encoded size of a row of a sketch.
-	costBytes = 25
+	costBytes = 29
 )
 
 // areCostsDue reports whether a sketch is due in this round. It is then sent.
--- a/internal/flow/place/plain.go
+++ b/internal/flow/place/plain.go
@@ -28,6 +28,8 @@
 	// longer. With less work nobody waits.
 	minUse  = 0.25
 	keptUse = 0.15
+	// shareUse is the use from which on entries share evidence.
+	shareUse = 0.12
 	// minUnseen is the least work that other entries are taken to send within the delay of the news, in milliseconds.
 	minUnseen = 1.0
 	// minOwnShare is the least part of the duration of a request that is its cost.
@@ -49,20 +51,19 @@
 }
 
 // isPriced reports whether the endpoint is chosen by price: the requests of the service are known to differ in
-// cost, and keep enough of its slots busy for some to wait.
+// cost, and keep enough of its slots busy for some to wait. Evidence is shared from half as much work on.
 func isPriced(b *board.Board, request *board.Request, mix learn.Mix, endpoints []*pool.Endpoint) bool {
-	isPriced := mix.Differs && len(endpoints) > 0
-	if isPriced {
-		slots := 0
-		for _, endpoint := range endpoints {
-			slots += max(endpoint.Slots, 1)
-		}
-		least := minUse
-		if b.Priced[request.Service] {
-			least = keptUse
-		}
-		isPriced = mix.BusySlots >= least*float64(slots)
+	slots := 0
+	for _, endpoint := range endpoints {
+		slots += max(endpoint.Slots, 1)
+	}
+	all := max(mix.BusySlots, mix.OwnSlots*float64(len(b.Peers)+1))
+	b.Costs.Share(request.Subject, all >= shareUse*float64(slots))
+	least := minUse
+	if b.Priced[request.Service] {
+		least = keptUse
 	}
+	isPriced := mix.Differs && slots > 0 && mix.BusySlots >= least*float64(slots)
 	if isPriced != b.Priced[request.Service] {
 		b.Priced[request.Service] = isPriced
 		b.Log("Choice by cost changed.", "service", request.Service, "byCost", isPriced, "meanCost", int(mix.MeanCost),
