Costs: an entry's own rate counts by the requests that it rests on

Change: the own rate is taken for n/(n+10) of what n requests show; the test's little work is 30 requests a second (5% of the slots).

--- a/internal/flow/learn/learn.go
+++ b/internal/flow/learn/learn.go
@@ -42,6 +42,8 @@
 	rateHalfLife = 10 * clock.Second
 	evidenceLag  = 3 * clock.Second
 	minSpan      = 2 * evidenceLag
+	// ownPrior is the number of requests of this entry that count as much as the assumption that it has none.
+	ownPrior = 10.0
 )
 
 // The levels of keys, from coarse to fine.
@@ -76,7 +78,7 @@
 	Estimate struct{ Mean, Deviation, Weight float64 }
 
 	// Mix is how the requests of a service differ. Differs reports whether they are known to differ in
-	// cost, BusySlots is how many slots they keep busy on average, OwnSlots how many those of this entry do,
+	// cost, BusySlots is how many slots they keep busy on average, OwnSlots how many those of this entry do at least,
 	// and MeanCost their mean cost in milliseconds.
 	Mix struct {
 		Differs                       bool
@@ -274,10 +276,11 @@
 	busySlots := func(work Cell) float64 {
 		return work.weightAt(rateHalfLife, now) * work.Mean * math.Ln2 / float64(rateHalfLife) / seen
 	}
+	own := total.ownWork.weightAt(rateHalfLife, now)
 	return Mix{
 		Differs: span >= minSpan && total.difference.weightAt(HalfLife, now) >= minEvidence &&
 			total.difference.Variance >= minDifference*minDifference,
-		BusySlots: busySlots(total.work), OwnSlots: busySlots(total.ownWork), MeanCost: total.work.Mean,
+		BusySlots: busySlots(total.work), OwnSlots: busySlots(total.ownWork) * own / (own + ownPrior), MeanCost: total.work.Mean,
 	}
 }
 
