Shares of short prompts by organisation

Cause: with one organisation asking for 15 times its usual, every prompt is late: nobody decides who waits. Change: package share (max-min level, ledger of groups); in contention a short prompt of an organisation over its max-min share of the requests in flight is refused at once (overShare).

--- a/internal/flow/board/board.go
+++ b/internal/flow/board/board.go
@@ -11,10 +11,12 @@
 	"mustardhook/internal/flow/blame"
 	"mustardhook/internal/flow/budget"
 	"mustardhook/internal/flow/call"
+	"mustardhook/internal/flow/cost"
 	"mustardhook/internal/flow/input"
 	"mustardhook/internal/flow/output"
 	"mustardhook/internal/flow/plan"
 	"mustardhook/internal/flow/pool"
+	"mustardhook/internal/flow/share"
 	"mustardhook/internal/flow/tally"
 )
 
@@ -82,6 +84,8 @@
 		Budget     *budget.Budget
 		// Blame holds what is known of requests that crash the endpoints that run them.
 		Blame *blame.Ledger
+		// Shares holds the groups that lately sent requests, and which of them exceed their share.
+		Shares *share.Ledger
 		// LeaseCount is the number of leases requested in this epoch.
 		LeaseCount int
 		// Tally holds the load of all entries.
@@ -131,6 +135,8 @@
 		PrecedenceDraw float64
 		// PlannedStart is when the queue last planned to start the request; zero if it was not queued.
 		PlannedStart clock.Millis
+		// Share is the verdict for which the request was refused; zero if it was not.
+		Share share.Verdict
 		// Wait is the last cause for which the request waited, and WaitLoggedAt when it was
 		// logged.
 		Wait         call.Wait
@@ -178,6 +184,7 @@
 		Peers:          map[ident.Entry]*Peer{},
 		PeersWithQueue: map[ident.Entry]*Peer{},
 		Blame:          blame.New(),
+		Shares:         share.NewLedger(),
 		Budget:         budget.New(),
 		MaxMembers:     1,
 	}
@@ -225,6 +232,29 @@
 	return min(r.ArrivedAt+patience, r.DeadlineAt)
 }
 
+// Group returns the group whose share the request uses, and whether it has one.
+func (b *Board) Group(request *Request) (share.Group, bool) {
+	isShared := b.Plan.HasShares && request.Organisation != "" && b.Plan.Services[request.Service].Engine != nil
+	return share.Group{Service: request.Service, Organisation: request.Organisation}, isShared
+}
+
+// OwnUse returns the use of all groups at this entry.
+func (b *Board) OwnUse() map[share.Group]share.Use {
+	own := map[share.Group]share.Use{}
+	for _, request := range b.Requests {
+		group, isShared := b.Group(request)
+		if !isShared || request.Endpoint == "" {
+			continue
+		}
+		use := share.Use{Requests: 1}
+		if engine := b.Plan.Services[request.Service].Engine; !request.FirstEventSent && cost.IsLong(engine, request.Request.PromptTokens) {
+			use.PrefillMillis = int(cost.PrefillMillis(engine, request.Request.PromptTokens, 1))
+		}
+		own[group] = own[group].Add(use)
+	}
+	return own
+}
+
 // QueuedPrompt returns the record of the request that is published while it is queued.
 func (r *Request) QueuedPrompt() input.QueuedPrompt {
 	return input.QueuedPrompt{
--- a/internal/flow/call/call.go
+++ b/internal/flow/call/call.go
@@ -35,6 +35,7 @@
 	ReasonBadKey           Reason = "badKey"
 	ReasonNoEndpoint       Reason = "noEndpoint"
 	ReasonPaused           Reason = "paused"
+	ReasonOverShare        Reason = "overShare"
 	ReasonOverload         Reason = "overload"
 	ReasonPromptTooLong    Reason = "promptTooLong"
 	ReasonDeadlineTooShort Reason = "deadlineTooShort"
@@ -149,6 +150,10 @@
 		IsCallerRetry bool
 		TimeLeft      clock.Millis
 		StartsIn      clock.Millis
+		// Share is the share of the organisation and Use what it used of it, in requests; zero unless the
+		// request was refused for it.
+		Share int
+		Use   int
 		// ListAge is how long the list of endpoints has been unreadable; zero if it is
 		// readable.
 		ListAge clock.Millis
@@ -220,7 +225,7 @@
 	Service ident.Service
 	// Organisation is empty on anonymous routes.
 	Organisation ident.Organisation
-	// Rank is the priority of the request; 0 is the highest. No decision depends on it.
+	// Rank is the priority of the request; 0 is the highest.
 	Rank int
 }
 
--- a/internal/flow/peers/work.go
+++ b/internal/flow/peers/work.go
@@ -104,7 +104,7 @@
 	return size
 }
 
-// ownLoads adds up the work of this entry by endpoint.
+// ownLoads adds up the work of this entry by endpoint, and the use of groups that share services.
 func ownLoads(b *board.Board) tally.Loads {
 	own := tally.Loads{}
 	add := func(engine *plan.Engine, name ident.Endpoint, number uint64) {
@@ -126,5 +126,12 @@
 			add(engine, helper, number)
 		}
 	}
+	if b.Plan.HasShares {
+		for hash, load := range b.Shares.Publish(b.OwnUse, b.Now) {
+			if b.Pool.ByHash()[hash] == nil {
+				own[hash] = load
+			}
+		}
+	}
 	return own
 }
--- a/internal/flow/place/choose.go
+++ b/internal/flow/place/choose.go
@@ -50,7 +50,9 @@
 		// firstEvent is the predicted time to the first event.
 		firstEvent clock.Millis
 		// isFull reports whether the lead has no free slot or too little memory.
-		isFull     bool
+		isFull bool
+		// inFlight is the number of requests at all engines of the service.
+		inFlight   int
 		reason     call.Reason
 		retryAfter clock.Millis
 		// wait is why the request waits. shards is the number of engines that it needs, free
--- a/internal/flow/place/engine.go
+++ b/internal/flow/place/engine.go
@@ -102,6 +102,10 @@
 	if !cost.IsLong(engine, prompt) {
 		decision := memory.chooseShort(b, short, long, slow, prompt, need)
 		decision.urgency = urgencyShort
+		if verdict := judgeShare(b, request, decision); verdict.IsOver {
+			request.Share = verdict
+			return choice{reason: call.ReasonOverShare, retryAfter: b.RetryAfter(request)}
+		}
 		if decision.isFull && !request.IsCallerRetry() && request.Runs == 0 {
 			return choice{reason: call.ReasonOverload, retryAfter: b.RetryAfter(request)}
 		}
@@ -185,9 +189,10 @@
 	byPrice = append(byPrice, long...)
 	byPrice = append(byPrice, slow...)
 	s.byPrice = byPrice
-	shortPrompts := 0
+	shortPrompts, inFlight := 0, 0
 	for i, c := range byPrice {
 		shortPrompts += c.load.ShortPrompts
+		inFlight += c.load.Leads
 		c.setShortPrice(prompt, need)
 		if i >= len(short) {
 			c.price += longClassPenalty
@@ -207,7 +212,7 @@
 		choices++
 	}
 	best := byPrice[b.Random.IntN(choices)]
-	return choice{lead: best.endpoint, firstEvent: best.firstEvent, isFull: best.isFull}
+	return choice{lead: best.endpoint, firstEvent: best.firstEvent, isFull: best.isFull, inFlight: inFlight}
 }
 
 // canLead reports whether the engine has a free slot, and memory for the prompt and its
--- a/internal/flow/place/place.go
+++ b/internal/flow/place/place.go
@@ -112,6 +112,9 @@
 		return
 	}
 	b.Requests[received.Number] = request
+	if group, isShared := b.Group(request); isShared {
+		b.Shares.Note(group, b.Now)
+	}
 	b.Budget.CountRequest(routed.Service, retryLimits(b), b.Now)
 	dispatch(b, request)
 }
--- a/internal/flow/place/send.go
+++ b/internal/flow/place/send.go
@@ -68,7 +68,7 @@
 	basis := call.Basis{
 		Route: request.Route.Name, PlanVersion: b.Plan.Version, Usable: request.Usable, Entries: len(b.Peers),
 		Wait: request.Wait, IsCallerRetry: request.IsCallerRetry(), TimeLeft: max(request.DeadlineAt-b.Now, 0),
-		StartsIn: max(request.PlannedStart-b.Now, 0),
+		StartsIn: max(request.PlannedStart-b.Now, 0), Share: int(request.Share.Share), Use: request.Share.Use,
 	}
 	if b.SourceLostAt != 0 {
 		basis.ListAge = b.Now - b.SourceLostAt
--- a/internal/flow/plan/plan.go
+++ b/internal/flow/plan/plan.go
@@ -26,7 +26,9 @@
 		RequiresKeys bool
 		// Organisations are keyed by API key.
 		Organisations map[string]Organisation
-		Limits        Limits
+		// HasShares reports whether several organisations share the services.
+		HasShares bool
+		Limits    Limits
 
 		// hosts maps each host to its routes, longest prefix first.
 		hosts map[string][]Route
@@ -84,6 +86,11 @@
 func (p Plan) WithOrganisations(keys map[string]Organisation) Plan {
 	p.RequiresKeys = true
 	p.Organisations = keys
+	names := map[ident.Organisation]bool{}
+	for _, organisation := range keys {
+		names[organisation.Name] = true
+	}
+	p.HasShares = len(names) > 1
 	return p
 }
 
--- /dev/null
+++ b/internal/flow/share/ledger.go
@@ -0,0 +1,199 @@
+package share
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+
+	"mustardhook/internal/core/clock"
+	"mustardhook/internal/core/ident"
+	"mustardhook/internal/flow/pool"
+)
+
+const (
+	// MaxGroups bounds the groups that an entry remembers.
+	MaxGroups = 64
+	// usesTTL is how long decisions use the same sums.
+	usesTTL = 100 * clock.Millis(1)
+	// release is the part of its share below which a group that was over it is within it again.
+	release = 0.9
+	// overTTL is how long a group counts as over its share after it was last found so.
+	overTTL = 2 * clock.Second
+
+	// An entry publishes the use of at most maxPublished groups, of those with minPublished requests
+	// and 1/publishedDivisor of all its requests.
+	maxPublished     = 4
+	minPublished     = 2
+	publishedDivisor = 8
+	// collectInterval is the time between two looks at the use of all groups. The published use of a
+	// group changes at most once in publishInterval, by more than 1/toleranceDivisor and one request.
+	collectInterval  = 250 * clock.Millis(1)
+	publishInterval  = 1 * clock.Second
+	toleranceDivisor = 3
+	// workUnit is the engine time in milliseconds that is published as tokensPerUnit tokens.
+	workUnit      = 100
+	tokensPerUnit = 1000
+)
+
+type (
+	// Ledger holds the groups that lately sent requests to an entry. It is not safe for
+	// concurrent use.
+	Ledger struct {
+		groups map[Group]*record
+		// usesAt is when the uses of the groups of a service were last looked up.
+		usesAt      map[ident.Service]clock.Millis
+		collectedAt clock.Millis
+		published   map[pool.Hash]pool.Load
+	}
+
+	// record is what is known of a group.
+	record struct {
+		hash   pool.Hash
+		seenAt clock.Millis
+		// use is the use at all entries.
+		use Use
+		// overAt is when the group was last found to be over its share; zero if it is within it.
+		overAt      clock.Millis
+		published   Use
+		publishedAt clock.Millis
+	}
+
+	// Verdict is the result of a comparison of the use of a group with its share.
+	Verdict struct {
+		IsOver bool
+		// HasChanged reports whether the group was within its share before.
+		HasChanged bool
+		Share      float64
+		Use        int
+	}
+)
+
+// NewLedger returns an empty ledger.
+func NewLedger() *Ledger {
+	return &Ledger{groups: map[Group]*record{}, usesAt: map[ident.Service]clock.Millis{}, published: map[pool.Hash]pool.Load{}}
+}
+
+// Note records that a group sent a request. If there are too many groups, the one that sent none
+// for the longest time is dropped.
+func (l *Ledger) Note(group Group, now clock.Millis) {
+	known := l.groups[group]
+	if known == nil {
+		if len(l.groups) >= MaxGroups {
+			l.dropOldest()
+		}
+		known = &record{hash: group.Hash()}
+		l.groups[group] = known
+		delete(l.usesAt, group.Service)
+	}
+	known.seenAt = now
+}
+
+func (l *Ledger) dropOldest() {
+	var oldest Group
+	for group, known := range l.groups {
+		if first := l.groups[oldest]; first == nil || isBefore(group, known, oldest, first) {
+			oldest = group
+		}
+	}
+	delete(l.groups, oldest)
+}
+
+// isBefore orders groups by their last request and then by name, so that equal inputs give equal
+// outputs.
+func isBefore(group Group, known *record, other Group, otherKnown *record) bool {
+	return cmp.Or(
+		cmp.Compare(known.seenAt, otherKnown.seenAt),
+		cmp.Compare(group.Service, other.Service), cmp.Compare(group.Organisation, other.Organisation),
+	) < 0
+}
+
+// Judge compares the use of a group with its share of the room, both in requests. inFlight is the
+// number of all requests at the endpoints of the service. collect returns the use of all groups at
+// this entry, and remote that of a group at the others.
+func (l *Ledger) Judge(
+	group Group, room float64, inFlight int, collect func() map[Group]Use, remote func(pool.Hash) Use, now clock.Millis,
+) Verdict {
+	known := l.groups[group]
+	if known == nil {
+		return Verdict{}
+	}
+	if now-l.usesAt[group.Service] >= usesTTL || l.usesAt[group.Service] == 0 {
+		l.usesAt[group.Service] = now
+		own := collect()
+		for other, otherKnown := range l.groups {
+			if other.Service == group.Service {
+				otherKnown.use = own[other].Add(remote(otherKnown.hash))
+			}
+		}
+	}
+	rest := inFlight
+	asks := make([]Ask, 0, len(l.groups)+1)
+	for other, otherKnown := range l.groups {
+		if other.Service == group.Service {
+			rest -= otherKnown.use.Requests
+			asks = append(asks, Ask{float64(otherKnown.use.Requests), 1})
+		}
+	}
+	level := Level(room-float64(max(rest, 0)), asks)
+	wasOver := known.overAt != 0 && now-known.overAt <= overTTL
+	limit := level
+	if wasOver {
+		limit *= release
+	}
+	verdict := Verdict{IsOver: float64(known.use.Requests) > limit, Share: min(level, float64(inFlight)), Use: known.use.Requests}
+	verdict.HasChanged = verdict.IsOver != wasOver
+	known.overAt = 0
+	if verdict.IsOver {
+		known.overAt = now
+	}
+	return verdict
+}
+
+// Publish returns the uses to publish among the loads of endpoints, given those of all groups at
+// this entry.
+func (l *Ledger) Publish(collect func() map[Group]Use, now clock.Millis) map[pool.Hash]pool.Load {
+	if l.collectedAt != 0 && now-l.collectedAt < collectInterval {
+		return l.published
+	}
+	l.collectedAt = now
+	own := collect()
+	total := 0
+	for _, use := range own {
+		total += use.Requests
+	}
+	groups := slices.SortedFunc(maps.Keys(own), func(a, b Group) int {
+		return cmp.Or(
+			cmp.Compare(own[b].Requests, own[a].Requests),
+			cmp.Compare(a.Service, b.Service), cmp.Compare(a.Organisation, b.Organisation),
+		)
+	})
+	l.published = map[pool.Hash]pool.Load{}
+	for _, group := range groups[:min(len(groups), maxPublished)] {
+		known := l.groups[group]
+		if known == nil || own[group].Requests < max(minPublished, total/publishedDivisor) {
+			continue
+		}
+		if now-known.publishedAt >= publishInterval && own[group].differs(known.published) {
+			known.published, known.publishedAt = own[group], now
+		}
+		l.published[known.hash] = known.published.Load()
+	}
+	return l.published
+}
+
+// differs reports whether the use differs from the published one by enough to be published.
+func (u Use) differs(published Use) bool {
+	requests := max(u.Requests-published.Requests, published.Requests-u.Requests)
+	work := max(u.PrefillMillis-published.PrefillMillis, published.PrefillMillis-u.PrefillMillis)
+	return requests > 1+published.Requests/toleranceDivisor || work > workUnit+published.PrefillMillis/toleranceDivisor
+}
+
+// Load returns the use in the form of the load of an endpoint.
+func (u Use) Load() pool.Load {
+	return pool.Load{Leads: u.Requests, ContextTokens: u.PrefillMillis / workUnit * tokensPerUnit}
+}
+
+// UseOf returns the use that was published as a load.
+func UseOf(load pool.Load) Use {
+	return Use{Requests: load.Leads, PrefillMillis: load.ContextTokens / tokensPerUnit * workUnit}
+}
--- a/internal/flow/tally/tally.go
+++ b/internal/flow/tally/tally.go
@@ -169,6 +169,9 @@
 	return load
 }
 
+// HearsOthers reports whether loads of other entries are known.
+func (t *Tally) HearsOthers() bool { return len(t.aggregates) > 0 || len(t.contributions) > 0 }
+
 // MaxDeferral returns the longest time for which hubs deferred changes. Remote loads may
 // be out of date by as much.
 func (t *Tally) MaxDeferral() clock.Millis {
