Shares of long prompts; measured lateness as a sign of contention

A queue whose prompts can't all be on time took no account of who asks. Change: mean of the first events of the last second against their objective is a second sign of contention; use that is not published by group counts as that of all groups alike, so that the level never is under an equal part; queued prompts carry group and rank, and those beyond the share of their group are scheduled after the others.

--- a/internal/flow/board/board.go
+++ b/internal/flow/board/board.go
@@ -111,6 +111,8 @@
 	// Request is a caller's request that has not ended yet.
 	Request struct {
 		call.RoutedRequest
+		// Group is the hash of the group whose share the request uses; zero if it has none.
+		Group      pool.Hash
 		ArrivedAt  clock.Millis
 		DeadlineAt clock.Millis
 		// Endpoint is the endpoint of the current send, which was sent at SentAt; empty while the
@@ -232,8 +234,8 @@
 	return min(r.ArrivedAt+patience, r.DeadlineAt)
 }
 
-// Group returns the group whose share the request uses, and whether it has one.
-func (b *Board) Group(request *Request) (share.Group, bool) {
+// GroupOf returns the group whose share the request uses, and whether it has one.
+func (b *Board) GroupOf(request *Request) (share.Group, bool) {
 	isShared := b.Plan.HasShares && request.Organisation != "" && b.Plan.Services[request.Service].Engine != nil
 	return share.Group{Service: request.Service, Organisation: request.Organisation}, isShared
 }
@@ -242,7 +244,7 @@
 func (b *Board) OwnUse() map[share.Group]share.Use {
 	own := map[share.Group]share.Use{}
 	for _, request := range b.Requests {
-		group, isShared := b.Group(request)
+		group, isShared := b.GroupOf(request)
 		if !isShared || request.Endpoint == "" {
 			continue
 		}
@@ -255,11 +257,18 @@
 	return own
 }
 
+func (r *Request) rankInQueue() int {
+	if r.Group == 0 {
+		return 0
+	}
+	return r.Rank
+}
+
 // QueuedPrompt returns the record of the request that is published while it is queued.
 func (r *Request) QueuedPrompt() input.QueuedPrompt {
 	return input.QueuedPrompt{
 		Service: r.Service, Number: r.Request.Number, PromptTokens: r.Request.PromptTokens,
-		DueAt: r.DueAt(), WaitsUntil: r.WaitsUntil(),
+		DueAt: r.DueAt(), WaitsUntil: r.WaitsUntil(), Group: r.Group, Rank: r.rankInQueue(),
 	}
 }
 
--- a/internal/flow/call/call.go
+++ b/internal/flow/call/call.go
@@ -62,6 +62,9 @@
 	// WaitLatestStart means that an oversized prompt, which can't be on time, leaves the engines to
 	// prompts that can until its latest start.
 	WaitLatestStart Wait = "latestStart"
+	// WaitShare means that an oversized prompt whose organisation exceeds its share would make a
+	// prompt of another one late.
+	WaitShare Wait = "share"
 	// WaitMemory means that the engines have too little free memory for the KV cache, WaitLease
 	// that an engine refused to reserve it.
 	WaitMemory Wait = "memory"
@@ -137,8 +140,10 @@
 
 	// Basis is the state that a decision on a request was based on. It is logged.
 	Basis struct {
-		Route       string
-		PlanVersion plan.Version
+		Route string
+		// Organisation is empty on anonymous routes.
+		Organisation ident.Organisation
+		PlanVersion  plan.Version
 		// Usable is the number of endpoints that could run the request, Entries the
 		// number of other entries whose load is known.
 		Usable  int
--- a/internal/flow/codec/codec.go
+++ b/internal/flow/codec/codec.go
@@ -166,6 +166,8 @@
 			PromptTokens:  uint32(queued.PromptTokens),
 			DueInMillis:   int32(queued.DueAt - now),
 			UntilInMillis: int32(queued.WaitsUntil - now),
+			Group:         uint32(queued.Group),
+			Rank:          uint32(max(queued.Rank, 0)),
 		})
 	}
 	encodeBlame(message, news, now)
@@ -221,6 +223,8 @@
 			PromptTokens: int(encoded.PromptTokens),
 			DueAt:        now + clock.Millis(encoded.DueInMillis),
 			WaitsUntil:   now + clock.Millis(encoded.UntilInMillis),
+			Group:        pool.Hash(encoded.Group),
+			Rank:         int(encoded.Rank),
 		})
 	}
 	decodeBlame(&news, message, now)
--- a/internal/flow/input/input.go
+++ b/internal/flow/input/input.go
@@ -236,6 +236,10 @@
 		// stops waiting for it.
 		DueAt      clock.Millis
 		WaitsUntil clock.Millis
+		// Group is the hash of the group whose share the prompt uses; zero if it has none. Rank is the
+		// priority of its caller; 0 is the highest.
+		Group pool.Hash
+		Rank  int
 	}
 )
 
--- a/internal/flow/place/long.go
+++ b/internal/flow/place/long.go
@@ -74,7 +74,7 @@
 	case request.Runs == 0 && b.StopEndsWithin(own.startAt-b.Now+minDuration(b, request)):
 		return choice{reason: call.ReasonStopping, retryAfter: StoppingRetryAfter}
 	case !isOversized && request.Runs == 0 && own.startAt > b.Now+(request.WaitsUntil()-b.Now)/2:
-		return choice{reason: call.ReasonOverload, retryAfter: b.RetryAfter(request)}
+		return choice{reason: refusalReason(own), retryAfter: b.RetryAfter(request)}
 	case len(free) < shards:
 		request.CapacitySince = 0
 		return choice{wait: call.WaitEngines, own: own, shards: shards, free: len(free)}
@@ -89,6 +89,13 @@
 	return choice{wait: call.WaitQueue, own: own, shards: shards, free: len(free)}
 }
 
+func refusalReason(own position) call.Reason {
+	if own.exceedsShare {
+		return call.ReasonOverShare
+	}
+	return call.ReasonOverload
+}
+
 // withLittlePending returns the candidates at which the next shard can be prefilled soon.
 func withLittlePending(candidates []*candidate) []*candidate {
 	return slices.DeleteFunc(slices.Clone(candidates), func(c *candidate) bool { return c.load.PendingMillis > maxPendingMillis })
--- a/internal/flow/place/oversized.go
+++ b/internal/flow/place/oversized.go
@@ -60,7 +60,9 @@
 		return call.WaitSpareTime
 	case isLate && !spare.isIdle && b.Now < own.latestStart(request):
 		return call.WaitLatestStart
-	case isLate && drawPrecedence(b, request) < precedenceShare:
+	case own.exceedsShare && !waiting.mayPrecede(b, request):
+		return call.WaitShare
+	case isLate && !own.exceedsShare && drawPrecedence(b, request) < precedenceShare:
 		return ""
 	case !waiting.mayPrecede(b, request):
 		return call.WaitOthers
--- a/internal/flow/place/place.go
+++ b/internal/flow/place/place.go
@@ -112,8 +112,8 @@
 		return
 	}
 	b.Requests[received.Number] = request
-	if group, isShared := b.Group(request); isShared {
-		b.Shares.Note(group, b.Now)
+	if group, isShared := b.GroupOf(request); isShared {
+		request.Group = b.Shares.Note(group, b.Now)
 	}
 	b.Budget.CountRequest(routed.Service, retryLimits(b), b.Now)
 	dispatch(b, request)
--- a/internal/flow/place/queue.go
+++ b/internal/flow/place/queue.go
@@ -42,6 +42,8 @@
 		shareMillis float64
 		// wasSent reports whether the prompt was sent before, so that it can't be refused any more.
 		wasSent bool
+		// exceedsShare reports whether the prompts of its group ahead of it already use its share.
+		exceedsShare bool
 		// isOnTime reports whether the prefill is scheduled to end before the prompt is due.
 		isOnTime bool
 		startAt  clock.Millis
@@ -52,6 +54,7 @@
 		// enginesAhead is the number of engines that the prompts ahead of it use together.
 		enginesAhead int
 		prefill      clock.Millis
+		exceedsShare bool
 		isOnTime     bool
 		startAt      clock.Millis
 	}
@@ -93,24 +96,47 @@
 	slices.SortFunc(all, func(a, b queuedPrompt) int {
 		return cmp.Or(cmp.Compare(a.DueAt, b.DueAt), cmp.Compare(a.entry, b.entry), cmp.Compare(a.Number, b.Number))
 	})
-	return all.schedule(b.Now)
+	scheduled := all.schedule(b.Now)
+	if b.Plan.HasShares && scheduled.isContended(b.Now) && all.markShares(b, scheduled, float64(engines)) {
+		return all.schedule(b.Now)
+	}
+	return scheduled
 }
 
-// schedule orders prompts that are sorted by due time and sets their start times.
+// schedule orders prompts that are sorted by due time and sets their start times. Prompts that
+// exceed the share of their group follow the others, by rank.
 func (q queue) schedule(now clock.Millis) queue {
-	var sent, onTime, late queue
+	var sent, within, beyond queue
 	delay := 0.0
 	for _, next := range q {
-		if next.wasSent {
+		switch {
+		case next.wasSent:
 			sent = append(sent, next)
 			delay += next.shareMillis
+		case next.exceedsShare:
+			beyond = append(beyond, next)
+		default:
+			within = append(within, next)
 		}
 	}
+	slices.SortStableFunc(beyond, func(a, b queuedPrompt) int { return cmp.Compare(a.Rank, b.Rank) })
+	onTime, late, delay := within.selectOnTime(now, delay)
+	onTimeBeyond, lateBeyond, _ := beyond.selectOnTime(now, delay)
+	scheduled := slices.Concat(sent, onTime, onTimeBeyond, late, lateBeyond)
+	delay = 0
+	for i := range scheduled {
+		scheduled[i].startAt = now + clock.Millis(delay)
+		delay += scheduled[i].shareMillis
+	}
+	return scheduled
+}
+
+// selectOnTime returns the prompts that are on time if they start in their order after the delay, the
+// others, and the delay after the former.
+func (q queue) selectOnTime(now clock.Millis, before float64) (onTime, late queue, delay float64) {
+	delay = before
 	for _, next := range q {
-		switch {
-		case next.wasSent:
-			continue
-		case now+next.prefill > next.DueAt:
+		if now+next.prefill > next.DueAt {
 			late = append(late, next)
 			continue
 		}
@@ -134,13 +160,7 @@
 	}
 	// Late prompts are ordered by age, with an advantage for short ones.
 	slices.SortStableFunc(late, func(a, b queuedPrompt) int { return cmp.Compare(a.DueAt+a.prefill, b.DueAt+b.prefill) })
-	scheduled := slices.Concat(sent, onTime, late)
-	delay = 0
-	for i := range scheduled {
-		scheduled[i].startAt = now + clock.Millis(delay)
-		delay += scheduled[i].shareMillis
-	}
-	return scheduled
+	return onTime, late, delay
 }
 
 // positionOf returns the position of a request of this entry, or the zero position if it
@@ -149,7 +169,7 @@
 	engines := 0
 	for _, prompt := range q {
 		if prompt.isRequest(b, request) {
-			return position{engines, prompt.prefill, prompt.isOnTime, prompt.startAt}
+			return position{engines, prompt.prefill, prompt.exceedsShare, prompt.isOnTime, prompt.startAt}
 		}
 		engines += prompt.engines
 	}
--- a/internal/flow/place/send.go
+++ b/internal/flow/place/send.go
@@ -8,6 +8,7 @@
 	"mustardhook/internal/core/ident"
 	"mustardhook/internal/flow/board"
 	"mustardhook/internal/flow/call"
+	"mustardhook/internal/flow/cost"
 	"mustardhook/internal/flow/output"
 	"mustardhook/internal/flow/plan"
 	"mustardhook/internal/flow/pool"
@@ -66,7 +67,7 @@
 
 func basisOf(b *board.Board, request *board.Request) call.Basis {
 	basis := call.Basis{
-		Route: request.Route.Name, PlanVersion: b.Plan.Version, Usable: request.Usable, Entries: len(b.Peers),
+		Route: request.Route.Name, Organisation: request.Organisation, PlanVersion: b.Plan.Version, Usable: request.Usable, Entries: len(b.Peers),
 		Wait: request.Wait, IsCallerRetry: request.IsCallerRetry(), TimeLeft: max(request.DeadlineAt-b.Now, 0),
 		StartsIn: max(request.PlannedStart-b.Now, 0), Share: int(request.Share.Share), Use: request.Share.Use,
 	}
@@ -104,6 +105,9 @@
 	}
 	request.FirstEventSent = true
 	request.FirstEventAt = b.Now
+	if engine := b.Plan.Services[request.Service].Engine; engine != nil && !cost.IsLong(engine, request.Request.PromptTokens) {
+		b.Shares.RecordFirstEvent(request.Service, b.Now-request.SentAt, request.Route.Objective, b.Now)
+	}
 	endPrefill(b, request)
 	if lead := b.Pool.Find(request.Endpoint); lead != nil {
 		if work, isRunning := lead.Work[number]; isRunning {
--- a/internal/flow/place/share.go
+++ b/internal/flow/place/share.go
@@ -1,40 +1,104 @@
 package place
 
 import (
+	"maps"
+	"slices"
+
+	"mustardhook/internal/core/clock"
 	"mustardhook/internal/flow/board"
 	"mustardhook/internal/flow/pool"
 	"mustardhook/internal/flow/share"
 )
 
 const (
-	// contentionShare is the part of the objective of a short prompt beyond which its predicted first
-	// event means contention. The rest covers sends of other entries that are not known yet.
-	contentionShare = 0.6
+	// shareTolerance is how far the work of a group may exceed its share before its prompts yield, since
+	// entries see slightly different sums.
+	shareTolerance = 1.25
+	// maxPredicted and maxLateness are the parts of the objective of short prompts beyond which the
+	// predicted first event, or the mean of those lately measured, means contention.
+	maxPredicted = 0.6
+	maxLateness  = 0.8
 	// minRoomShare bounds the part of the requests in flight by which one decision reduces the room,
 	// fullRoomShare is that part if no engine has a free slot.
-	minRoomShare  = 0.5
+	minRoomShare  = 0.7
 	fullRoomShare = 0.9
 )
 
 // judgeShare reports whether a short prompt must be refused because there is contention and its
 // organisation exceeds its share. An entry that hears no others can't tell.
 func judgeShare(b *board.Board, request *board.Request, decision choice) share.Verdict {
-	group, isShared := b.Group(request)
-	allowed := contentionShare * float64(request.Route.Objective)
-	predicted := float64(decision.firstEvent)
-	isContended := decision.isFull || predicted > allowed
-	if !isShared || !isContended || request.Runs > 0 || b.MaxMembers > 1 && !b.Tally.HearsOthers() {
+	group, isShared := b.GroupOf(request)
+	if !isShared || request.Runs > 0 || b.MaxMembers > 1 && !b.Tally.HearsOthers() {
 		return share.Verdict{}
 	}
-	part := max(allowed/max(predicted, 1), minRoomShare)
-	if decision.isFull {
-		part = min(part, fullRoomShare)
+	part := roomShare(b, request, decision)
+	if part >= 1 {
+		return share.Verdict{}
 	}
 	remote := func(hash pool.Hash) share.Use { return share.UseOf(b.Tally.RemoteLoad(hash)) }
 	verdict := b.Shares.Judge(group, part*float64(decision.inFlight), decision.inFlight, b.OwnUse, remote, b.Now)
 	if verdict.HasChanged {
 		b.Log("Organisation exceeds its share, or no longer does.", "service", group.Service, "organisation", group.Organisation,
-			"exceeds", verdict.IsOver, "share", int(verdict.Share), "use", verdict.Use, "inFlight", decision.inFlight)
+			"exceeds", verdict.IsOver, "share", int(verdict.Share), "use", verdict.Use, "inFlight", decision.inFlight, "room", part)
 	}
 	return verdict
 }
+
+// roomShare returns the part of the requests in flight for which there is room: 1 without contention.
+func roomShare(b *board.Board, request *board.Request, decision choice) float64 {
+	part := 1.0
+	if decision.isFull {
+		part = fullRoomShare
+	}
+	predicted := float64(decision.firstEvent) / float64(max(request.Route.Objective, 1))
+	part = min(part, maxPredicted/max(predicted, maxPredicted))
+	part = min(part, maxLateness/max(b.Shares.Lateness(request.Service, b.Now), maxLateness))
+	return max(part, minRoomShare)
+}
+
+// isContended reports whether a prompt that could be on time can't because of others.
+func (q queue) isContended(now clock.Millis) bool {
+	return slices.ContainsFunc(q, func(p queuedPrompt) bool {
+		return !p.isOnTime && !p.wasSent && now+p.prefill <= p.DueAt
+	})
+}
+
+// markShares marks the prompts whose group already has its share of the engine time with its work in
+// flight and ahead of them, and reports whether there are any. The room is the time of all work in
+// flight and of the scheduled prompts that are on time. The first prompt of a group is never marked.
+func (q queue) markShares(b *board.Board, scheduled queue, engines float64) bool {
+	used := map[pool.Hash]float64{}
+	own := map[pool.Hash]share.Use{}
+	for group, use := range b.OwnUse() {
+		own[group.Hash()] = use
+	}
+	room := 0.0
+	for _, prompt := range q {
+		if _, isKnown := used[prompt.Group]; !isKnown && prompt.Group != 0 {
+			use := own[prompt.Group].Add(share.UseOf(b.Tally.RemoteLoad(prompt.Group)))
+			used[prompt.Group] = float64(use.PrefillMillis) / engines
+			room += used[prompt.Group]
+		}
+	}
+	asked := maps.Clone(used)
+	for _, prompt := range scheduled {
+		if prompt.isOnTime || prompt.wasSent {
+			room += prompt.shareMillis
+		}
+		asked[prompt.Group] += prompt.shareMillis
+	}
+	asks := make([]share.Ask, 0, len(asked))
+	for _, hash := range slices.Sorted(maps.Keys(asked)) {
+		asks = append(asks, share.Ask{Amount: asked[hash], Weight: 1})
+	}
+	limit := shareTolerance * share.Level(room, asks)
+	isAnyMarked := false
+	for i, prompt := range q {
+		if before := used[prompt.Group]; prompt.Group != 0 && !prompt.wasSent && before > 0 && before >= limit {
+			q[i].exceedsShare = true
+			isAnyMarked = true
+		}
+		used[prompt.Group] += prompt.shareMillis
+	}
+	return isAnyMarked
+}
--- a/internal/flow/proxy/session.go
+++ b/internal/flow/proxy/session.go
@@ -287,7 +287,7 @@
 	}
 	basis := reply.Basis
 	s.proxy.logFinish(s, "Request refused.", reply.Reason, reply.Status, "retryAfter", reply.RetryAfter,
-		"waitCause", basis.Wait, "callerRetry", basis.IsCallerRetry, "left", basis.TimeLeft, "startsIn", basis.StartsIn, "share", basis.Share, "use", basis.Use, "route", basis.Route, "plan", uint64(basis.PlanVersion), "usable", basis.Usable, "entries", basis.Entries,
+		"waitCause", basis.Wait, "callerRetry", basis.IsCallerRetry, "left", basis.TimeLeft, "startsIn", basis.StartsIn, "share", basis.Share, "use", basis.Use, "route", basis.Route, "organisation", basis.Organisation, "plan", uint64(basis.PlanVersion), "usable", basis.Usable, "entries", basis.Entries,
 		"listAge", basis.ListAge)
 }
 
--- a/internal/flow/share/ledger.go
+++ b/internal/flow/share/ledger.go
@@ -20,6 +20,12 @@
 	// overTTL is how long a group counts as over its share after it was last found so.
 	overTTL = 2 * clock.Second
 
+	// latenessWindow is the time in which measurements of lateness lose most of their weight, and
+	// maxLateness bounds a single one.
+	latenessWindow = 1 * clock.Second
+	maxLateness    = 1.5
+	sampleWeight   = 0.15
+
 	// An entry publishes the use of at most maxPublished groups, of those with minPublished requests
 	// and 1/publishedDivisor of all its requests.
 	maxPublished     = 4
@@ -42,10 +48,18 @@
 		groups map[Group]*record
 		// usesAt is when the uses of the groups of a service were last looked up.
 		usesAt      map[ident.Service]clock.Millis
+		lateness    map[ident.Service]lateness
 		collectedAt clock.Millis
 		published   map[pool.Hash]pool.Load
 	}
 
+	// lateness is the mean time to recent first events of short prompts of a service, as a part of
+	// their objective.
+	lateness struct {
+		mean float64
+		at   clock.Millis
+	}
+
 	// record is what is known of a group.
 	record struct {
 		hash   pool.Hash
@@ -70,12 +84,15 @@
 
 // NewLedger returns an empty ledger.
 func NewLedger() *Ledger {
-	return &Ledger{groups: map[Group]*record{}, usesAt: map[ident.Service]clock.Millis{}, published: map[pool.Hash]pool.Load{}}
+	return &Ledger{
+		groups: map[Group]*record{}, usesAt: map[ident.Service]clock.Millis{}, lateness: map[ident.Service]lateness{},
+		published: map[pool.Hash]pool.Load{},
+	}
 }
 
-// Note records that a group sent a request. If there are too many groups, the one that sent none
+// Note records that a group sent a request, and returns the hash of the group. If there are too many groups, the one that sent none
 // for the longest time is dropped.
-func (l *Ledger) Note(group Group, now clock.Millis) {
+func (l *Ledger) Note(group Group, now clock.Millis) pool.Hash {
 	known := l.groups[group]
 	if known == nil {
 		if len(l.groups) >= MaxGroups {
@@ -86,6 +103,7 @@
 		delete(l.usesAt, group.Service)
 	}
 	known.seenAt = now
+	return known.hash
 }
 
 func (l *Ledger) dropOldest() {
@@ -107,6 +125,24 @@
 	) < 0
 }
 
+// RecordFirstEvent records the time to the first event of a short prompt.
+func (l *Ledger) RecordFirstEvent(service ident.Service, duration, objective, now clock.Millis) {
+	measured := min(float64(duration)/float64(max(objective, 1)), maxLateness)
+	before := l.lateness[service]
+	weight := max(1-float64(now-before.at)/float64(latenessWindow), 0) * (1 - sampleWeight)
+	l.lateness[service] = lateness{weight*before.mean + (1-weight)*measured, now}
+}
+
+// Lateness returns the mean time to recent first events of short prompts as a part of their
+// objective; zero if there were none lately.
+func (l *Ledger) Lateness(service ident.Service, now clock.Millis) float64 {
+	measured := l.lateness[service]
+	if now-measured.at > latenessWindow {
+		return 0
+	}
+	return measured.mean
+}
+
 // Judge compares the use of a group with its share of the room, both in requests. inFlight is the
 // number of all requests at the endpoints of the service. collect returns the use of all groups at
 // this entry, and remote that of a group at the others.
@@ -126,21 +162,27 @@
 			}
 		}
 	}
-	rest := inFlight
-	asks := make([]Ask, 0, len(l.groups)+1)
+	rest := float64(inFlight)
+	asks := make([]Ask, 0, len(l.groups))
 	for other, otherKnown := range l.groups {
 		if other.Service == group.Service {
-			rest -= otherKnown.use.Requests
+			rest -= float64(otherKnown.use.Requests)
 			asks = append(asks, Ask{float64(otherKnown.use.Requests), 1})
 		}
 	}
-	level := Level(room-float64(max(rest, 0)), asks)
+	// What is not known by group is taken to be that of all groups alike.
+	rest = max(rest, 0) / float64(len(asks))
+	for i := range asks {
+		asks[i].Amount += rest
+	}
+	level := Level(room, asks)
+	use := float64(known.use.Requests) + rest
 	wasOver := known.overAt != 0 && now-known.overAt <= overTTL
 	limit := level
 	if wasOver {
 		limit *= release
 	}
-	verdict := Verdict{IsOver: float64(known.use.Requests) > limit, Share: min(level, float64(inFlight)), Use: known.use.Requests}
+	verdict := Verdict{IsOver: use > limit, Share: min(level, float64(inFlight)), Use: int(use)}
 	verdict.HasChanged = verdict.IsOver != wasOver
 	known.overAt = 0
 	if verdict.IsOver {
