Shares: long prompts that wait for engines are contention, too

Change: a queue with prompts that others make late reduces the room of short prompts, so that those over their share are refused.

--- a/internal/flow/place/engine.go
+++ b/internal/flow/place/engine.go
@@ -102,7 +102,8 @@
 	if !cost.IsLong(engine, prompt) {
 		decision := memory.chooseShort(b, short, long, slow, prompt, need)
 		decision.urgency = urgencyShort
-		if verdict := judgeShare(b, request, decision); verdict.IsOver {
+		decision.longClass = len(long)
+		if verdict := judgeShare(b, engine, request, decision); verdict.IsOver {
 			request.Share = verdict
 			return choice{reason: call.ReasonOverShare, retryAfter: b.RetryAfter(request)}
 		}
--- a/internal/flow/place/queue.go
+++ b/internal/flow/place/queue.go
@@ -67,9 +67,20 @@
 // maxHelpers+1 engines, so that in a large service many are prefilled at the same time. Prompts of
 // this entry that were sent before come first.
 func buildQueue(b *board.Board, engine *plan.Engine, request *board.Request, engines int) queue {
+	all := collectQueue(b, engine, request.Service, request, engines)
+	scheduled := all.schedule(b.Now)
+	if b.Plan.HasShares && scheduled.isContended(b.Now) && all.markShares(b, scheduled, float64(engines)) {
+		return all.schedule(b.Now)
+	}
+	return scheduled
+}
+
+// collectQueue returns the long prompts of the service that wait for engines, and the request if it is
+// not nil, sorted by due time.
+func collectQueue(b *board.Board, engine *plan.Engine, service ident.Service, request *board.Request, engines int) queue {
 	var all queue
 	add := func(entry ident.Entry, prompt input.QueuedPrompt, wasSent bool) {
-		if prompt.Service != request.Service {
+		if prompt.Service != service {
 			return
 		}
 		work := cost.PrefillMillis(engine, prompt.PromptTokens, 1) / prefillTimeShare
@@ -96,11 +107,7 @@
 	slices.SortFunc(all, func(a, b queuedPrompt) int {
 		return cmp.Or(cmp.Compare(a.DueAt, b.DueAt), cmp.Compare(a.entry, b.entry), cmp.Compare(a.Number, b.Number))
 	})
-	scheduled := all.schedule(b.Now)
-	if b.Plan.HasShares && scheduled.isContended(b.Now) && all.markShares(b, scheduled, float64(engines)) {
-		return all.schedule(b.Now)
-	}
-	return scheduled
+	return all
 }
 
 // schedule orders prompts that are sorted by due time and sets their start times. Prompts that
--- a/internal/flow/place/share.go
+++ b/internal/flow/place/share.go
@@ -6,6 +6,7 @@
 
 	"mustardhook/internal/core/clock"
 	"mustardhook/internal/flow/board"
+	"mustardhook/internal/flow/plan"
 	"mustardhook/internal/flow/pool"
 	"mustardhook/internal/flow/share"
 )
@@ -20,18 +21,20 @@
 	maxLateness  = 0.8
 	// minRoomShare bounds the part of the requests in flight by which one decision reduces the room,
 	// fullRoomShare is that part if no engine has a free slot.
-	minRoomShare  = 0.7
-	fullRoomShare = 0.9
+	minRoomShare = 0.7
+	// queueRoomShare is that part if long prompts are late for lack of engines.
+	queueRoomShare = 0.85
+	fullRoomShare  = 0.9
 )
 
 // judgeShare reports whether a short prompt must be refused because there is contention and its
 // organisation exceeds its share. An entry that hears no others can't tell.
-func judgeShare(b *board.Board, request *board.Request, decision choice) share.Verdict {
+func judgeShare(b *board.Board, engine *plan.Engine, request *board.Request, decision choice) share.Verdict {
 	group, isShared := b.GroupOf(request)
 	if !isShared || request.Runs > 0 || b.MaxMembers > 1 && !b.Tally.HearsOthers() {
 		return share.Verdict{}
 	}
-	part := roomShare(b, request, decision)
+	part := roomShare(b, engine, request, decision)
 	if part >= 1 {
 		return share.Verdict{}
 	}
@@ -45,10 +48,17 @@
 }
 
 // roomShare returns the part of the requests in flight for which there is room: 1 without contention.
-func roomShare(b *board.Board, request *board.Request, decision choice) float64 {
+func roomShare(b *board.Board, engine *plan.Engine, request *board.Request, decision choice) float64 {
 	part := 1.0
+	isQueueContended := b.Shares.IsQueueContended(request.Service, func() bool {
+		waiting := collectQueue(b, engine, request.Service, nil, decision.longClass)
+		return waiting.schedule(b.Now).isContended(b.Now)
+	}, b.Now)
+	if isQueueContended {
+		part = queueRoomShare
+	}
 	if decision.isFull {
-		part = fullRoomShare
+		part = min(part, fullRoomShare)
 	}
 	predicted := float64(decision.firstEvent) / float64(max(request.Route.Objective, 1))
 	part = min(part, maxPredicted/max(predicted, maxPredicted))
--- a/internal/flow/share/ledger.go
+++ b/internal/flow/share/ledger.go
@@ -20,6 +20,8 @@
 	// overTTL is how long a group counts as over its share after it was last found so.
 	overTTL = 2 * clock.Second
 
+	// contentionTTL is how long a contended queue counts as such after it was last found so.
+	contentionTTL = 1 * clock.Second
 	// latenessWindow is the time in which measurements of lateness lose most of their weight, and
 	// maxLateness bounds a single one.
 	latenessWindow = 1 * clock.Second
@@ -49,6 +51,7 @@
 		// usesAt is when the uses of the groups of a service were last looked up.
 		usesAt      map[ident.Service]clock.Millis
 		lateness    map[ident.Service]lateness
+		queues      map[ident.Service]queueState
 		collectedAt clock.Millis
 		published   map[pool.Hash]pool.Load
 	}
@@ -60,6 +63,13 @@
 		at   clock.Millis
 	}
 
+	// queueState is what was last seen of the queue of the long prompts of a service.
+	queueState struct {
+		checkedAt clock.Millis
+		// contendedAt is when it last held prompts that others make late; zero if it never did.
+		contendedAt clock.Millis
+	}
+
 	// record is what is known of a group.
 	record struct {
 		hash   pool.Hash
@@ -86,6 +96,7 @@
 func NewLedger() *Ledger {
 	return &Ledger{
 		groups: map[Group]*record{}, usesAt: map[ident.Service]clock.Millis{}, lateness: map[ident.Service]lateness{},
+		queues:    map[ident.Service]queueState{},
 		published: map[pool.Hash]pool.Load{},
 	}
 }
@@ -143,6 +154,20 @@
 	return measured.mean
 }
 
+// IsQueueContended reports whether the queue of the long prompts of a service lately held prompts that
+// others make late. check looks at it, which is done once in usesTTL.
+func (l *Ledger) IsQueueContended(service ident.Service, check func() bool, now clock.Millis) bool {
+	state := l.queues[service]
+	if state.checkedAt == 0 || now-state.checkedAt >= usesTTL {
+		state.checkedAt = now
+		if check() {
+			state.contendedAt = now
+		}
+		l.queues[service] = state
+	}
+	return state.contendedAt != 0 && now-state.contendedAt <= contentionTTL
+}
+
 // Judge compares the use of a group with its share of the room, both in requests. inFlight is the
 // number of all requests at the endpoints of the service. collect returns the use of all groups at
 // this entry, and remote that of a group at the others.
