Shares: excess short prompts make room for long ones instead of being refused

Change: the excess no longer enlarges the short size class beyond .85 of its slots; callers that return are refused only if all is full.

--- a/internal/flow/place/choose.go
+++ b/internal/flow/place/choose.go
@@ -52,9 +52,7 @@
 		// isFull reports whether the lead has no free slot or too little memory.
 		isFull bool
 		// inFlight is the number of requests at all engines of the service.
-		inFlight int
-		// longClass is the number of engines of the long size class.
-		longClass  int
+		inFlight   int
 		reason     call.Reason
 		retryAfter clock.Millis
 		// wait is why the request waits. shards is the number of engines that it needs, free
--- a/internal/flow/place/engine.go
+++ b/internal/flow/place/engine.go
@@ -19,6 +19,8 @@
 	// fills before the class grows. A request in excess of the slots waits until another
 	// answer has ended.
 	shortSlotShare = 0.55
+	// packedSlotShare is that fraction if short prompts make room for long ones.
+	packedSlotShare = 0.85
 	// spareShortPrompts is the number of further short prompts for which the short size
 	// class keeps capacity free.
 	spareShortPrompts = 4
@@ -98,12 +100,11 @@
 		return choice{reason: call.ReasonPromptTooLong, retryAfter: FullRetryAfter}
 	}
 	normal, slow := splitSlow(candidates, b.Now)
-	short, long := splitSizeClasses(engine, normal)
+	short, long := splitByShares(b, request.Service, engine, normal)
 	if !cost.IsLong(engine, prompt) {
 		decision := memory.chooseShort(b, short, long, slow, prompt, need)
 		decision.urgency = urgencyShort
-		decision.longClass = len(long)
-		if verdict := judgeShare(b, engine, request, decision); verdict.IsOver {
+		if verdict := judgeShare(b, request, decision); verdict.IsOver {
 			request.Share = verdict
 			return choice{reason: call.ReasonOverShare, retryAfter: b.RetryAfter(request)}
 		}
@@ -160,14 +161,18 @@
 
 // splitSizeClasses divides the engines between short and long prompts. The size of the
 // short class follows from the number of recent short prompts; older ones, which are
-// being delayed, must not enlarge it.
-func splitSizeClasses(engine *plan.Engine, candidates []*candidate) (short, long []*candidate) {
+// being delayed, must not enlarge it. packed is the part of the short prompts that don't enlarge it
+// beyond packedSlotShare of the slots.
+func splitSizeClasses(engine *plan.Engine, candidates []*candidate, packed float64) (short, long []*candidate) {
 	shortPrompts := 0
 	for _, c := range candidates {
 		shortPrompts += c.load.ShortPrompts
 	}
 	perEngine := max(int(shortSlotShare*float64(engine.Slots)+0.5), 1)
-	size := max((shortPrompts+spareShortPrompts+perEngine-1)/perEngine, minShortClass, len(candidates)/shortClassDivisor)
+	enlarging := shortPrompts - int(packed*float64(shortPrompts))
+	mostPerEngine := max(int(packedSlotShare*float64(engine.Slots)), perEngine)
+	size := max((enlarging+spareShortPrompts+perEngine-1)/perEngine, minShortClass, len(candidates)/shortClassDivisor)
+	size = max(size, (shortPrompts+spareShortPrompts+mostPerEngine-1)/mostPerEngine)
 	size = min(size, max(len(candidates)-max(minLongClass, len(candidates)/longClassDivisor), 1))
 	return candidates[:size], candidates[size:]
 }
--- a/internal/flow/place/share.go
+++ b/internal/flow/place/share.go
@@ -5,6 +5,7 @@
 	"slices"
 
 	"mustardhook/internal/core/clock"
+	"mustardhook/internal/core/ident"
 	"mustardhook/internal/flow/board"
 	"mustardhook/internal/flow/plan"
 	"mustardhook/internal/flow/pool"
@@ -22,24 +23,26 @@
 	// minRoomShare bounds the part of the requests in flight by which one decision reduces the room,
 	// fullRoomShare is that part if no engine has a free slot.
 	minRoomShare = 0.7
-	// queueRoomShare is that part if long prompts are late for lack of engines.
-	queueRoomShare = 0.85
+	// shortKindShare is the part of the engines up to which short prompts need not make room for long
+	// ones that wait for engines: an equal share of both kinds.
+	shortKindShare = 0.5
 	fullRoomShare  = 0.9
 )
 
 // judgeShare reports whether a short prompt must be refused because there is contention and its
 // organisation exceeds its share. An entry that hears no others can't tell.
-func judgeShare(b *board.Board, engine *plan.Engine, request *board.Request, decision choice) share.Verdict {
+func judgeShare(b *board.Board, request *board.Request, decision choice) share.Verdict {
 	group, isShared := b.GroupOf(request)
-	if !isShared || request.Runs > 0 || b.MaxMembers > 1 && !b.Tally.HearsOthers() {
+	// A caller that returns after a refusal was told to come back now.
+	isExempt := request.Runs > 0 || request.IsCallerRetry() && !decision.isFull
+	if !isShared || isExempt || b.MaxMembers > 1 && !b.Tally.HearsOthers() {
 		return share.Verdict{}
 	}
-	part := roomShare(b, engine, request, decision)
+	part := roomShare(b, request, decision)
 	if part >= 1 {
 		return share.Verdict{}
 	}
-	remote := func(hash pool.Hash) share.Use { return share.UseOf(b.Tally.RemoteLoad(hash)) }
-	verdict := b.Shares.Judge(group, part*float64(decision.inFlight), decision.inFlight, b.OwnUse, remote, b.Now)
+	verdict := b.Shares.Judge(group, part*float64(decision.inFlight), decision.inFlight, b.OwnUse, remoteUse(b), b.Now)
 	if verdict.HasChanged {
 		b.Log("Organisation exceeds its share, or no longer does.", "service", group.Service, "organisation", group.Organisation,
 			"exceeds", verdict.IsOver, "share", int(verdict.Share), "use", verdict.Use, "inFlight", decision.inFlight, "room", part)
@@ -47,16 +50,39 @@
 	return verdict
 }
 
-// roomShare returns the part of the requests in flight for which there is room: 1 without contention.
-func roomShare(b *board.Board, engine *plan.Engine, request *board.Request, decision choice) float64 {
-	part := 1.0
-	isQueueContended := b.Shares.IsQueueContended(request.Service, func() bool {
-		waiting := collectQueue(b, engine, request.Service, nil, decision.longClass)
+func remoteUse(b *board.Board) func(pool.Hash) share.Use {
+	return func(hash pool.Hash) share.Use { return share.UseOf(b.Tally.RemoteLoad(hash)) }
+}
+
+// splitByShares divides the engines like splitSizeClasses. While long prompts are late for lack of engines, the
+// short prompts of organisations over their share don't enlarge the short size class, but use the slots
+// that the others leave there.
+func splitByShares(b *board.Board, service ident.Service, engine *plan.Engine, candidates []*candidate) (short, long []*candidate) {
+	short, long = splitSizeClasses(engine, candidates, 0)
+	if !b.Plan.HasShares {
+		return short, long
+	}
+	isContended := func() bool {
+		waiting := collectQueue(b, engine, service, nil, max(len(long), 1))
 		return waiting.schedule(b.Now).isContended(b.Now)
+	}
+	excess := b.Shares.ExcessInQueue(service, isContended, func() float64 {
+		inFlight := 0
+		for _, c := range candidates {
+			inFlight += c.load.Leads
+		}
+		room := shortKindShare * float64(len(candidates)) * float64(engine.Slots) * shortSlotShare
+		return b.Shares.Excess(service, room, inFlight, b.OwnUse, remoteUse(b), b.Now) / float64(max(inFlight, 1))
 	}, b.Now)
-	if isQueueContended {
-		part = queueRoomShare
+	if excess > 0 {
+		return splitSizeClasses(engine, candidates, excess)
 	}
+	return short, long
+}
+
+// roomShare returns the part of the requests in flight for which there is room: 1 without contention.
+func roomShare(b *board.Board, request *board.Request, decision choice) float64 {
+	part := 1.0
 	if decision.isFull {
 		part = min(part, fullRoomShare)
 	}
