Shares: short prompts of organisations over their share yield at their engine

Change: those over their share are sent with urgency 6; they are refused only if the prompts of others are late, whose first events alone count.

--- a/internal/flow/place/engine.go
+++ b/internal/flow/place/engine.go
@@ -53,9 +53,10 @@
 	priceJitter = 0.05
 
 	// urgencyShort and urgencyLong are the urgencies of short and long prompts at an engine;
-	// 0 is the highest.
-	urgencyShort = 3
-	urgencyLong  = 5
+	// 0 is the highest. urgencyOverShare is that of short prompts of organisations over their share.
+	urgencyShort     = 3
+	urgencyLong      = 5
+	urgencyOverShare = 6
 )
 
 type (
@@ -100,20 +101,25 @@
 		return choice{reason: call.ReasonPromptTooLong, retryAfter: FullRetryAfter}
 	}
 	normal, slow := splitSlow(candidates, b.Now)
-	short, long := splitByShares(b, request.Service, engine, normal)
+	split := splitByShares(b, request.Service, engine, normal)
 	if !cost.IsLong(engine, prompt) {
-		decision := memory.chooseShort(b, short, long, slow, prompt, need)
+		decision := memory.chooseShort(b, split.short, split.long, slow, prompt, need)
 		decision.urgency = urgencyShort
-		if verdict := judgeShare(b, request, decision); verdict.IsOver {
-			request.Share = verdict
+		decision.isQueueContended, decision.kindRoom = split.isQueueContended, split.kindRoom
+		verdict, mustWait := judgeShare(b, request, decision)
+		request.Share = verdict
+		if mustWait {
 			return choice{reason: call.ReasonOverShare, retryAfter: b.RetryAfter(request)}
 		}
+		if verdict.IsOver {
+			decision.urgency = urgencyOverShare
+		}
 		if decision.isFull && !request.IsCallerRetry() && request.Runs == 0 {
 			return choice{reason: call.ReasonOverload, retryAfter: b.RetryAfter(request)}
 		}
 		return decision
 	}
-	decision := chooseLong(b, engine, short, long, request, need)
+	decision := chooseLong(b, engine, split.short, split.long, request, need)
 	if decision.wait != "" && need > maxTokensPerEngine(engine) && decision.own.isTooLate(b, request) {
 		return choice{reason: call.ReasonOverload, retryAfter: b.RetryAfter(request)}
 	}
--- a/internal/flow/place/share.go
+++ b/internal/flow/place/share.go
@@ -29,25 +29,39 @@
 	fullRoomShare  = 0.9
 )
 
-// judgeShare reports whether a short prompt must be refused because there is contention and its
-// organisation exceeds its share. An entry that hears no others can't tell.
-func judgeShare(b *board.Board, request *board.Request, decision choice) share.Verdict {
+// classes are the engines of both size classes.
+type classes struct {
+	short, long []*candidate
+	// isQueueContended reports whether long prompts are late for lack of engines while short ones
+	// exceed their shares of kindRoom, in requests.
+	isQueueContended bool
+	kindRoom         float64
+}
+
+// judgeShare reports whether there is contention and the organisation of a short prompt exceeds its share.
+// mustWait reports whether the prompt must be refused; otherwise it only yields to others at its engine. An
+// entry that hears no others can't tell.
+func judgeShare(b *board.Board, request *board.Request, decision choice) (verdict share.Verdict, mustWait bool) {
 	group, isShared := b.GroupOf(request)
-	// A caller that returns after a refusal was told to come back now.
-	isExempt := request.Runs > 0 || request.IsCallerRetry() && !decision.isFull
-	if !isShared || isExempt || b.MaxMembers > 1 && !b.Tally.HearsOthers() {
-		return share.Verdict{}
+	if !isShared || b.MaxMembers > 1 && !b.Tally.HearsOthers() {
+		return share.Verdict{}, false
 	}
 	part := roomShare(b, request, decision)
-	if part >= 1 {
-		return share.Verdict{}
+	room := part * float64(decision.inFlight)
+	if decision.isQueueContended {
+		room = min(room, decision.kindRoom)
 	}
-	verdict := b.Shares.Judge(group, part*float64(decision.inFlight), decision.inFlight, b.OwnUse, remoteUse(b), b.Now)
+	if room >= float64(decision.inFlight) {
+		return share.Verdict{}, false
+	}
+	verdict = b.Shares.Judge(group, room, decision.inFlight, b.OwnUse, remoteUse(b), b.Now)
 	if verdict.HasChanged {
 		b.Log("Organisation exceeds its share, or no longer does.", "service", group.Service, "organisation", group.Organisation,
-			"exceeds", verdict.IsOver, "share", int(verdict.Share), "use", verdict.Use, "inFlight", decision.inFlight, "room", part)
+			"exceeds", verdict.IsOver, "share", int(verdict.Share), "use", verdict.Use, "inFlight", decision.inFlight, "room", int(room))
 	}
-	return verdict
+	// A caller that returns after a refusal was told to come back now.
+	isExempt := request.Runs > 0 || request.IsCallerRetry() && !decision.isFull
+	return verdict, verdict.IsOver && part < 1 && !isExempt
 }
 
 func remoteUse(b *board.Board) func(pool.Hash) share.Use {
@@ -57,11 +71,13 @@
 // splitByShares divides the engines like splitSizeClasses. While long prompts are late for lack of engines, the
 // short prompts of organisations over their share don't enlarge the short size class, but use the slots
 // that the others leave there.
-func splitByShares(b *board.Board, service ident.Service, engine *plan.Engine, candidates []*candidate) (short, long []*candidate) {
-	short, long = splitSizeClasses(engine, candidates, 0)
+func splitByShares(b *board.Board, service ident.Service, engine *plan.Engine, candidates []*candidate) classes {
+	short, long := splitSizeClasses(engine, candidates, 0)
+	split := classes{short: short, long: long}
 	if !b.Plan.HasShares {
-		return short, long
+		return split
 	}
+	split.kindRoom = shortKindShare * float64(len(candidates)) * float64(engine.Slots) * shortSlotShare
 	isContended := func() bool {
 		waiting := collectQueue(b, engine, service, nil, max(len(long), 1))
 		return waiting.schedule(b.Now).isContended(b.Now)
@@ -71,13 +87,13 @@
 		for _, c := range candidates {
 			inFlight += c.load.Leads
 		}
-		room := shortKindShare * float64(len(candidates)) * float64(engine.Slots) * shortSlotShare
-		return b.Shares.Excess(service, room, inFlight, b.OwnUse, remoteUse(b), b.Now) / float64(max(inFlight, 1))
+		return b.Shares.Excess(service, split.kindRoom, inFlight, b.OwnUse, remoteUse(b), b.Now) / float64(max(inFlight, 1))
 	}, b.Now)
 	if excess > 0 {
-		return splitSizeClasses(engine, candidates, excess)
+		split.short, split.long = splitSizeClasses(engine, candidates, excess)
+		split.isQueueContended = true
 	}
-	return short, long
+	return split
 }
 
 // roomShare returns the part of the requests in flight for which there is room: 1 without contention.
