Shares: only organisations far over an equal part make room for long prompts

Change: a contended queue of long prompts makes only those yield that have more than three equal parts of the requests in flight; callers that return are refused only if all is full.

--- a/internal/flow/place/choose.go
+++ b/internal/flow/place/choose.go
@@ -53,11 +53,10 @@
 		isFull bool
 		// inFlight is the number of requests at all engines of the service.
 		inFlight int
-		// isQueueContended and kindRoom are those of the classes of engines.
-		isQueueContended bool
-		kindRoom         float64
-		reason           call.Reason
-		retryAfter       clock.Millis
+		// longClass is the number of engines of the long size class.
+		longClass  int
+		reason     call.Reason
+		retryAfter clock.Millis
 		// wait is why the request waits. shards is the number of engines that it needs, free
 		// the number of those that can start with it now, and own its position in the queue.
 		wait   call.Wait
--- a/internal/flow/place/engine.go
+++ b/internal/flow/place/engine.go
@@ -19,8 +19,6 @@
 	// fills before the class grows. A request in excess of the slots waits until another
 	// answer has ended.
 	shortSlotShare = 0.55
-	// packedSlotShare is that fraction if short prompts make room for long ones.
-	packedSlotShare = 0.85
 	// spareShortPrompts is the number of further short prompts for which the short size
 	// class keeps capacity free.
 	spareShortPrompts = 4
@@ -53,10 +51,9 @@
 	priceJitter = 0.05
 
 	// urgencyShort and urgencyLong are the urgencies of short and long prompts at an engine;
-	// 0 is the highest. urgencyOverShare is that of short prompts of organisations over their share.
-	urgencyShort     = 3
-	urgencyLong      = 5
-	urgencyOverShare = 6
+	// 0 is the highest.
+	urgencyShort = 3
+	urgencyLong  = 5
 )
 
 type (
@@ -101,25 +98,21 @@
 		return choice{reason: call.ReasonPromptTooLong, retryAfter: FullRetryAfter}
 	}
 	normal, slow := splitSlow(candidates, b.Now)
-	split := splitByShares(b, request.Service, engine, normal)
+	short, long := splitSizeClasses(engine, normal)
 	if !cost.IsLong(engine, prompt) {
-		decision := memory.chooseShort(b, split.short, split.long, slow, prompt, need)
+		decision := memory.chooseShort(b, short, long, slow, prompt, need)
 		decision.urgency = urgencyShort
-		decision.isQueueContended, decision.kindRoom = split.isQueueContended, split.kindRoom
-		verdict, mustWait := judgeShare(b, request, decision)
-		request.Share = verdict
-		if mustWait {
+		decision.longClass = len(long)
+		if verdict := judgeShare(b, engine, request, decision); verdict.IsOver {
+			request.Share = verdict
 			return choice{reason: call.ReasonOverShare, retryAfter: b.RetryAfter(request)}
 		}
-		if verdict.IsOver {
-			decision.urgency = urgencyOverShare
-		}
 		if decision.isFull && !request.IsCallerRetry() && request.Runs == 0 {
 			return choice{reason: call.ReasonOverload, retryAfter: b.RetryAfter(request)}
 		}
 		return decision
 	}
-	decision := chooseLong(b, engine, split.short, split.long, request, need)
+	decision := chooseLong(b, engine, short, long, request, need)
 	if decision.wait != "" && need > maxTokensPerEngine(engine) && decision.own.isTooLate(b, request) {
 		return choice{reason: call.ReasonOverload, retryAfter: b.RetryAfter(request)}
 	}
@@ -167,18 +160,14 @@
 
 // splitSizeClasses divides the engines between short and long prompts. The size of the
 // short class follows from the number of recent short prompts; older ones, which are
-// being delayed, must not enlarge it. packed is the part of the short prompts that don't enlarge it
-// beyond packedSlotShare of the slots.
-func splitSizeClasses(engine *plan.Engine, candidates []*candidate, packed float64) (short, long []*candidate) {
+// being delayed, must not enlarge it.
+func splitSizeClasses(engine *plan.Engine, candidates []*candidate) (short, long []*candidate) {
 	shortPrompts := 0
 	for _, c := range candidates {
 		shortPrompts += c.load.ShortPrompts
 	}
 	perEngine := max(int(shortSlotShare*float64(engine.Slots)+0.5), 1)
-	enlarging := shortPrompts - int(packed*float64(shortPrompts))
-	mostPerEngine := max(int(packedSlotShare*float64(engine.Slots)), perEngine)
-	size := max((enlarging+spareShortPrompts+perEngine-1)/perEngine, minShortClass, len(candidates)/shortClassDivisor)
-	size = max(size, (shortPrompts+spareShortPrompts+mostPerEngine-1)/mostPerEngine)
+	size := max((shortPrompts+spareShortPrompts+perEngine-1)/perEngine, minShortClass, len(candidates)/shortClassDivisor)
 	size = min(size, max(len(candidates)-max(minLongClass, len(candidates)/longClassDivisor), 1))
 	return candidates[:size], candidates[size:]
 }
--- a/internal/flow/place/send.go
+++ b/internal/flow/place/send.go
@@ -105,7 +105,7 @@
 	}
 	request.FirstEventSent = true
 	request.FirstEventAt = b.Now
-	if engine := b.Plan.Services[request.Service].Engine; engine != nil && !request.Share.IsOver && !cost.IsLong(engine, request.Request.PromptTokens) {
+	if engine := b.Plan.Services[request.Service].Engine; engine != nil && !cost.IsLong(engine, request.Request.PromptTokens) {
 		b.Shares.RecordFirstEvent(request.Service, b.Now-request.SentAt, request.Route.Objective, b.Now)
 	}
 	endPrefill(b, request)
--- a/internal/flow/place/share.go
+++ b/internal/flow/place/share.go
@@ -5,7 +5,6 @@
 	"slices"
 
 	"mustardhook/internal/core/clock"
-	"mustardhook/internal/core/ident"
 	"mustardhook/internal/flow/board"
 	"mustardhook/internal/flow/plan"
 	"mustardhook/internal/flow/pool"
@@ -23,89 +22,57 @@
 	// minRoomShare bounds the part of the requests in flight by which one decision reduces the room,
 	// fullRoomShare is that part if no engine has a free slot.
 	minRoomShare = 0.7
-	// shortKindShare is the part of the engines up to which short prompts need not make room for long
-	// ones that wait for engines: an equal share of both kinds.
-	shortKindShare = 0.5
-	fullRoomShare  = 0.9
+	// queueRoomShare is that part if long prompts are late for lack of engines.
+	// Only organisations with more than queueLeastParts equal parts then yield, since other short prompts
+	// are not the cause.
+	queueRoomShare  = 0.85
+	queueLeastParts = 3
+	fullRoomShare   = 0.9
 )
 
-// classes are the engines of both size classes.
-type classes struct {
-	short, long []*candidate
-	// isQueueContended reports whether long prompts are late for lack of engines while short ones
-	// exceed their shares of kindRoom, in requests.
-	isQueueContended bool
-	kindRoom         float64
-}
-
-// judgeShare reports whether there is contention and the organisation of a short prompt exceeds its share.
-// mustWait reports whether the prompt must be refused; otherwise it only yields to others at its engine. An
-// entry that hears no others can't tell.
-func judgeShare(b *board.Board, request *board.Request, decision choice) (verdict share.Verdict, mustWait bool) {
+// judgeShare reports whether a short prompt must be refused because there is contention and its
+// organisation exceeds its share. An entry that hears no others can't tell.
+func judgeShare(b *board.Board, engine *plan.Engine, request *board.Request, decision choice) share.Verdict {
 	group, isShared := b.GroupOf(request)
-	if !isShared || b.MaxMembers > 1 && !b.Tally.HearsOthers() {
-		return share.Verdict{}, false
-	}
-	part := roomShare(b, request, decision)
-	room := part * float64(decision.inFlight)
-	if decision.isQueueContended {
-		room = min(room, decision.kindRoom)
-	}
-	if room >= float64(decision.inFlight) {
-		return share.Verdict{}, false
-	}
-	verdict = b.Shares.Judge(group, room, decision.inFlight, b.OwnUse, remoteUse(b), b.Now)
-	if verdict.HasChanged {
-		b.Log("Organisation exceeds its share, or no longer does.", "service", group.Service, "organisation", group.Organisation,
-			"exceeds", verdict.IsOver, "share", int(verdict.Share), "use", verdict.Use, "inFlight", decision.inFlight, "room", int(room))
-	}
 	// A caller that returns after a refusal was told to come back now.
 	isExempt := request.Runs > 0 || request.IsCallerRetry() && !decision.isFull
-	return verdict, verdict.IsOver && part < 1 && !isExempt
-}
-
-func remoteUse(b *board.Board) func(pool.Hash) share.Use {
-	return func(hash pool.Hash) share.Use { return share.UseOf(b.Tally.RemoteLoad(hash)) }
-}
-
-// splitByShares divides the engines like splitSizeClasses. While long prompts are late for lack of engines, the
-// short prompts of organisations over their share don't enlarge the short size class, but use the slots
-// that the others leave there.
-func splitByShares(b *board.Board, service ident.Service, engine *plan.Engine, candidates []*candidate) classes {
-	short, long := splitSizeClasses(engine, candidates, 0)
-	split := classes{short: short, long: long}
-	if !b.Plan.HasShares {
-		return split
+	if !isShared || isExempt || b.MaxMembers > 1 && !b.Tally.HearsOthers() {
+		return share.Verdict{}
 	}
-	split.kindRoom = shortKindShare * float64(len(candidates)) * float64(engine.Slots) * shortSlotShare
-	isContended := func() bool {
-		waiting := collectQueue(b, engine, service, nil, max(len(long), 1))
-		return waiting.schedule(b.Now).isContended(b.Now)
+	part, leastParts := roomShare(b, engine, request, decision)
+	if part >= 1 {
+		return share.Verdict{}
 	}
-	excess := b.Shares.ExcessInQueue(service, isContended, func() float64 {
-		inFlight := 0
-		for _, c := range candidates {
-			inFlight += c.load.Leads
-		}
-		return b.Shares.Excess(service, split.kindRoom, inFlight, b.OwnUse, remoteUse(b), b.Now) / float64(max(inFlight, 1))
-	}, b.Now)
-	if excess > 0 {
-		split.short, split.long = splitSizeClasses(engine, candidates, excess)
-		split.isQueueContended = true
+	remote := func(hash pool.Hash) share.Use { return share.UseOf(b.Tally.RemoteLoad(hash)) }
+	verdict := b.Shares.Judge(group, part*float64(decision.inFlight), leastParts, decision.inFlight, b.OwnUse, remote, b.Now)
+	if verdict.HasChanged {
+		b.Log("Organisation exceeds its share, or no longer does.", "service", group.Service, "organisation", group.Organisation,
+			"exceeds", verdict.IsOver, "share", int(verdict.Share), "use", verdict.Use, "inFlight", decision.inFlight, "room", part)
 	}
-	return split
+	return verdict
 }
 
-// roomShare returns the part of the requests in flight for which there is room: 1 without contention.
-func roomShare(b *board.Board, request *board.Request, decision choice) float64 {
-	part := 1.0
+// roomShare returns the part of the requests in flight for which there is room, 1 without contention, and
+// how many equal parts of them each organisation may have in any case.
+func roomShare(b *board.Board, engine *plan.Engine, request *board.Request, decision choice) (part, leastParts float64) {
+	part = 1
 	if decision.isFull {
-		part = min(part, fullRoomShare)
+		part = fullRoomShare
 	}
 	predicted := float64(decision.firstEvent) / float64(max(request.Route.Objective, 1))
 	part = min(part, maxPredicted/max(predicted, maxPredicted))
 	part = min(part, maxLateness/max(b.Shares.Lateness(request.Service, b.Now), maxLateness))
-	return max(part, minRoomShare)
+	if part < 1 {
+		return max(part, minRoomShare), 0
+	}
+	isQueueContended := b.Shares.IsQueueContended(request.Service, func() bool {
+		waiting := collectQueue(b, engine, request.Service, nil, decision.longClass)
+		return waiting.schedule(b.Now).isContended(b.Now)
+	}, b.Now)
+	if isQueueContended {
+		return queueRoomShare, queueLeastParts
+	}
+	return 1, 0
 }
 
 // isContended reports whether a prompt that could be on time can't because of others.
--- a/internal/flow/share/ledger.go
+++ b/internal/flow/share/ledger.go
@@ -68,7 +68,6 @@
 		checkedAt clock.Millis
 		// contendedAt is when it last held prompts that others make late; zero if it never did.
 		contendedAt clock.Millis
-		excess      float64
 	}
 
 	// record is what is known of a group.
@@ -155,38 +154,54 @@
 	return measured.mean
 }
 
-// ExcessInQueue returns the result of excess while the queue of the long prompts of a service holds, or
-// lately held, prompts that others make late, and 0 otherwise. isContended tells. Both are called at most
-// once in usesTTL.
-func (l *Ledger) ExcessInQueue(service ident.Service, isContended func() bool, excess func() float64, now clock.Millis) float64 {
+// IsQueueContended reports whether the queue of the long prompts of a service lately held prompts that
+// others make late. check looks at it, which is done once in usesTTL.
+func (l *Ledger) IsQueueContended(service ident.Service, check func() bool, now clock.Millis) bool {
 	state := l.queues[service]
-	if state.checkedAt != 0 && now-state.checkedAt < usesTTL {
-		return state.excess
-	}
-	state.checkedAt = now
-	if isContended() {
-		state.contendedAt = now
-	}
-	state.excess = 0
-	if state.contendedAt != 0 && now-state.contendedAt <= contentionTTL {
-		state.excess = excess()
+	if state.checkedAt == 0 || now-state.checkedAt >= usesTTL {
+		state.checkedAt = now
+		if check() {
+			state.contendedAt = now
+		}
+		l.queues[service] = state
 	}
-	l.queues[service] = state
-	return state.excess
+	return state.contendedAt != 0 && now-state.contendedAt <= contentionTTL
 }
 
 // Judge compares the use of a group with its share of the room, both in requests. inFlight is the
-// number of all requests at the endpoints of the service. collect returns the use of all groups at
+// number of all requests at the endpoints of the service. A group with at most leastParts equal parts of
+// these is within its share. collect returns the use of all groups at
 // this entry, and remote that of a group at the others.
 func (l *Ledger) Judge(
-	group Group, room float64, inFlight int, collect func() map[Group]Use, remote func(pool.Hash) Use, now clock.Millis,
+	group Group, room, leastParts float64, inFlight int, collect func() map[Group]Use, remote func(pool.Hash) Use, now clock.Millis,
 ) Verdict {
 	known := l.groups[group]
 	if known == nil {
 		return Verdict{}
 	}
-	l.refresh(group.Service, collect, remote, now)
-	level, rest := l.level(group.Service, room, inFlight)
+	if now-l.usesAt[group.Service] >= usesTTL || l.usesAt[group.Service] == 0 {
+		l.usesAt[group.Service] = now
+		own := collect()
+		for other, otherKnown := range l.groups {
+			if other.Service == group.Service {
+				otherKnown.use = own[other].Add(remote(otherKnown.hash))
+			}
+		}
+	}
+	rest := float64(inFlight)
+	asks := make([]Ask, 0, len(l.groups))
+	for other, otherKnown := range l.groups {
+		if other.Service == group.Service {
+			rest -= float64(otherKnown.use.Requests)
+			asks = append(asks, Ask{float64(otherKnown.use.Requests), 1})
+		}
+	}
+	// What is not known by group is taken to be that of all groups alike.
+	rest = max(rest, 0) / float64(len(asks))
+	for i := range asks {
+		asks[i].Amount += rest
+	}
+	level := max(Level(room, asks), leastParts*float64(inFlight)/float64(len(asks)))
 	use := float64(known.use.Requests) + rest
 	wasOver := known.overAt != 0 && now-known.overAt <= overTTL
 	limit := level
@@ -202,54 +217,6 @@
 	return verdict
 }
 
-// Excess returns the number of requests by which the groups of a service together exceed their shares
-// of the room.
-func (l *Ledger) Excess(
-	service ident.Service, room float64, inFlight int, collect func() map[Group]Use, remote func(pool.Hash) Use, now clock.Millis,
-) float64 {
-	l.refresh(service, collect, remote, now)
-	level, rest := l.level(service, room, inFlight)
-	excess := 0.0
-	for group, known := range l.groups {
-		if group.Service == service {
-			excess += max(float64(known.use.Requests)+rest-level, 0)
-		}
-	}
-	return excess
-}
-
-// refresh looks up the uses of the groups of a service if they are out of date.
-func (l *Ledger) refresh(service ident.Service, collect func() map[Group]Use, remote func(pool.Hash) Use, now clock.Millis) {
-	if l.usesAt[service] != 0 && now-l.usesAt[service] < usesTTL {
-		return
-	}
-	l.usesAt[service] = now
-	own := collect()
-	for group, known := range l.groups {
-		if group.Service == service {
-			known.use = own[group].Add(remote(known.hash))
-		}
-	}
-}
-
-// level returns the level of the room in requests. What is not known by group of the requests in flight
-// is taken to be that of all groups alike, and rest is that part of each.
-func (l *Ledger) level(service ident.Service, room float64, inFlight int) (level, rest float64) {
-	rest = float64(inFlight)
-	asks := make([]Ask, 0, len(l.groups))
-	for group, known := range l.groups {
-		if group.Service == service {
-			rest -= float64(known.use.Requests)
-			asks = append(asks, Ask{float64(known.use.Requests), 1})
-		}
-	}
-	rest = max(rest, 0) / float64(max(len(asks), 1))
-	for i := range asks {
-		asks[i].Amount += rest
-	}
-	return Level(room, asks), rest
-}
-
 // Publish returns the uses to publish among the loads of endpoints, given those of all groups at
 // this entry.
 func (l *Ledger) Publish(collect func() map[Group]Use, now clock.Millis) map[pool.Hash]pool.Load {
