--- a/internal/flow/place/share.go
+++ b/internal/flow/place/share.go
@@ -34,9 +34,7 @@
 // organisation exceeds its share. An entry that hears no others can't tell.
 func judgeShare(b *board.Board, engine *plan.Engine, request *board.Request, decision choice) share.Verdict {
 	group, isShared := b.GroupOf(request)
-	// A caller that returns after a refusal was told to come back now.
-	isExempt := request.Runs > 0 || request.IsCallerRetry() && !decision.isFull
-	if !isShared || isExempt || b.MaxMembers > 1 && !b.Tally.HearsOthers() {
+	if !isShared || request.Runs > 0 || b.MaxMembers > 1 && !b.Tally.HearsOthers() {
 		return share.Verdict{}
 	}
 	part, leastParts := roomShare(b, engine, request, decision)
@@ -69,7 +67,7 @@
 		waiting := collectQueue(b, engine, request.Service, nil, decision.longClass)
 		return waiting.schedule(b.Now).isContended(b.Now)
 	}, b.Now)
-	if isQueueContended {
+	if isQueueContended && !request.IsCallerRetry() {
 		return queueRoomShare, queueLeastParts
 	}
 	return 1, 0
