--- a/internal/flow/place/share.go
+++ b/internal/flow/place/share.go
@@ -19,6 +19,8 @@
 	// predicted first event, or the mean of those lately measured, means contention.
 	maxPredicted = 0.6
 	maxLateness  = 0.8
+	// maxReturnLateness is the latter for a caller that returns after a refusal, as it was told to.
+	maxReturnLateness = 1.1
 	// minRoomShare bounds the part of the requests in flight by which one decision reduces the room,
 	// fullRoomShare is that part if no engine has a free slot.
 	minRoomShare = 0.7
@@ -59,7 +61,11 @@
 	}
 	predicted := float64(decision.firstEvent) / float64(max(request.Route.Objective, 1))
 	part = min(part, maxPredicted/max(predicted, maxPredicted))
-	part = min(part, maxLateness/max(b.Shares.Lateness(request.Service, b.Now), maxLateness))
+	allowed := maxLateness
+	if request.IsCallerRetry() {
+		allowed = maxReturnLateness
+	}
+	part = min(part, allowed/max(b.Shares.Lateness(request.Service, b.Now), allowed))
 	if part < 1 {
 		return max(part, minRoomShare), 0
 	}
