Shares: contention from the loads of all entries; what is left for callers that return

Cause: first events measured by one entry come too late and are few. The loads of all entries say as much: by Little's law the short prompts that wait over those of the last seconds give the mean time to the first event, and the slots taken of the short size class show collisions before they come. Refusing all at a threshold made entries swing; refusals now grow with it. Callers that return get what is left, after the others at their engine (urgency 6).

--- a/internal/flow/parts/entry_test.go
+++ b/internal/flow/parts/entry_test.go
@@ -33,7 +33,9 @@
 	board      *board.Board
 	cycle      cycle.Cycle[*board.Board, input.Input]
 	lastNumber uint64
-	outputs    []output.Output
+	// key is the API key of the callers.
+	key     string
+	outputs []output.Output
 	// sequences holds the last sequence number of the news from each other entry.
 	sequences map[ident.Entry]uint64
 }
@@ -41,7 +43,7 @@
 // newTestEntry starts entry-1 in the failure domain north, without a plan or endpoints.
 func newTestEntry(t *testing.T, options ...peers.Option) *testEntry {
 	e := &testEntry{
-		t: t, board: board.New(), cycle: cycle.New(Controllers("7000", options...)...), sequences: map[ident.Entry]uint64{},
+		t: t, key: callerKey, board: board.New(), cycle: cycle.New(Controllers("7000", options...)...), sequences: map[ident.Entry]uint64{},
 	}
 	e.board.Now = 100 * clock.Second
 	started := input.Started{
@@ -142,7 +144,7 @@
 func (e *testEntry) request(path string, tokens int, timeout clock.Millis) (uint64, output.Output) {
 	e.lastNumber++
 	received := call.Request{
-		Number: e.lastNumber, Name: ident.Request(fmt.Sprintf("r%d", e.lastNumber)), Host: host, Path: path, Key: callerKey,
+		Number: e.lastNumber, Name: ident.Request(fmt.Sprintf("r%d", e.lastNumber)), Host: host, Path: path, Key: e.key,
 		CallerTimeout: timeout, PromptTokens: tokens, OutputTokens: 1600, Fingerprint: e.lastNumber,
 	}
 	return e.lastNumber, e.outputFor(received.Number, e.step(input.RequestReceived{Request: received}))
--- a/internal/flow/parts/surge_test.go
+++ b/internal/flow/parts/surge_test.go
@@ -49,6 +49,7 @@
 	// prompt is a prompt of a caller and what became of it.
 	prompt struct {
 		from   arrivals
+		key    string
 		tokens int
 		dueAt  clock.Millis
 		// deadlineAt is when the caller stops waiting, and hasRetried whether it has sent the
@@ -75,6 +76,10 @@
 		// busy holds the time until which each engine prefills shards.
 		busy map[ident.Endpoint]clock.Millis
 		due  []scheduledInput
+		// slots is the number of slots of an engine, 0 for no limit, and ends holds when the requests in
+		// them end.
+		slots int
+		ends  map[ident.Endpoint][]clock.Millis
 		// returning are the callers that send their prompts again at a later time.
 		returning []returningCaller
 		// minPatience is the smallest part of the timeout of its route that a caller waits.
@@ -170,6 +175,7 @@
 		s.pending[entry] = map[uint64]*prompt{}
 	}
 	s.pending[entry][entry.lastNumber+1] = asked
+	entry.key = cmp.Or(asked.key, callerKey)
 	entry.request("/"+asked.from.route+"/1", asked.tokens, asked.deadlineAt-s.now)
 	s.carryOut(entry, entry.outputs)
 	s.collect(entry)
@@ -195,7 +201,7 @@
 func (s *surge) schedule(entry *fleetEntry, send call.Send) {
 	sent := s.pending[entry][send.Number]
 	sent.sends++
-	first := s.prefillUntil(send, sent.tokens)
+	first := s.slotFreeAt(send.Endpoint, sent.from.answer, s.prefillUntil(send, sent.tokens))
 	if silentAt := s.now + send.FirstEventTimeout; silentAt < first {
 		s.due = append(s.due, scheduledInput{silentAt, entry, input.EndpointSilent{Number: send.Number}})
 	}
@@ -203,6 +209,21 @@
 		scheduledInput{first + sent.from.answer, entry, input.SendEnded{Result: completeResult(send.Number)}})
 }
 
+// slotFreeAt returns when a request gets its first event at an engine that would give it at first if it
+// has a free slot, and takes the slot until the answer has ended.
+func (s *surge) slotFreeAt(engine ident.Endpoint, answer, first clock.Millis) clock.Millis {
+	if s.slots == 0 {
+		return first
+	}
+	ends := slices.DeleteFunc(s.ends[engine], func(end clock.Millis) bool { return end <= s.now })
+	slices.Sort(ends)
+	if len(ends) >= s.slots {
+		first = max(first, ends[len(ends)-s.slots])
+	}
+	s.ends[engine] = append(ends, first+answer)
+	return first
+}
+
 // refuse lets the caller return once, after the time that it is told.
 func (s *surge) refuse(refused *prompt, reply call.Reply) {
 	if refused.hasRetried || reply.RetryAfter == 0 {
@@ -272,7 +293,7 @@
 func newSurge(f *fleet, seed uint64) *surge {
 	return &surge{
 		fleet: f, random: rand.New(rand.NewPCG(seed, 4)), pending: map[*fleetEntry]map[uint64]*prompt{},
-		busy: map[ident.Endpoint]clock.Millis{}, minPatience: 1,
+		busy: map[ident.Endpoint]clock.Millis{}, ends: map[ident.Endpoint][]clock.Millis{}, minPatience: 1,
 	}
 }
 
--- a/internal/flow/place/choose.go
+++ b/internal/flow/place/choose.go
@@ -53,6 +53,10 @@
 		isFull bool
 		// inFlight is the number of requests at all engines of the service.
 		inFlight int
+		// slots is the number of slots of the short size class at its largest. meanWait is the mean time to the first event of short
+		// prompts, in milliseconds.
+		slots    int
+		meanWait float64
 		// longClass is the number of engines of the long size class.
 		longClass  int
 		reason     call.Reason
--- a/internal/flow/place/engine.go
+++ b/internal/flow/place/engine.go
@@ -51,9 +51,10 @@
 	priceJitter = 0.05
 
 	// urgencyShort and urgencyLong are the urgencies of short and long prompts at an engine;
-	// 0 is the highest.
-	urgencyShort = 3
-	urgencyLong  = 5
+	// 0 is the highest. urgencyOverShare is that of short prompts of organisations over their share.
+	urgencyShort     = 3
+	urgencyLong      = 5
+	urgencyOverShare = 6
 )
 
 type (
@@ -103,9 +104,13 @@
 		decision := memory.chooseShort(b, short, long, slow, prompt, need)
 		decision.urgency = urgencyShort
 		decision.longClass = len(long)
-		if verdict := judgeShare(b, engine, request, decision); verdict.IsOver {
-			request.Share = verdict
+		verdict, mustWait := judgeShare(b, engine, request, decision)
+		request.Share = verdict
+		switch {
+		case mustWait:
 			return choice{reason: call.ReasonOverShare, retryAfter: b.RetryAfter(request)}
+		case verdict.IsOver:
+			decision.urgency = urgencyOverShare
 		}
 		if decision.isFull && !request.IsCallerRetry() && request.Runs == 0 {
 			return choice{reason: call.ReasonOverload, retryAfter: b.RetryAfter(request)}
@@ -168,10 +173,15 @@
 	}
 	perEngine := max(int(shortSlotShare*float64(engine.Slots)+0.5), 1)
 	size := max((shortPrompts+spareShortPrompts+perEngine-1)/perEngine, minShortClass, len(candidates)/shortClassDivisor)
-	size = min(size, max(len(candidates)-max(minLongClass, len(candidates)/longClassDivisor), 1))
+	size = min(size, largestShortClass(len(candidates)))
 	return candidates[:size], candidates[size:]
 }
 
+// largestShortClass returns the largest size of the short size class of so many engines.
+func largestShortClass(engines int) int {
+	return max(engines-max(minLongClass, engines/longClassDivisor), 1)
+}
+
 // setShortPrice sets the price of a short prompt at the engine: the time to its first
 // event, plus the decode time of a pass as the cost to the passes of other requests.
 func (c *candidate) setShortPrice(prompt, need int) {
@@ -190,10 +200,14 @@
 	byPrice = append(byPrice, long...)
 	byPrice = append(byPrice, slow...)
 	s.byPrice = byPrice
-	shortPrompts, inFlight := 0, 0
+	shortPrompts, inFlight, recent, prefilling := 0, 0, 0, 0
 	for i, c := range byPrice {
 		shortPrompts += c.load.ShortPrompts
 		inFlight += c.load.Leads
+		if i < len(short) {
+			recent += c.load.ShortPrompts
+			prefilling += min(c.load.Prefilling, c.load.ShortPrompts)
+		}
 		c.setShortPrice(prompt, need)
 		if i >= len(short) {
 			c.price += longClassPenalty
@@ -213,7 +227,12 @@
 		choices++
 	}
 	best := byPrice[b.Random.IntN(choices)]
-	return choice{lead: best.endpoint, firstEvent: best.firstEvent, isFull: best.isFull, inFlight: inFlight}
+	// By Little's law, those that wait for their first event over those that arrived in a time.
+	meanWait := float64(cost.ShortRequestDuration) * float64(prefilling) / float64(max(recent, 1))
+	return choice{
+		lead: best.endpoint, firstEvent: best.firstEvent, isFull: best.isFull, inFlight: inFlight,
+		slots: best.engine.Slots * largestShortClass(len(short)+len(long)), meanWait: meanWait,
+	}
 }
 
 // canLead reports whether the engine has a free slot, and memory for the prompt and its
--- a/internal/flow/place/send.go
+++ b/internal/flow/place/send.go
@@ -8,7 +8,6 @@
 	"mustardhook/internal/core/ident"
 	"mustardhook/internal/flow/board"
 	"mustardhook/internal/flow/call"
-	"mustardhook/internal/flow/cost"
 	"mustardhook/internal/flow/output"
 	"mustardhook/internal/flow/plan"
 	"mustardhook/internal/flow/pool"
@@ -105,9 +104,6 @@
 	}
 	request.FirstEventSent = true
 	request.FirstEventAt = b.Now
-	if engine := b.Plan.Services[request.Service].Engine; engine != nil && !cost.IsLong(engine, request.Request.PromptTokens) {
-		b.Shares.RecordFirstEvent(request.Service, b.Now-request.SentAt, request.Route.Objective, b.Now)
-	}
 	endPrefill(b, request)
 	if lead := b.Pool.Find(request.Endpoint); lead != nil {
 		if work, isRunning := lead.Work[number]; isRunning {
--- a/internal/flow/place/share.go
+++ b/internal/flow/place/share.go
@@ -15,12 +15,11 @@
 	// shareTolerance is how far the work of a group may exceed its share before its prompts yield, since
 	// entries see slightly different sums.
 	shareTolerance = 1.25
-	// maxPredicted and maxLateness are the parts of the objective of short prompts beyond which the
-	// predicted first event, or the mean of those lately measured, means contention.
-	maxPredicted = 0.6
-	maxLateness  = 0.8
-	// maxReturnLateness is the latter for a caller that returns after a refusal, as it was told to.
-	maxReturnLateness = 1.1
+	// minOccupied is the part of the slots below which a few requests decide about the mean time.
+	minOccupied = 0.4
+	// refusalRange is the reduction of the room from which all requests over a share are refused. With less,
+	// a part of them is, so that entries that decide at the same time don't admit all or none.
+	refusalRange = 0.2
 	// minRoomShare bounds the part of the requests in flight by which one decision reduces the room,
 	// fullRoomShare is that part if no engine has a free slot.
 	minRoomShare = 0.7
@@ -32,51 +31,70 @@
 	fullRoomShare   = 0.9
 )
 
-// judgeShare reports whether a short prompt must be refused because there is contention and its
-// organisation exceeds its share. An entry that hears no others can't tell.
-func judgeShare(b *board.Board, engine *plan.Engine, request *board.Request, decision choice) share.Verdict {
+// limits are the limits beyond which there is contention: of the predicted first event and of the mean time to
+// those of all short prompts, as parts of the objective, and of the occupied part of the slots, beyond which
+// requests that are not known yet may find none free.
+type limits struct{ predicted, wait, occupied float64 }
+
+var (
+	firstLimits = limits{predicted: 0.6, wait: 0.75, occupied: 0.75}
+	// returnLimits are those for callers that return after a refusal. They are late in any case and take
+	// the slots that the others leave.
+	returnLimits = limits{predicted: 1, wait: 1.5, occupied: 0.95}
+)
+
+// judgeShare reports whether there is contention and the organisation of a short prompt exceeds its share,
+// and whether the prompt must be refused for it. An entry that hears no others can't tell.
+func judgeShare(b *board.Board, engine *plan.Engine, request *board.Request, decision choice) (verdict share.Verdict, mustWait bool) {
 	group, isShared := b.GroupOf(request)
-	if !isShared || request.Runs > 0 || b.MaxMembers > 1 && !b.Tally.HearsOthers() {
-		return share.Verdict{}
+	if !isShared || b.MaxMembers > 1 && !b.Tally.HearsOthers() {
+		return share.Verdict{}, false
+	}
+	wait := b.Shares.Wait(request.Service, decision.meanWait, b.Now)
+	part, leastParts := firstLimits.room(request, decision, wait), 0.0
+	if part >= 1 && !request.IsCallerRetry() && isQueueContended(b, engine, request, decision) {
+		part, leastParts = queueRoomShare, queueLeastParts
 	}
-	part, leastParts := roomShare(b, engine, request, decision)
 	if part >= 1 {
-		return share.Verdict{}
+		return share.Verdict{}, false
 	}
+	room := max(part, minRoomShare) * float64(decision.inFlight)
 	remote := func(hash pool.Hash) share.Use { return share.UseOf(b.Tally.RemoteLoad(hash)) }
-	verdict := b.Shares.Judge(group, part*float64(decision.inFlight), leastParts, decision.inFlight, b.OwnUse, remote, b.Now)
+	verdict = b.Shares.Judge(group, room, leastParts, decision.inFlight, b.OwnUse, remote, b.Now)
 	if verdict.HasChanged {
 		b.Log("Organisation exceeds its share, or no longer does.", "service", group.Service, "organisation", group.Organisation,
-			"exceeds", verdict.IsOver, "share", int(verdict.Share), "use", verdict.Use, "inFlight", decision.inFlight, "room", part)
-	}
-	return verdict
-}
-
-// roomShare returns the part of the requests in flight for which there is room, 1 without contention, and
-// how many equal parts of them each organisation may have in any case.
-func roomShare(b *board.Board, engine *plan.Engine, request *board.Request, decision choice) (part, leastParts float64) {
-	part = 1
-	if decision.isFull {
-		part = fullRoomShare
+			"exceeds", verdict.IsOver, "share", int(verdict.Share), "use", verdict.Use, "inFlight", decision.inFlight, "room", int(room),
+			"wait", clock.Millis(wait))
 	}
-	predicted := float64(decision.firstEvent) / float64(max(request.Route.Objective, 1))
-	part = min(part, maxPredicted/max(predicted, maxPredicted))
-	allowed := maxLateness
 	if request.IsCallerRetry() {
-		allowed = maxReturnLateness
+		part = returnLimits.room(request, decision, wait)
 	}
-	part = min(part, allowed/max(b.Shares.Lateness(request.Service, b.Now), allowed))
-	if part < 1 {
-		return max(part, minRoomShare), 0
-	}
-	isQueueContended := b.Shares.IsQueueContended(request.Service, func() bool {
+	isDrawn := leastParts > 0 || b.Random.Float64()*refusalRange < 1-part
+	return verdict, verdict.IsOver && request.Runs == 0 && isDrawn
+}
+
+// isQueueContended reports whether long prompts are late for lack of engines.
+func isQueueContended(b *board.Board, engine *plan.Engine, request *board.Request, decision choice) bool {
+	return b.Shares.IsQueueContended(request.Service, func() bool {
 		waiting := collectQueue(b, engine, request.Service, nil, decision.longClass)
 		return waiting.schedule(b.Now).isContended(b.Now)
 	}, b.Now)
-	if isQueueContended && !request.IsCallerRetry() {
-		return queueRoomShare, queueLeastParts
+}
+
+// room returns the part of the requests in flight for which there is room: 1 without contention. wait is
+// the mean time to the first event of short prompts, in milliseconds.
+func (l limits) room(request *board.Request, decision choice, wait float64) float64 {
+	part := 1.0
+	if decision.isFull {
+		part = fullRoomShare
+	}
+	objective := float64(max(request.Route.Objective, 1))
+	part = min(part, l.predicted/max(float64(decision.firstEvent)/objective, l.predicted))
+	occupied := float64(decision.inFlight) / float64(max(decision.slots, 1))
+	if occupied >= minOccupied {
+		part = min(part, l.wait/max(wait/objective, l.wait))
 	}
-	return 1, 0
+	return min(part, l.occupied/max(occupied, l.occupied))
 }
 
 // isContended reports whether a prompt that could be on time can't because of others.
--- a/internal/flow/share/ledger.go
+++ b/internal/flow/share/ledger.go
@@ -22,11 +22,8 @@
 
 	// contentionTTL is how long a contended queue counts as such after it was last found so.
 	contentionTTL = 1 * clock.Second
-	// latenessWindow is the time in which measurements of lateness lose most of their weight, and
-	// maxLateness bounds a single one.
-	latenessWindow = 1 * clock.Second
-	maxLateness    = 1.5
-	sampleWeight   = 0.15
+	// waitWindow is the time over which the time to the first event is averaged.
+	waitWindow = 600 * clock.Millis(1)
 
 	// An entry publishes the use of at most maxPublished groups, of those with minPublished requests
 	// and 1/publishedDivisor of all its requests.
@@ -34,8 +31,9 @@
 	minPublished     = 2
 	publishedDivisor = 8
 	// collectInterval is the time between two looks at the use of all groups. The published use of a
-	// group changes at most once in publishInterval, by more than 1/toleranceDivisor and one request.
-	collectInterval  = 250 * clock.Millis(1)
+	// group changes at most once in publishInterval, by more than 1/toleranceDivisor and one request, and at
+	// once if it has doubled.
+	collectInterval  = 200 * clock.Millis(1)
 	publishInterval  = 1 * clock.Second
 	toleranceDivisor = 3
 	// workUnit is the engine time in milliseconds that is published as tokensPerUnit tokens.
@@ -50,15 +48,14 @@
 		groups map[Group]*record
 		// usesAt is when the uses of the groups of a service were last looked up.
 		usesAt      map[ident.Service]clock.Millis
-		lateness    map[ident.Service]lateness
+		waits       map[ident.Service]wait
 		queues      map[ident.Service]queueState
 		collectedAt clock.Millis
 		published   map[pool.Hash]pool.Load
 	}
 
-	// lateness is the mean time to recent first events of short prompts of a service, as a part of
-	// their objective.
-	lateness struct {
+	// wait is the mean time to the first event of the short prompts of a service, in milliseconds.
+	wait struct {
 		mean float64
 		at   clock.Millis
 	}
@@ -95,7 +92,7 @@
 // NewLedger returns an empty ledger.
 func NewLedger() *Ledger {
 	return &Ledger{
-		groups: map[Group]*record{}, usesAt: map[ident.Service]clock.Millis{}, lateness: map[ident.Service]lateness{},
+		groups: map[Group]*record{}, usesAt: map[ident.Service]clock.Millis{}, waits: map[ident.Service]wait{},
 		queues:    map[ident.Service]queueState{},
 		published: map[pool.Hash]pool.Load{},
 	}
@@ -136,22 +133,13 @@
 	) < 0
 }
 
-// RecordFirstEvent records the time to the first event of a short prompt.
-func (l *Ledger) RecordFirstEvent(service ident.Service, duration, objective, now clock.Millis) {
-	measured := min(float64(duration)/float64(max(objective, 1)), maxLateness)
-	before := l.lateness[service]
-	weight := max(1-float64(now-before.at)/float64(latenessWindow), 0) * (1 - sampleWeight)
-	l.lateness[service] = lateness{weight*before.mean + (1-weight)*measured, now}
-}
-
-// Lateness returns the mean time to recent first events of short prompts as a part of their
-// objective; zero if there were none lately.
-func (l *Ledger) Lateness(service ident.Service, now clock.Millis) float64 {
-	measured := l.lateness[service]
-	if now-measured.at > latenessWindow {
-		return 0
-	}
-	return measured.mean
+// Wait returns the mean time to the first event of the short prompts of a service at all entries, in
+// milliseconds, given what it is now. It follows changes within waitWindow.
+func (l *Ledger) Wait(service ident.Service, current float64, now clock.Millis) float64 {
+	before := l.waits[service]
+	weight := min(float64(now-before.at)/float64(waitWindow), 1)
+	l.waits[service] = wait{before.mean + weight*(current-before.mean), now}
+	return l.waits[service].mean
 }
 
 // IsQueueContended reports whether the queue of the long prompts of a service lately held prompts that
@@ -241,7 +229,8 @@
 		if known == nil || own[group].Requests < max(minPublished, total/publishedDivisor) {
 			continue
 		}
-		if now-known.publishedAt >= publishInterval && own[group].differs(known.published) {
+		hasDoubled := own[group].Requests >= 2*known.published.Requests
+		if (hasDoubled || now-known.publishedAt >= publishInterval) && own[group].differs(known.published) {
 			known.published, known.publishedAt = own[group], now
 		}
 		l.published[known.hash] = known.published.Load()
