Shares: the queue of long prompts is no sign of contention for short ones

Cause: short prompts that were refused because long ones waited for engines cost more than the long ones gained. Change: taken back; groups are kept by service, and groups that sent nothing for 20 s no longer count.

--- a/internal/flow/parts/cost_test.go
+++ b/internal/flow/parts/cost_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"sync"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -14,6 +15,20 @@
 	"mustardhook/internal/flow/tally"
 )
 
+// organisationCount is the number of organisations that the relay is designed for.
+const organisationCount = 20000
+
+// manyOrganisations returns organisations by key: that of callerKey, and organisationCount others.
+var manyOrganisations = sync.OnceValue(func() map[string]plan.Organisation {
+	keys := map[string]plan.Organisation{callerKey: {Name: "city"}}
+	for i := range organisationCount {
+		keys[manyKey(uint64(i))] = plan.Organisation{Name: ident.Organisation(fmt.Sprintf("organisation-%d", i))}
+	}
+	return keys
+})
+
+func manyKey(i uint64) string { return fmt.Sprintf("key-of-%d", i) }
+
 // configureModels gives the entry a plan with the given number of models, and that many
 // engines, spread over the models and three failure domains.
 func (e *testEntry) configureModels(models, engineCount int) *testEntry {
@@ -28,7 +43,7 @@
 		services = append(services, plan.Service{Name: name, Engine: testEngine()})
 	}
 	newPlan := plan.New(6, routes, services, plan.Limits{})
-	e.step(input.PlanRead{Plan: newPlan.WithOrganisations(map[string]plan.Organisation{callerKey: {Name: "city"}})})
+	e.step(input.PlanRead{Plan: newPlan.WithOrganisations(manyOrganisations())})
 	var list []pool.Listing
 	domains := []ident.Domain{"north", "south", "harbour"}
 	for i := range engineCount {
--- a/internal/flow/parts/traffic_test.go
+++ b/internal/flow/parts/traffic_test.go
@@ -26,6 +26,8 @@
 	answerDuration = 1500 * clock.Millis(1)
 	// longPromptRatio is the fraction of prompts with over 100,000 tokens.
 	longPromptRatio = 0.02
+	// organisationSkew is the exponent of the sizes of the organisations: the largest has a tenth of the requests.
+	organisationSkew = 1.05
 	// datagramHeaderBytes is the size of the IP and UDP headers.
 	datagramHeaderBytes = 28
 )
@@ -68,6 +70,7 @@
 // time, and endpoints that answer them.
 func (f *fleet) runLoad(duration clock.Millis, perSecond float64, models int) {
 	random := rand.New(rand.NewPCG(1, 2))
+	organisations := rand.NewZipf(random, organisationSkew, 1, organisationCount-1)
 	var due []scheduledInput
 	for end := f.now + duration; f.now < end; {
 		f.advance(fleetTick)
@@ -86,6 +89,7 @@
 			if random.Float64() < longPromptRatio {
 				tokens = 154000
 			}
+			entry.key = manyKey(organisations.Uint64())
 			number, out := f.request(entry, fmt.Sprintf("/model-%02d/1", random.IntN(models)), tokens)
 			if send, isSend := out.(output.Send); isSend {
 				first := f.now + send.Send.Predicted
--- a/internal/flow/place/choose.go
+++ b/internal/flow/place/choose.go
@@ -55,10 +55,8 @@
 		inFlight int
 		// slots is the number of slots of the short size class at its largest. meanWait is the mean time to the first event of short
 		// prompts, in milliseconds.
-		slots    int
-		meanWait float64
-		// longClass is the number of engines of the long size class.
-		longClass  int
+		slots      int
+		meanWait   float64
 		reason     call.Reason
 		retryAfter clock.Millis
 		// wait is why the request waits. shards is the number of engines that it needs, free
--- a/internal/flow/place/engine.go
+++ b/internal/flow/place/engine.go
@@ -103,8 +103,7 @@
 	if !cost.IsLong(engine, prompt) {
 		decision := memory.chooseShort(b, short, long, slow, prompt, need)
 		decision.urgency = urgencyShort
-		decision.longClass = len(long)
-		verdict, mustWait := judgeShare(b, engine, request, decision)
+		verdict, mustWait := judgeShare(b, request, decision)
 		request.Share = verdict
 		switch {
 		case mustWait:
--- a/internal/flow/place/queue.go
+++ b/internal/flow/place/queue.go
@@ -67,7 +67,7 @@
 // maxHelpers+1 engines, so that in a large service many are prefilled at the same time. Prompts of
 // this entry that were sent before come first.
 func buildQueue(b *board.Board, engine *plan.Engine, request *board.Request, engines int) queue {
-	all := collectQueue(b, engine, request.Service, request, engines)
+	all := collectQueue(b, engine, request, engines)
 	scheduled := all.schedule(b.Now)
 	if b.Plan.HasShares && scheduled.isContended(b.Now) && all.markShares(b, scheduled, float64(engines)) {
 		return all.schedule(b.Now)
@@ -75,12 +75,12 @@
 	return scheduled
 }
 
-// collectQueue returns the long prompts of the service that wait for engines, and the request if it is
-// not nil, sorted by due time.
-func collectQueue(b *board.Board, engine *plan.Engine, service ident.Service, request *board.Request, engines int) queue {
+// collectQueue returns the request and the long prompts of its service that wait for engines, sorted by due
+// time.
+func collectQueue(b *board.Board, engine *plan.Engine, request *board.Request, engines int) queue {
 	var all queue
 	add := func(entry ident.Entry, prompt input.QueuedPrompt, wasSent bool) {
-		if prompt.Service != service {
+		if prompt.Service != request.Service {
 			return
 		}
 		work := cost.PrefillMillis(engine, prompt.PromptTokens, 1) / prefillTimeShare
--- a/internal/flow/place/share.go
+++ b/internal/flow/place/share.go
@@ -6,7 +6,6 @@
 
 	"mustardhook/internal/core/clock"
 	"mustardhook/internal/flow/board"
-	"mustardhook/internal/flow/plan"
 	"mustardhook/internal/flow/pool"
 	"mustardhook/internal/flow/share"
 )
@@ -22,13 +21,8 @@
 	refusalRange = 0.2
 	// minRoomShare bounds the part of the requests in flight by which one decision reduces the room,
 	// fullRoomShare is that part if no engine has a free slot.
-	minRoomShare = 0.7
-	// queueRoomShare is that part if long prompts are late for lack of engines.
-	// Only organisations with more than queueLeastParts equal parts then yield, since other short prompts
-	// are not the cause.
-	queueRoomShare  = 0.85
-	queueLeastParts = 3
-	fullRoomShare   = 0.9
+	minRoomShare  = 0.7
+	fullRoomShare = 0.9
 )
 
 // limits are the limits beyond which there is contention: of the predicted first event and of the mean time to
@@ -45,22 +39,22 @@
 
 // judgeShare reports whether there is contention and the organisation of a short prompt exceeds its share,
 // and whether the prompt must be refused for it. An entry that hears no others can't tell.
-func judgeShare(b *board.Board, engine *plan.Engine, request *board.Request, decision choice) (verdict share.Verdict, mustWait bool) {
+func judgeShare(b *board.Board, request *board.Request, decision choice) (verdict share.Verdict, mustWait bool) {
 	group, isShared := b.GroupOf(request)
 	if !isShared || b.MaxMembers > 1 && !b.Tally.HearsOthers() {
 		return share.Verdict{}, false
 	}
 	wait := b.Shares.Wait(request.Service, decision.meanWait, b.Now)
-	part, leastParts := firstLimits.room(request, decision, wait), 0.0
-	if part >= 1 && !request.IsCallerRetry() && isQueueContended(b, engine, request, decision) {
-		part, leastParts = queueRoomShare, queueLeastParts
-	}
+	part := firstLimits.room(request, decision, wait)
 	if part >= 1 {
 		return share.Verdict{}, false
 	}
 	room := max(part, minRoomShare) * float64(decision.inFlight)
-	remote := func(hash pool.Hash) share.Use { return share.UseOf(b.Tally.RemoteLoad(hash)) }
-	verdict = b.Shares.Judge(group, room, leastParts, decision.inFlight, b.OwnUse, remote, b.Now)
+	if b.Shares.IsOutdated(group.Service, b.Now) {
+		remote := func(hash pool.Hash) share.Use { return share.UseOf(b.Tally.RemoteLoad(hash)) }
+		b.Shares.Refresh(group.Service, b.OwnUse(), remote, b.Now)
+	}
+	verdict = b.Shares.Judge(group, room, decision.inFlight, b.Now)
 	if verdict.HasChanged {
 		b.Log("Organisation exceeds its share, or no longer does.", "service", group.Service, "organisation", group.Organisation,
 			"exceeds", verdict.IsOver, "share", int(verdict.Share), "use", verdict.Use, "inFlight", decision.inFlight, "room", int(room),
@@ -69,16 +63,7 @@
 	if request.IsCallerRetry() {
 		part = returnLimits.room(request, decision, wait)
 	}
-	isDrawn := leastParts > 0 || b.Random.Float64()*refusalRange < 1-part
-	return verdict, verdict.IsOver && request.Runs == 0 && isDrawn
-}
-
-// isQueueContended reports whether long prompts are late for lack of engines.
-func isQueueContended(b *board.Board, engine *plan.Engine, request *board.Request, decision choice) bool {
-	return b.Shares.IsQueueContended(request.Service, func() bool {
-		waiting := collectQueue(b, engine, request.Service, nil, decision.longClass)
-		return waiting.schedule(b.Now).isContended(b.Now)
-	}, b.Now)
+	return verdict, verdict.IsOver && request.Runs == 0 && b.Random.Float64()*refusalRange < 1-part
 }
 
 // room returns the part of the requests in flight for which there is room: 1 without contention. wait is
--- a/internal/flow/plan/plan.go
+++ b/internal/flow/plan/plan.go
@@ -86,12 +86,22 @@
 func (p Plan) WithOrganisations(keys map[string]Organisation) Plan {
 	p.RequiresKeys = true
 	p.Organisations = keys
-	names := map[ident.Organisation]bool{}
+	p.HasShares = hasSeveral(keys)
+	return p
+}
+
+// hasSeveral reports whether the keys belong to more than one organisation.
+func hasSeveral(keys map[string]Organisation) bool {
+	var first ident.Organisation
 	for _, organisation := range keys {
-		names[organisation.Name] = true
+		if first == "" {
+			first = organisation.Name
+		}
+		if organisation.Name != first {
+			return true
+		}
 	}
-	p.HasShares = len(names) > 1
-	return p
+	return false
 }
 
 // IsZero reports whether the plan is the zero value, that is, none has been read yet.
--- a/internal/flow/share/ledger.go
+++ b/internal/flow/share/ledger.go
@@ -11,8 +11,10 @@
 )
 
 const (
-	// MaxGroups bounds the groups that an entry remembers.
+	// MaxGroups bounds the groups of a service that an entry remembers, groupTTL is how long it does after
+	// their last request.
 	MaxGroups = 64
+	groupTTL  = 20 * clock.Second
 	// usesTTL is how long decisions use the same sums.
 	usesTTL = 100 * clock.Millis(1)
 	// release is the part of its share below which a group that was over it is within it again.
@@ -20,8 +22,6 @@
 	// overTTL is how long a group counts as over its share after it was last found so.
 	overTTL = 2 * clock.Second
 
-	// contentionTTL is how long a contended queue counts as such after it was last found so.
-	contentionTTL = 1 * clock.Second
 	// waitWindow is the time over which the time to the first event is averaged.
 	waitWindow = 600 * clock.Millis(1)
 
@@ -42,29 +42,23 @@
 )
 
 type (
-	// Ledger holds the groups that lately sent requests to an entry. It is not safe for
-	// concurrent use.
+	// Ledger holds the groups that lately sent requests to an entry, and the signs of contention. It is
+	// not safe for concurrent use.
 	Ledger struct {
-		groups map[Group]*record
-		// usesAt is when the uses of the groups of a service were last looked up.
-		usesAt      map[ident.Service]clock.Millis
-		waits       map[ident.Service]wait
-		queues      map[ident.Service]queueState
+		services    map[ident.Service]*service
 		collectedAt clock.Millis
 		published   map[pool.Hash]pool.Load
 	}
 
-	// wait is the mean time to the first event of the short prompts of a service, in milliseconds.
-	wait struct {
-		mean float64
-		at   clock.Millis
-	}
-
-	// queueState is what was last seen of the queue of the long prompts of a service.
-	queueState struct {
-		checkedAt clock.Millis
-		// contendedAt is when it last held prompts that others make late; zero if it never did.
-		contendedAt clock.Millis
+	// service is what is known of a service.
+	service struct {
+		groups map[ident.Organisation]*record
+		// refreshedAt is when the uses of the groups were last looked up, and known their requests.
+		refreshedAt clock.Millis
+		known       int
+		// wait is the mean time to the first event of short prompts in milliseconds, as of waitAt.
+		wait   float64
+		waitAt clock.Millis
 	}
 
 	// record is what is known of a group.
@@ -91,106 +85,100 @@
 
 // NewLedger returns an empty ledger.
 func NewLedger() *Ledger {
-	return &Ledger{
-		groups: map[Group]*record{}, usesAt: map[ident.Service]clock.Millis{}, waits: map[ident.Service]wait{},
-		queues:    map[ident.Service]queueState{},
-		published: map[pool.Hash]pool.Load{},
+	return &Ledger{services: map[ident.Service]*service{}, published: map[pool.Hash]pool.Load{}}
+}
+
+// serviceOf returns what is known of a service.
+func (l *Ledger) serviceOf(name ident.Service) *service {
+	known := l.services[name]
+	if known == nil {
+		known = &service{groups: map[ident.Organisation]*record{}}
+		l.services[name] = known
 	}
+	return known
 }
 
-// Note records that a group sent a request, and returns the hash of the group. If there are too many groups, the one that sent none
-// for the longest time is dropped.
+// Note records that a group sent a request, and returns the hash of the group. If there are too many
+// groups, the one that sent none for the longest time is dropped.
 func (l *Ledger) Note(group Group, now clock.Millis) pool.Hash {
-	known := l.groups[group]
+	s := l.serviceOf(group.Service)
+	known := s.groups[group.Organisation]
 	if known == nil {
-		if len(l.groups) >= MaxGroups {
-			l.dropOldest()
+		if len(s.groups) >= MaxGroups {
+			s.dropOldest()
 		}
 		known = &record{hash: group.Hash()}
-		l.groups[group] = known
-		delete(l.usesAt, group.Service)
+		s.groups[group.Organisation] = known
+		s.refreshedAt = 0
 	}
 	known.seenAt = now
 	return known.hash
 }
 
-func (l *Ledger) dropOldest() {
-	var oldest Group
-	for group, known := range l.groups {
-		if first := l.groups[oldest]; first == nil || isBefore(group, known, oldest, first) {
-			oldest = group
+// dropOldest drops the group that sent no request for the longest time, the first by name of several.
+func (s *service) dropOldest() {
+	var oldest ident.Organisation
+	for name, known := range s.groups {
+		first := s.groups[oldest]
+		if first == nil || cmp.Or(cmp.Compare(known.seenAt, first.seenAt), cmp.Compare(name, oldest)) < 0 {
+			oldest = name
 		}
 	}
-	delete(l.groups, oldest)
-}
-
-// isBefore orders groups by their last request and then by name, so that equal inputs give equal
-// outputs.
-func isBefore(group Group, known *record, other Group, otherKnown *record) bool {
-	return cmp.Or(
-		cmp.Compare(known.seenAt, otherKnown.seenAt),
-		cmp.Compare(group.Service, other.Service), cmp.Compare(group.Organisation, other.Organisation),
-	) < 0
+	delete(s.groups, oldest)
 }
 
 // Wait returns the mean time to the first event of the short prompts of a service at all entries, in
 // milliseconds, given what it is now. It follows changes within waitWindow.
-func (l *Ledger) Wait(service ident.Service, current float64, now clock.Millis) float64 {
-	before := l.waits[service]
-	weight := min(float64(now-before.at)/float64(waitWindow), 1)
-	l.waits[service] = wait{before.mean + weight*(current-before.mean), now}
-	return l.waits[service].mean
+func (l *Ledger) Wait(name ident.Service, current float64, now clock.Millis) float64 {
+	s := l.serviceOf(name)
+	weight := min(float64(now-s.waitAt)/float64(waitWindow), 1)
+	s.wait += weight * (current - s.wait)
+	s.waitAt = now
+	return s.wait
+}
+
+// IsOutdated reports whether the uses of the groups of a service have to be looked up again.
+func (l *Ledger) IsOutdated(name ident.Service, now clock.Millis) bool {
+	s := l.serviceOf(name)
+	return s.refreshedAt == 0 || now-s.refreshedAt >= usesTTL
 }
 
-// IsQueueContended reports whether the queue of the long prompts of a service lately held prompts that
-// others make late. check looks at it, which is done once in usesTTL.
-func (l *Ledger) IsQueueContended(service ident.Service, check func() bool, now clock.Millis) bool {
-	state := l.queues[service]
-	if state.checkedAt == 0 || now-state.checkedAt >= usesTTL {
-		state.checkedAt = now
-		if check() {
-			state.contendedAt = now
+// Refresh looks up the uses of the groups of a service, given those at this entry and a function that
+// returns those at the others. Groups that lately sent no request are dropped.
+func (l *Ledger) Refresh(name ident.Service, own map[Group]Use, remote func(pool.Hash) Use, now clock.Millis) {
+	s := l.serviceOf(name)
+	s.refreshedAt = now
+	s.known = 0
+	for organisation, known := range s.groups {
+		if now-known.seenAt > groupTTL {
+			delete(s.groups, organisation)
+			continue
 		}
-		l.queues[service] = state
+		known.use = own[Group{name, organisation}].Add(remote(known.hash))
+		s.known += known.use.Requests
 	}
-	return state.contendedAt != 0 && now-state.contendedAt <= contentionTTL
 }
 
 // Judge compares the use of a group with its share of the room, both in requests. inFlight is the
-// number of all requests at the endpoints of the service. A group with at most leastParts equal parts of
-// these is within its share. collect returns the use of all groups at
-// this entry, and remote that of a group at the others.
-func (l *Ledger) Judge(
-	group Group, room, leastParts float64, inFlight int, collect func() map[Group]Use, remote func(pool.Hash) Use, now clock.Millis,
-) Verdict {
-	known := l.groups[group]
-	if known == nil {
+// number of all requests at the endpoints of the service; what is not known by group of them is taken to be
+// that of all groups alike. A group that is alone is within its share.
+func (l *Ledger) Judge(group Group, room float64, inFlight int, now clock.Millis) Verdict {
+	s := l.serviceOf(group.Service)
+	known := s.groups[group.Organisation]
+	if known == nil || len(s.groups) < 2 {
 		return Verdict{}
 	}
-	if now-l.usesAt[group.Service] >= usesTTL || l.usesAt[group.Service] == 0 {
-		l.usesAt[group.Service] = now
-		own := collect()
-		for other, otherKnown := range l.groups {
-			if other.Service == group.Service {
-				otherKnown.use = own[other].Add(remote(otherKnown.hash))
-			}
-		}
-	}
-	rest := float64(inFlight)
-	asks := make([]Ask, 0, len(l.groups))
-	for other, otherKnown := range l.groups {
-		if other.Service == group.Service {
-			rest -= float64(otherKnown.use.Requests)
-			asks = append(asks, Ask{float64(otherKnown.use.Requests), 1})
+	count := float64(len(s.groups))
+	rest := float64(max(inFlight-s.known, 0)) / count
+	use := float64(known.use.Requests) + rest
+	level := room / count
+	if use > release*level {
+		asks := make([]Ask, 0, len(s.groups))
+		for _, other := range s.groups {
+			asks = append(asks, Ask{float64(other.use.Requests) + rest, 1})
 		}
+		level = Level(room, asks)
 	}
-	// What is not known by group is taken to be that of all groups alike.
-	rest = max(rest, 0) / float64(len(asks))
-	for i := range asks {
-		asks[i].Amount += rest
-	}
-	level := max(Level(room, asks), leastParts*float64(inFlight)/float64(len(asks)))
-	use := float64(known.use.Requests) + rest
 	wasOver := known.overAt != 0 && now-known.overAt <= overTTL
 	limit := level
 	if wasOver {
@@ -225,7 +213,7 @@
 	})
 	l.published = map[pool.Hash]pool.Load{}
 	for _, group := range groups[:min(len(groups), maxPublished)] {
-		known := l.groups[group]
+		known := l.serviceOf(group.Service).groups[group.Organisation]
 		if known == nil || own[group].Requests < max(minPublished, total/publishedDivisor) {
 			continue
 		}
--- a/internal/flow/share/share_test.go
+++ b/internal/flow/share/share_test.go
@@ -50,8 +50,6 @@
 	}
 }
 
-func noOwnUse() map[Group]Use { return nil }
-
 // Only the group above the level exceeds its share, with hysteresis, also if the rest of the requests
 // is not known by group.
 func TestGroupOverItsShareIsFound(t *testing.T) {
@@ -66,7 +64,8 @@
 	ledger.Note(greedy, 1)
 	inFlight := 90
 	judge := func(group Group, room float64, now clock.Millis) Verdict {
-		return ledger.Judge(group, room, 0, inFlight, noOwnUse, fleetOf(uses), now)
+		ledger.Refresh("model", nil, fleetOf(uses), now)
+		return ledger.Judge(group, room, inFlight, now)
 	}
 	require.Equal(t, Verdict{IsOver: true, HasChanged: true, Share: 51.909, Use: 60}, roundShare(judge(greedy, 81, 1000)))
 	require.False(t, judge(Group{"model", "3"}, 81, 1000).IsOver)
