--- a/internal/flow/parts/surge_test.go
+++ b/internal/flow/parts/surge_test.go
@@ -27,6 +27,8 @@
 	dossiers = "dossiers"
 	// longestPrompt is the length of the longest prompt in tokens.
 	longestPrompt = 700000
+	// maxReturns is how often an abusive caller comes back at once.
+	maxReturns = 4
 	// promptTimeout is how long callers of the longest prompts wait.
 	promptTimeout = 15 * clock.Second
 )
@@ -56,6 +58,9 @@
 		// prompt again after a refusal.
 		deadlineAt clock.Millis
 		hasRetried bool
+		// isAbusive is set if the caller comes back at once and often after a refusal, and returns counts that.
+		isAbusive bool
+		returns   int
 		// sends counts the sends to endpoints. isServed is set with the first event of the
 		// answer, isOnTime if that was in time.
 		sends    int
@@ -226,6 +231,11 @@
 
 // refuse lets the caller return once, after the time that it is told.
 func (s *surge) refuse(refused *prompt, reply call.Reply) {
+	if refused.isAbusive && refused.returns < maxReturns {
+		refused.returns++
+		s.returning = append(s.returning, returningCaller{s.now, refused})
+		return
+	}
 	if refused.hasRetried || reply.RetryAfter == 0 {
 		return
 	}
--- a/internal/flow/place/engine.go
+++ b/internal/flow/place/engine.go
@@ -107,7 +107,7 @@
 		request.Share = verdict
 		switch {
 		case mustWait:
-			return choice{reason: call.ReasonOverShare, retryAfter: b.RetryAfter(request)}
+			return choice{reason: call.ReasonOverShare, retryAfter: shareRetryAfter(b, request)}
 		case verdict.IsOver:
 			decision.urgency = urgencyOverShare
 		}
--- a/internal/flow/place/share.go
+++ b/internal/flow/place/share.go
@@ -6,6 +6,7 @@
 
 	"mustardhook/internal/core/clock"
 	"mustardhook/internal/flow/board"
+	"mustardhook/internal/flow/cost"
 	"mustardhook/internal/flow/pool"
 	"mustardhook/internal/flow/share"
 )
@@ -19,6 +20,8 @@
 	// refusalRange is the reduction of the room from which all requests over a share are refused. With less,
 	// a part of them is, so that entries that decide at the same time don't admit all or none.
 	refusalRange = 0.2
+	// retrySpread is the part by which the time after which callers should return varies.
+	retrySpread = 0.3
 	// minRoomShare bounds the part of the requests in flight by which one decision reduces the room,
 	// fullRoomShare is that part if no engine has a free slot.
 	minRoomShare  = 0.7
@@ -66,6 +69,15 @@
 	return verdict, verdict.IsOver && request.Runs == 0 && b.Random.Float64()*refusalRange < 1-part
 }
 
+// shareRetryAfter returns when the requests by which the organisation exceeds its share will have ended. It is
+// no shorter than for other refusals, and spread, so that callers don't return together.
+func shareRetryAfter(b *board.Board, request *board.Request) clock.Millis {
+	over := max(float64(request.Share.Use)-request.Share.Share, 0)
+	ends := clock.Millis(over / max(request.Share.Share, 1) * float64(cost.ShortRequestDuration))
+	earliest := b.RetryAfter(request)
+	return max(ends, earliest+clock.Millis(retrySpread*b.Random.Float64()*float64(earliest)))
+}
+
 // room returns the part of the requests in flight for which there is room: 1 without contention. wait is
 // the mean time to the first event of short prompts, in milliseconds.
 func (l limits) room(request *board.Request, decision choice, wait float64) float64 {
