--- a/internal/flow/place/share.go
+++ b/internal/flow/place/share.go
@@ -34,10 +34,10 @@
 type limits struct{ predicted, wait, occupied float64 }
 
 var (
-	firstLimits = limits{predicted: 0.6, wait: 0.75, occupied: 0.75}
+	firstLimits = limits{predicted: 0.8, wait: 1, occupied: 0.75}
 	// returnLimits are those for callers that return after a refusal. They are late in any case and take
 	// the slots that the others leave.
-	returnLimits = limits{predicted: 1, wait: 1.5, occupied: 0.95}
+	returnLimits = limits{predicted: 1, wait: 1.5, occupied: 0.85}
 )
 
 // judgeShare reports whether there is contention and the organisation of a short prompt exceeds its share,
--- a/internal/flow/share/ledger.go
+++ b/internal/flow/share/ledger.go
@@ -23,7 +23,7 @@
 	overTTL = 2 * clock.Second
 
 	// waitWindow is the time over which the time to the first event is averaged.
-	waitWindow = 600 * clock.Millis(1)
+	waitWindow = 1 * clock.Second
 
 	// An entry publishes the use of at most maxPublished groups, of those with minPublished requests
 	// and 1/publishedDivisor of all its requests.
