--- a/internal/flow/place/choose.go
+++ b/internal/flow/place/choose.go
@@ -53,10 +53,8 @@
 		isFull bool
 		// inFlight is the number of requests at all engines of the service.
 		inFlight int
-		// slots is the number of slots of the short size class at its largest. meanWait is the mean time to the first event of short
-		// prompts, in milliseconds.
+		// slots is the number of slots of the short size class at its largest.
 		slots      int
-		meanWait   float64
 		reason     call.Reason
 		retryAfter clock.Millis
 		// wait is why the request waits. shards is the number of engines that it needs, free
--- a/internal/flow/place/engine.go
+++ b/internal/flow/place/engine.go
@@ -199,14 +199,10 @@
 	byPrice = append(byPrice, long...)
 	byPrice = append(byPrice, slow...)
 	s.byPrice = byPrice
-	shortPrompts, inFlight, recent, prefilling := 0, 0, 0, 0
+	shortPrompts, inFlight := 0, 0
 	for i, c := range byPrice {
 		shortPrompts += c.load.ShortPrompts
 		inFlight += c.load.Leads
-		if i < len(short) {
-			recent += c.load.ShortPrompts
-			prefilling += min(c.load.Prefilling, c.load.ShortPrompts)
-		}
 		c.setShortPrice(prompt, need)
 		if i >= len(short) {
 			c.price += longClassPenalty
@@ -226,11 +222,9 @@
 		choices++
 	}
 	best := byPrice[b.Random.IntN(choices)]
-	// By Little's law, those that wait for their first event over those that arrived in a time.
-	meanWait := float64(cost.ShortRequestDuration) * float64(prefilling) / float64(max(recent, 1))
 	return choice{
 		lead: best.endpoint, firstEvent: best.firstEvent, isFull: best.isFull, inFlight: inFlight,
-		slots: best.engine.Slots * largestShortClass(len(short)+len(long)), meanWait: meanWait,
+		slots: best.engine.Slots * largestShortClass(len(short)+len(long)),
 	}
 }
 
--- a/internal/flow/place/share.go
+++ b/internal/flow/place/share.go
@@ -15,8 +15,6 @@
 	// shareTolerance is how far the work of a group may exceed its share before its prompts yield, since
 	// entries see slightly different sums.
 	shareTolerance = 1.25
-	// minOccupied is the part of the slots below which a few requests decide about the mean time.
-	minOccupied = 0.4
 	// refusalRange is the reduction of the room from which all requests over a share are refused. With less,
 	// a part of them is, so that entries that decide at the same time don't admit all or none.
 	refusalRange = 0.2
@@ -28,16 +26,16 @@
 	fullRoomShare = 0.9
 )
 
-// limits are the limits beyond which there is contention: of the predicted first event and of the mean time to
-// those of all short prompts, as parts of the objective, and of the occupied part of the slots, beyond which
-// requests that are not known yet may find none free.
-type limits struct{ predicted, wait, occupied float64 }
+// limits are the limits beyond which there is contention: of the predicted first event, as a part of the
+// objective, and of the occupied part of the slots that short prompts may take, beyond which requests that
+// are not known yet may find none free.
+type limits struct{ predicted, occupied float64 }
 
 var (
-	firstLimits = limits{predicted: 0.8, wait: 1, occupied: 0.75}
+	firstLimits = limits{predicted: 0.8, occupied: 0.8}
 	// returnLimits are those for callers that return after a refusal. They are late in any case and take
 	// the slots that the others leave.
-	returnLimits = limits{predicted: 1, wait: 1.5, occupied: 0.85}
+	returnLimits = limits{predicted: 1, occupied: 0.9}
 )
 
 // judgeShare reports whether there is contention and the organisation of a short prompt exceeds its share,
@@ -47,8 +45,7 @@
 	if !isShared || b.MaxMembers > 1 && !b.Tally.HearsOthers() {
 		return share.Verdict{}, false
 	}
-	wait := b.Shares.Wait(request.Service, decision.meanWait, b.Now)
-	part := firstLimits.room(request, decision, wait)
+	part := firstLimits.room(request, decision)
 	if part >= 1 {
 		return share.Verdict{}, false
 	}
@@ -60,11 +57,10 @@
 	verdict = b.Shares.Judge(group, room, decision.inFlight, b.Now)
 	if verdict.HasChanged {
 		b.Log("Organisation exceeds its share, or no longer does.", "service", group.Service, "organisation", group.Organisation,
-			"exceeds", verdict.IsOver, "share", int(verdict.Share), "use", verdict.Use, "inFlight", decision.inFlight, "room", int(room),
-			"wait", clock.Millis(wait))
+			"exceeds", verdict.IsOver, "share", int(verdict.Share), "use", verdict.Use, "inFlight", decision.inFlight, "room", int(room))
 	}
 	if request.IsCallerRetry() {
-		part = returnLimits.room(request, decision, wait)
+		part = returnLimits.room(request, decision)
 	}
 	return verdict, verdict.IsOver && request.Runs == 0 && b.Random.Float64()*refusalRange < 1-part
 }
@@ -78,9 +74,8 @@
 	return max(ends, earliest+clock.Millis(retrySpread*b.Random.Float64()*float64(earliest)))
 }
 
-// room returns the part of the requests in flight for which there is room: 1 without contention. wait is
-// the mean time to the first event of short prompts, in milliseconds.
-func (l limits) room(request *board.Request, decision choice, wait float64) float64 {
+// room returns the part of the requests in flight for which there is room: 1 without contention.
+func (l limits) room(request *board.Request, decision choice) float64 {
 	part := 1.0
 	if decision.isFull {
 		part = fullRoomShare
@@ -88,9 +83,6 @@
 	objective := float64(max(request.Route.Objective, 1))
 	part = min(part, l.predicted/max(float64(decision.firstEvent)/objective, l.predicted))
 	occupied := float64(decision.inFlight) / float64(max(decision.slots, 1))
-	if occupied >= minOccupied {
-		part = min(part, l.wait/max(wait/objective, l.wait))
-	}
 	return min(part, l.occupied/max(occupied, l.occupied))
 }
 
--- a/internal/flow/share/ledger.go
+++ b/internal/flow/share/ledger.go
@@ -22,9 +22,6 @@
 	// overTTL is how long a group counts as over its share after it was last found so.
 	overTTL = 2 * clock.Second
 
-	// waitWindow is the time over which the time to the first event is averaged.
-	waitWindow = 1 * clock.Second
-
 	// An entry publishes the use of at most maxPublished groups, of those with minPublished requests
 	// and 1/publishedDivisor of all its requests.
 	maxPublished     = 4
@@ -56,9 +53,6 @@
 		// refreshedAt is when the uses of the groups were last looked up, and known their requests.
 		refreshedAt clock.Millis
 		known       int
-		// wait is the mean time to the first event of short prompts in milliseconds, as of waitAt.
-		wait   float64
-		waitAt clock.Millis
 	}
 
 	// record is what is known of a group.
@@ -127,16 +121,6 @@
 	delete(s.groups, oldest)
 }
 
-// Wait returns the mean time to the first event of the short prompts of a service at all entries, in
-// milliseconds, given what it is now. It follows changes within waitWindow.
-func (l *Ledger) Wait(name ident.Service, current float64, now clock.Millis) float64 {
-	s := l.serviceOf(name)
-	weight := min(float64(now-s.waitAt)/float64(waitWindow), 1)
-	s.wait += weight * (current - s.wait)
-	s.waitAt = now
-	return s.wait
-}
-
 // IsOutdated reports whether the uses of the groups of a service have to be looked up again.
 func (l *Ledger) IsOutdated(name ident.Service, now clock.Millis) bool {
 	s := l.serviceOf(name)
