--- a/internal/flow/parts/entry_test.go
+++ b/internal/flow/parts/entry_test.go
@@ -1,6 +1,7 @@
 package parts
 
 import (
+	"cmp"
 	"fmt"
 	"math"
 	"testing"
@@ -34,8 +35,10 @@
 	cycle      cycle.Cycle[*board.Board, input.Input]
 	lastNumber uint64
 	// key is the API key of the callers.
-	key     string
-	outputs []output.Output
+	key string
+	// fingerprint is that of the next request; zero stands for one of its own.
+	fingerprint uint64
+	outputs     []output.Output
 	// sequences holds the last sequence number of the news from each other entry.
 	sequences map[ident.Entry]uint64
 }
@@ -145,7 +148,7 @@
 	e.lastNumber++
 	received := call.Request{
 		Number: e.lastNumber, Name: ident.Request(fmt.Sprintf("r%d", e.lastNumber)), Host: host, Path: path, Key: e.key,
-		CallerTimeout: timeout, PromptTokens: tokens, OutputTokens: 1600, Fingerprint: e.lastNumber,
+		CallerTimeout: timeout, PromptTokens: tokens, OutputTokens: 1600, Fingerprint: cmp.Or(e.fingerprint, e.lastNumber),
 	}
 	return e.lastNumber, e.outputFor(received.Number, e.step(input.RequestReceived{Request: received}))
 }
--- a/internal/flow/parts/share_test.go
+++ b/internal/flow/parts/share_test.go
@@ -69,7 +69,7 @@
 			for expected += s.random.Float64(); expected >= 1; expected-- {
 				asked := &prompt{
 					from: source, key: fmt.Sprintf("key-%d", i), tokens: 5000, dueAt: s.now + 300, deadlineAt: s.now + source.timeout,
-					isAbusive: isAbusive && i == 0,
+					isAbusive: isAbusive && i == 0, fingerprint: s.random.Uint64(),
 				}
 				s.prompts = append(s.prompts, asked)
 				s.ask(asked)
@@ -176,7 +176,9 @@
 	require.GreaterOrEqual(t, refused.RetryAfter, clock.Millis(2500))
 	require.Less(t, refused.Basis.Share, refused.Basis.Use)
 	e.advance(3 * clock.Second)
-	requireSend(t, ask(greedyKey))
+	for range 20 {
+		requireSend(t, ask(greedyKey))
+	}
 
 	alone := newTestEntry(t).configure(4)
 	alone.reportGreedyUse()
--- a/internal/flow/parts/surge_test.go
+++ b/internal/flow/parts/surge_test.go
@@ -53,7 +53,9 @@
 		from   arrivals
 		key    string
 		tokens int
-		dueAt  clock.Millis
+		// fingerprint is the same for all attempts; zero for prompts that need none.
+		fingerprint uint64
+		dueAt       clock.Millis
 		// deadlineAt is when the caller stops waiting, and hasRetried whether it has sent the
 		// prompt again after a refusal.
 		deadlineAt clock.Millis
@@ -180,7 +182,7 @@
 		s.pending[entry] = map[uint64]*prompt{}
 	}
 	s.pending[entry][entry.lastNumber+1] = asked
-	entry.key = cmp.Or(asked.key, callerKey)
+	entry.key, entry.fingerprint = cmp.Or(asked.key, callerKey), asked.fingerprint
 	entry.request("/"+asked.from.route+"/1", asked.tokens, asked.deadlineAt-s.now)
 	s.carryOut(entry, entry.outputs)
 	s.collect(entry)
--- a/internal/flow/place/share.go
+++ b/internal/flow/place/share.go
@@ -20,6 +20,9 @@
 	refusalRange = 0.2
 	// retrySpread is the part by which the time after which callers should return varies.
 	retrySpread = 0.3
+	// fingerprintFactor spreads fingerprints that differ little, drawShift leaves the bits of a draw.
+	fingerprintFactor = 0x9e3779b97f4a7c15
+	drawShift         = 32
 	// minRoomShare bounds the part of the requests in flight by which one decision reduces the room,
 	// fullRoomShare is that part if no engine has a free slot.
 	minRoomShare  = 0.7
@@ -62,7 +65,13 @@
 	if request.IsCallerRetry() {
 		part = returnLimits.room(request, decision)
 	}
-	return verdict, verdict.IsOver && request.Runs == 0 && b.Random.Float64()*refusalRange < 1-part
+	return verdict, verdict.IsOver && request.Runs == 0 && drawRefusal(request)*refusalRange < 1-part
+}
+
+// drawRefusal returns the number below 1 that decides whether a request over its share is refused. It is the same
+// for each attempt at all entries, so that repeating a request at once gains nothing.
+func drawRefusal(request *board.Request) float64 {
+	return float64(request.Request.Fingerprint*fingerprintFactor>>drawShift) / (1 << (64 - drawShift))
 }
 
 // shareRetryAfter returns when the requests by which the organisation exceeds its share will have ended. It is
