--- a/internal/flow/parts/share_test.go
+++ b/internal/flow/parts/share_test.go
@@ -186,10 +186,12 @@
 	requireSend(t, got)
 }
 
-// Without contention all decisions are the same whether one organisation or several share the engines.
+// Without contention all decisions are the same whether one organisation or several share the engines, also if one
+// of them uses most.
 func TestSharesChangeNothingWithoutContention(t *testing.T) {
-	run := func(keys map[string]plan.Organisation) []output.Output {
+	run := func(other ident.Organisation) []output.Output {
 		e := newTestEntry(t).configure(8)
+		keys := map[string]plan.Organisation{callerKey: {Name: "city"}, greedyKey: {Name: other}}
 		e.step(input.PlanRead{Plan: testPlan(6).WithOrganisations(keys)})
 		var got []output.Output
 		for i := range 60 {
@@ -197,6 +199,10 @@
 			if i%10 == 0 {
 				path, tokens = "/long/1", 60000
 			}
+			e.key = greedyKey
+			if i%6 == 0 {
+				e.key = callerKey
+			}
 			number, out := e.request(path, tokens, 15000)
 			if send, isSend := out.(output.Send); isSend {
 				send.Send.Organisation, send.Send.Basis.Organisation = "", ""
@@ -204,12 +210,14 @@
 			}
 			got = append(got, out)
 			e.step(input.FirstEventSent{Number: number})
-			e.endSend(completeResult(number))
+			if number > 20 {
+				e.endSend(completeResult(number - 20))
+			}
+			e.advance(50)
 		}
 		return got
 	}
-	several := map[string]plan.Organisation{callerKey: {Name: "city"}, greedyKey: {Name: "greedy"}}
-	require.Equal(t, run(map[string]plan.Organisation{callerKey: {Name: "city"}}), run(several))
+	require.Equal(t, run("city"), run("greedy"))
 }
 
 // A long prompt must not wait for many earlier ones of another organisation if these would make it late, but only for
--- a/internal/flow/proxy/meters.go
+++ b/internal/flow/proxy/meters.go
@@ -14,8 +14,10 @@
 		requests metrics.Counter
 		answered metrics.Counter
 		refused  metrics.Counter
-		aborted  metrics.Counter
-		sends    metrics.Counter
+		// overShare counts the refused requests of organisations over their share.
+		overShare metrics.Counter
+		aborted   metrics.Counter
+		sends     metrics.Counter
 		// leaving and pauses count the answers in which endpoints announced that they leave, and
 		// those in which they asked for a pause.
 		leaving metrics.Counter
@@ -34,6 +36,7 @@
 		requests:         metrics.NewRegisteredCounter("requests.asked", r),
 		answered:         metrics.NewRegisteredCounter("requests.answered", r),
 		refused:          metrics.NewRegisteredCounter("requests.refused", r),
+		overShare:        metrics.NewRegisteredCounter("requests.overShare", r),
 		aborted:          metrics.NewRegisteredCounter("requests.aborted", r),
 		sends:            metrics.NewRegisteredCounter("sends.started", r),
 		leaving:          metrics.NewRegisteredCounter("endpoints.leaving", r),
--- a/internal/flow/proxy/session.go
+++ b/internal/flow/proxy/session.go
@@ -271,6 +271,9 @@
 func (s *session) reply(reply call.Reply) {
 	s.stage.Store(stageAnswering)
 	s.proxy.metrics.refused.Inc(1)
+	if reply.Reason == call.ReasonOverShare {
+		s.proxy.metrics.overShare.Inc(1)
+	}
 	header := s.writer.Header()
 	if reply.RetryAfter > 0 {
 		seconds := float64(reply.RetryAfter) / millisPerSecond
