--- a/internal/flow/parts/entry_test.go
+++ b/internal/flow/parts/entry_test.go
@@ -1,6 +1,7 @@
 package parts
 
 import (
+	"cmp"
 	"fmt"
 	"math"
 	"testing"
@@ -33,7 +34,11 @@
 	board      *board.Board
 	cycle      cycle.Cycle[*board.Board, input.Input]
 	lastNumber uint64
-	outputs    []output.Output
+	// key is the API key of the callers.
+	key string
+	// fingerprint is that of the next request; zero stands for one of its own.
+	fingerprint uint64
+	outputs     []output.Output
 	// sequences holds the last sequence number of the news from each other entry.
 	sequences map[ident.Entry]uint64
 }
@@ -41,7 +46,7 @@
 // newTestEntry starts entry-1 in the failure domain north, without a plan or endpoints.
 func newTestEntry(t *testing.T, options ...peers.Option) *testEntry {
 	e := &testEntry{
-		t: t, board: board.New(), cycle: cycle.New(Controllers("7000", options...)...), sequences: map[ident.Entry]uint64{},
+		t: t, key: callerKey, board: board.New(), cycle: cycle.New(Controllers("7000", options...)...), sequences: map[ident.Entry]uint64{},
 	}
 	e.board.Now = 100 * clock.Second
 	started := input.Started{
@@ -142,8 +147,8 @@
 func (e *testEntry) request(path string, tokens int, timeout clock.Millis) (uint64, output.Output) {
 	e.lastNumber++
 	received := call.Request{
-		Number: e.lastNumber, Name: ident.Request(fmt.Sprintf("r%d", e.lastNumber)), Host: host, Path: path, Key: callerKey,
-		CallerTimeout: timeout, PromptTokens: tokens, OutputTokens: 1600, Fingerprint: e.lastNumber,
+		Number: e.lastNumber, Name: ident.Request(fmt.Sprintf("r%d", e.lastNumber)), Host: host, Path: path, Key: e.key,
+		CallerTimeout: timeout, PromptTokens: tokens, OutputTokens: 1600, Fingerprint: cmp.Or(e.fingerprint, e.lastNumber),
 	}
 	return e.lastNumber, e.outputFor(received.Number, e.step(input.RequestReceived{Request: received}))
 }
--- a/internal/flow/place/place.go
+++ b/internal/flow/place/place.go
@@ -115,6 +115,9 @@
 		return
 	}
 	b.Requests[received.Number] = request
+	if group, isShared := b.GroupOf(request); isShared {
+		request.Group = b.Shares.Note(group, b.Now)
+	}
 	b.Budget.CountRequest(routed.Service, retryLimits(b), b.Now)
 	dispatch(b, request)
 }
--- a/internal/flow/plan/plan.go
+++ b/internal/flow/plan/plan.go
@@ -26,7 +26,9 @@
 		RequiresKeys bool
 		// Organisations are keyed by API key.
 		Organisations map[string]Organisation
-		Limits        Limits
+		// HasShares reports whether several organisations share the services.
+		HasShares bool
+		Limits    Limits
 
 		// hosts maps each host to its routes, longest prefix first.
 		hosts map[string][]Route
@@ -88,6 +90,7 @@
 func (p Plan) WithOrganisations(keys map[string]Organisation) Plan {
 	p.RequiresKeys = true
 	p.Organisations = keys
+	p.HasShares = hasSeveral(keys)
 	return p
 }
 
@@ -110,6 +113,20 @@
 	return times
 }
 
+// hasSeveral reports whether the keys belong to more than one organisation.
+func hasSeveral(keys map[string]Organisation) bool {
+	var first ident.Organisation
+	for _, organisation := range keys {
+		if first == "" {
+			first = organisation.Name
+		}
+		if organisation.Name != first {
+			return true
+		}
+	}
+	return false
+}
+
 // IsZero reports whether the plan is the zero value, that is, none has been read yet.
 func (p Plan) IsZero() bool { return p.Version == 0 }
 
--- a/internal/flow/proxy/session.go
+++ b/internal/flow/proxy/session.go
@@ -275,6 +275,9 @@
 func (s *session) reply(reply call.Reply) {
 	s.stage.Store(stageAnswering)
 	s.proxy.metrics.refused.Inc(1)
+	if reply.Reason == call.ReasonOverShare {
+		s.proxy.metrics.overShare.Inc(1)
+	}
 	header := s.writer.Header()
 	if reply.RetryAfter > 0 {
 		seconds := float64(reply.RetryAfter) / millisPerSecond
@@ -291,7 +294,7 @@
 	}
 	basis := reply.Basis
 	s.proxy.logFinish(s, "Request refused.", reply.Reason, reply.Status, "retryAfter", reply.RetryAfter,
-		"waitCause", basis.Wait, "callerRetry", basis.IsCallerRetry, "left", basis.TimeLeft, "startsIn", basis.StartsIn, "route", basis.Route, "plan", uint64(basis.PlanVersion), "usable", basis.Usable, "entries", basis.Entries,
+		"waitCause", basis.Wait, "callerRetry", basis.IsCallerRetry, "left", basis.TimeLeft, "startsIn", basis.StartsIn, "share", basis.Share, "use", basis.Use, "route", basis.Route, "organisation", basis.Organisation, "plan", uint64(basis.PlanVersion), "usable", basis.Usable, "entries", basis.Entries,
 		"listAge", basis.ListAge)
 }
 
