Check of a configuration before it is published

Operators could only find out by publishing that a route can never match, that a key is held by two organisations or that an objective lies over its timeout; entries keep the previous configuration if one can't be decoded, and say so in their logs only.

--- a/cmd/mustardhook/main.go
+++ b/cmd/mustardhook/main.go
@@ -39,7 +39,7 @@
 	}
 	root.SetOut(os.Stdout)
 	root.AddCommand(
-		newServe(), newRelay(), newTicket(), newSettings(), newStatus(), newAudit(), newDrain(), newReplay(), newDemo(),
+		newServe(), newRelay(), newCheck(), newTicket(), newSettings(), newStatus(), newAudit(), newDrain(), newReplay(), newDemo(),
 		newBench(), newVersion(),
 	)
 	return root
--- a/internal/wire/strict/strict.go
+++ b/internal/wire/strict/strict.go
@@ -134,10 +134,14 @@
 }
 
 func (d *Document) addError(offset int, field, reason string) {
+	d.errors = append(d.errors, d.locate(offset, field, reason))
+}
+
+func (d *Document) locate(offset int, field, reason string) FileError {
 	before := d.text[:min(offset, len(d.text))]
 	line := bytes.Count(before, []byte("\n")) + 1
 	column := len(before) - bytes.LastIndexByte(before, '\n')
-	d.errors = append(d.errors, FileError{File: d.file, Line: line, Column: column, Field: field, Reason: reason})
+	return FileError{File: d.file, Line: line, Column: column, Field: field, Reason: reason}
 }
 
 func (d *Document) newObject(value hujson.Value, path string) *Object {
@@ -175,13 +179,23 @@
 	return o.path + "." + name
 }
 
-// AddError adds an error at the field, or at the object if the field is absent.
+// AddError adds an error at the field, or at the object if the field is absent or the name is empty.
 func (o *Object) AddError(name, reason string) {
+	o.doc.errors = append(o.doc.errors, o.Locate(name, reason))
+}
+
+// Locate returns an error at the field, or at the object if the field is absent or the name is empty. It
+// does not add it.
+func (o *Object) Locate(name, reason string) FileError {
 	offset := o.offset
 	if value, present := o.members[name]; present {
 		offset = value.StartOffset
 	}
-	o.doc.addError(offset, o.fieldPath(name), reason)
+	path := o.path
+	if name != "" {
+		path = o.fieldPath(name)
+	}
+	return o.doc.locate(offset, path, reason)
 }
 
 // Has reports whether the field is present.
