--- a/internal/flow/verify/diff.go
+++ b/internal/flow/verify/diff.go
@@ -111,6 +111,7 @@
 	for _, service := range declared.Services {
 		entry := values{
 			"healthPath": service.HealthPath, string(FieldConnections): strconv.Itoa(service.Connections), string(FieldEngine): "none",
+			string(FieldColdRate): strconv.FormatFloat(service.ColdRate, 'g', -1, 64), string(FieldColdTime): service.ColdTime.String(),
 		}
 		if service.Engine != nil {
 			entry[string(FieldEngine)] = fmt.Sprintf("%+v", *service.Engine)
--- a/internal/flow/verify/service.go
+++ b/internal/flow/verify/service.go
@@ -25,6 +25,9 @@
 		if service.Connections < 0 {
 			c.fail(at(FieldConnections), problemNegative)
 		}
+		if service.ColdRate == 0 && service.ColdTime > 0 {
+			c.warn(at(FieldColdTime), "has no effect without a rate of requests to cold endpoints")
+		}
 		if service.Engine != nil {
 			c.checkEngine(service, at)
 		}
--- a/internal/flow/verify/verify.go
+++ b/internal/flow/verify/verify.go
@@ -32,6 +32,8 @@
 	FieldRank          Field = "rank"
 	FieldConnections   Field = "connections"
 	FieldEngine        Field = "engine"
+	FieldColdRate      Field = "coldRate"
+	FieldColdTime      Field = "coldTime"
 	FieldKeys          Field = "keys"
 	FieldHeaderTimeout Field = "headerTimeout"
 	FieldHeaderBytes   Field = "headerBytes"
