Bodies take their whole buffers from the memory of an entry

Callers with large bodies made an entry of 64 MB hold 73 MB: 300 callers that each send 900 KB of a body of 1 MB (TestCrowdOfLargeBodies).

Cause: a body was charged with the bytes that were read. io.ReadAll holds up to a quarter more, and while it grows the old buffer beside the new one, so the budget of 2/5 of the memory was exceeded without being full. The same held for answers.

Share.ReadAll takes each buffer before it is allocated and gives the old one back after the copy. The buffer grows to the announced length exactly, but never to more than twice what has arrived, so an announced length alone takes 16 KB. The test of the removed share reader now drives Share.ReadAll, with and without a length, with the same bounds.

--- a/internal/flow/proxy/send.go
+++ b/internal/flow/proxy/send.go
@@ -346,7 +346,7 @@
 // bufferAnswer reads the complete answer and keeps it in the session until the core
 // decides to deliver it.
 func (x *exchange) bufferAnswer(response *http.Response) call.Result {
-	body, err := limit.ReadAll(x.session.memory.NewReader(response.Body), maxAnswerBytes)
+	body, err := x.session.memory.ReadAll(response.Body, response.ContentLength, maxAnswerBytes)
 	if err != nil {
 		return x.failedResult(newReadError("body", err))
 	}
--- a/internal/flow/proxy/session.go
+++ b/internal/flow/proxy/session.go
@@ -151,7 +151,7 @@
 		maxBytes = defaultMaxBodyBytes
 	}
 	_ = s.control.SetReadDeadline(time.Now().Add(bodyReadTimeout))
-	body, err := limit.ReadAll(s.bodyMemory.NewReader(s.head.Body), maxBytes)
+	body, err := s.bodyMemory.ReadAll(s.head.Body, s.head.ContentLength, maxBytes)
 	var exceeded *limit.ExceededError
 	var exhausted *limit.ExhaustedError
 	switch {
--- a/internal/serve/limit/budget.go
+++ b/internal/serve/limit/budget.go
@@ -1,7 +1,6 @@
 package limit
 
 import (
-	"io"
 	"strconv"
 	"sync/atomic"
 )
@@ -21,6 +20,8 @@
 	Budget struct {
 		total int64
 		free  atomic.Int64
+		// whole is the budget that this one is a part of; may be nil.
+		whole *Budget
 	}
 
 	// Share is the part of a Budget that one reader holds. It is not safe for concurrent
@@ -29,12 +30,6 @@
 		budget *Budget
 		held   int64
 	}
-
-	// shareReader takes what it reads from a share.
-	shareReader struct {
-		source io.Reader
-		share  *Share
-	}
 )
 
 // Error returns a message with the number of bytes.
@@ -49,6 +44,14 @@
 	return b
 }
 
+// NewPart returns a budget of the given number of bytes, whose shares take from b too. The parts of
+// b may have more bytes together than b.
+func (b *Budget) NewPart(bytes int64) *Budget {
+	part := NewBudget(bytes)
+	part.whole = b
+	return part
+}
+
 // Free returns the number of bytes that no share holds.
 func (b *Budget) Free() int64 { return b.free.Load() }
 
@@ -62,14 +65,26 @@
 	if s.held+bytes > s.budget.total/smallShares {
 		reserve = s.budget.total / reserveShares
 	}
+	if !s.budget.take(bytes, reserve) {
+		return &ExhaustedError{bytes}
+	}
+	if whole := s.budget.whole; whole != nil && !whole.take(bytes, 0) {
+		s.budget.free.Add(bytes)
+		return &ExhaustedError{bytes}
+	}
+	s.held += bytes
+	return nil
+}
+
+// take takes bytes if the reserve is left then.
+func (b *Budget) take(bytes, reserve int64) bool {
 	for {
-		free := s.budget.free.Load()
+		free := b.free.Load()
 		if free-bytes < reserve {
-			return &ExhaustedError{bytes}
+			return false
 		}
-		if s.budget.free.CompareAndSwap(free, free-bytes) {
-			s.held += bytes
-			return nil
+		if b.free.CompareAndSwap(free, free-bytes) {
+			return true
 		}
 	}
 }
@@ -78,20 +93,10 @@
 func (s *Share) Give(bytes int64) {
 	s.held -= bytes
 	s.budget.free.Add(bytes)
+	if whole := s.budget.whole; whole != nil {
+		whole.free.Add(bytes)
+	}
 }
 
 // Release returns all bytes of the share to the budget.
 func (s *Share) Release() { s.Give(s.held) }
-
-// NewReader returns a reader that takes what it reads from the share and fails with an
-// *ExhaustedError if that is not possible.
-func (s *Share) NewReader(source io.Reader) io.Reader { return &shareReader{source, s} }
-
-// Read implements io.Reader.
-func (r *shareReader) Read(buffer []byte) (int, error) {
-	count, err := r.source.Read(buffer)
-	if takeErr := r.share.Take(int64(count)); takeErr != nil {
-		return 0, takeErr
-	}
-	return count, err
-}
--- a/internal/serve/limit/limit_test.go
+++ b/internal/serve/limit/limit_test.go
@@ -100,14 +100,55 @@
 }
 
 // Guards against a reader that keeps bytes which its share could not take.
-func TestShareReaderFailsWithoutMemory(t *testing.T) {
+func TestShareFailsWithoutMemory(t *testing.T) {
 	t.Parallel()
-	budget := limit.NewBudget(1000)
+	for _, length := range []int64{-1, 5000} {
+		budget := limit.NewBudget(1000)
+		share := budget.NewShare()
+		content, err := share.ReadAll(strings.NewReader(strings.Repeat("x", 5000)), length, 10_000)
+		var exhausted *limit.ExhaustedError
+		require.ErrorAs(t, err, &exhausted)
+		require.Empty(t, content)
+		share.Release()
+		require.Equal(t, int64(1000), budget.Free())
+	}
+}
+
+// Guards against a body that is cut, or whose buffer is larger than what its share has taken.
+func TestShareHoldsWhatIsRead(t *testing.T) {
+	t.Parallel()
+	const total = 1 << 20
+	for _, size := range []int{0, 1, 511, 512, 16 << 10, 16<<10 + 1, 70_000} {
+		for _, length := range []int64{-1, int64(size), 1, 90_000} {
+			budget := limit.NewBudget(total)
+			share := budget.NewShare()
+			content, err := share.ReadAll(iotest.HalfReader(strings.NewReader(strings.Repeat("x", size))), length, 100_000)
+			require.NoError(t, err)
+			require.Len(t, content, size)
+			require.Equal(t, int64(total-cap(content)), budget.Free(), "%d bytes, %d claimed", size, length)
+		}
+	}
+}
+
+// Guards against a reader that allocates what its source claims to have.
+func TestClaimedLengthTakesNoMemory(t *testing.T) {
+	t.Parallel()
+	budget := limit.NewBudget(1 << 20)
 	share := budget.NewShare()
-	content, err := limit.ReadAll(share.NewReader(strings.NewReader(strings.Repeat("x", 5000))), 10_000)
-	var exhausted *limit.ExhaustedError
-	require.ErrorAs(t, err, &exhausted)
-	require.Empty(t, content)
-	share.Release()
-	require.Equal(t, int64(1000), budget.Free())
+	_, err := share.ReadAll(iotest.ErrReader(io.ErrUnexpectedEOF), 900_000, 1_000_000)
+	require.ErrorIs(t, err, io.ErrUnexpectedEOF)
+	require.Greater(t, budget.Free(), int64(1<<20-20_000))
+}
+
+// Guards against budgets that together hold more than the one that they are parts of.
+func TestPartsStayWithinWhole(t *testing.T) {
+	t.Parallel()
+	whole := limit.NewBudget(1000)
+	first, second := whole.NewPart(2000).NewShare(), whole.NewPart(2000).NewShare()
+	for first.Take(1) == nil || second.Take(1) == nil {
+	}
+	require.Zero(t, whole.Free())
+	first.Release()
+	second.Release()
+	require.Equal(t, int64(1000), whole.Free())
 }
