Heads of requests are bounded by memory, and silent connections give way

Callers that nobody controls ended entries: they sent heads over the limit or without end, and the process ran out of memory. Others kept ordinary callers out with connections that sent nothing.

Cause: a head was bounded by 64 KiB on each connection only. Parsed, it takes up to ten times its bytes (16 KiB of distinct fields of a few bytes: 90 bytes a line in the map alone, and again in the copy that is sent on), it lives until the answer ends, and no budget knew of it. The limits of heads and of time in the configuration were not applied. Accept waited for a place, and the connections that held one kept it for 60 s without a byte.

Now a connection counts the bytes and lines of each head as they are read, and takes 16 KiB + 2 a byte + 256 a line from a budget of a quarter of the memory before it hands them to net/http; they are given back at the end of the answer. A head over max_header_bytes gets 431, one without memory 503 and Retry-After, after the slowest head of at least a second has given way. Heads, bodies, answers and connections (20 KiB each, in a quarter of the memory at most) share 3/5 of the memory, which leaves the rest to the process and to garbage. The time for a head begins with its first byte and isn't prolonged, by empty lines neither. header_timeout_ms (with a second for the way) and idle_timeout_ms are those of the configuration in force. A full port ends the oldest unused connection, else the slowest head, else the longest idle one, each after a second. The kernel's receive buffers stay at 64 KiB.

No caller within the limits meets the new bounds in calm: 16 KB of the smallest fields take 1.5 MB of the budget, of which one head may use half.

--- a/internal/flow/proxy/meters.go
+++ b/internal/flow/proxy/meters.go
@@ -5,6 +5,8 @@
 	"strconv"
 
 	"github.com/rcrowley/go-metrics"
+
+	"mustardhook/internal/serve/conns"
 )
 
 type (
@@ -27,8 +29,14 @@
 	}
 )
 
-func newEntryMetrics() *entryMetrics {
+func newEntryMetrics(callers *conns.Tracker) *entryMetrics {
 	r := metrics.NewRegistry()
+	refused := func(name string, count func(conns.Refusals) int64) {
+		metrics.NewRegisteredFunctionalGauge(name, r, func() int64 { return count(callers.Refusals()) })
+	}
+	refused("callers.headsTooLarge", func(refusals conns.Refusals) int64 { return refusals.TooLarge })
+	refused("callers.headsWithoutMemory", func(refusals conns.Refusals) int64 { return refusals.NoMemory })
+	refused("callers.gaveWay", func(refusals conns.Refusals) int64 { return refusals.GaveWay })
 	return &entryMetrics{
 		registry:         r,
 		requests:         metrics.NewRegisteredCounter("requests.asked", r),
--- a/internal/flow/proxy/proxy.go
+++ b/internal/flow/proxy/proxy.go
@@ -36,8 +36,12 @@
 	// sessionOutputBuffer is the capacity of a session's channel of outputs.
 	sessionOutputBuffer = 4
 	nanosPerMs          = 1e6
-	// answerMemoryRatio and bodyMemoryRatio are the parts of the instance's memory that
-	// buffered answers and request bodies may take.
+	// callerMemoryRatio is the part of the instance's memory that callers may take with all that
+	// they have open. Of it, connections may take connMemoryRatio of the instance's memory, heads of
+	// requests headMemoryRatio, buffered answers answerMemoryRatio and bodies bodyMemoryRatio.
+	callerMemoryRatio = 0.6
+	connMemoryRatio   = 0.25
+	headMemoryRatio   = 0.25
 	answerMemoryRatio = 0.2
 	bodyMemoryRatio   = 0.4
 )
@@ -60,8 +64,10 @@
 		// bodies.
 		answerMemory *limit.Budget
 		bodyMemory   *limit.Budget
+		// connLimits are the limits of the plan that conns has.
+		connLimits plan.Limits
 
-		// mutex guards board and cycle.
+		// mutex guards board, cycle and connLimits.
 		mutex sync.Mutex
 		board *board.Board
 		cycle cycle.Cycle[*board.Board, input.Input]
@@ -92,16 +98,20 @@
 func New(config Config) *Proxy {
 	ctx, cancel := context.WithCancel(context.Background())
 	memoryBytes := float64(config.Settings.Limits.MemoryMegabytes) * megabyte
+	connBytes := maxCallerConns(config.Settings.Limits) * conns.ConnBytes
+	callerMemory := limit.NewBudget(int64(memoryBytes*callerMemoryRatio) - int64(connBytes))
+	tracker := conns.New(conns.WithMemory(callerMemory.NewPart(int64(memoryBytes * headMemoryRatio))))
+	tracker.SetLimits(connLimits(plan.Limits{}))
 	return &Proxy{
 		settings:     config.Settings,
 		dialect:      config.Dialect,
 		source:       config.Source,
 		logger:       config.Logger,
-		metrics:      newEntryMetrics(),
+		metrics:      newEntryMetrics(tracker),
 		peers:        NewClient(),
-		answerMemory: limit.NewBudget(int64(memoryBytes * answerMemoryRatio)),
-		bodyMemory:   limit.NewBudget(int64(memoryBytes * bodyMemoryRatio)),
-		conns:        conns.New(),
+		answerMemory: callerMemory.NewPart(int64(memoryBytes * answerMemoryRatio)),
+		bodyMemory:   callerMemory.NewPart(int64(memoryBytes * bodyMemoryRatio)),
+		conns:        tracker,
 		board:        board.New(),
 		cycle:        cycle.New(config.Controllers...),
 		started:      make(chan struct{}),
@@ -135,6 +145,10 @@
 	b.LastStep = b.Now
 	outputs := b.TakeOutputs()
 	now := b.Now
+	if limits := b.Plan.Limits; limits != p.connLimits {
+		p.connLimits = limits
+		p.conns.SetLimits(connLimits(limits))
+	}
 	p.mutex.Unlock()
 	for _, action := range outputs {
 		p.execute(action, now)
--- a/internal/flow/proxy/run.go
+++ b/internal/flow/proxy/run.go
@@ -6,14 +6,18 @@
 	"net/http"
 	"runtime/debug"
 	"strconv"
+	"syscall"
 	"time"
 
 	"github.com/go-faster/errors"
+	"golang.org/x/sys/unix"
 
 	"mustardhook/internal/core/clock"
 	"mustardhook/internal/flow/input"
 	"mustardhook/internal/flow/place"
+	"mustardhook/internal/flow/plan"
 	"mustardhook/internal/flow/setup"
+	"mustardhook/internal/serve/conns"
 )
 
 const (
@@ -21,12 +25,17 @@
 	// An idle connection of a caller is closed after callerIdleTimeout.
 	requestHeaderTimeout = 5 * time.Second
 	callerIdleTimeout    = 60 * time.Second
-	// maxRequestHeadBytes is the maximum size of the head of a request. On the ports for
-	// control, maxControlBytes is that of the body, and controlTimeout is how long reading a
-	// request and writing the response may each take.
+	// maxRequestHeadBytes is the maximum size of the head of a request until a plan sets one, which
+	// may be up to maxPlannedHeadBytes. On the ports for control, maxControlBytes is that of the
+	// body, and controlTimeout is how long reading a request and writing the response may each take.
 	maxRequestHeadBytes = 64 << 10
-	maxControlBytes     = 64 << 10
-	controlTimeout      = 5 * time.Second
+	maxPlannedHeadBytes = 1 << 20
+	// headTimeReserve allows for the way of a head that its caller sends in the time of the plan.
+	headTimeReserve = 1 * clock.Second
+	// receiveBufferBytes bounds what the kernel holds of a connection that is not read.
+	receiveBufferBytes = 64 << 10
+	maxControlBytes    = 64 << 10
+	controlTimeout     = 5 * time.Second
 	// memoryLimitRatio is the soft limit of the Go runtime's memory, as a fraction of the
 	// memory setting.
 	memoryLimitRatio = 0.7
@@ -125,7 +134,7 @@
 // of connections and tracks them, on other ports it limits the size and the duration of
 // requests.
 func (p *Proxy) listen(name, address string, handler http.Handler) (*http.Server, net.Listener, error) {
-	config := net.ListenConfig{KeepAliveConfig: keepAliveConfig()}
+	config := net.ListenConfig{KeepAliveConfig: keepAliveConfig(), Control: boundReceiveBuffer}
 	listener, err := config.Listen(p.lifetime, "tcp4", address)
 	if err != nil {
 		return nil, nil, &ListenError{name, address, err}
@@ -135,8 +144,8 @@
 		MaxHeaderBytes: maxRequestHeadBytes,
 	}
 	if name == callersPort {
-		maxConns := int(float64(p.settings.Limits.Descriptors-reservedDescriptors) * callerDescriptorRatio)
-		listener = p.conns.Listen(listener, maxConns)
+		server.MaxHeaderBytes = maxPlannedHeadBytes
+		listener = p.conns.Listen(listener, maxCallerConns(p.settings.Limits))
 		p.conns.Attach(server)
 	} else {
 		server.Handler = http.MaxBytesHandler(handler, maxControlBytes)
@@ -151,6 +160,34 @@
 	return server, listener, nil
 }
 
+// maxCallerConns returns how many connections callers may have open.
+func maxCallerConns(limits setup.Limits) int {
+	byDescriptors := float64(limits.Descriptors-reservedDescriptors) * callerDescriptorRatio
+	byMemory := float64(limits.MemoryMegabytes) * megabyte * connMemoryRatio / conns.ConnBytes
+	return max(int(min(byDescriptors, byMemory)), 1)
+}
+
+// boundReceiveBuffer sets the receive buffer of a listening socket, which its connections inherit.
+// Without it the kernel lets them grow to megabytes.
+func boundReceiveBuffer(_, _ string, socket syscall.RawConn) error {
+	return socket.Control(func(descriptor uintptr) {
+		// A system without the option keeps its own bound.
+		_ = unix.SetsockoptInt(int(descriptor), unix.SOL_SOCKET, unix.SO_RCVBUF, receiveBufferBytes)
+	})
+}
+
+// connLimits returns the limits of connections of callers under a plan.
+func connLimits(limits plan.Limits) conns.Limits {
+	converted := conns.Limits{HeadBytes: maxRequestHeadBytes, IdleTime: limits.IdleTimeout.Duration()}
+	if limits.HeaderBytes > 0 {
+		converted.HeadBytes = limits.HeaderBytes
+	}
+	if limits.HeaderTimeout > 0 {
+		converted.HeadTime = (limits.HeaderTimeout + headTimeReserve).Duration()
+	}
+	return converted
+}
+
 // stop makes the readiness check fail and accepts requests until the load balancer has
 // noticed that. It then waits until every request that was read has been answered. The core
 // ends the requests that are left shortly before the end of the grace period.
--- a/internal/serve/conns/conn.go
+++ b/internal/serve/conns/conn.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/go-faster/errors"
+
+	"mustardhook/internal/serve/limit"
 )
 
 const (
@@ -39,47 +41,91 @@
 		isInterrupted bool
 		// readDeadline is the read deadline that the server has set.
 		readDeadline time.Time
-		// headTime is how long the first request may take to arrive, from its first byte on;
+		// openedAt is when the connection was opened, and usedAt when its last answer ended.
+		openedAt, usedAt time.Time
+		isClosed         bool
+
+		// isInHead is set from the first byte of a request to the begin of its handler. head is the
+		// size of what was read of it, headBeganAt when it began, and headDeadline when it must end;
 		// zero for no limit.
-		headTime time.Duration
+		isInHead     bool
+		head         headSize
+		headBeganAt  time.Time
+		headDeadline time.Time
+		// buffered is the most that the server holds in its buffer.
+		buffered headSize
+		// share holds the memory of the current request, which taken counts; nil without a budget.
+		share *limit.Share
+		taken int64
 	}
 )
 
 // past is a read deadline that has passed.
 var past = time.Unix(1, 0)
 
-// Read reads from the connection. Bytes that it returns make the connection busy.
+// Read reads from the connection. Bytes that it returns make the connection busy. Those of a head
+// are counted.
 func (c *conn) Read(buffer []byte) (int, error) {
 	count, err := c.Conn.Read(buffer)
-	if count > 0 {
-		c.tracker.mutex.Lock()
-		defer c.tracker.mutex.Unlock()
-		c.hasNextByte = c.state == stateBusy && len(buffer) == 1
-		c.becomeBusy()
+	if count == 0 {
+		return count, err
+	}
+	if cause := c.receive(buffer[:count], len(buffer)); cause != nil {
+		return 0, c.refuse(cause)
 	}
 	return count, err
 }
 
+// receive records bytes that were read into a slice of the given capacity. It returns a *HeadError
+// if they belong to a head that must be refused.
+func (c *conn) receive(text []byte, capacity int) error {
+	var read headSize
+	if capacity <= serverBufferBytes {
+		read = sizeOf(text)
+	}
+	c.tracker.mutex.Lock()
+	defer c.tracker.mutex.Unlock()
+	c.hasNextByte = c.state == stateBusy && capacity == 1
+	if c.state != stateBusy {
+		// The server reads while its buffer holds less than the begin of a request line.
+		c.beginHead(headSize{})
+	}
+	c.becomeBusy()
+	if c.hasNextByte {
+		return nil
+	}
+	c.noteBuffered(read, capacity)
+	if !c.isInHead {
+		return nil
+	}
+	return c.countHead(read)
+}
+
 // SetReadDeadline sets the read deadline unless the connection is interrupted. http.Server
 // sets one before it waits for the next request and another one once it has the first bytes
 // of it, which may come from its buffer instead of Read. The one that it sets on a new
-// connection is meant for the head of the first request.
+// connection is meant for the head of the first request. The deadline of a head is not
+// prolonged.
 func (c *conn) SetReadDeadline(deadline time.Time) error {
 	c.tracker.mutex.Lock()
 	defer c.tracker.mutex.Unlock()
-	if c.state == stateUnused && !deadline.IsZero() {
-		c.headTime = time.Until(deadline)
-		deadline = time.Now().Add(max(c.headTime, c.tracker.unusedTimeout))
+	switch {
+	case deadline.IsZero():
+	case c.state == stateUnused:
+		deadline = time.Now().Add(max(c.tracker.headTime(), c.tracker.idleTime()))
+	case c.state == stateIdle && !c.isAwaiting:
+		deadline = time.Now().Add(c.tracker.idleTime())
 	}
 	c.readDeadline = deadline
 	if c.state == stateIdle && c.isAwaiting {
+		c.beginHead(c.buffered)
 		c.becomeBusy()
 	}
 	c.isAwaiting = c.state == stateIdle
 	if c.isInterrupted {
 		return nil
 	}
-	return c.Conn.SetReadDeadline(deadline)
+	return c.Conn.SetReadDeadline(c.deadline())
 }
 
 // SetDeadline sets the read and the write deadline.
@@ -110,8 +156,11 @@
 // becomeIdle records the end of an answer. The next request may have begun already. If the
 // answer has not announced the end of the connection, the caller may be sending the next request.
 func (c *conn) becomeIdle() {
+	c.releaseHead()
+	c.usedAt = time.Now()
 	if c.hasNextByte {
 		c.hasNextByte = false
+		c.beginHead(c.buffered)
 		return
 	}
 	c.state = stateIdle
@@ -121,18 +170,14 @@
 	}
 }
 
-// becomeBusy undoes an interruption, which came too late. The time for the first request
-// begins.
+// becomeBusy undoes an interruption, which came too late. The time for a head begins.
 func (c *conn) becomeBusy() {
-	isFirst := c.state == stateUnused && c.headTime > 0
-	if isFirst {
-		c.readDeadline = time.Now().Add(c.headTime)
-	}
+	isNew := c.state != stateBusy
 	c.state = stateBusy
 	c.isAwaiting = false
-	if c.isInterrupted || isFirst {
+	if c.isInterrupted || isNew {
 		c.isInterrupted = false
-		_ = c.Conn.SetReadDeadline(c.readDeadline)
+		_ = c.Conn.SetReadDeadline(c.deadline())
 	}
 }
 
--- /dev/null
+++ b/internal/serve/conns/room.go
@@ -0,0 +1,85 @@
+package conns
+
+import "time"
+
+const (
+	// placeInterval is the time between two attempts to find a place for a new connection.
+	placeInterval = 10 * time.Millisecond
+	// minPatience is how long a connection that no request uses, or on which a head arrives, keeps
+	// its place and its memory though others wait for them.
+	minPatience = 1 * time.Second
+)
+
+// makePlace ends the connection that is least in use, if it is so for minPatience: the oldest
+// unused one, else the one with the slowest head, else the one that is idle for longest.
+func (t *Tracker) makePlace() {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	var chosen *conn
+	for c := range t.open {
+		if c.isEndable() && (chosen == nil || c.endsBefore(chosen)) {
+			chosen = c
+		}
+	}
+	t.giveWay(chosen)
+}
+
+// endSlowestHead ends the connection whose head began first, other than that of the given one. It
+// reports whether a connection ends.
+func (t *Tracker) endSlowestHead(except *conn) bool {
+	var chosen *conn
+	for c := range t.open {
+		if c == except || !c.isInHead || !c.isEndable() {
+			continue
+		}
+		if chosen == nil || c.headBeganAt.Before(chosen.headBeganAt) {
+			chosen = c
+		}
+	}
+	return t.giveWay(chosen)
+}
+
+// giveWay ends the connection, which may be nil.
+func (t *Tracker) giveWay(chosen *conn) bool {
+	if chosen == nil {
+		return false
+	}
+	t.refusals.GaveWay++
+	chosen.interrupt()
+	return true
+}
+
+// isEndable reports whether the connection may end in favour of others.
+func (c *conn) isEndable() bool {
+	return !c.isInterrupted && (c.state != stateBusy || c.isInHead) && time.Since(c.waitingSince()) >= minPatience
+}
+
+// waitingSince returns since when the connection waits for its caller.
+func (c *conn) waitingSince() time.Time {
+	switch {
+	case c.state == stateUnused:
+		return c.openedAt
+	case c.isInHead:
+		return c.headBeganAt
+	}
+	return c.usedAt
+}
+
+// endsBefore reports whether the connection is to end before the other one.
+func (c *conn) endsBefore(other *conn) bool {
+	if mine, its := c.endRank(), other.endRank(); mine != its {
+		return mine < its
+	}
+	return c.waitingSince().Before(other.waitingSince())
+}
+
+// endRank returns in which order connections end.
+func (c *conn) endRank() int {
+	switch {
+	case c.state == stateUnused:
+		return 0
+	case c.isInHead:
+		return 1
+	}
+	return 2
+}
--- a/internal/serve/conns/tracker.go
+++ b/internal/serve/conns/tracker.go
@@ -18,6 +18,8 @@
 	"time"
 
 	"github.com/go-faster/errors"
+
+	"mustardhook/internal/serve/limit"
 )
 
 const (
@@ -41,10 +43,34 @@
 		open  map[*conn]struct{}
 		// closed has a value after a connection was closed.
 		closed chan struct{}
-		// unusedTimeout is how long a connection may stay open without a byte.
-		unusedTimeout time.Duration
+		// heads bounds the memory of the requests; nil for no bound.
+		heads *limit.Budget
+		// limits are those in force. Zero values stand for the timeouts of the server.
+		limits   Limits
+		refusals Refusals
+		// server is the one that the tracker is attached to; may be nil.
+		server *http.Server
+	}
+
+	// Limits bounds the heads of requests and the time of connections.
+	Limits struct {
+		// HeadBytes is the size of a head up to which it is accepted; zero for the limit of the
+		// server.
+		HeadBytes int
+		// HeadTime is how long a head may take from its first byte on, and IdleTime how long a
+		// connection may stay open without a byte; zero for the timeout of the server.
+		HeadTime, IdleTime time.Duration
 	}
 
+	// Refusals counts what did not get to a handler: heads over the limit, requests without memory,
+	// and connections that ended in favour of others.
+	Refusals struct{ TooLarge, NoMemory, GaveWay int64 }
+
+	// Option configures a Tracker.
+	Option func(*Tracker)
+
+	connKey struct{}
+
 	// Counts is the number of open connections by state.
 	Counts struct {
 		// Unused connections have not sent a byte, Idle ones have sent none since their
@@ -73,14 +99,29 @@
 }
 
 // New returns a tracker without connections.
-func New() *Tracker {
-	return &Tracker{open: map[*conn]struct{}{}, closed: make(chan struct{}, 1)}
+func New(options ...Option) *Tracker {
+	t := &Tracker{open: map[*conn]struct{}{}, closed: make(chan struct{}, 1)}
+	for _, option := range options {
+		option(t)
+	}
+	return t
+}
+
+// WithMemory bounds the memory of all requests together, from the first byte of a head to the end
+// of its answer. A request that finds none is refused with status 503.
+func WithMemory(budget *limit.Budget) Option { return func(t *Tracker) { t.heads = budget } }
+
+// SetLimits sets the limits of heads that begin, and of connections that become idle, later.
+func (t *Tracker) SetLimits(limits Limits) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	t.limits = limits
 }
 
 // Listen returns a listener whose connections are tracked. It must be the listener that the
-// server accepts from, so a listener for TLS goes inside. It accepts a connection only while
-// fewer than maxOpen are open. It does so itself, because netutil.LimitListener hides the
-// method that resets a connection.
+// server accepts from, so a listener for TLS goes inside. At most maxOpen connections are open; one
+// more takes the place of one that no request uses. netutil.LimitListener would hide the method that
+// resets a connection.
 func (t *Tracker) Listen(inner net.Listener, maxOpen int) net.Listener {
 	return &listener{Listener: inner, tracker: t, free: make(chan struct{}, max(maxOpen, 1)), closed: make(chan struct{})}
 }
@@ -88,16 +129,54 @@
 // Attach makes the server report the states of its connections to the tracker, and its
 // handler announce the end of a connection once the stop begins. Call it before the server
 // is started. Requests have no TLS state. A new connection may stay unused for the idle timeout
-// of the server, and the time for the head of its first request begins with its first byte.
+// of the server, and the time for the head of a request begins with its first byte.
 func (t *Tracker) Attach(server *http.Server) {
+	t.server = server
 	server.ConnState = t.observe
-	t.unusedTimeout = server.IdleTimeout
+	server.ConnContext = func(ctx context.Context, accepted net.Conn) context.Context {
+		return context.WithValue(ctx, connKey{}, accepted)
+	}
 	inner := server.Handler
 	server.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		inner.ServeHTTP(&writer{w, t}, r)
+		w = &writer{w, t}
+		if c, isTracked := r.Context().Value(connKey{}).(*conn); isTracked && !c.endHead() {
+			refuseRequest(w, r)
+			return
+		}
+		inner.ServeHTTP(w, r)
 	})
 }
 
+// refuseRequest answers a request that finds no memory.
+func refuseRequest(w http.ResponseWriter, r *http.Request) {
+	DropBody(w, r)
+	w.Header().Set("Connection", "close")
+	w.Header().Set("Retry-After", "1")
+	http.Error(w, http.StatusText(http.StatusServiceUnavailable), http.StatusServiceUnavailable)
+}
+
+// headTime returns how long a head may take; zero for no limit.
+func (t *Tracker) headTime() time.Duration {
+	switch {
+	case t.limits.HeadTime > 0 || t.server == nil:
+		return t.limits.HeadTime
+	case t.server.ReadHeaderTimeout > 0:
+		return t.server.ReadHeaderTimeout
+	}
+	return t.server.ReadTimeout
+}
+
+// idleTime returns how long a connection may stay without a byte.
+func (t *Tracker) idleTime() time.Duration {
+	if t.limits.IdleTime > 0 || t.server == nil {
+		return t.limits.IdleTime
+	}
+	if t.server.IdleTimeout > 0 {
+		return t.server.IdleTimeout
+	}
+	return t.server.ReadTimeout
+}
+
 // Announce ends each connection after its next answer, which says so, and leaves idle ones
 // open: a caller may be sending a request on them. New connections are still served.
 func (t *Tracker) Announce() { t.enter(announcing) }
@@ -124,6 +203,13 @@
 	return counts
 }
 
+// Refusals returns what was refused so far.
+func (t *Tracker) Refusals() Refusals {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	return t.refusals
+}
+
 // Shutdown closes the listener, does what Retire does, ends the connections that have not sent
 // a request, and waits until all are closed. If the context ends before, it returns an
 // *OpenError.
@@ -156,17 +242,17 @@
 
 // Accept implements net.Listener.
 func (l *listener) Accept() (net.Conn, error) {
-	select {
-	case l.free <- struct{}{}:
-	case <-l.closed:
-		return nil, net.ErrClosed
-	}
 	inner, err := l.Listener.Accept()
 	if err != nil {
-		<-l.free
 		return nil, err
 	}
-	c := &conn{Conn: inner, tracker: l.tracker, free: l.free}
+	if !l.waitForPlace() {
+		return nil, errors.Join(net.ErrClosed, inner.Close())
+	}
+	c := &conn{Conn: inner, tracker: l.tracker, free: l.free, openedAt: time.Now()}
+	if l.tracker.heads != nil {
+		c.share = l.tracker.heads.NewShare()
+	}
 	l.tracker.mutex.Lock()
 	defer l.tracker.mutex.Unlock()
 	l.tracker.open[c] = struct{}{}
@@ -174,6 +260,26 @@
 	return c, nil
 }
 
+// waitForPlace waits for a place for one more connection and makes others end until there is one.
+// It reports false if the listener is closed.
+func (l *listener) waitForPlace() bool {
+	for {
+		select {
+		case l.free <- struct{}{}:
+			return true
+		default:
+		}
+		l.tracker.makePlace()
+		select {
+		case l.free <- struct{}{}:
+			return true
+		case <-l.closed:
+			return false
+		case <-time.After(placeInterval):
+		}
+	}
+}
+
 // Close stops listening. Accept returns an error.
 func (l *listener) Close() error {
 	l.closeOnce.Do(func() { close(l.closed) })
@@ -206,6 +312,8 @@
 	t.mutex.Lock()
 	if _, isOpen := t.open[c]; isOpen {
 		delete(t.open, c)
+		c.isClosed = true
+		c.releaseHead()
 		<-c.free
 	}
 	t.mutex.Unlock()
--- a/internal/serve/conns/tracker_test.go
+++ b/internal/serve/conns/tracker_test.go
@@ -40,6 +40,7 @@
 		tracker *Tracker
 		server  *http.Server
 		address string
+		maxOpen int
 		// listener is that of the tracker.
 		listener net.Listener
 	}
@@ -72,15 +73,18 @@
 	return c.Conn.Write(text)
 }
 
-func startServer(t *testing.T, reads, writes *gate, handler http.HandlerFunc, configure ...func(*http.Server)) *testServer {
+func startServer(t *testing.T, reads, writes *gate, handler http.HandlerFunc, configure ...func(*testServer)) *testServer {
 	inner, err := net.Listen("tcp4", "127.0.0.1:0")
 	require.NoError(t, err)
 	s := &testServer{t: t, tracker: New(), server: &http.Server{Handler: handler, IdleTimeout: timeout}, address: inner.Addr().String()}
 	for _, set := range configure {
-		set(s.server)
+		set(s)
 	}
 	s.tracker.Attach(s.server)
-	s.listener = s.tracker.Listen(gatedListener{inner, reads, writes}, 1000)
+	if s.maxOpen == 0 {
+		s.maxOpen = 1000
+	}
+	s.listener = s.tracker.Listen(gatedListener{inner, reads, writes}, s.maxOpen)
 	var group sync.WaitGroup
 	group.Go(func() { _ = s.server.Serve(s.listener) })
 	t.Cleanup(func() {
@@ -307,7 +311,7 @@
 // because the time for its head counted from the start of the connection.
 func TestTimeForFirstHeadBeginsWithItsFirstByte(t *testing.T) {
 	const headTime = 100 * time.Millisecond
-	server := startServer(t, nil, nil, answerDone, func(s *http.Server) { s.ReadHeaderTimeout = headTime })
+	server := startServer(t, nil, nil, answerDone, func(s *testServer) { s.server.ReadHeaderTimeout = headTime })
 	early, earlyReader := server.dial()
 	slow, slowReader := server.dial()
 	time.Sleep(2 * headTime)
