Bounds of connections and of memory on the ports for control

Whoever reached the port of peers could open connections until the entry had no descriptors left: 1,274 of 1,000 in TestCrowdAtPortOfPeers.

Cause: only the port of callers counted its connections. Now the port of peers may have a tenth of the descriptors, at most 20 KiB each in a twenty-fifth of the memory, and 32 at least; readiness and metrics may have 32 each. A full port ends a connection that has sent nothing, or no request, for a second. Heads and bodies of requests on these ports take from a budget of a twentieth of the memory and are refused with 503 beyond it.

--- a/internal/flow/proxy/proxy.go
+++ b/internal/flow/proxy/proxy.go
@@ -44,6 +44,10 @@
 	headMemoryRatio   = 0.25
 	answerMemoryRatio = 0.2
 	bodyMemoryRatio   = 0.4
+	// controlMemoryRatio is the part that requests on the ports for control may take, and
+	// peerConnMemoryRatio that of the connections of peers.
+	controlMemoryRatio  = 0.05
+	peerConnMemoryRatio = 0.04
 )
 
 type (
@@ -61,9 +65,10 @@
 		peers *http.Client
 
 		// answerMemory bounds what all sessions buffer of answers, bodyMemory their request
-		// bodies.
-		answerMemory *limit.Budget
-		bodyMemory   *limit.Budget
+		// bodies. controlMemory bounds the requests on the ports for control.
+		answerMemory  *limit.Budget
+		bodyMemory    *limit.Budget
+		controlMemory *limit.Budget
 		// connLimits are the limits of the plan that conns has.
 		connLimits plan.Limits
 
@@ -103,20 +108,21 @@
 	tracker := conns.New(conns.WithMemory(callerMemory.NewPart(int64(memoryBytes * headMemoryRatio))))
 	tracker.SetLimits(connLimits(plan.Limits{}))
 	return &Proxy{
-		settings:     config.Settings,
-		dialect:      config.Dialect,
-		source:       config.Source,
-		logger:       config.Logger,
-		metrics:      newEntryMetrics(tracker),
-		peers:        NewClient(),
-		answerMemory: callerMemory.NewPart(int64(memoryBytes * answerMemoryRatio)),
-		bodyMemory:   callerMemory.NewPart(int64(memoryBytes * bodyMemoryRatio)),
-		conns:        tracker,
-		board:        board.New(),
-		cycle:        cycle.New(config.Controllers...),
-		started:      make(chan struct{}),
-		lifetime:     ctx,
-		cancel:       cancel,
+		settings:      config.Settings,
+		dialect:       config.Dialect,
+		source:        config.Source,
+		logger:        config.Logger,
+		metrics:       newEntryMetrics(tracker),
+		peers:         NewClient(),
+		answerMemory:  callerMemory.NewPart(int64(memoryBytes * answerMemoryRatio)),
+		bodyMemory:    callerMemory.NewPart(int64(memoryBytes * bodyMemoryRatio)),
+		controlMemory: limit.NewBudget(int64(memoryBytes * controlMemoryRatio)),
+		conns:         tracker,
+		board:         board.New(),
+		cycle:         cycle.New(config.Controllers...),
+		started:       make(chan struct{}),
+		lifetime:      ctx,
+		cancel:        cancel,
 	}
 }
 
--- a/internal/flow/proxy/run.go
+++ b/internal/flow/proxy/run.go
@@ -45,8 +45,13 @@
 	// rest, since each request may need a second descriptor for its send.
 	reservedDescriptors   = 200
 	callerDescriptorRatio = 0.45
+	// The port for peers may have the fraction peersDescriptorRatio, and every port for control
+	// controlConns at least.
+	peersDescriptorRatio = 0.1
+	controlConns         = 32
 
 	callersPort = "callers"
+	peersPort   = "peers"
 	// drainPollInterval is the time between two checks whether all requests have ended.
 	drainPollInterval = 20 * time.Millisecond
 )
@@ -58,6 +63,11 @@
 		Address string
 		Err     error
 	}
+
+	controlPort struct {
+		name, address string
+		handler       http.Handler
+	}
 )
 
 // Error returns a message with the port, its address and the cause.
@@ -106,16 +116,16 @@
 		return err
 	}
 	defer func() { _ = callers.Close() }()
-	controlHandlers := map[string]http.Handler{p.settings.Ready: p.readyHandler(), p.settings.Peers: p.peerHandler()}
+	control := []controlPort{{"ready", p.settings.Ready, p.readyHandler()}, {peersPort, p.settings.Peers, p.peerHandler()}}
 	if p.settings.MetricsPort != 0 {
 		host, _, err := net.SplitHostPort(p.settings.Peers)
 		if err != nil {
 			return &ListenError{"metrics", p.settings.Peers, err}
 		}
-		controlHandlers[net.JoinHostPort(host, strconv.Itoa(p.settings.MetricsPort))] = p.metricsHandler()
+		control = append(control, controlPort{"metrics", net.JoinHostPort(host, strconv.Itoa(p.settings.MetricsPort)), p.metricsHandler()})
 	}
-	for address, handler := range controlHandlers {
-		server, _, err := p.listen("control", address, handler)
+	for _, port := range control {
+		server, _, err := p.listen(port.name, port.address, port.handler)
 		if err != nil {
 			return err
 		}
@@ -130,9 +140,9 @@
 	return nil
 }
 
-// listen starts an HTTP server at the address. On the port of callers it limits the number
-// of connections and tracks them, on other ports it limits the size and the duration of
-// requests.
+// listen starts an HTTP server at the address. It limits the number of connections. Those of
+// callers are tracked and bounded by memory; on other ports the size and the duration of requests
+// are limited.
 func (p *Proxy) listen(name, address string, handler http.Handler) (*http.Server, net.Listener, error) {
 	config := net.ListenConfig{KeepAliveConfig: keepAliveConfig(), Control: boundReceiveBuffer}
 	listener, err := config.Listen(p.lifetime, "tcp4", address)
@@ -143,15 +153,21 @@
 		Handler: handler, ReadHeaderTimeout: requestHeaderTimeout, IdleTimeout: callerIdleTimeout,
 		MaxHeaderBytes: maxRequestHeadBytes,
 	}
+	tracker, maxConns := p.conns, maxCallerConns(p.settings.Limits)
 	if name == callersPort {
 		server.MaxHeaderBytes = maxPlannedHeadBytes
-		listener = p.conns.Listen(listener, maxCallerConns(p.settings.Limits))
-		p.conns.Attach(server)
 	} else {
-		server.Handler = http.MaxBytesHandler(handler, maxControlBytes)
+		server.Handler = http.MaxBytesHandler(p.boundControl(handler), maxControlBytes)
 		server.ReadTimeout = controlTimeout
 		server.WriteTimeout = controlTimeout
+		tracker = conns.New(conns.WithMemory(p.controlMemory))
+		maxConns = controlConns
+		if name == peersPort {
+			maxConns = max(maxConnsWithin(p.settings.Limits, peersDescriptorRatio, peerConnMemoryRatio), controlConns)
+		}
 	}
+	listener = tracker.Listen(listener, maxConns)
+	tracker.Attach(server)
 	p.spawn(func() {
 		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
 			p.logger.Part("entry").Warn("Port closed.", "port", name, "err", err)
@@ -160,11 +176,36 @@
 	return server, listener, nil
 }
 
+// boundControl refuses requests whose bodies together exceed the memory of the ports for control.
+func (p *Proxy) boundControl(handler http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		share := p.controlMemory.NewShare()
+		defer share.Release()
+		length := r.ContentLength
+		if length < 0 || length > maxControlBytes {
+			length = maxControlBytes
+		}
+		// The body is held as it came and decoded.
+		if share.Take(2*length) != nil {
+			conns.DropBody(w, r)
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		handler.ServeHTTP(w, r)
+	})
+}
+
 // maxCallerConns returns how many connections callers may have open.
 func maxCallerConns(limits setup.Limits) int {
-	byDescriptors := float64(limits.Descriptors-reservedDescriptors) * callerDescriptorRatio
-	byMemory := float64(limits.MemoryMegabytes) * megabyte * connMemoryRatio / conns.ConnBytes
-	return max(int(min(byDescriptors, byMemory)), 1)
+	return max(maxConnsWithin(limits, callerDescriptorRatio, connMemoryRatio), 1)
+}
+
+// maxConnsWithin returns how many connections fit into the parts of the descriptors and of the
+// memory.
+func maxConnsWithin(limits setup.Limits, descriptorRatio, memoryRatio float64) int {
+	byDescriptors := float64(limits.Descriptors-reservedDescriptors) * descriptorRatio
+	byMemory := float64(limits.MemoryMegabytes) * megabyte * memoryRatio / conns.ConnBytes
+	return int(min(byDescriptors, byMemory))
 }
 
 // boundReceiveBuffer sets the receive buffer of a listening socket, which its connections inherit.
