Answers keep a tenth of the memory beside requests

An answer that finds no memory is lost although its request has run. With heads, bodies, answers and connections in one sum, heads and bodies of callers outside the limits could leave nothing to answers of others.

Heads and bodies now share a budget that leaves a tenth of the memory; budgets may be parts of parts for this. A full port also ends one connection at a time: a process that is short of processor time took more than one for the same place.

--- a/internal/flow/proxy/proxy.go
+++ b/internal/flow/proxy/proxy.go
@@ -44,6 +44,9 @@
 	headMemoryRatio   = 0.25
 	answerMemoryRatio = 0.2
 	bodyMemoryRatio   = 0.4
+	// minAnswerMemoryRatio is the part that heads and bodies leave to answers: an answer that finds
+	// no memory is lost though its request has run.
+	minAnswerMemoryRatio = 0.1
 	// controlMemoryRatio is the part that requests on the ports for control may take, and
 	// peerConnMemoryRatio that of the connections of peers.
 	controlMemoryRatio  = 0.05
@@ -104,8 +107,10 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	memoryBytes := float64(config.Settings.Limits.MemoryMegabytes) * megabyte
 	connBytes := maxCallerConns(config.Settings.Limits) * conns.ConnBytes
-	callerMemory := limit.NewBudget(int64(memoryBytes*callerMemoryRatio) - int64(connBytes))
-	tracker := conns.New(conns.WithMemory(callerMemory.NewPart(int64(memoryBytes * headMemoryRatio))))
+	callerBytes := int64(memoryBytes*callerMemoryRatio) - int64(connBytes)
+	callerMemory := limit.NewBudget(callerBytes)
+	requestMemory := callerMemory.NewPart(callerBytes - int64(memoryBytes*minAnswerMemoryRatio))
+	tracker := conns.New(conns.WithMemory(requestMemory.NewPart(int64(memoryBytes * headMemoryRatio))))
 	tracker.SetLimits(connLimits(plan.Limits{}))
 	return &Proxy{
 		settings:      config.Settings,
@@ -115,7 +120,7 @@
 		metrics:       newEntryMetrics(tracker),
 		peers:         NewClient(),
 		answerMemory:  callerMemory.NewPart(int64(memoryBytes * answerMemoryRatio)),
-		bodyMemory:    callerMemory.NewPart(int64(memoryBytes * bodyMemoryRatio)),
+		bodyMemory:    requestMemory.NewPart(int64(memoryBytes * bodyMemoryRatio)),
 		controlMemory: limit.NewBudget(int64(memoryBytes * controlMemoryRatio)),
 		conns:         tracker,
 		board:         board.New(),
--- a/internal/serve/conns/room.go
+++ b/internal/serve/conns/room.go
@@ -11,17 +11,23 @@
 )
 
 // makePlace ends the connection that is least in use, if it is so for minPatience: the oldest
-// unused one, else the one with the slowest head, else the one that is idle for longest.
+// unused one, else the one with the slowest head, else the one that is idle for longest. It ends one
+// at a time.
 func (t *Tracker) makePlace() {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
+	if t.leaving != nil && !t.leaving.isClosed && t.leaving.isInterrupted {
+		return
+	}
 	var chosen *conn
 	for c := range t.open {
 		if c.isEndable() && (chosen == nil || c.endsBefore(chosen)) {
 			chosen = c
 		}
 	}
-	t.giveWay(chosen)
+	if t.giveWay(chosen) {
+		t.leaving = chosen
+	}
 }
 
 // endSlowestHead ends the connection whose head began first, other than that of the given one. It
--- a/internal/serve/conns/tracker.go
+++ b/internal/serve/conns/tracker.go
@@ -48,6 +48,8 @@
 		// limits are those in force. Zero values stand for the timeouts of the server.
 		limits   Limits
 		refusals Refusals
+		// leaving is the connection that was ended last in favour of a new one.
+		leaving *conn
 		// server is the one that the tracker is attached to; may be nil.
 		server *http.Server
 	}
--- a/internal/serve/limit/budget.go
+++ b/internal/serve/limit/budget.go
@@ -68,15 +68,11 @@
 	if !s.budget.take(bytes, reserve) {
 		return &ExhaustedError{bytes}
 	}
-	if whole := s.budget.whole; whole != nil && !whole.take(bytes, 0) {
-		s.budget.free.Add(bytes)
-		return &ExhaustedError{bytes}
-	}
 	s.held += bytes
 	return nil
 }
 
-// take takes bytes if the reserve is left then.
+// take takes bytes, also from the budgets that b is a part of, if the reserve of b is left then.
 func (b *Budget) take(bytes, reserve int64) bool {
 	for {
 		free := b.free.Load()
@@ -84,17 +80,21 @@
 			return false
 		}
 		if b.free.CompareAndSwap(free, free-bytes) {
-			return true
+			break
 		}
 	}
+	if b.whole != nil && !b.whole.take(bytes, 0) {
+		b.free.Add(bytes)
+		return false
+	}
+	return true
 }
 
 // Give returns bytes of the share to the budget.
 func (s *Share) Give(bytes int64) {
 	s.held -= bytes
-	s.budget.free.Add(bytes)
-	if whole := s.budget.whole; whole != nil {
-		whole.free.Add(bytes)
+	for b := s.budget; b != nil; b = b.whole {
+		b.free.Add(bytes)
 	}
 }
 
--- a/internal/serve/limit/limit_test.go
+++ b/internal/serve/limit/limit_test.go
@@ -144,7 +144,7 @@
 func TestPartsStayWithinWhole(t *testing.T) {
 	t.Parallel()
 	whole := limit.NewBudget(1000)
-	first, second := whole.NewPart(2000).NewShare(), whole.NewPart(2000).NewShare()
+	first, second := whole.NewPart(2000).NewShare(), whole.NewPart(3000).NewPart(2000).NewShare()
 	for first.Take(1) == nil || second.Take(1) == nil {
 	}
 	require.Zero(t, whole.Free())
