The front of serve bounds heads, bodies and connections by memory

Crowds with large heads made an entry of `mustardhook serve` hold 573 and 592 MB (300 connections, heads of 1 MiB allowed).

All ports now use the tracker's budget of heads; callers may take a quarter of limits.memoryMegabytes, the other ports a twenty-fifth each, and the same parts bound the connections. The default of 512 MB allows 6,500 ordinary heads, more than an entry has requests in flight. Where the settings name the memory, bodies take from 2/5 of it, three times each since they are decoded and sent on, the sum is 3/5, and the runtime gets its soft limit; without it bodies are served as before.

--- a/internal/serve/front/call.go
+++ b/internal/serve/front/call.go
@@ -28,7 +28,9 @@
 		rejectCall(w, r, *problem)
 		return
 	}
-	body, problem := readBody(w, r, h.shell.Settings().Limits.CallBytes)
+	memory := h.bodies.NewShare()
+	defer memory.Release()
+	body, problem := readBody(w, r, h.shell.Settings().Limits.CallBytes, memory)
 	if problem != nil {
 		problem.Request = request.name
 		rejectCall(w, r, *problem)
--- a/internal/serve/front/front.go
+++ b/internal/serve/front/front.go
@@ -20,6 +20,7 @@
 	"mustardhook/internal/core/fleet"
 	"mustardhook/internal/core/ident"
 	"mustardhook/internal/serve/conns"
+	"mustardhook/internal/serve/limit"
 	"mustardhook/internal/serve/shell"
 	"mustardhook/internal/wire/caller"
 )
@@ -29,6 +30,10 @@
 	// noTicketRetryAfter is the delay after which a caller should retry at an entry that has
 	// no ticket yet.
 	noTicketRetryAfter = 1 * clock.Second
+	// noMemoryRetryAfter is the delay after which a caller should retry whose body found no memory.
+	noMemoryRetryAfter = 1 * clock.Second
+	// bodyCopies is how many times a request holds its body: as it came, decoded, and as it is sent.
+	bodyCopies = 3
 
 	problemNoTicket     = "noTicket"
 	problemOrganisation = "unknownOrganisation"
@@ -36,6 +41,7 @@
 	problemHeader       = "headerInvalid"
 	problemBody         = "bodyInvalid"
 	problemBodySize     = "bodyTooLarge"
+	problemMemory       = "noMemory"
 	problemPath         = "pathUnknown"
 	problemMethod       = "methodNotAllowed"
 )
@@ -45,6 +51,8 @@
 	Handler struct {
 		shell  *shell.Shell
 		router *httprouter.Router
+		// bodies bounds the bodies of all requests together.
+		bodies *limit.Budget
 	}
 
 	// admittedRequest is a request from an authenticated caller with a valid deadline, which
@@ -56,9 +64,10 @@
 	}
 )
 
-// NewHandler returns the handler of the callers' port for a shell.
-func NewHandler(s *shell.Shell) *Handler {
-	h := &Handler{shell: s, router: httprouter.New()}
+// NewHandler returns the handler of the callers' port for a shell. Requests take the memory of their
+// bodies from the budget.
+func NewHandler(s *shell.Shell, bodies *limit.Budget) *Handler {
+	h := &Handler{shell: s, router: httprouter.New(), bodies: bodies}
 	h.router.POST("/v1/completions", h.handlePrompt(false))
 	h.router.POST("/v1/chat/completions", h.handlePrompt(true))
 	h.router.GET("/v1/models", h.listModels)
--- a/internal/serve/front/front_test.go
+++ b/internal/serve/front/front_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"mustardhook/internal/serve/limit"
 	"mustardhook/internal/serve/parts"
 	"mustardhook/internal/serve/shell"
 	"mustardhook/internal/wire/setup"
@@ -19,7 +20,7 @@
 	settings := setup.Settings{}
 	settings.Limits.BodyBytes = 1 << 10
 	settings.Limits.CallBytes = 1 << 10
-	handler := NewHandler(shell.NewShell(parts.NewCore(), settings))
+	handler := NewHandler(shell.NewShell(parts.NewCore(), settings), limit.NewBudget(1<<20))
 	for _, path := range []string{"/v1/completions", "/services/crew-app/book"} {
 		request := httptest.NewRequest(http.MethodPost, path, strings.NewReader("{}"))
 		request.Header.Set("Mustardhook-Organisation", "city-north")
@@ -29,3 +30,33 @@
 		require.Equal(t, "1", recorder.Header().Get("Retry-After"))
 	}
 }
+
+// Guards against bodies that together exceed the memory of an entry, or are cut without notice.
+func TestBodiesStayWithinMemory(t *testing.T) {
+	const total = 90_000
+	budget := limit.NewBudget(total)
+	read := func(size int, share *limit.Share) (int, string) {
+		recorder := httptest.NewRecorder()
+		request := httptest.NewRequest(http.MethodPost, "/", strings.NewReader(strings.Repeat("x", size)))
+		body, problem := readBody(recorder, request, 20_000, share)
+		if problem != nil {
+			return problem.Status, problem.Name
+		}
+		require.Len(t, body, size)
+		return http.StatusOK, ""
+	}
+	first, second := budget.NewShare(), budget.NewShare()
+	status, _ := read(10_000, first)
+	require.Equal(t, http.StatusOK, status)
+	status, name := read(10_000, second)
+	require.Equal(t, http.StatusServiceUnavailable, status)
+	require.Equal(t, problemMemory, name)
+	second.Release()
+	first.Release()
+	status, _ = read(30_000, second)
+	require.Equal(t, http.StatusRequestEntityTooLarge, status)
+	status, _ = read(10_000, second)
+	require.Equal(t, http.StatusOK, status)
+	second.Release()
+	require.Equal(t, int64(total), budget.Free())
+}
--- a/internal/serve/front/prompt.go
+++ b/internal/serve/front/prompt.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"net/http"
 	"strconv"
 	"strings"
@@ -19,6 +18,7 @@
 	"mustardhook/internal/core/fleet"
 	"mustardhook/internal/core/ident"
 	"mustardhook/internal/serve/conns"
+	"mustardhook/internal/serve/limit"
 	"mustardhook/internal/serve/shell"
 	"mustardhook/internal/wire/caller"
 	"mustardhook/internal/wire/engine"
@@ -54,7 +54,9 @@
 			writeProblem(w, *problem)
 			return
 		}
-		prompt, problem := h.readPrompt(w, r, chat)
+		memory := h.bodies.NewShare()
+		defer memory.Release()
+		prompt, problem := h.readPrompt(w, r, chat, memory)
 		if problem != nil {
 			problem.Request = request.name
 			writeProblem(w, *problem)
@@ -68,8 +70,8 @@
 	}
 }
 
-func (h *Handler) readPrompt(w http.ResponseWriter, r *http.Request, chat bool) (caller.Prompt, *caller.Problem) {
-	body, problem := readBody(w, r, h.shell.Settings().Limits.BodyBytes)
+func (h *Handler) readPrompt(w http.ResponseWriter, r *http.Request, chat bool, memory *limit.Share) (caller.Prompt, *caller.Problem) {
+	body, problem := readBody(w, r, h.shell.Settings().Limits.BodyBytes, memory)
 	if problem != nil {
 		return caller.Prompt{}, problem
 	}
@@ -82,40 +84,45 @@
 		}
 		return caller.Prompt{}, problem
 	}
-	if limit := h.shell.Settings().Core.MaximalPrompt; prompt.Tokens() > limit {
+	if most := h.shell.Settings().Core.MaximalPrompt; prompt.Tokens() > most {
 		return caller.Prompt{}, &caller.Problem{
 			Name: string(action.ReasonPromptTooLong), Status: http.StatusRequestEntityTooLarge, Field: "prompt",
-			Detail: "has " + strconv.Itoa(prompt.Tokens()) + " tokens, the limit is " + strconv.Itoa(limit),
+			Detail: "has " + strconv.Itoa(prompt.Tokens()) + " tokens, the limit is " + strconv.Itoa(most),
 		}
 	}
 	return prompt, nil
 }
 
-// readBody reads the whole request body. It limits the size in bytes and the time to
-// bodyTimeout.
-func readBody(w http.ResponseWriter, r *http.Request, limit int64) ([]byte, *caller.Problem) {
+// readBody reads the whole request body into memory of the share, with bodyCopies of it for the
+// copies that are decoded and sent. It limits the size to most bytes and the time to bodyTimeout.
+func readBody(w http.ResponseWriter, r *http.Request, most int64, memory *limit.Share) ([]byte, *caller.Problem) {
 	control := http.NewResponseController(w)
 	// If the writer supports no deadlines, only the timeouts of the server apply.
 	_ = control.SetReadDeadline(time.Now().Add(bodyTimeout))
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
-	var tooLarge *http.MaxBytesError
-	if err != nil {
-		conns.DropBody(w, r)
+	body, err := memory.ReadAll(r.Body, r.ContentLength, most)
+	if err == nil {
+		err = memory.Take(int64(len(body)) * (bodyCopies - 1))
+	}
+	if err == nil {
+		_ = control.SetReadDeadline(time.Time{})
+		return body, nil
 	}
-	if errors.As(err, &tooLarge) {
+	conns.DropBody(w, r)
+	var tooLarge *limit.ExceededError
+	var exhausted *limit.ExhaustedError
+	switch {
+	case errors.As(err, &tooLarge):
 		return nil, &caller.Problem{
 			Name: problemBodySize, Status: http.StatusRequestEntityTooLarge, Field: "body",
-			Detail: "is over the limit of " + strconv.FormatInt(limit, 10) + " bytes",
+			Detail: "is over the limit of " + strconv.FormatInt(most, 10) + " bytes",
 		}
-	}
-	if err != nil {
+	case errors.As(err, &exhausted):
 		return nil, &caller.Problem{
-			Name: problemBody, Status: http.StatusBadRequest, Field: "body",
-			Detail: "is cut off after " + strconv.Itoa(len(body)) + " bytes",
+			Name: problemMemory, Status: http.StatusServiceUnavailable, RetryAfter: noMemoryRetryAfter,
+			Detail: "no memory is left for the body",
 		}
 	}
-	_ = control.SetReadDeadline(time.Time{})
-	return body, nil
+	return nil, &caller.Problem{Name: problemBody, Status: http.StatusBadRequest, Field: "body", Detail: "is cut off"}
 }
 
 // serve submits the prompt to the core and runs the attempts that the core starts.
--- a/internal/wire/setup/setup.go
+++ b/internal/wire/setup/setup.go
@@ -21,11 +21,13 @@
 	DefaultHeaderBytes     = 32 << 10
 	DefaultCallBytes       = 1 << 20
 	DefaultConnections     = 8192
+	DefaultMemoryMegabytes = 512
 	DefaultTrailEvents     = 20000
 	DefaultAuditRecords    = 4096
 	maxCount               = 1 << 30
 	maxMillis              = int64(24 * clock.Hour)
 	minKeyLength           = 16
+	minMegabytes           = 64
 )
 
 type (
@@ -72,6 +74,10 @@
 		// CallBytes bounds the body of a call to a service.
 		CallBytes   int64
 		Connections int
+		// MemoryMegabytes is the memory that the budgets of callers follow from. If HasMemory is set,
+		// the settings name it, and it also bounds the runtime.
+		MemoryMegabytes int
+		HasMemory       bool
 		// TrailEvents is the number of recorded events to keep; zero disables recording.
 		TrailEvents int
 		// AuditRecords is the number of audit records to keep.
@@ -147,7 +153,7 @@
 	}
 	settings.Limits = Limits{
 		BodyBytes: DefaultBodyBytes, HeaderBytes: DefaultHeaderBytes, CallBytes: DefaultCallBytes,
-		Connections: DefaultConnections, TrailEvents: DefaultTrailEvents, AuditRecords: DefaultAuditRecords,
+		Connections: DefaultConnections, MemoryMegabytes: DefaultMemoryMegabytes, TrailEvents: DefaultTrailEvents, AuditRecords: DefaultAuditRecords,
 	}
 	limits := top.Object("limits")
 	if limits == nil {
@@ -159,12 +165,14 @@
 	settings.Core.MaximalInFlight = int(limits.Int("inFlight", 1, maxCount, DefaultMaxInFlight))
 	settings.Core.StopTimeout = clock.Millis(limits.Int("stopMillis", 1, maxMillis, int64(DefaultStopTimeout)))
 	settings.Limits = Limits{
-		BodyBytes:    limits.Int("bodyBytes", 1, maxCount, DefaultBodyBytes),
-		HeaderBytes:  int(limits.Int("headerBytes", 1024, maxCount, DefaultHeaderBytes)),
-		CallBytes:    limits.Int("callBytes", 1, maxCount, DefaultCallBytes),
-		Connections:  int(limits.Int("connections", 1, maxCount, DefaultConnections)),
-		TrailEvents:  int(limits.Int("trailEvents", 0, maxCount, DefaultTrailEvents)),
-		AuditRecords: int(limits.Int("auditRecords", 1, maxCount, DefaultAuditRecords)),
+		BodyBytes:       limits.Int("bodyBytes", 1, maxCount, DefaultBodyBytes),
+		HeaderBytes:     int(limits.Int("headerBytes", 1024, maxCount, DefaultHeaderBytes)),
+		CallBytes:       limits.Int("callBytes", 1, maxCount, DefaultCallBytes),
+		Connections:     int(limits.Int("connections", 1, maxCount, DefaultConnections)),
+		MemoryMegabytes: int(limits.Int("memoryMegabytes", minMegabytes, maxCount, DefaultMemoryMegabytes)),
+		HasMemory:       limits.Has("memoryMegabytes"),
+		TrailEvents:     int(limits.Int("trailEvents", 0, maxCount, DefaultTrailEvents)),
+		AuditRecords:    int(limits.Int("auditRecords", 1, maxCount, DefaultAuditRecords)),
 	}
 	limits.ReportUnknown()
 }
--- a/mustardhook.go
+++ b/mustardhook.go
@@ -6,9 +6,11 @@
 import (
 	"context"
 	"crypto/tls"
+	"math"
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"runtime/debug"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -18,6 +20,7 @@
 	"mustardhook/internal/serve/admin"
 	"mustardhook/internal/serve/conns"
 	"mustardhook/internal/serve/front"
+	"mustardhook/internal/serve/limit"
 	"mustardhook/internal/serve/logs"
 	"mustardhook/internal/serve/parts"
 	"mustardhook/internal/serve/shell"
@@ -38,6 +41,21 @@
 	closeTimeout = 5 * time.Second
 	// messageTimeout is the time limit for the last messages to other entries.
 	messageTimeout = 1 * time.Second
+	// requestMemoryRatio is the part of the memory setting that callers may take with heads and
+	// bodies of requests and with connections. Of it, connections may take connMemoryRatio of the
+	// memory setting, heads headMemoryRatio and bodies bodyMemoryRatio.
+	requestMemoryRatio = 0.6
+	connMemoryRatio    = 0.25
+	headMemoryRatio    = 0.25
+	bodyMemoryRatio    = 0.4
+	// controlMemoryRatio is the part that connections of peers and operators may each take, and the
+	// heads of their requests together.
+	controlMemoryRatio = 0.04
+	// memoryLimitRatio is the soft limit of the Go runtime's memory, as a fraction of the memory
+	// setting.
+	memoryLimitRatio = 0.7
+	megabyte         = 1 << 20
+	callersPort      = "callers"
 )
 
 type (
@@ -66,8 +84,13 @@
 		seed     uint64
 		shell    *shell.Shell
 		ports    []*openPort
+		memory   budgets
 	}
 
+	// budgets bounds what requests take: their heads and bodies at the port for callers, and their
+	// heads at the others.
+	budgets struct{ heads, bodies, control *limit.Budget }
+
 	// openPort is an open port with its server.
 	openPort struct {
 		name     string
@@ -111,6 +134,10 @@
 		shellOptions = append(shellOptions, shell.WithPeerTLS(config))
 	}
 	e.shell = shell.NewShell(parts.NewCore(), e.settings, shellOptions...)
+	e.memory = newBudgets(e.settings.Limits)
+	if limits := e.settings.Limits; limits.HasMemory {
+		debug.SetMemoryLimit(int64(memoryOf(limits, memoryLimitRatio)))
+	}
 	var group conc.WaitGroup
 	defer group.Wait()
 	defer e.close()
@@ -141,7 +168,7 @@
 		listener setup.Listener
 		handler  http.Handler
 	}{
-		{"callers", e.settings.Callers, front.NewHandler(e.shell)},
+		{callersPort, e.settings.Callers, front.NewHandler(e.shell, e.memory.bodies)},
 		{"peers", e.settings.Peers, e.shell.PeerHandler()},
 		{"operators", e.settings.Operators, admin.NewHandler(e.shell)},
 	}
@@ -154,8 +181,12 @@
 			Handler: settings.handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
 			MaxHeaderBytes: e.settings.Limits.HeaderBytes,
 		}
-		opened := &openPort{name: settings.name, server: server, tracker: conns.New()}
-		opened.listener = opened.tracker.Listen(listener, e.settings.Limits.Connections)
+		heads, ratio := e.memory.control, controlMemoryRatio
+		if settings.name == callersPort {
+			heads, ratio = e.memory.heads, connMemoryRatio
+		}
+		opened := &openPort{name: settings.name, server: server, tracker: conns.New(conns.WithMemory(heads))}
+		opened.listener = opened.tracker.Listen(listener, maxConns(e.settings.Limits, ratio))
 		opened.tracker.Attach(server)
 		e.ports = append(e.ports, opened)
 		group.Go(func() { e.serve(opened) })
@@ -163,6 +194,29 @@
 	return nil
 }
 
+// newBudgets returns the budgets of a memory setting. Without one, bodies are not bounded together.
+func newBudgets(limits setup.Limits) budgets {
+	control := limit.NewBudget(int64(memoryOf(limits, controlMemoryRatio)))
+	if !limits.HasMemory {
+		return budgets{limit.NewBudget(int64(memoryOf(limits, headMemoryRatio))), limit.NewBudget(math.MaxInt64), control}
+	}
+	connBytes := maxConns(limits, connMemoryRatio) * conns.ConnBytes
+	whole := limit.NewBudget(int64(memoryOf(limits, requestMemoryRatio)) - int64(connBytes))
+	return budgets{
+		whole.NewPart(int64(memoryOf(limits, headMemoryRatio))), whole.NewPart(int64(memoryOf(limits, bodyMemoryRatio))), control,
+	}
+}
+
+// memoryOf returns a part of the memory setting, in bytes.
+func memoryOf(limits setup.Limits, ratio float64) float64 {
+	return float64(limits.MemoryMegabytes) * megabyte * ratio
+}
+
+// maxConns returns how many connections a port may have that may take a part of the memory.
+func maxConns(limits setup.Limits, ratio float64) int {
+	return min(limits.Connections, int(memoryOf(limits, ratio)/conns.ConnBytes))
+}
+
 func (e *entry) listen(port setup.Listener) (net.Listener, error) {
 	listener, err := net.Listen("tcp", port.Address)
 	if err != nil {
