A longer time for heads than the server's is applied

header_timeout_ms over 5 s was cut: net/http sets its own deadline of 5 s once it has four bytes of a request, and the earlier one held. TestLongerLimitOfHeadIsApplied fails on the commit before: a head of 150 ms is cut by a server's timeout of 50 ms.

--- a/internal/serve/conns/conn.go
+++ b/internal/serve/conns/conn.go
@@ -104,8 +104,8 @@
 // SetReadDeadline sets the read deadline unless the connection is interrupted. http.Server
 // sets one before it waits for the next request and another one once it has the first bytes
 // of it, which may come from its buffer instead of Read. The one that it sets on a new
-// connection is meant for the head of the first request. The deadline of a head is not
-// prolonged.
+// connection is meant for the head of the first request. The deadline of a head stays
+// as it is.
 func (c *conn) SetReadDeadline(deadline time.Time) error {
 	c.tracker.mutex.Lock()
 	defer c.tracker.mutex.Unlock()
--- a/internal/serve/conns/head.go
+++ b/internal/serve/conns/head.go
@@ -111,9 +111,10 @@
 	return true
 }
 
-// deadline returns the read deadline that is in force.
+// deadline returns the read deadline that is in force. That of a head is neither prolonged nor cut
+// by the server, which begins its own with the fourth byte.
 func (c *conn) deadline() time.Time {
-	if c.isInHead && !c.headDeadline.IsZero() && (c.readDeadline.IsZero() || c.headDeadline.Before(c.readDeadline)) {
+	if c.isInHead && !c.headDeadline.IsZero() {
 		return c.headDeadline
 	}
 	return c.readDeadline
--- a/internal/serve/conns/head_test.go
+++ b/internal/serve/conns/head_test.go
@@ -140,6 +140,24 @@
 	requireClosed(t, reader)
 }
 
+// Guards against a head that is cut off by the timeout of the server, though the limit in force is
+// longer.
+func TestLongerLimitOfHeadIsApplied(t *testing.T) {
+	const serverTime = 50 * time.Millisecond
+	server := startServer(t, nil, nil, answerDone, func(s *testServer) {
+		s.server.ReadHeaderTimeout = serverTime
+		s.tracker.SetLimits(Limits{HeadTime: timeout})
+	})
+	client, reader := server.dial()
+	for range 2 {
+		send(t, client, plainRequest[:8])
+		time.Sleep(3 * serverTime)
+		send(t, client, plainRequest[8:])
+		_, body := readAnswer(t, reader)
+		require.Equal(t, "done", body)
+	}
+}
+
 // Guards against silent connections that take all places, and against the end of one that is in use
 // in their stead.
 func TestSilentConnectionGivesWay(t *testing.T) {
