--- a/internal/flow/proxy/proxy.go
+++ b/internal/flow/proxy/proxy.go
@@ -36,10 +36,21 @@
 	// sessionOutputBuffer is the capacity of a session's channel of outputs.
 	sessionOutputBuffer = 4
 	nanosPerMs          = 1e6
-	// answerMemoryRatio and bodyMemoryRatio are the parts of the instance's memory that
-	// buffered answers and request bodies may take.
+	// callerMemoryRatio is the part of the instance's memory that callers may take with all that
+	// they have open. Of it, connections may take connMemoryRatio of the instance's memory, heads of
+	// requests headMemoryRatio, buffered answers answerMemoryRatio and bodies bodyMemoryRatio.
+	callerMemoryRatio = 0.6
+	connMemoryRatio   = 0.25
+	headMemoryRatio   = 0.25
 	answerMemoryRatio = 0.2
 	bodyMemoryRatio   = 0.4
+	// minAnswerMemoryRatio is the part that heads and bodies leave to answers: an answer that finds
+	// no memory is lost though its request has run.
+	minAnswerMemoryRatio = 0.1
+	// controlMemoryRatio is the part that requests on the ports for control may take, and
+	// peerConnMemoryRatio that of the connections of peers.
+	controlMemoryRatio  = 0.05
+	peerConnMemoryRatio = 0.04
 )
 
 type (
@@ -57,11 +68,14 @@
 		peers *http.Client
 
 		// answerMemory bounds what all sessions buffer of answers, bodyMemory their request
-		// bodies.
-		answerMemory *limit.Budget
-		bodyMemory   *limit.Budget
+		// bodies. controlMemory bounds the requests on the ports for control.
+		answerMemory  *limit.Budget
+		bodyMemory    *limit.Budget
+		controlMemory *limit.Budget
+		// connLimits are the limits of the plan that conns has.
+		connLimits plan.Limits
 
-		// mutex guards board and cycle.
+		// mutex guards board, cycle and connLimits.
 		mutex sync.Mutex
 		board *board.Board
 		cycle cycle.Cycle[*board.Board, input.Input]
@@ -92,21 +106,28 @@
 func New(config Config) *Proxy {
 	ctx, cancel := context.WithCancel(context.Background())
 	memoryBytes := float64(config.Settings.Limits.MemoryMegabytes) * megabyte
+	connBytes := maxCallerConns(config.Settings.Limits) * conns.ConnBytes
+	callerBytes := int64(memoryBytes*callerMemoryRatio) - int64(connBytes)
+	callerMemory := limit.NewBudget(callerBytes)
+	requestMemory := callerMemory.NewPart(callerBytes - int64(memoryBytes*minAnswerMemoryRatio))
+	tracker := conns.New(conns.WithMemory(requestMemory.NewPart(int64(memoryBytes * headMemoryRatio))))
+	tracker.SetLimits(connLimits(plan.Limits{}))
 	p := &Proxy{
-		settings:     config.Settings,
-		dialect:      config.Dialect,
-		source:       config.Source,
-		logger:       config.Logger,
-		metrics:      newEntryMetrics(),
-		peers:        NewClient(),
-		answerMemory: limit.NewBudget(int64(memoryBytes * answerMemoryRatio)),
-		bodyMemory:   limit.NewBudget(int64(memoryBytes * bodyMemoryRatio)),
-		conns:        conns.New(),
-		board:        board.New(),
-		cycle:        cycle.New(config.Controllers...),
-		started:      make(chan struct{}),
-		lifetime:     ctx,
-		cancel:       cancel,
+		settings:      config.Settings,
+		dialect:       config.Dialect,
+		source:        config.Source,
+		logger:        config.Logger,
+		metrics:       newEntryMetrics(tracker),
+		peers:         NewClient(),
+		answerMemory:  callerMemory.NewPart(int64(memoryBytes * answerMemoryRatio)),
+		bodyMemory:    requestMemory.NewPart(int64(memoryBytes * bodyMemoryRatio)),
+		controlMemory: limit.NewBudget(int64(memoryBytes * controlMemoryRatio)),
+		conns:         tracker,
+		board:         board.New(),
+		cycle:         cycle.New(config.Controllers...),
+		started:       make(chan struct{}),
+		lifetime:      ctx,
+		cancel:        cancel,
 	}
 	p.metrics.registerEvacuated(p.countEvacuated)
 	return p
@@ -137,6 +158,10 @@
 	b.LastStep = b.Now
 	outputs := b.TakeOutputs()
 	now := b.Now
+	if limits := b.Plan.Limits; limits != p.connLimits {
+		p.connLimits = limits
+		p.conns.SetLimits(connLimits(limits))
+	}
 	p.mutex.Unlock()
 	for _, action := range outputs {
 		p.execute(action, now)
--- a/internal/flow/proxy/run.go
+++ b/internal/flow/proxy/run.go
@@ -6,14 +6,18 @@
 	"net/http"
 	"runtime/debug"
 	"strconv"
+	"syscall"
 	"time"
 
 	"github.com/go-faster/errors"
+	"golang.org/x/sys/unix"
 
 	"mustardhook/internal/core/clock"
 	"mustardhook/internal/flow/input"
 	"mustardhook/internal/flow/place"
+	"mustardhook/internal/flow/plan"
 	"mustardhook/internal/flow/setup"
+	"mustardhook/internal/serve/conns"
 )
 
 const (
@@ -21,12 +25,17 @@
 	// An idle connection of a caller is closed after callerIdleTimeout.
 	requestHeaderTimeout = 5 * time.Second
 	callerIdleTimeout    = 60 * time.Second
-	// maxRequestHeadBytes is the maximum size of the head of a request. On the ports for
-	// control, maxControlBytes is that of the body, and controlTimeout is how long reading a
-	// request and writing the response may each take.
+	// maxRequestHeadBytes is the maximum size of the head of a request until a plan sets one, which
+	// may be up to maxPlannedHeadBytes. On the ports for control, maxControlBytes is that of the
+	// body, and controlTimeout is how long reading a request and writing the response may each take.
 	maxRequestHeadBytes = 64 << 10
-	maxControlBytes     = 64 << 10
-	controlTimeout      = 5 * time.Second
+	maxPlannedHeadBytes = 1 << 20
+	// headTimeReserve allows for the way of a head that its caller sends in the time of the plan.
+	headTimeReserve = 1 * clock.Second
+	// receiveBufferBytes bounds what the kernel holds of a connection that is not read.
+	receiveBufferBytes = 64 << 10
+	maxControlBytes    = 64 << 10
+	controlTimeout     = 5 * time.Second
 	// memoryLimitRatio is the soft limit of the Go runtime's memory, as a fraction of the
 	// memory setting.
 	memoryLimitRatio = 0.7
@@ -36,8 +45,13 @@
 	// rest, since each request may need a second descriptor for its send.
 	reservedDescriptors   = 200
 	callerDescriptorRatio = 0.45
+	// The port for peers may have the fraction peersDescriptorRatio, and every port for control
+	// controlConns at least.
+	peersDescriptorRatio = 0.1
+	controlConns         = 32
 
 	callersPort = "callers"
+	peersPort   = "peers"
 	// drainPollInterval is the time between two checks whether all requests have ended.
 	drainPollInterval = 20 * time.Millisecond
 )
@@ -49,6 +63,11 @@
 		Address string
 		Err     error
 	}
+
+	controlPort struct {
+		name, address string
+		handler       http.Handler
+	}
 )
 
 // Error returns a message with the port, its address and the cause.
@@ -97,16 +116,16 @@
 		return err
 	}
 	defer func() { _ = callers.Close() }()
-	controlHandlers := map[string]http.Handler{p.settings.Ready: p.readyHandler(), p.settings.Peers: p.peerHandler()}
+	control := []controlPort{{"ready", p.settings.Ready, p.readyHandler()}, {peersPort, p.settings.Peers, p.peerHandler()}}
 	if p.settings.MetricsPort != 0 {
 		host, _, err := net.SplitHostPort(p.settings.Peers)
 		if err != nil {
 			return &ListenError{"metrics", p.settings.Peers, err}
 		}
-		controlHandlers[net.JoinHostPort(host, strconv.Itoa(p.settings.MetricsPort))] = p.metricsHandler()
+		control = append(control, controlPort{"metrics", net.JoinHostPort(host, strconv.Itoa(p.settings.MetricsPort)), p.metricsHandler()})
 	}
-	for address, handler := range controlHandlers {
-		server, _, err := p.listen("control", address, handler)
+	for _, port := range control {
+		server, _, err := p.listen(port.name, port.address, port.handler)
 		if err != nil {
 			return err
 		}
@@ -121,11 +140,11 @@
 	return nil
 }
 
-// listen starts an HTTP server at the address. On the port of callers it limits the number
-// of connections and tracks them, on other ports it limits the size and the duration of
-// requests.
+// listen starts an HTTP server at the address. It limits the number of connections. Those of
+// callers are tracked and bounded by memory; on other ports the size and the duration of requests
+// are limited.
 func (p *Proxy) listen(name, address string, handler http.Handler) (*http.Server, net.Listener, error) {
-	config := net.ListenConfig{KeepAliveConfig: keepAliveConfig()}
+	config := net.ListenConfig{KeepAliveConfig: keepAliveConfig(), Control: boundReceiveBuffer}
 	listener, err := config.Listen(p.lifetime, "tcp4", address)
 	if err != nil {
 		return nil, nil, &ListenError{name, address, err}
@@ -134,15 +153,21 @@
 		Handler: handler, ReadHeaderTimeout: requestHeaderTimeout, IdleTimeout: callerIdleTimeout,
 		MaxHeaderBytes: maxRequestHeadBytes,
 	}
+	tracker, maxConns := p.conns, maxCallerConns(p.settings.Limits)
 	if name == callersPort {
-		maxConns := int(float64(p.settings.Limits.Descriptors-reservedDescriptors) * callerDescriptorRatio)
-		listener = p.conns.Listen(listener, maxConns)
-		p.conns.Attach(server)
+		server.MaxHeaderBytes = maxPlannedHeadBytes
 	} else {
-		server.Handler = http.MaxBytesHandler(handler, maxControlBytes)
+		server.Handler = http.MaxBytesHandler(p.boundControl(handler), maxControlBytes)
 		server.ReadTimeout = controlTimeout
 		server.WriteTimeout = controlTimeout
+		tracker = conns.New(conns.WithMemory(p.controlMemory))
+		maxConns = controlConns
+		if name == peersPort {
+			maxConns = max(maxConnsWithin(p.settings.Limits, peersDescriptorRatio, peerConnMemoryRatio), controlConns)
+		}
 	}
+	listener = tracker.Listen(listener, maxConns)
+	tracker.Attach(server)
 	p.spawn(func() {
 		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
 			p.logger.Part("entry").Warn("Port closed.", "port", name, "err", err)
@@ -151,6 +176,59 @@
 	return server, listener, nil
 }
 
+// boundControl refuses requests whose bodies together exceed the memory of the ports for control.
+func (p *Proxy) boundControl(handler http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		share := p.controlMemory.NewShare()
+		defer share.Release()
+		length := r.ContentLength
+		if length < 0 || length > maxControlBytes {
+			length = maxControlBytes
+		}
+		// The body is held as it came and decoded.
+		if share.Take(2*length) != nil {
+			conns.DropBody(w, r)
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		handler.ServeHTTP(w, r)
+	})
+}
+
+// maxCallerConns returns how many connections callers may have open.
+func maxCallerConns(limits setup.Limits) int {
+	return max(maxConnsWithin(limits, callerDescriptorRatio, connMemoryRatio), 1)
+}
+
+// maxConnsWithin returns how many connections fit into the parts of the descriptors and of the
+// memory.
+func maxConnsWithin(limits setup.Limits, descriptorRatio, memoryRatio float64) int {
+	byDescriptors := float64(limits.Descriptors-reservedDescriptors) * descriptorRatio
+	byMemory := float64(limits.MemoryMegabytes) * megabyte * memoryRatio / conns.ConnBytes
+	return int(min(byDescriptors, byMemory))
+}
+
+// boundReceiveBuffer sets the receive buffer of a listening socket, which its connections inherit.
+// Without it the kernel lets them grow to megabytes.
+func boundReceiveBuffer(_, _ string, socket syscall.RawConn) error {
+	return socket.Control(func(descriptor uintptr) {
+		// A system without the option keeps its own bound.
+		_ = unix.SetsockoptInt(int(descriptor), unix.SOL_SOCKET, unix.SO_RCVBUF, receiveBufferBytes)
+	})
+}
+
+// connLimits returns the limits of connections of callers under a plan.
+func connLimits(limits plan.Limits) conns.Limits {
+	converted := conns.Limits{HeadBytes: maxRequestHeadBytes, IdleTime: limits.IdleTimeout.Duration()}
+	if limits.HeaderBytes > 0 {
+		converted.HeadBytes = limits.HeaderBytes
+	}
+	if limits.HeaderTimeout > 0 {
+		converted.HeadTime = (limits.HeaderTimeout + headTimeReserve).Duration()
+	}
+	return converted
+}
+
 // stop makes the readiness check fail and accepts requests until the load balancer has
 // noticed that. It then waits until every request that was read has been answered. The core
 // ends the requests that are left shortly before the end of the grace period.
