--- a/internal/flow/place/share.go
+++ b/internal/flow/place/share.go
@@ -130,7 +130,7 @@
 	for _, hash := range slices.Sorted(maps.Keys(asked)) {
 		asks = append(asks, share.Ask{Amount: asked[hash], Weight: 1})
 	}
-	limit := shareTolerance * share.Level(room, asks)
+	limit := shareTolerance * share.Limit(room, asks)
 	isAnyMarked := false
 	for i, prompt := range q {
 		if before := used[prompt.Group]; prompt.Group != 0 && !prompt.wasSent && before > 0 && before >= limit {
--- a/internal/flow/share/ledger.go
+++ b/internal/flow/share/ledger.go
@@ -161,7 +161,7 @@
 		for _, other := range s.groups {
 			asks = append(asks, Ask{float64(other.use.Requests) + rest, 1})
 		}
-		level = Level(room, asks)
+		level = Limit(room, asks)
 	}
 	wasOver := known.overAt != 0 && now-known.overAt <= overTTL
 	limit := level
--- a/internal/flow/share/share.go
+++ b/internal/flow/share/share.go
@@ -16,6 +16,14 @@
 // serviceFactor spreads the hashes of the groups of an organisation at different services.
 const serviceFactor = 0x9e3779b97f4a7c15
 
+const (
+	// toleratedParts is the number of equal parts of the room up to which a group is within its share, at most
+	// toleratedRoom of the room. Organisations differ in size, and those that have not grown are no cause
+	// of contention.
+	toleratedParts = 2.5
+	toleratedRoom  = 0.5
+)
+
 type (
 	// Group is an organisation at a service.
 	Group struct {
@@ -46,6 +54,12 @@
 	return Use{u.Requests + other.Requests, u.PrefillMillis + other.PrefillMillis}
 }
 
+// Limit returns the use above which a group exceeds its share of the room: the max-min level, or what is
+// tolerated if that is more.
+func Limit(room float64, asks []Ask) float64 {
+	return max(Level(room, asks), room*min(toleratedParts/float64(max(len(asks), 1)), toleratedRoom))
+}
+
 // Level returns the max-min level of the room: the amount per weight up to which all groups
 // together get what they ask for and no more than the room. It is infinite if the room suffices.
 func Level(room float64, asks []Ask) float64 {
