Kept connections are not refused after many requests

Callers saw 431 for ordinary requests on a connection that they kept: the 43rd of 200 pipelined ones of 550 bytes, the 46th of sequential ones whose answers were flushed before their handlers ended, and, in the trial of a reviewer, between the 261st and the 306th of plain sequential ones.

Cause: the bound of what the server's buffer holds grew by each read into a part of the buffer and shrank only with a read into the whole of it. If the server has read the first byte of the next request in advance, it never offers the whole buffer again. The bound is where the count of the next head begins, so the head was taken for one over the limit.

The free part that the server offers tells what the buffer holds at most after the read: its size less that part, and what was read.

--- a/internal/serve/conns/head.go
+++ b/internal/serve/conns/head.go
@@ -80,6 +80,10 @@
 		c.buffered = read
 	default:
 		c.buffered = c.buffered.plus(read)
+		// What the buffer holds beside the slice includes what was handed on since.
+		if most := serverBufferBytes - capacity + read.bytes; c.buffered.bytes > most {
+			c.buffered = headSize{most, min(c.buffered.lines, most)}
+		}
 	}
 }
 
