A refused head is never run

Cause: the error of the read that found no memory held for that read only. bufio.Reader.ReadLine drops an error if it holds a part of a line, so net/http took the cut line for whole and read again. If memory had come back by then, and the caller had sent more than the 256 KiB that are drained after a refusal, that read returned bytes from the middle of the body.

The refusal is kept with the connection now, before anything is written. Each later read returns it without touching the socket, so no line follows the cut one and net/http closes the connection. endHead refuses such a request as well.

--- a/internal/serve/conns/conn.go
+++ b/internal/serve/conns/conn.go
@@ -54,6 +54,8 @@
 		headDeadline time.Time
 		// buffered is the most that the server holds in its buffer.
 		buffered headSize
+		// refusal is the error of every read after a head was refused.
+		refusal error
 		// share holds the memory of the current request, which taken counts; nil without a budget.
 		share *limit.Share
 		taken int64
@@ -64,18 +66,30 @@
 var past = time.Unix(1, 0)
 
 // Read reads from the connection. Bytes that it returns make the connection busy. Those of a head
-// are counted.
+// are counted. After a refused head it fails always, since net/http takes the end of a line that was
+// cut off by an error for whole and reads on.
 func (c *conn) Read(buffer []byte) (int, error) {
+	if err := c.refused(); err != nil {
+		return 0, err
+	}
 	count, err := c.Conn.Read(buffer)
 	if count == 0 {
 		return count, err
 	}
 	if cause := c.receive(buffer[:count], len(buffer)); cause != nil {
-		return 0, c.refuse(cause)
+		c.refuse(cause)
+		return 0, c.refused()
 	}
 	return count, err
 }
 
+// refused returns the error of reads after a refused head; nil if none was refused.
+func (c *conn) refused() error {
+	c.tracker.mutex.Lock()
+	defer c.tracker.mutex.Unlock()
+	return c.refusal
+}
+
 // receive records bytes that were read into a slice of the given capacity. It returns a *HeadError
 // if they belong to a head that must be refused.
 func (c *conn) receive(text []byte, capacity int) error {
@@ -98,7 +112,11 @@
 	if !c.isInHead {
 		return nil
 	}
-	return c.countHead(read)
+	err := c.countHead(read)
+	if err != nil {
+		c.refusal = &net.OpError{Op: "read", Net: "tcp", Addr: c.RemoteAddr(), Err: err}
+	}
+	return err
 }
 
 // SetReadDeadline sets the read deadline unless the connection is interrupted. http.Server
--- a/internal/serve/conns/head.go
+++ b/internal/serve/conns/head.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"io"
-	"net"
 	"strconv"
 	"time"
 
@@ -104,6 +103,9 @@
 func (c *conn) endHead() bool {
 	c.tracker.mutex.Lock()
 	defer c.tracker.mutex.Unlock()
+	if c.refusal != nil {
+		return false
+	}
 	c.isInHead = false
 	c.isInterrupted = false
 	// A connection that refuses a deadline is closed already.
@@ -173,8 +175,8 @@
 }
 
 // refuse answers a head that is not read to its end. The server closes the connection without an
-// answer of its own after the error that it returns.
-func (c *conn) refuse(cause error) error {
+// answer of its own after the error of its reads.
+func (c *conn) refuse(cause error) {
 	answer := noMemoryAnswer
 	var exceeded *limit.ExceededError
 	if errors.As(cause, &exceeded) {
@@ -187,5 +189,4 @@
 		}
 		_, _ = io.Copy(io.Discard, io.LimitReader(c.Conn, refusalBytes))
 	}
-	return &net.OpError{Op: "read", Net: "tcp", Addr: c.RemoteAddr(), Err: cause}
 }
--- a/internal/serve/conns/head_test.go
+++ b/internal/serve/conns/head_test.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"net/http"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -87,6 +88,46 @@
 	requireReleased(t, budget)
 }
 
+// takeAll takes what is left of the budget, but for less than a small share.
+func takeAll(budget *limit.Budget) (release func()) {
+	var shares []*limit.Share
+	for share := budget.NewShare(); share.Take(RequestBytes/2) == nil; share = budget.NewShare() {
+		shares = append(shares, share)
+	}
+	return func() {
+		for _, share := range shares {
+			share.Release()
+		}
+	}
+}
+
+// Guards against a request that was refused and runs, with a part of its body as its head, once
+// memory is free again.
+func TestRefusedHeadNeverRuns(t *testing.T) {
+	const bodyBytes = 2 * refusalBytes
+	budget := limit.NewBudget(32 << 20)
+	whole := budget.Free()
+	ran := make(chan string, 1)
+	writes := newGate()
+	server := startServer(t, nil, writes, func(_ http.ResponseWriter, r *http.Request) { ran <- r.URL.Path },
+		withBudget(budget, Limits{HeadBytes: 64 << 10}))
+	client, reader := server.dial()
+	send(t, client, "POST /refused HTTP/1.1\r\nHost: desk.example\r\nA: "+strings.Repeat("x", 2000))
+	require.Eventually(t, func() bool { return budget.Free() < whole }, timeout, time.Millisecond)
+	release := takeAll(budget)
+	go func() {
+		_, _ = io.WriteString(client, "x\r\nContent-Length: "+strconv.Itoa(bodyBytes)+"\r\n\r\n"+strings.Repeat("\n", bodyBytes))
+	}()
+	<-writes.reached
+	release()
+	close(writes.opened)
+	response, _ := readAnswer(t, reader)
+	require.Equal(t, http.StatusServiceUnavailable, response.StatusCode)
+	server.eventually(Counts{})
+	require.Empty(t, ran)
+	require.Equal(t, int64(1), server.tracker.Refusals().NoMemory)
+}
+
 // Guards against requests in progress whose headers are not counted any more, also those that the
 // server had read before they began.
 func TestRequestHoldsMemoryUntilItsEnd(t *testing.T) {
