Idle connections at a full port stay as long as they may be reused

Cause: an idle connection kept its place for 1 s, like one that has sent nothing.

It now keeps it for four fifths of its time and a second for the way of the request; after that no caller may send on it. A crowd of idle connections would hold up new ones for as long, so while a new connection waits for a place, an answer ends its own connection and says so: the place comes free without a caller that loses a request. One answer does so for each attempt to find a place (10 ms), not all.

The crowd tests pass unchanged (platform, 50 s; cmd/mustardhook, 7 s).

--- a/internal/serve/conns/kept_test.go
+++ b/internal/serve/conns/kept_test.go
@@ -47,3 +47,44 @@
 		require.Equal(t, http.StatusOK, response.StatusCode, "answer %d", number)
 	}
 }
+
+// Guards against an idle connection that ends at a full port though its caller may still reuse it.
+func TestIdleConnectionAtFullPortIsReused(t *testing.T) {
+	const idleTime = 3 * time.Second
+	server := startServer(t, nil, nil, answerDone, func(s *testServer) {
+		s.maxOpen = 2
+		s.tracker.SetLimits(Limits{IdleTime: idleTime})
+	})
+	first, firstReader := server.dial()
+	send(t, first, plainRequest)
+	readAnswer(t, firstReader)
+	second, secondReader := server.dial()
+	send(t, second, plainRequest)
+	readAnswer(t, secondReader)
+	server.eventually(Counts{Idle: 2})
+	waiting, waitingReader := server.dial()
+	send(t, waiting, plainRequest)
+	time.Sleep(idleTime / 2)
+	send(t, first, plainRequest)
+	response, body := readAnswer(t, firstReader)
+	require.Equal(t, "done", body)
+	require.True(t, response.Close, "a new connection waits for a place")
+	readAnswer(t, waitingReader)
+	send(t, second, plainRequest)
+	response, body = readAnswer(t, secondReader)
+	require.Equal(t, "done", body)
+	require.False(t, response.Close)
+	require.Zero(t, server.tracker.Refusals().GaveWay)
+}
+
+// Guards against an idle connection that gives way before its caller may no longer reuse it, or never.
+func TestIdleConnectionGivesWayAfterItsReuse(t *testing.T) {
+	const idleTime = 15 * time.Second
+	tracker := New()
+	tracker.SetLimits(Limits{IdleTime: idleTime})
+	idleFor := func(duration time.Duration) *conn {
+		return &conn{tracker: tracker, state: stateIdle, usedAt: time.Now().Add(-duration)}
+	}
+	require.False(t, idleFor(idleTime*4/5).isEndable())
+	require.True(t, idleFor(idleTime*9/10).isEndable())
+}
--- a/internal/serve/conns/room.go
+++ b/internal/serve/conns/room.go
@@ -5,12 +5,15 @@
 const (
 	// placeInterval is the time between two attempts to find a place for a new connection.
 	placeInterval = 10 * time.Millisecond
-	// minPatience is how long a connection that no request uses, or on which a head arrives, keeps
-	// its place and its memory though others wait for them.
-	minPatience = 1 * time.Second
+	// minPatience is how long an unused connection, or one on which a head arrives, keeps its place
+	// and its memory though others wait for them. Callers may reuse an idle one until the fraction
+	// idleReuseRatio of its time has passed; idleReserve is for the way of the request.
+	minPatience    = 1 * time.Second
+	idleReuseRatio = 0.8
+	idleReserve    = 1 * time.Second
 )
 
-// makePlace ends the connection that is least in use, if it is so for minPatience: the oldest
+// makePlace ends the connection that is least in use, if its patience is over: the oldest
 // unused one, else the one with the slowest head, else the one that is idle for longest. It ends one
 // at a time.
 func (t *Tracker) makePlace() {
@@ -57,7 +60,15 @@
 
 // isEndable reports whether the connection may end in favour of others.
 func (c *conn) isEndable() bool {
-	return !c.isInterrupted && (c.state != stateBusy || c.isInHead) && time.Since(c.waitingSince()) >= minPatience
+	return !c.isInterrupted && (c.state != stateBusy || c.isInHead) && time.Since(c.waitingSince()) >= c.patience()
+}
+
+// patience returns how long the connection keeps its place though others wait for it.
+func (c *conn) patience() time.Duration {
+	if idle := c.tracker.idleTime(); c.state == stateIdle && idle > 0 {
+		return time.Duration(float64(idle)*idleReuseRatio) + idleReserve
+	}
+	return minPatience
 }
 
 // waitingSince returns since when the connection waits for its caller.
--- a/internal/serve/conns/tracker.go
+++ b/internal/serve/conns/tracker.go
@@ -38,6 +38,8 @@
 	// Tracker knows the open connections of a server and ends them when it stops.
 	Tracker struct {
 		phase atomic.Int32
+		// isFull is set while a new connection waits for a place that no answer has announced yet.
+		isFull atomic.Bool
 		// mutex guards open and the state of the connections.
 		mutex sync.Mutex
 		open  map[*conn]struct{}
@@ -122,7 +124,7 @@
 
 // Listen returns a listener whose connections are tracked. It must be the listener that the
 // server accepts from, so a listener for TLS goes inside. At most maxOpen connections are open; one
-// more takes the place of one that no request uses. netutil.LimitListener would hide the method that
+// more takes the place of one that no request uses, or that ends with its answer. netutil.LimitListener would hide the method that
 // resets a connection.
 func (t *Tracker) Listen(inner net.Listener, maxOpen int) net.Listener {
 	return &listener{Listener: inner, tracker: t, free: make(chan struct{}, max(maxOpen, 1)), closed: make(chan struct{})}
@@ -140,7 +142,7 @@
 	}
 	inner := server.Handler
 	server.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		w = &writer{w, t}
+		w = &writer{ResponseWriter: w, tracker: t}
 		if c, isTracked := r.Context().Value(connKey{}).(*conn); isTracked && !c.endHead() {
 			refuseRequest(w, r)
 			return
@@ -268,14 +270,18 @@
 	for {
 		select {
 		case l.free <- struct{}{}:
+			l.tracker.isFull.Store(false)
 			return true
 		default:
 		}
 		l.tracker.makePlace()
+		l.tracker.isFull.Store(true)
 		select {
 		case l.free <- struct{}{}:
+			l.tracker.isFull.Store(false)
 			return true
 		case <-l.closed:
+			l.tracker.isFull.Store(false)
 			return false
 		case <-time.After(placeInterval):
 		}
