Connections that give way are read for 50 ms more

An entry that was paused, or that ran late, closed connections whose requests lay in the kernel already (found by reading; shown below the server by the test).

Cause: what decides who gives way is how long a connection waits for its caller, in wall time, and a connection ended by a read deadline in the past. The runtime checks the deadline before it reads, so bytes that had arrived were not seen.

The deadline of a connection that gives way is 50 ms ahead now, so waiting bytes are read first. Those of an unused or idle connection undo the end, as before; a head must be whole by then, so one whose bytes come one by one doesn't stay.

A place or the memory of a head now comes free later. New connections that wait in a row therefore have up to eight others end at once: with one at a time TestCrowdOfSilentConnections failed (600 connections, 8 s). And a head that finds no memory ends as many slow ones as hold what it lacks, and waits for 200 ms.

TestArrivedRequestIsReadThoughConnectionGivesWay fails with a deadline in the past.

--- a/internal/serve/conns/conn.go
+++ b/internal/serve/conns/conn.go
@@ -188,12 +188,13 @@
 	}
 }
 
-// becomeBusy undoes an interruption, which came too late. The time for a head begins.
+// becomeBusy undoes the interruption of a connection without a request, which came too late. The time
+// for a head begins. That of an interrupted head is not prolonged by more of its bytes.
 func (c *conn) becomeBusy() {
 	isNew := c.state != stateBusy
 	c.state = stateBusy
 	c.isAwaiting = false
-	if c.isInterrupted || isNew {
+	if isNew {
 		c.isInterrupted = false
 		_ = c.Conn.SetReadDeadline(c.deadline())
 	}
@@ -230,11 +231,14 @@
 }
 
 // interrupt makes reads fail.
-func (c *conn) interrupt() {
+func (c *conn) interrupt() { c.interruptAt(past) }
+
+// interruptAt makes reads fail from the given time on.
+func (c *conn) interruptAt(deadline time.Time) {
 	if c.isInterrupted {
 		return
 	}
 	c.isInterrupted = true
 	// A connection that refuses a deadline is closed already.
-	_ = c.Conn.SetReadDeadline(past)
+	_ = c.Conn.SetReadDeadline(deadline)
 }
--- a/internal/serve/conns/head.go
+++ b/internal/serve/conns/head.go
@@ -27,8 +27,8 @@
 	// answer, and refusalBytes how much of it.
 	refusalTimeout = 200 * time.Millisecond
 	refusalBytes   = 256 << 10
-	// roomTimeout is how long a head waits for memory that a slower one gives back.
-	roomTimeout  = 100 * time.Millisecond
+	// roomTimeout is how long a head waits for memory that slower ones give back.
+	roomTimeout  = 200 * time.Millisecond
 	roomInterval = 10 * time.Millisecond
 
 	tooLargeAnswer = "HTTP/1.1 431 Request Header Fields Too Large\r\nContent-Type: text/plain; charset=utf-8\r\n" +
@@ -151,7 +151,7 @@
 }
 
 // countHead counts bytes of a head and takes the memory for them. If there is none, the slowest
-// head gives way. It returns a *HeadError if the head must be refused.
+// heads give way. It returns a *HeadError if the head must be refused.
 func (c *conn) countHead(read headSize) error {
 	t := c.tracker
 	c.head = c.head.plus(read)
@@ -161,7 +161,7 @@
 		return &HeadError{c.head.bytes, &limit.ExceededError{Bytes: int64(most)}}
 	}
 	err := c.takeHead()
-	for waited := time.Duration(0); err != nil && waited < roomTimeout && t.endSlowestHead(c); waited += roomInterval {
+	for waited := time.Duration(0); err != nil && waited < roomTimeout && t.endSlowestHeads(c, c.head.memory()-c.taken); waited += roomInterval {
 		t.mutex.Unlock()
 		time.Sleep(roomInterval)
 		t.mutex.Lock()
--- a/internal/serve/conns/kept_test.go
+++ b/internal/serve/conns/kept_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"io"
+	"net"
 	"net/http"
+	"os"
 	"strings"
 	"testing"
 	"time"
@@ -88,3 +90,65 @@
 	require.False(t, idleFor(idleTime*4/5).isEndable())
 	require.True(t, idleFor(idleTime*9/10).isEndable())
 }
+
+// Guards against a request that has arrived, but was not read since the process was paused, and whose
+// connection ends in favour of others.
+func TestArrivedRequestIsReadThoughConnectionGivesWay(t *testing.T) {
+	const begin = 10
+	for name, first := range map[string]int{"unused": 0, "head": begin} {
+		t.Run(name, func(t *testing.T) {
+			c, client := acceptOne(t)
+			buffer := make([]byte, serverBufferBytes)
+			if first > 0 {
+				send(t, client, plainRequest[:first])
+				_, err := io.ReadFull(c, buffer[:first])
+				require.NoError(t, err)
+			}
+			send(t, client, plainRequest[first:])
+			c.tracker.mutex.Lock()
+			require.True(t, c.tracker.giveWay(c))
+			c.tracker.mutex.Unlock()
+			_, err := io.ReadFull(c, buffer[first:len(plainRequest)])
+			require.NoError(t, err)
+			require.True(t, c.endHead())
+			time.Sleep(2 * arrivedTimeout)
+			send(t, client, "x")
+			_, err = c.Read(buffer[:1])
+			require.NoError(t, err)
+		})
+	}
+}
+
+// Guards against a head that keeps its memory since its bytes come one by one.
+func TestDribbledHeadGivesWay(t *testing.T) {
+	c, client := acceptOne(t)
+	go func() {
+		for err := error(nil); err == nil; time.Sleep(arrivedTimeout / 10) {
+			_, err = io.WriteString(client, "x")
+		}
+	}()
+	buffer := make([]byte, serverBufferBytes)
+	_, err := c.Read(buffer)
+	require.NoError(t, err)
+	c.tracker.mutex.Lock()
+	require.True(t, c.tracker.giveWay(c))
+	c.tracker.mutex.Unlock()
+	startedAt := time.Now()
+	for err == nil && time.Since(startedAt) < timeout {
+		_, err = c.Read(buffer)
+	}
+	require.ErrorIs(t, err, os.ErrDeadlineExceeded)
+}
+
+// acceptOne returns both ends of a tracked connection.
+func acceptOne(t *testing.T) (*conn, net.Conn) {
+	inner, err := net.Listen("tcp4", "127.0.0.1:0")
+	require.NoError(t, err)
+	listener := New(WithMemory(limit.NewBudget(testMemory))).Listen(inner, 1)
+	client, err := net.Dial("tcp4", inner.Addr().String())
+	require.NoError(t, err)
+	accepted, err := listener.Accept()
+	require.NoError(t, err)
+	t.Cleanup(func() { _, _, _ = client.Close(), accepted.Close(), listener.Close() })
+	return accepted.(*conn), client
+}
--- a/internal/serve/conns/room.go
+++ b/internal/serve/conns/room.go
@@ -11,31 +11,57 @@
 	minPatience    = 1 * time.Second
 	idleReuseRatio = 0.8
 	idleReserve    = 1 * time.Second
+	// arrivedTimeout is how long what has arrived on a connection may be read after it has to give way.
+	// After a pause of the process the bytes of its caller may still wait in the kernel.
+	arrivedTimeout = 50 * time.Millisecond
+	// maxEnding is how many connections end at once in favour of new ones that come in a row.
+	maxEnding = 8
 )
 
 // makePlace ends the connection that is least in use, if its patience is over: the oldest
-// unused one, else the one with the slowest head, else the one that is idle for longest. It ends one
-// at a time.
-func (t *Tracker) makePlace() {
+// unused one, else the one with the slowest head, else the one that is idle for longest. It ends none
+// while mostEnding of them end.
+func (t *Tracker) makePlace(mostEnding int) {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
-	if t.leaving != nil && !t.leaving.isClosed && t.leaving.isInterrupted {
-		return
-	}
 	var chosen *conn
+	ending := 0
 	for c := range t.open {
+		if c.isInterrupted {
+			ending++
+		}
 		if c.isEndable() && (chosen == nil || c.endsBefore(chosen)) {
 			chosen = c
 		}
 	}
-	if t.giveWay(chosen) {
-		t.leaving = chosen
+	if ending < mostEnding {
+		t.giveWay(chosen)
+	}
+}
+
+// endSlowestHeads ends the connections whose heads began first, other than that of the given one, until
+// those that end hold the missing memory. It reports whether any ends.
+func (t *Tracker) endSlowestHeads(except *conn, missing int64) bool {
+	isEnding := false
+	for c := range t.open {
+		if c != except && c.isInHead && c.isInterrupted {
+			isEnding = true
+			missing -= c.taken
+		}
+	}
+	for missing > 0 {
+		chosen := t.slowestHead(except)
+		if !t.giveWay(chosen) {
+			break
+		}
+		isEnding = true
+		missing -= chosen.taken
 	}
+	return isEnding
 }
 
-// endSlowestHead ends the connection whose head began first, other than that of the given one. It
-// reports whether a connection ends.
-func (t *Tracker) endSlowestHead(except *conn) bool {
+// slowestHead returns the connection whose head began first and may end; nil if there is none.
+func (t *Tracker) slowestHead(except *conn) *conn {
 	var chosen *conn
 	for c := range t.open {
 		if c == except || !c.isInHead || !c.isEndable() {
@@ -45,16 +71,17 @@
 			chosen = c
 		}
 	}
-	return t.giveWay(chosen)
+	return chosen
 }
 
-// giveWay ends the connection, which may be nil.
+// giveWay ends the connection, which may be nil, unless a request that has arrived is read from it
+// within arrivedTimeout.
 func (t *Tracker) giveWay(chosen *conn) bool {
 	if chosen == nil {
 		return false
 	}
 	t.refusals.GaveWay++
-	chosen.interrupt()
+	chosen.interruptAt(time.Now().Add(arrivedTimeout))
 	return true
 }
 
--- a/internal/serve/conns/tracker.go
+++ b/internal/serve/conns/tracker.go
@@ -50,8 +50,6 @@
 		// limits are those in force. Zero values stand for the timeouts of the server.
 		limits   Limits
 		refusals Refusals
-		// leaving is the connection that was ended last in favour of a new one.
-		leaving *conn
 		// server is the one that the tracker is attached to; may be nil.
 		server *http.Server
 	}
@@ -94,6 +92,9 @@
 		free      chan struct{}
 		closed    chan struct{}
 		closeOnce sync.Once
+		// waited is the number of new connections in a row, up to the last one, that waited for a
+		// place. Only Accept uses it.
+		waited int
 	}
 )
 
@@ -267,21 +268,21 @@
 // waitForPlace waits for a place for one more connection and makes others end until there is one.
 // It reports false if the listener is closed.
 func (l *listener) waitForPlace() bool {
+	select {
+	case l.free <- struct{}{}:
+		l.waited = 0
+		return true
+	default:
+	}
+	l.waited++
+	defer l.tracker.isFull.Store(false)
 	for {
-		select {
-		case l.free <- struct{}{}:
-			l.tracker.isFull.Store(false)
-			return true
-		default:
-		}
-		l.tracker.makePlace()
+		l.tracker.makePlace(min(l.waited, maxEnding))
 		l.tracker.isFull.Store(true)
 		select {
 		case l.free <- struct{}{}:
-			l.tracker.isFull.Store(false)
 			return true
 		case <-l.closed:
-			l.tracker.isFull.Store(false)
 			return false
 		case <-time.After(placeInterval):
 		}
