Memory taken for a body as fields of its head is given back

A request whose body came in the same read as its head held memory for each line of the body as for a field, until the end of its answer: 3,900 bytes of newlines were charged 1,023,730 bytes, so a few such requests made others get 503.

Cause: until the handler begins, all that is read counts as head, and the count was never corrected.

When the handler begins, the parsed header is known. What was counted above its size is given back, so the charge follows from the fields that are really held. It is never raised by this.

TestBodyReadWithHeadHoldsNoMemory sees the 1,023,730 bytes without the correction.

--- a/internal/serve/conns/head.go
+++ b/internal/serve/conns/head.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"io"
+	"net/http"
 	"strconv"
 	"time"
 
@@ -20,6 +21,8 @@
 	// parsed header and in the copy that is sent on. Its text is held headCopies times.
 	headLineBytes = 256
 	headCopies    = 2
+	// removedLines is the request line, Host and Transfer-Encoding, which a parsed header lacks.
+	removedLines = 3
 	// serverBufferBytes is the size of the buffer into which http.Server reads heads. It may hold
 	// the beginning of the next requests, or of the body.
 	serverBufferBytes = 4 << 10
@@ -98,9 +101,22 @@
 	}
 }
 
+// parsedSize returns the size of the parsed head of a request, of which at least the request line and the
+// fields that net/http removes are not in the header.
+func parsedSize(r *http.Request) headSize {
+	size := headSize{len(r.Method) + len(r.RequestURI) + len(r.Host), removedLines}
+	for name, values := range r.Header {
+		for _, value := range values {
+			size = size.plus(headSize{len(name) + len(value), 1})
+		}
+	}
+	return size
+}
+
 // endHead ends the time of the head of a request, whose handler begins, and undoes an interruption,
-// which came too late. It reports whether there is memory for the request.
-func (c *conn) endHead() bool {
+// which came too late. It gives the memory back that was taken for a part of the body, and reports
+// whether there is memory for the request.
+func (c *conn) endHead(parsed headSize) bool {
 	c.tracker.mutex.Lock()
 	defer c.tracker.mutex.Unlock()
 	if c.refusal != nil {
@@ -110,6 +126,11 @@
 	c.isInterrupted = false
 	// A connection that refuses a deadline is closed already.
 	_ = c.Conn.SetReadDeadline(c.readDeadline)
+	c.head = headSize{min(c.head.bytes, parsed.bytes), min(c.head.lines, parsed.lines)}
+	if surplus := c.taken - c.head.memory(); surplus > 0 {
+		c.share.Give(surplus)
+		c.taken -= surplus
+	}
 	if c.takeHead() != nil {
 		c.tracker.refusals.NoMemory++
 		return false
--- a/internal/serve/conns/head_test.go
+++ b/internal/serve/conns/head_test.go
@@ -68,6 +68,21 @@
 	require.Eventually(t, func() bool { return budget.Free() == leastMemory }, timeout, time.Millisecond)
 }
 
+// Guards against a body that holds memory as fields of the head with which it was read.
+func TestBodyReadWithHeadHoldsNoMemory(t *testing.T) {
+	const bodyBytes = 3900
+	budget := limit.NewBudget(keptMemory)
+	held := make(chan int64, 1)
+	server := startServer(t, nil, nil, func(w http.ResponseWriter, r *http.Request) {
+		held <- keptMemory - budget.Free()
+		answerDone(w, r)
+	}, withBudget(budget, Limits{HeadBytes: 16 << 10}))
+	client, reader := server.dial()
+	send(t, client, "POST / HTTP/1.1\r\nHost: desk.example\r\nContent-Length: "+strconv.Itoa(bodyBytes)+"\r\n\r\n"+strings.Repeat("\n", bodyBytes))
+	readAnswer(t, reader)
+	require.Less(t, <-held, int64(2*RequestBytes))
+}
+
 // Guards against many small fields, which take far more than their bytes, and against small
 // requests that find no memory beside them.
 func TestFieldsTakeMemory(t *testing.T) {
--- a/internal/serve/conns/kept_test.go
+++ b/internal/serve/conns/kept_test.go
@@ -110,7 +110,7 @@
 			c.tracker.mutex.Unlock()
 			_, err := io.ReadFull(c, buffer[first:len(plainRequest)])
 			require.NoError(t, err)
-			require.True(t, c.endHead())
+			require.True(t, c.endHead(headSize{len(plainRequest), 2}))
 			time.Sleep(2 * arrivedTimeout)
 			send(t, client, "x")
 			_, err = c.Read(buffer[:1])
--- a/internal/serve/conns/tracker.go
+++ b/internal/serve/conns/tracker.go
@@ -144,7 +144,7 @@
 	inner := server.Handler
 	server.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		w = &writer{ResponseWriter: w, tracker: t}
-		if c, isTracked := r.Context().Value(connKey{}).(*conn); isTracked && !c.endHead() {
+		if c, isTracked := r.Context().Value(connKey{}).(*conn); isTracked && !c.endHead(parsedSize(r)) {
 			refuseRequest(w, r)
 			return
 		}
