OPTIONS * ends its head

A connection on which a caller sent "OPTIONS *" counted as one with an unfinished head after the answer: it was closed when the time for the head was over, and was among the first to give way.

Cause: net/http answers such a request with a handler of its own, so the tracker's never ran and the head never ended. While a head lasts, the deadline by which net/http ends its read in advance was ignored, too.

That handler is off; the tracker gives the same answer (200, no body). An answer's end ends the head in any case, and a read deadline that has passed is applied.

--- a/internal/serve/conns/conn.go
+++ b/internal/serve/conns/conn.go
@@ -175,6 +175,7 @@
 // answer has not announced the end of the connection, the caller may be sending the next request.
 func (c *conn) becomeIdle() {
 	c.releaseHead()
+	c.isInHead = false
 	c.usedAt = time.Now()
 	if c.hasNextByte {
 		c.hasNextByte = false
--- a/internal/serve/conns/head.go
+++ b/internal/serve/conns/head.go
@@ -139,9 +139,10 @@
 }
 
 // deadline returns the read deadline that is in force. That of a head is neither prolonged nor cut
-// by the server, which begins its own with the fourth byte.
+// by the server, which begins its own with the fourth byte, but the server may end a read at once.
 func (c *conn) deadline() time.Time {
-	if c.isInHead && !c.headDeadline.IsZero() {
+	isEnded := !c.readDeadline.IsZero() && c.readDeadline.Before(time.Now())
+	if c.isInHead && !c.headDeadline.IsZero() && !isEnded {
 		return c.headDeadline
 	}
 	return c.readDeadline
--- a/internal/serve/conns/kept_test.go
+++ b/internal/serve/conns/kept_test.go
@@ -50,6 +50,26 @@
 	}
 }
 
+// Guards against the time of a head that goes on after an answer which no handler of the program gave.
+func TestOptionsOfServerEndHead(t *testing.T) {
+	const headTime = 100 * time.Millisecond
+	budget := limit.NewBudget(testMemory)
+	server := startServer(t, nil, nil, answerDone, withBudget(budget, Limits{HeadTime: headTime, IdleTime: timeout}))
+	client, reader := server.dial()
+	for range 2 {
+		send(t, client, "OPTIONS * HTTP/1.1\r\nHost: desk.example\r\n\r\n")
+		response, body := readAnswer(t, reader)
+		require.Equal(t, http.StatusOK, response.StatusCode)
+		require.Empty(t, body)
+		requireReleased(t, budget)
+		server.eventually(Counts{Idle: 1})
+		time.Sleep(2 * headTime)
+	}
+	send(t, client, plainRequest)
+	_, body := readAnswer(t, reader)
+	require.Equal(t, "done", body)
+}
+
 // Guards against an idle connection that ends at a full port though its caller may still reuse it.
 func TestIdleConnectionAtFullPortIsReused(t *testing.T) {
 	const idleTime = 3 * time.Second
--- a/internal/serve/conns/tracker.go
+++ b/internal/serve/conns/tracker.go
@@ -142,16 +142,29 @@
 		return context.WithValue(ctx, connKey{}, accepted)
 	}
 	inner := server.Handler
+	// The handler of the server would bypass the end of the head.
+	server.DisableGeneralOptionsHandler = true
 	server.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		w = &writer{ResponseWriter: w, tracker: t}
 		if c, isTracked := r.Context().Value(connKey{}).(*conn); isTracked && !c.endHead(parsedSize(r)) {
 			refuseRequest(w, r)
 			return
 		}
+		if r.Method == http.MethodOptions && r.RequestURI == "*" {
+			answerOptions(w, r)
+			return
+		}
 		inner.ServeHTTP(w, r)
 	})
 }
 
+// answerOptions answers a request for the options of the whole server like net/http.
+func answerOptions(w http.ResponseWriter, r *http.Request) {
+	DropBody(w, r)
+	w.Header().Set("Content-Length", "0")
+	w.WriteHeader(http.StatusOK)
+}
+
 // refuseRequest answers a request that finds no memory.
 func refuseRequest(w http.ResponseWriter, r *http.Request) {
 	DropBody(w, r)
