RPC bodies are read on connections that were unused

Cause: http.Server.ReadTimeout begins when a connection is accepted, not with the first byte, and an unused connection now stays open for longer than that.

The ports for control have no ReadTimeout any more; the time for a body begins when its handler does.

--- a/internal/flow/proxy/bounds_test.go
+++ b/internal/flow/proxy/bounds_test.go
@@ -156,6 +156,27 @@
 	requireRejected(t, conn)
 }
 
+// Guards against requests whose bodies can't be read since their connections were unused before.
+func TestPeerRequestOnUnusedConnectionIsRead(t *testing.T) {
+	t.Parallel()
+	const head = "POST / HTTP/1.1\r\nHost: e2.example\r\nContent-Length: 4\r\n\r\n"
+	read := make(chan error, 1)
+	address := listenForTest(t, newTestProxy(t), peersPort, http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		_, err := io.ReadAll(r.Body)
+		read <- err
+	}))
+	client, err := net.Dial("tcp4", address)
+	require.NoError(t, err)
+	defer func() { _ = client.Close() }()
+	time.Sleep(controlTimeout + 100*time.Millisecond)
+	_, err = io.WriteString(client, head)
+	require.NoError(t, err)
+	time.Sleep(50 * time.Millisecond)
+	_, err = io.WriteString(client, "news")
+	require.NoError(t, err)
+	require.NoError(t, <-read)
+}
+
 // Guards against the head of a request that is accepted up to the default limit of net/http,
 // a megabyte on each connection.
 func TestLargeHeadOfRequestIsRejected(t *testing.T) {
--- a/internal/flow/proxy/run.go
+++ b/internal/flow/proxy/run.go
@@ -158,7 +158,6 @@
 		server.MaxHeaderBytes = maxPlannedHeadBytes
 	} else {
 		server.Handler = http.MaxBytesHandler(p.boundControl(handler), maxControlBytes)
-		server.ReadTimeout = controlTimeout
 		server.WriteTimeout = controlTimeout
 		tracker = conns.New(conns.WithMemory(p.controlMemory))
 		maxConns = controlConns
@@ -176,9 +175,12 @@
 	return server, listener, nil
 }
 
-// boundControl refuses requests whose bodies together exceed the memory of the ports for control.
+// boundControl refuses requests whose bodies together exceed the memory of the ports for control, and
+// bounds the time of each body. http.Server.ReadTimeout would begin when a connection is accepted.
 func (p *Proxy) boundControl(handler http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		// A connection that refuses a deadline is closed already.
+		_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(controlTimeout))
 		share := p.controlMemory.NewShare()
 		defer share.Release()
 		length := r.ContentLength
