Readiness has memory and places of its own

A crowd at the port of peers could make the readiness check answer 503 (found by reading): all ports for control shared M/20 for requests, and a load balancer then takes an entry out that serves its callers.

The port for readiness has M/100 for requests and M/100 for connections (32 places at 64 MB, 256 at 512 MB and more, within a twenty-fifth of the descriptors) now; the others share M/25. The sum of the budgets is 70 % of M (69 % before).

TestReadinessHasItsOwnMemory takes all memory of the other ports: readiness answers 200, the port of peers 503. It doesn't compile on the commit before.

--- a/internal/flow/proxy/bounds_test.go
+++ b/internal/flow/proxy/bounds_test.go
@@ -156,6 +156,21 @@
 	requireRejected(t, conn)
 }
 
+// Guards against a crowd at the port of peers that makes the readiness check fail.
+func TestReadinessHasItsOwnMemory(t *testing.T) {
+	p := newTestProxy(t)
+	isFull := false
+	for !isFull {
+		isFull = p.controlMemory.NewShare().Take(1<<10) != nil
+	}
+	for name, status := range map[string]int{readyPort: http.StatusOK, peersPort: http.StatusServiceUnavailable} {
+		response, err := http.Get("http://" + listenForTest(t, p, name, http.HandlerFunc(func(http.ResponseWriter, *http.Request) {})))
+		require.NoError(t, err)
+		require.NoError(t, response.Body.Close())
+		require.Equal(t, status, response.StatusCode, name)
+	}
+}
+
 // Guards against requests whose bodies can't be read since their connections were unused before.
 func TestPeerRequestOnUnusedConnectionIsRead(t *testing.T) {
 	t.Parallel()
--- a/internal/flow/proxy/proxy.go
+++ b/internal/flow/proxy/proxy.go
@@ -48,9 +48,11 @@
 	// no memory is lost though its request has run.
 	minAnswerMemoryRatio = 0.1
 	// controlMemoryRatio is the part that requests on the ports for control may take, and
-	// peerConnMemoryRatio that of the connections of peers.
-	controlMemoryRatio  = 0.05
-	peerConnMemoryRatio = 0.04
+	// peerConnMemoryRatio that of the connections of peers. The port for readiness has parts of its own.
+	controlMemoryRatio   = 0.04
+	peerConnMemoryRatio  = 0.04
+	readyMemoryRatio     = 0.01
+	readyConnMemoryRatio = 0.01
 )
 
 type (
@@ -68,10 +70,12 @@
 		peers *http.Client
 
 		// answerMemory bounds what all sessions buffer of answers, bodyMemory their request
-		// bodies. controlMemory bounds the requests on the ports for control.
+		// bodies. controlMemory bounds the requests on the ports for control other than
+		// that for readiness, which readyMemory bounds.
 		answerMemory  *limit.Budget
 		bodyMemory    *limit.Budget
 		controlMemory *limit.Budget
+		readyMemory   *limit.Budget
 		// connLimits are the limits of the plan that conns has.
 		connLimits plan.Limits
 
@@ -122,6 +126,7 @@
 		answerMemory:  callerMemory.NewPart(int64(memoryBytes * answerMemoryRatio)),
 		bodyMemory:    requestMemory.NewPart(int64(memoryBytes * bodyMemoryRatio)),
 		controlMemory: limit.NewBudget(int64(memoryBytes * controlMemoryRatio)),
+		readyMemory:   limit.NewBudget(int64(memoryBytes * readyMemoryRatio)),
 		conns:         tracker,
 		board:         board.New(),
 		cycle:         cycle.New(config.Controllers...),
--- a/internal/flow/proxy/run.go
+++ b/internal/flow/proxy/run.go
@@ -18,6 +18,7 @@
 	"mustardhook/internal/flow/plan"
 	"mustardhook/internal/flow/setup"
 	"mustardhook/internal/serve/conns"
+	"mustardhook/internal/serve/limit"
 )
 
 const (
@@ -49,9 +50,13 @@
 	// controlConns at least.
 	peersDescriptorRatio = 0.1
 	controlConns         = 32
+	// The port for readiness may have the fraction readyDescriptorRatio, up to maxReadyConns.
+	readyDescriptorRatio = 0.04
+	maxReadyConns        = 256
 
 	callersPort = "callers"
 	peersPort   = "peers"
+	readyPort   = "ready"
 	// drainPollInterval is the time between two checks whether all requests have ended.
 	drainPollInterval = 20 * time.Millisecond
 )
@@ -116,7 +121,7 @@
 		return err
 	}
 	defer func() { _ = callers.Close() }()
-	control := []controlPort{{"ready", p.settings.Ready, p.readyHandler()}, {peersPort, p.settings.Peers, p.peerHandler()}}
+	control := []controlPort{{readyPort, p.settings.Ready, p.readyHandler()}, {peersPort, p.settings.Peers, p.peerHandler()}}
 	if p.settings.MetricsPort != 0 {
 		host, _, err := net.SplitHostPort(p.settings.Peers)
 		if err != nil {
@@ -157,13 +162,18 @@
 	if name == callersPort {
 		server.MaxHeaderBytes = maxPlannedHeadBytes
 	} else {
-		server.Handler = http.MaxBytesHandler(p.boundControl(handler), maxControlBytes)
-		server.WriteTimeout = controlTimeout
-		tracker = conns.New(conns.WithMemory(p.controlMemory))
+		memory := p.controlMemory
 		maxConns = controlConns
-		if name == peersPort {
+		switch name {
+		case peersPort:
 			maxConns = max(maxConnsWithin(p.settings.Limits, peersDescriptorRatio, peerConnMemoryRatio), controlConns)
+		case readyPort:
+			memory = p.readyMemory
+			maxConns = max(min(maxConnsWithin(p.settings.Limits, readyDescriptorRatio, readyConnMemoryRatio), maxReadyConns), controlConns)
 		}
+		server.Handler = http.MaxBytesHandler(boundControl(memory, handler), maxControlBytes)
+		server.WriteTimeout = controlTimeout
+		tracker = conns.New(conns.WithMemory(memory))
 	}
 	listener = tracker.Listen(listener, maxConns)
 	tracker.Attach(server)
@@ -175,13 +185,13 @@
 	return server, listener, nil
 }
 
-// boundControl refuses requests whose bodies together exceed the memory of the ports for control, and
-// bounds the time of each body. http.Server.ReadTimeout would begin when a connection is accepted.
-func (p *Proxy) boundControl(handler http.Handler) http.Handler {
+// boundControl refuses requests whose bodies together exceed the memory of their port, and bounds the time
+// of each body. http.Server.ReadTimeout would begin when a connection is accepted.
+func boundControl(memory *limit.Budget, handler http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		// A connection that refuses a deadline is closed already.
 		_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(controlTimeout))
-		share := p.controlMemory.NewShare()
+		share := memory.NewShare()
 		defer share.Release()
 		length := r.ContentLength
 		if length < 0 || length > maxControlBytes {
