TestSlowHeadGivesWay doesn't depend on speed

The test failed once under the race detector. It sent 61 heads for a budget in which 31 fit: each counted as large, so half of the budget was kept from them, and the others were refused. It passed only while those were still open.

The budget is larger now, so that the heads count as small, and all but what 31 of them take is held by others. It checks exactly what happens: the budget is empty, an ordinary request is answered, two heads give way for it, the others stay and nothing is refused.

--- a/internal/serve/conns/head_test.go
+++ b/internal/serve/conns/head_test.go
@@ -243,19 +243,32 @@
 	require.Equal(t, "done", body)
 }
 
-// Guards against slow heads that hold all memory: the slowest one gives way.
+// Guards against slow heads that hold all memory: the slowest ones give way.
 func TestSlowHeadGivesWay(t *testing.T) {
-	const fits = 61
-	budget := limit.NewBudget(testMemory)
+	const (
+		fits = 31
+		// memory is so large that a head with little text counts as small.
+		memory = 8 << 20
+	)
+	begun := sizeOf([]byte(plainRequest[:5]))
+	budget := limit.NewBudget(memory)
+	for left := budget.Free() - fits*begun.memory(); left > 0; left -= RequestBytes {
+		require.NoError(t, budget.NewShare().Take(min(left, RequestBytes)))
+	}
 	server := startServer(t, nil, nil, answerDone, withBudget(budget, Limits{}))
 	for range fits {
 		client, _ := server.dial()
 		send(t, client, plainRequest[:5])
 	}
 	server.eventually(Counts{Busy: fits})
+	require.Eventually(t, func() bool { return budget.Free() == 0 }, timeout, time.Millisecond)
 	time.Sleep(minPatience)
 	ordinary, reader := server.dial()
-	send(t, ordinary, "GET / HTTP/1.1\r\nHost: desk.example\r\n"+fields(200)+"\r\n")
+	send(t, ordinary, plainRequest)
 	response, _ := readAnswer(t, reader)
 	require.Equal(t, http.StatusOK, response.StatusCode)
+	// An ordinary head takes a little more than a slow one holds.
+	const ended = 2
+	server.eventually(Counts{Busy: fits - ended, Idle: 1})
+	require.Equal(t, Refusals{GaveWay: ended}, server.tracker.Refusals())
 }
