Bodies leave memory to heads

Bodies could take all memory of requests, so that each small head got 503 (found by reading).

Cause: heads and bodies share a budget, of which bodies may take more than there is.

Bodies leave M/10 to heads now. Their own budget of 2/5 M stays, since the reserve for small ones follows from it: with a smaller one, a body of 4 MiB, which takes 6 MiB as its buffer grows, would find no memory at 64 MB. What large bodies leave to small ones is less than before on a small instance (64 MB: they may take all 9.6 MB).

TestBodiesLeaveMemoryToHeads gets 503 on the commit before; TestLargestBodyIsReadWithLittleMemory guards the other side. Serve is not changed: its bodies can still take all memory of requests there.

--- a/internal/flow/proxy/bounds_test.go
+++ b/internal/flow/proxy/bounds_test.go
@@ -156,13 +156,41 @@
 	requireRejected(t, conn)
 }
 
-// Guards against a crowd at the port of peers that makes the readiness check fail.
-func TestReadinessHasItsOwnMemory(t *testing.T) {
-	p := newTestProxy(t)
+// takeAll takes the memory of a budget in small shares.
+func takeAll(budget *limit.Budget) {
 	isFull := false
 	for !isFull {
-		isFull = p.controlMemory.NewShare().Take(1<<10) != nil
+		isFull = budget.NewShare().Take(1<<10) != nil
 	}
+}
+
+// Guards against bodies that leave no memory to the heads of other requests.
+func TestBodiesLeaveMemoryToHeads(t *testing.T) {
+	p := newTestProxy(t)
+	takeAll(p.bodyMemory)
+	address := listenForTest(t, p, callersPort, http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
+	response, err := http.Get("http://" + address)
+	require.NoError(t, err)
+	require.NoError(t, response.Body.Close())
+	require.Equal(t, http.StatusOK, response.StatusCode)
+}
+
+// Guards against a body of the default limit that finds no memory though no other request is there.
+func TestLargestBodyIsReadWithLittleMemory(t *testing.T) {
+	const bodyBytes = 4 << 20
+	p := New(Config{Settings: setup.Settings{Limits: setup.Limits{MemoryMegabytes: 64, Descriptors: 2400}}, Logger: logs.Discard()})
+	defer p.cancel()
+	share := p.bodyMemory.NewShare()
+	defer share.Release()
+	content, err := share.ReadAll(strings.NewReader(strings.Repeat("x", bodyBytes)), bodyBytes, bodyBytes)
+	require.NoError(t, err)
+	require.Len(t, content, bodyBytes)
+}
+
+// Guards against a crowd at the port of peers that makes the readiness check fail.
+func TestReadinessHasItsOwnMemory(t *testing.T) {
+	p := newTestProxy(t)
+	takeAll(p.controlMemory)
 	for name, status := range map[string]int{readyPort: http.StatusOK, peersPort: http.StatusServiceUnavailable} {
 		response, err := http.Get("http://" + listenForTest(t, p, name, http.HandlerFunc(func(http.ResponseWriter, *http.Request) {})))
 		require.NoError(t, err)
--- a/internal/flow/proxy/proxy.go
+++ b/internal/flow/proxy/proxy.go
@@ -47,6 +47,9 @@
 	// minAnswerMemoryRatio is the part that heads and bodies leave to answers: an answer that finds
 	// no memory is lost though its request has run.
 	minAnswerMemoryRatio = 0.1
+	// minHeadMemoryRatio is the part that bodies leave to heads: a request without memory for its head
+	// is refused.
+	minHeadMemoryRatio = 0.1
 	// controlMemoryRatio is the part that requests on the ports for control may take, and
 	// peerConnMemoryRatio that of the connections of peers. The port for readiness has parts of its own.
 	controlMemoryRatio   = 0.04
@@ -113,7 +116,9 @@
 	connBytes := maxCallerConns(config.Settings.Limits) * conns.ConnBytes
 	callerBytes := int64(memoryBytes*callerMemoryRatio) - int64(connBytes)
 	callerMemory := limit.NewBudget(callerBytes)
-	requestMemory := callerMemory.NewPart(callerBytes - int64(memoryBytes*minAnswerMemoryRatio))
+	requestBytes := callerBytes - int64(memoryBytes*minAnswerMemoryRatio)
+	requestMemory := callerMemory.NewPart(requestBytes)
+	noHeads := requestMemory.NewPart(requestBytes - int64(memoryBytes*minHeadMemoryRatio))
 	tracker := conns.New(conns.WithMemory(requestMemory.NewPart(int64(memoryBytes * headMemoryRatio))))
 	tracker.SetLimits(connLimits(plan.Limits{}))
 	return &Proxy{
@@ -124,7 +129,7 @@
 		metrics:       newEntryMetrics(tracker),
 		peers:         NewClient(),
 		answerMemory:  callerMemory.NewPart(int64(memoryBytes * answerMemoryRatio)),
-		bodyMemory:    requestMemory.NewPart(int64(memoryBytes * bodyMemoryRatio)),
+		bodyMemory:    noHeads.NewPart(int64(memoryBytes * bodyMemoryRatio)),
 		controlMemory: limit.NewBudget(int64(memoryBytes * controlMemoryRatio)),
 		readyMemory:   limit.NewBudget(int64(memoryBytes * readyMemoryRatio)),
 		conns:         tracker,
