Connections of serve are bounded by memory only if it is set

Without limits.memoryMegabytes, a port of `mustardhook serve` had 6,553 connections at most, also where the settings asked for more, and with the default of 8,192. Nothing said so.

Cause: the default of 512 MB, which the budget of heads needs, also bounded the connections.

It bounds them only if the settings name the memory, like bodies and the runtime. TestConnectionsAreBoundedByNamedMemoryOnly fails on the commit before (6,553 for 8,192).

--- a/mustardhook.go
+++ b/mustardhook.go
@@ -212,8 +212,12 @@
 	return float64(limits.MemoryMegabytes) * megabyte * ratio
 }
 
-// maxConns returns how many connections a port may have that may take a part of the memory.
+// maxConns returns how many connections a port may have that may take a part of the memory setting, if
+// there is one.
 func maxConns(limits setup.Limits, ratio float64) int {
+	if !limits.HasMemory {
+		return limits.Connections
+	}
 	return min(limits.Connections, int(memoryOf(limits, ratio)/conns.ConnBytes))
 }
 
