The receive buffer of connections is 256 KiB

An upload of 1 MB over a long way was slow: with 64 KiB a connection, at most about 64 KiB are under way at a time (found by reading; not measured).

Cause: a fixed size ends the kernel's tuning of the window, and it was small.

256 KiB allow four times as much under way. TestReceiveBufferIsBounded reads the size back: twice 256 KiB, or twice net.core.rmem_max if that is less.

--- a/internal/flow/proxy/bounds_test.go
+++ b/internal/flow/proxy/bounds_test.go
@@ -8,11 +8,13 @@
 	"net/http"
 	"net/http/httptest"
 	"os"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
+	"golang.org/x/sys/unix"
 
 	"mustardhook/internal/fake/ports"
 	"mustardhook/internal/flow/call"
@@ -156,6 +158,27 @@
 	requireRejected(t, conn)
 }
 
+// Guards against a receive buffer so small that uploads over a long way are slow, and against one
+// without a bound.
+func TestReceiveBufferIsBounded(t *testing.T) {
+	config := net.ListenConfig{Control: boundReceiveBuffer}
+	listener, err := config.Listen(context.Background(), "tcp4", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer func() { _ = listener.Close() }()
+	text, err := os.ReadFile("/proc/sys/net/core/rmem_max")
+	require.NoError(t, err)
+	most, err := strconv.Atoi(strings.TrimSpace(string(text)))
+	require.NoError(t, err)
+	raw, err := listener.(*net.TCPListener).SyscallConn()
+	require.NoError(t, err)
+	var set int
+	require.NoError(t, raw.Control(func(descriptor uintptr) {
+		set, err = unix.GetsockoptInt(int(descriptor), unix.SOL_SOCKET, unix.SO_RCVBUF)
+	}))
+	require.NoError(t, err)
+	require.Equal(t, 2*min(256<<10, most), set, "Linux doubles it")
+}
+
 // takeAll takes the memory of a budget in small shares.
 func takeAll(budget *limit.Budget) {
 	isFull := false
--- a/internal/flow/proxy/run.go
+++ b/internal/flow/proxy/run.go
@@ -34,7 +34,7 @@
 	// headTimeReserve allows for the way of a head that its caller sends in the time of the plan.
 	headTimeReserve = 1 * clock.Second
 	// receiveBufferBytes bounds what the kernel holds of a connection that is not read.
-	receiveBufferBytes = 64 << 10
+	receiveBufferBytes = 256 << 10
 	maxControlBytes    = 64 << 10
 	controlTimeout     = 5 * time.Second
 	// memoryLimitRatio is the soft limit of the Go runtime's memory, as a fraction of the
