--- a/internal/flow/proxy/bounds_test.go
+++ b/internal/flow/proxy/bounds_test.go
@@ -8,11 +8,13 @@
 	"net/http"
 	"net/http/httptest"
 	"os"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
+	"golang.org/x/sys/unix"
 
 	"mustardhook/internal/fake/ports"
 	"mustardhook/internal/flow/call"
@@ -156,6 +158,91 @@
 	requireRejected(t, conn)
 }
 
+// Guards against a receive buffer so small that uploads over a long way are slow, and against one
+// without a bound.
+func TestReceiveBufferIsBounded(t *testing.T) {
+	config := net.ListenConfig{Control: boundReceiveBuffer}
+	listener, err := config.Listen(context.Background(), "tcp4", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer func() { _ = listener.Close() }()
+	text, err := os.ReadFile("/proc/sys/net/core/rmem_max")
+	require.NoError(t, err)
+	most, err := strconv.Atoi(strings.TrimSpace(string(text)))
+	require.NoError(t, err)
+	raw, err := listener.(*net.TCPListener).SyscallConn()
+	require.NoError(t, err)
+	var set int
+	require.NoError(t, raw.Control(func(descriptor uintptr) {
+		set, err = unix.GetsockoptInt(int(descriptor), unix.SOL_SOCKET, unix.SO_RCVBUF)
+	}))
+	require.NoError(t, err)
+	require.Equal(t, 2*min(256<<10, most), set, "Linux doubles it")
+}
+
+// takeAll takes the memory of a budget in small shares.
+func takeAll(budget *limit.Budget) {
+	isFull := false
+	for !isFull {
+		isFull = budget.NewShare().Take(1<<10) != nil
+	}
+}
+
+// Guards against bodies that leave no memory to the heads of other requests.
+func TestBodiesLeaveMemoryToHeads(t *testing.T) {
+	p := newTestProxy(t)
+	takeAll(p.bodyMemory)
+	address := listenForTest(t, p, callersPort, http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
+	response, err := http.Get("http://" + address)
+	require.NoError(t, err)
+	require.NoError(t, response.Body.Close())
+	require.Equal(t, http.StatusOK, response.StatusCode)
+}
+
+// Guards against a body of the default limit that finds no memory though no other request is there.
+func TestLargestBodyIsReadWithLittleMemory(t *testing.T) {
+	const bodyBytes = 4 << 20
+	p := New(Config{Settings: setup.Settings{Limits: setup.Limits{MemoryMegabytes: 64, Descriptors: 2400}}, Logger: logs.Discard()})
+	defer p.cancel()
+	share := p.bodyMemory.NewShare()
+	defer share.Release()
+	content, err := share.ReadAll(strings.NewReader(strings.Repeat("x", bodyBytes)), bodyBytes, bodyBytes)
+	require.NoError(t, err)
+	require.Len(t, content, bodyBytes)
+}
+
+// Guards against a crowd at the port of peers that makes the readiness check fail.
+func TestReadinessHasItsOwnMemory(t *testing.T) {
+	p := newTestProxy(t)
+	takeAll(p.controlMemory)
+	for name, status := range map[string]int{readyPort: http.StatusOK, peersPort: http.StatusServiceUnavailable} {
+		response, err := http.Get("http://" + listenForTest(t, p, name, http.HandlerFunc(func(http.ResponseWriter, *http.Request) {})))
+		require.NoError(t, err)
+		require.NoError(t, response.Body.Close())
+		require.Equal(t, status, response.StatusCode, name)
+	}
+}
+
+// Guards against requests whose bodies can't be read since their connections were unused before.
+func TestPeerRequestOnUnusedConnectionIsRead(t *testing.T) {
+	t.Parallel()
+	const head = "POST / HTTP/1.1\r\nHost: e2.example\r\nContent-Length: 4\r\n\r\n"
+	read := make(chan error, 1)
+	address := listenForTest(t, newTestProxy(t), peersPort, http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		_, err := io.ReadAll(r.Body)
+		read <- err
+	}))
+	client, err := net.Dial("tcp4", address)
+	require.NoError(t, err)
+	defer func() { _ = client.Close() }()
+	time.Sleep(controlTimeout + 100*time.Millisecond)
+	_, err = io.WriteString(client, head)
+	require.NoError(t, err)
+	time.Sleep(50 * time.Millisecond)
+	_, err = io.WriteString(client, "news")
+	require.NoError(t, err)
+	require.NoError(t, <-read)
+}
+
 // Guards against the head of a request that is accepted up to the default limit of net/http,
 // a megabyte on each connection.
 func TestLargeHeadOfRequestIsRejected(t *testing.T) {
--- a/internal/flow/proxy/run.go
+++ b/internal/flow/proxy/run.go
@@ -18,6 +18,7 @@
 	"mustardhook/internal/flow/plan"
 	"mustardhook/internal/flow/setup"
 	"mustardhook/internal/serve/conns"
+	"mustardhook/internal/serve/limit"
 )
 
 const (
@@ -33,7 +34,7 @@
 	// headTimeReserve allows for the way of a head that its caller sends in the time of the plan.
 	headTimeReserve = 1 * clock.Second
 	// receiveBufferBytes bounds what the kernel holds of a connection that is not read.
-	receiveBufferBytes = 64 << 10
+	receiveBufferBytes = 256 << 10
 	maxControlBytes    = 64 << 10
 	controlTimeout     = 5 * time.Second
 	// memoryLimitRatio is the soft limit of the Go runtime's memory, as a fraction of the
@@ -49,9 +50,13 @@
 	// controlConns at least.
 	peersDescriptorRatio = 0.1
 	controlConns         = 32
+	// The port for readiness may have the fraction readyDescriptorRatio, up to maxReadyConns.
+	readyDescriptorRatio = 0.04
+	maxReadyConns        = 256
 
 	callersPort = "callers"
 	peersPort   = "peers"
+	readyPort   = "ready"
 	// drainPollInterval is the time between two checks whether all requests have ended.
 	drainPollInterval = 20 * time.Millisecond
 )
@@ -116,7 +121,7 @@
 		return err
 	}
 	defer func() { _ = callers.Close() }()
-	control := []controlPort{{"ready", p.settings.Ready, p.readyHandler()}, {peersPort, p.settings.Peers, p.peerHandler()}}
+	control := []controlPort{{readyPort, p.settings.Ready, p.readyHandler()}, {peersPort, p.settings.Peers, p.peerHandler()}}
 	if p.settings.MetricsPort != 0 {
 		host, _, err := net.SplitHostPort(p.settings.Peers)
 		if err != nil {
@@ -157,14 +162,18 @@
 	if name == callersPort {
 		server.MaxHeaderBytes = maxPlannedHeadBytes
 	} else {
-		server.Handler = http.MaxBytesHandler(p.boundControl(handler), maxControlBytes)
-		server.ReadTimeout = controlTimeout
-		server.WriteTimeout = controlTimeout
-		tracker = conns.New(conns.WithMemory(p.controlMemory))
+		memory := p.controlMemory
 		maxConns = controlConns
-		if name == peersPort {
+		switch name {
+		case peersPort:
 			maxConns = max(maxConnsWithin(p.settings.Limits, peersDescriptorRatio, peerConnMemoryRatio), controlConns)
+		case readyPort:
+			memory = p.readyMemory
+			maxConns = max(min(maxConnsWithin(p.settings.Limits, readyDescriptorRatio, readyConnMemoryRatio), maxReadyConns), controlConns)
 		}
+		server.Handler = http.MaxBytesHandler(boundControl(memory, handler), maxControlBytes)
+		server.WriteTimeout = controlTimeout
+		tracker = conns.New(conns.WithMemory(memory))
 	}
 	listener = tracker.Listen(listener, maxConns)
 	tracker.Attach(server)
@@ -176,10 +185,13 @@
 	return server, listener, nil
 }
 
-// boundControl refuses requests whose bodies together exceed the memory of the ports for control.
-func (p *Proxy) boundControl(handler http.Handler) http.Handler {
+// boundControl refuses requests whose bodies together exceed the memory of their port, and bounds the time
+// of each body. http.Server.ReadTimeout would begin when a connection is accepted.
+func boundControl(memory *limit.Budget, handler http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		share := p.controlMemory.NewShare()
+		// A connection that refuses a deadline is closed already.
+		_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(controlTimeout))
+		share := memory.NewShare()
 		defer share.Release()
 		length := r.ContentLength
 		if length < 0 || length > maxControlBytes {
--- a/internal/serve/conns/head.go
+++ b/internal/serve/conns/head.go
@@ -3,7 +3,7 @@
 import (
 	"bytes"
 	"io"
-	"net"
+	"net/http"
 	"strconv"
 	"time"
 
@@ -21,6 +21,8 @@
 	// parsed header and in the copy that is sent on. Its text is held headCopies times.
 	headLineBytes = 256
 	headCopies    = 2
+	// removedLines is the request line, Host and Transfer-Encoding, which a parsed header lacks.
+	removedLines = 3
 	// serverBufferBytes is the size of the buffer into which http.Server reads heads. It may hold
 	// the beginning of the next requests, or of the body.
 	serverBufferBytes = 4 << 10
@@ -28,8 +30,8 @@
 	// answer, and refusalBytes how much of it.
 	refusalTimeout = 200 * time.Millisecond
 	refusalBytes   = 256 << 10
-	// roomTimeout is how long a head waits for memory that a slower one gives back.
-	roomTimeout  = 100 * time.Millisecond
+	// roomTimeout is how long a head waits for memory that slower ones give back.
+	roomTimeout  = 200 * time.Millisecond
 	roomInterval = 10 * time.Millisecond
 
 	tooLargeAnswer = "HTTP/1.1 431 Request Header Fields Too Large\r\nContent-Type: text/plain; charset=utf-8\r\n" +
@@ -80,6 +82,10 @@
 		c.buffered = read
 	default:
 		c.buffered = c.buffered.plus(read)
+		// What the buffer holds beside the slice includes what was handed on since.
+		if most := serverBufferBytes - capacity + read.bytes; c.buffered.bytes > most {
+			c.buffered = headSize{most, min(c.buffered.lines, most)}
+		}
 	}
 }
 
@@ -95,15 +101,36 @@
 	}
 }
 
+// parsedSize returns the size of the parsed head of a request, of which at least the request line and the
+// fields that net/http removes are not in the header.
+func parsedSize(r *http.Request) headSize {
+	size := headSize{len(r.Method) + len(r.RequestURI) + len(r.Host), removedLines}
+	for name, values := range r.Header {
+		for _, value := range values {
+			size = size.plus(headSize{len(name) + len(value), 1})
+		}
+	}
+	return size
+}
+
 // endHead ends the time of the head of a request, whose handler begins, and undoes an interruption,
-// which came too late. It reports whether there is memory for the request.
-func (c *conn) endHead() bool {
+// which came too late. It gives the memory back that was taken for a part of the body, and reports
+// whether there is memory for the request.
+func (c *conn) endHead(parsed headSize) bool {
 	c.tracker.mutex.Lock()
 	defer c.tracker.mutex.Unlock()
+	if c.refusal != nil {
+		return false
+	}
 	c.isInHead = false
 	c.isInterrupted = false
 	// A connection that refuses a deadline is closed already.
 	_ = c.Conn.SetReadDeadline(c.readDeadline)
+	c.head = headSize{min(c.head.bytes, parsed.bytes), min(c.head.lines, parsed.lines)}
+	if surplus := c.taken - c.head.memory(); surplus > 0 {
+		c.share.Give(surplus)
+		c.taken -= surplus
+	}
 	if c.takeHead() != nil {
 		c.tracker.refusals.NoMemory++
 		return false
@@ -112,9 +139,10 @@
 }
 
 // deadline returns the read deadline that is in force. That of a head is neither prolonged nor cut
-// by the server, which begins its own with the fourth byte.
+// by the server, which begins its own with the fourth byte, but the server may end a read at once.
 func (c *conn) deadline() time.Time {
-	if c.isInHead && !c.headDeadline.IsZero() {
+	isEnded := !c.readDeadline.IsZero() && c.readDeadline.Before(time.Now())
+	if c.isInHead && !c.headDeadline.IsZero() && !isEnded {
 		return c.headDeadline
 	}
 	return c.readDeadline
@@ -145,7 +173,7 @@
 }
 
 // countHead counts bytes of a head and takes the memory for them. If there is none, the slowest
-// head gives way. It returns a *HeadError if the head must be refused.
+// heads give way. It returns a *HeadError if the head must be refused.
 func (c *conn) countHead(read headSize) error {
 	t := c.tracker
 	c.head = c.head.plus(read)
@@ -155,7 +183,7 @@
 		return &HeadError{c.head.bytes, &limit.ExceededError{Bytes: int64(most)}}
 	}
 	err := c.takeHead()
-	for waited := time.Duration(0); err != nil && waited < roomTimeout && t.endSlowestHead(c); waited += roomInterval {
+	for waited := time.Duration(0); err != nil && waited < roomTimeout && t.endSlowestHeads(c, c.head.memory()-c.taken); waited += roomInterval {
 		t.mutex.Unlock()
 		time.Sleep(roomInterval)
 		t.mutex.Lock()
@@ -169,8 +197,8 @@
 }
 
 // refuse answers a head that is not read to its end. The server closes the connection without an
-// answer of its own after the error that it returns.
-func (c *conn) refuse(cause error) error {
+// answer of its own after the error of its reads.
+func (c *conn) refuse(cause error) {
 	answer := noMemoryAnswer
 	var exceeded *limit.ExceededError
 	if errors.As(cause, &exceeded) {
@@ -183,5 +211,4 @@
 		}
 		_, _ = io.Copy(io.Discard, io.LimitReader(c.Conn, refusalBytes))
 	}
-	return &net.OpError{Op: "read", Net: "tcp", Addr: c.RemoteAddr(), Err: cause}
 }
--- a/internal/serve/conns/room.go
+++ b/internal/serve/conns/room.go
@@ -5,34 +5,63 @@
 const (
 	// placeInterval is the time between two attempts to find a place for a new connection.
 	placeInterval = 10 * time.Millisecond
-	// minPatience is how long a connection that no request uses, or on which a head arrives, keeps
-	// its place and its memory though others wait for them.
-	minPatience = 1 * time.Second
+	// minPatience is how long an unused connection, or one on which a head arrives, keeps its place
+	// and its memory though others wait for them. Callers may reuse an idle one until the fraction
+	// idleReuseRatio of its time has passed; idleReserve is for the way of the request.
+	minPatience    = 1 * time.Second
+	idleReuseRatio = 0.8
+	idleReserve    = 1 * time.Second
+	// arrivedTimeout is how long what has arrived on a connection may be read after it has to give way.
+	// After a pause of the process the bytes of its caller may still wait in the kernel.
+	arrivedTimeout = 50 * time.Millisecond
+	// maxEnding is how many connections end at once in favour of new ones that come in a row.
+	maxEnding = 8
 )
 
-// makePlace ends the connection that is least in use, if it is so for minPatience: the oldest
-// unused one, else the one with the slowest head, else the one that is idle for longest. It ends one
-// at a time.
-func (t *Tracker) makePlace() {
+// makePlace ends the connection that is least in use, if its patience is over: the oldest
+// unused one, else the one with the slowest head, else the one that is idle for longest. It ends none
+// while mostEnding of them end.
+func (t *Tracker) makePlace(mostEnding int) {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
-	if t.leaving != nil && !t.leaving.isClosed && t.leaving.isInterrupted {
-		return
-	}
 	var chosen *conn
+	ending := 0
 	for c := range t.open {
+		if c.isInterrupted {
+			ending++
+		}
 		if c.isEndable() && (chosen == nil || c.endsBefore(chosen)) {
 			chosen = c
 		}
 	}
-	if t.giveWay(chosen) {
-		t.leaving = chosen
+	if ending < mostEnding {
+		t.giveWay(chosen)
+	}
+}
+
+// endSlowestHeads ends the connections whose heads began first, other than that of the given one, until
+// those that end hold the missing memory. It reports whether any ends.
+func (t *Tracker) endSlowestHeads(except *conn, missing int64) bool {
+	isEnding := false
+	for c := range t.open {
+		if c != except && c.isInHead && c.isInterrupted {
+			isEnding = true
+			missing -= c.taken
+		}
+	}
+	for missing > 0 {
+		chosen := t.slowestHead(except)
+		if !t.giveWay(chosen) {
+			break
+		}
+		isEnding = true
+		missing -= chosen.taken
 	}
+	return isEnding
 }
 
-// endSlowestHead ends the connection whose head began first, other than that of the given one. It
-// reports whether a connection ends.
-func (t *Tracker) endSlowestHead(except *conn) bool {
+// slowestHead returns the connection whose head began first and may end; nil if there is none.
+func (t *Tracker) slowestHead(except *conn) *conn {
 	var chosen *conn
 	for c := range t.open {
 		if c == except || !c.isInHead || !c.isEndable() {
@@ -42,22 +71,31 @@
 			chosen = c
 		}
 	}
-	return t.giveWay(chosen)
+	return chosen
 }
 
-// giveWay ends the connection, which may be nil.
+// giveWay ends the connection, which may be nil, unless a request that has arrived is read from it
+// within arrivedTimeout.
 func (t *Tracker) giveWay(chosen *conn) bool {
 	if chosen == nil {
 		return false
 	}
 	t.refusals.GaveWay++
-	chosen.interrupt()
+	chosen.interruptAt(time.Now().Add(arrivedTimeout))
 	return true
 }
 
 // isEndable reports whether the connection may end in favour of others.
 func (c *conn) isEndable() bool {
-	return !c.isInterrupted && (c.state != stateBusy || c.isInHead) && time.Since(c.waitingSince()) >= minPatience
+	return !c.isInterrupted && (c.state != stateBusy || c.isInHead) && time.Since(c.waitingSince()) >= c.patience()
+}
+
+// patience returns how long the connection keeps its place though others wait for it.
+func (c *conn) patience() time.Duration {
+	if idle := c.tracker.idleTime(); c.state == stateIdle && idle > 0 {
+		return time.Duration(float64(idle)*idleReuseRatio) + idleReserve
+	}
+	return minPatience
 }
 
 // waitingSince returns since when the connection waits for its caller.
--- a/internal/serve/conns/tracker.go
+++ b/internal/serve/conns/tracker.go
@@ -38,6 +38,8 @@
 	// Tracker knows the open connections of a server and ends them when it stops.
 	Tracker struct {
 		phase atomic.Int32
+		// isFull is set while a new connection waits for a place that no answer has announced yet.
+		isFull atomic.Bool
 		// mutex guards open and the state of the connections.
 		mutex sync.Mutex
 		open  map[*conn]struct{}
@@ -48,8 +50,6 @@
 		// limits are those in force. Zero values stand for the timeouts of the server.
 		limits   Limits
 		refusals Refusals
-		// leaving is the connection that was ended last in favour of a new one.
-		leaving *conn
 		// server is the one that the tracker is attached to; may be nil.
 		server *http.Server
 	}
@@ -92,6 +92,9 @@
 		free      chan struct{}
 		closed    chan struct{}
 		closeOnce sync.Once
+		// waited is the number of new connections in a row, up to the last one, that waited for a
+		// place. Only Accept uses it.
+		waited int
 	}
 )
 
@@ -122,7 +125,7 @@
 
 // Listen returns a listener whose connections are tracked. It must be the listener that the
 // server accepts from, so a listener for TLS goes inside. At most maxOpen connections are open; one
-// more takes the place of one that no request uses. netutil.LimitListener would hide the method that
+// more takes the place of one that no request uses, or that ends with its answer. netutil.LimitListener would hide the method that
 // resets a connection.
 func (t *Tracker) Listen(inner net.Listener, maxOpen int) net.Listener {
 	return &listener{Listener: inner, tracker: t, free: make(chan struct{}, max(maxOpen, 1)), closed: make(chan struct{})}
@@ -139,16 +142,29 @@
 		return context.WithValue(ctx, connKey{}, accepted)
 	}
 	inner := server.Handler
+	// The handler of the server would bypass the end of the head.
+	server.DisableGeneralOptionsHandler = true
 	server.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		w = &writer{w, t}
-		if c, isTracked := r.Context().Value(connKey{}).(*conn); isTracked && !c.endHead() {
+		w = &writer{ResponseWriter: w, tracker: t}
+		if c, isTracked := r.Context().Value(connKey{}).(*conn); isTracked && !c.endHead(parsedSize(r)) {
 			refuseRequest(w, r)
 			return
 		}
+		if r.Method == http.MethodOptions && r.RequestURI == "*" {
+			answerOptions(w, r)
+			return
+		}
 		inner.ServeHTTP(w, r)
 	})
 }
 
+// answerOptions answers a request for the options of the whole server like net/http.
+func answerOptions(w http.ResponseWriter, r *http.Request) {
+	DropBody(w, r)
+	w.Header().Set("Content-Length", "0")
+	w.WriteHeader(http.StatusOK)
+}
+
 // refuseRequest answers a request that finds no memory.
 func refuseRequest(w http.ResponseWriter, r *http.Request) {
 	DropBody(w, r)
@@ -265,13 +281,17 @@
 // waitForPlace waits for a place for one more connection and makes others end until there is one.
 // It reports false if the listener is closed.
 func (l *listener) waitForPlace() bool {
+	select {
+	case l.free <- struct{}{}:
+		l.waited = 0
+		return true
+	default:
+	}
+	l.waited++
+	defer l.tracker.isFull.Store(false)
 	for {
-		select {
-		case l.free <- struct{}{}:
-			return true
-		default:
-		}
-		l.tracker.makePlace()
+		l.tracker.makePlace(min(l.waited, maxEnding))
+		l.tracker.isFull.Store(true)
 		select {
 		case l.free <- struct{}{}:
 			return true
