--- a/internal/flow/board/board.go
+++ b/internal/flow/board/board.go
@@ -11,11 +11,13 @@
 	"mustardhook/internal/flow/blame"
 	"mustardhook/internal/flow/budget"
 	"mustardhook/internal/flow/call"
+	"mustardhook/internal/flow/cost"
 	"mustardhook/internal/flow/input"
 	"mustardhook/internal/flow/learn"
 	"mustardhook/internal/flow/output"
 	"mustardhook/internal/flow/plan"
 	"mustardhook/internal/flow/pool"
+	"mustardhook/internal/flow/share"
 	"mustardhook/internal/flow/tally"
 )
 
@@ -85,6 +87,8 @@
 		Budget     *budget.Budget
 		// Blame holds what is known of requests that crash the endpoints that run them.
 		Blame *blame.Ledger
+		// Shares holds the groups that lately sent requests, and which of them exceed their share.
+		Shares *share.Ledger
 		// LeaseCount is the number of leases requested in this epoch.
 		LeaseCount int
 		// Costs holds what requests of plain services were seen to cost, and Delays how much longer
@@ -116,6 +120,8 @@
 	// Request is a caller's request that has not ended yet.
 	Request struct {
 		call.RoutedRequest
+		// Group is the hash of the group whose share the request uses; zero if it has none.
+		Group      pool.Hash
 		ArrivedAt  clock.Millis
 		DeadlineAt clock.Millis
 		// Endpoint is the endpoint of the current send, which was sent at SentAt; empty while the
@@ -146,6 +152,8 @@
 		PrecedenceDraw float64
 		// PlannedStart is when the queue last planned to start the request; zero if it was not queued.
 		PlannedStart clock.Millis
+		// Share is the verdict for which the request was refused; zero if it was not.
+		Share share.Verdict
 		// Wait is the last cause for which the request waited, and WaitLoggedAt when it was
 		// logged.
 		Wait         call.Wait
@@ -200,6 +208,7 @@
 		Costs:          learn.New(),
 		Delays:         learn.NewDelays(),
 		Priced:         map[ident.Service]bool{},
+		Shares:         share.NewLedger(),
 		Budget:         budget.New(),
 		MaxMembers:     1,
 	}
@@ -250,11 +259,41 @@
 	return min(r.ArrivedAt+patience, r.DeadlineAt)
 }
 
+// GroupOf returns the group whose share the request uses, and whether it has one.
+func (b *Board) GroupOf(request *Request) (share.Group, bool) {
+	isShared := b.Plan.HasShares && request.Organisation != "" && b.Plan.Services[request.Service].Engine != nil
+	return share.Group{Service: request.Service, Organisation: request.Organisation}, isShared
+}
+
+// OwnUse returns the use of all groups at this entry.
+func (b *Board) OwnUse() map[share.Group]share.Use {
+	own := map[share.Group]share.Use{}
+	for _, request := range b.Requests {
+		group, isShared := b.GroupOf(request)
+		if !isShared || request.Endpoint == "" {
+			continue
+		}
+		use := share.Use{Requests: 1}
+		if engine := b.Plan.Services[request.Service].Engine; !request.FirstEventSent && cost.IsLong(engine, request.Request.PromptTokens) {
+			use.PrefillMillis = int(cost.PrefillMillis(engine, request.Request.PromptTokens, 1))
+		}
+		own[group] = own[group].Add(use)
+	}
+	return own
+}
+
+func (r *Request) rankInQueue() int {
+	if r.Group == 0 {
+		return 0
+	}
+	return r.Rank
+}
+
 // QueuedPrompt returns the record of the request that is published while it is queued.
 func (r *Request) QueuedPrompt() input.QueuedPrompt {
 	return input.QueuedPrompt{
 		Service: r.Service, Number: r.Request.Number, PromptTokens: r.Request.PromptTokens,
-		DueAt: r.DueAt(), WaitsUntil: r.WaitsUntil(),
+		DueAt: r.DueAt(), WaitsUntil: r.WaitsUntil(), Group: r.Group, Rank: r.rankInQueue(),
 	}
 }
 
--- a/internal/flow/call/call.go
+++ b/internal/flow/call/call.go
@@ -37,6 +37,7 @@
 	ReasonPaused           Reason = "paused"
 	ReasonEvacuated        Reason = "evacuated"
 	ReasonCold             Reason = "cold"
+	ReasonOverShare        Reason = "overShare"
 	ReasonOverload         Reason = "overload"
 	ReasonPromptTooLong    Reason = "promptTooLong"
 	ReasonDeadlineTooShort Reason = "deadlineTooShort"
@@ -63,6 +64,9 @@
 	// WaitLatestStart means that an oversized prompt, which can't be on time, leaves the engines to
 	// prompts that can until its latest start.
 	WaitLatestStart Wait = "latestStart"
+	// WaitShare means that an oversized prompt whose organisation exceeds its share would make a
+	// prompt of another one late.
+	WaitShare Wait = "share"
 	// WaitMemory means that the engines have too little free memory for the KV cache, WaitLease
 	// that an engine refused to reserve it.
 	WaitMemory Wait = "memory"
@@ -144,8 +148,10 @@
 
 	// Basis is the state that a decision on a request was based on. It is logged.
 	Basis struct {
-		Route       string
-		PlanVersion plan.Version
+		Route string
+		// Organisation is empty on anonymous routes.
+		Organisation ident.Organisation
+		PlanVersion  plan.Version
 		// Usable is the number of endpoints that could run the request, Entries the
 		// number of other entries whose load is known.
 		Usable  int
@@ -157,6 +163,10 @@
 		IsCallerRetry bool
 		TimeLeft      clock.Millis
 		StartsIn      clock.Millis
+		// Share is the share of the organisation and Use what it used of it, in requests; zero unless the
+		// request was refused for it.
+		Share int
+		Use   int
 		// ListAge is how long the list of endpoints has been unreadable; zero if it is
 		// readable.
 		ListAge clock.Millis
@@ -230,7 +240,7 @@
 	Service ident.Service
 	// Organisation is empty on anonymous routes.
 	Organisation ident.Organisation
-	// Rank is the priority of the request; 0 is the highest. No decision depends on it.
+	// Rank is the priority of the request; 0 is the highest.
 	Rank int
 }
 
--- a/internal/flow/place/choose.go
+++ b/internal/flow/place/choose.go
@@ -50,7 +50,11 @@
 		// firstEvent is the predicted time to the first event.
 		firstEvent clock.Millis
 		// isFull reports whether the lead has no free slot or too little memory.
-		isFull     bool
+		isFull bool
+		// inFlight is the number of requests at all engines of the service.
+		inFlight int
+		// slots is the number of slots of the short size class at its largest.
+		slots      int
 		reason     call.Reason
 		retryAfter clock.Millis
 		// notBefore is when a request that waits for cold endpoints looks for one again.
--- a/internal/flow/proxy/meters.go
+++ b/internal/flow/proxy/meters.go
@@ -5,6 +5,8 @@
 	"strconv"
 
 	"github.com/rcrowley/go-metrics"
+
+	"mustardhook/internal/serve/conns"
 )
 
 type (
@@ -14,8 +16,10 @@
 		requests metrics.Counter
 		answered metrics.Counter
 		refused  metrics.Counter
-		aborted  metrics.Counter
-		sends    metrics.Counter
+		// overShare counts the refused requests of organisations over their share.
+		overShare metrics.Counter
+		aborted   metrics.Counter
+		sends     metrics.Counter
 		// coldSends counts the sends to cold endpoints.
 		coldSends metrics.Counter
 		// leaving and pauses count the answers in which endpoints announced that they leave, and
@@ -34,13 +38,20 @@
 	}
 )
 
-func newEntryMetrics() *entryMetrics {
+func newEntryMetrics(callers *conns.Tracker) *entryMetrics {
 	r := metrics.NewRegistry()
+	refused := func(name string, count func(conns.Refusals) int64) {
+		metrics.NewRegisteredFunctionalGauge(name, r, func() int64 { return count(callers.Refusals()) })
+	}
+	refused("callers.headsTooLarge", func(refusals conns.Refusals) int64 { return refusals.TooLarge })
+	refused("callers.headsWithoutMemory", func(refusals conns.Refusals) int64 { return refusals.NoMemory })
+	refused("callers.gaveWay", func(refusals conns.Refusals) int64 { return refusals.GaveWay })
 	return &entryMetrics{
 		registry:         r,
 		requests:         metrics.NewRegisteredCounter("requests.asked", r),
 		answered:         metrics.NewRegisteredCounter("requests.answered", r),
 		refused:          metrics.NewRegisteredCounter("requests.refused", r),
+		overShare:        metrics.NewRegisteredCounter("requests.overShare", r),
 		aborted:          metrics.NewRegisteredCounter("requests.aborted", r),
 		sends:            metrics.NewRegisteredCounter("sends.started", r),
 		coldSends:        metrics.NewRegisteredCounter("sends.cold", r),
--- a/internal/flow/proxy/proxy.go
+++ b/internal/flow/proxy/proxy.go
@@ -36,10 +36,26 @@
 	// sessionOutputBuffer is the capacity of a session's channel of outputs.
 	sessionOutputBuffer = 4
 	nanosPerMs          = 1e6
-	// answerMemoryRatio and bodyMemoryRatio are the parts of the instance's memory that
-	// buffered answers and request bodies may take.
+	// callerMemoryRatio is the part of the instance's memory that callers may take with all that
+	// they have open. Of it, connections may take connMemoryRatio of the instance's memory, heads of
+	// requests headMemoryRatio, buffered answers answerMemoryRatio and bodies bodyMemoryRatio.
+	callerMemoryRatio = 0.6
+	connMemoryRatio   = 0.25
+	headMemoryRatio   = 0.25
 	answerMemoryRatio = 0.2
 	bodyMemoryRatio   = 0.4
+	// minAnswerMemoryRatio is the part that heads and bodies leave to answers: an answer that finds
+	// no memory is lost though its request has run.
+	minAnswerMemoryRatio = 0.1
+	// minHeadMemoryRatio is the part that bodies leave to heads: a request without memory for its head
+	// is refused.
+	minHeadMemoryRatio = 0.1
+	// controlMemoryRatio is the part that requests on the ports for control may take, and
+	// peerConnMemoryRatio that of the connections of peers. The port for readiness has parts of its own.
+	controlMemoryRatio   = 0.04
+	peerConnMemoryRatio  = 0.04
+	readyMemoryRatio     = 0.01
+	readyConnMemoryRatio = 0.01
 )
 
 type (
@@ -57,11 +73,16 @@
 		peers *http.Client
 
 		// answerMemory bounds what all sessions buffer of answers, bodyMemory their request
-		// bodies.
-		answerMemory *limit.Budget
-		bodyMemory   *limit.Budget
+		// bodies. controlMemory bounds the requests on the ports for control other than
+		// that for readiness, which readyMemory bounds.
+		answerMemory  *limit.Budget
+		bodyMemory    *limit.Budget
+		controlMemory *limit.Budget
+		readyMemory   *limit.Budget
+		// connLimits are the limits of the plan that conns has.
+		connLimits plan.Limits
 
-		// mutex guards board and cycle.
+		// mutex guards board, cycle and connLimits.
 		mutex sync.Mutex
 		board *board.Board
 		cycle cycle.Cycle[*board.Board, input.Input]
@@ -92,21 +113,31 @@
 func New(config Config) *Proxy {
 	ctx, cancel := context.WithCancel(context.Background())
 	memoryBytes := float64(config.Settings.Limits.MemoryMegabytes) * megabyte
+	connBytes := maxCallerConns(config.Settings.Limits) * conns.ConnBytes
+	callerBytes := int64(memoryBytes*callerMemoryRatio) - int64(connBytes)
+	callerMemory := limit.NewBudget(callerBytes)
+	requestBytes := callerBytes - int64(memoryBytes*minAnswerMemoryRatio)
+	requestMemory := callerMemory.NewPart(requestBytes)
+	noHeads := requestMemory.NewPart(requestBytes - int64(memoryBytes*minHeadMemoryRatio))
+	tracker := conns.New(conns.WithMemory(requestMemory.NewPart(int64(memoryBytes * headMemoryRatio))))
+	tracker.SetLimits(connLimits(plan.Limits{}))
 	p := &Proxy{
-		settings:     config.Settings,
-		dialect:      config.Dialect,
-		source:       config.Source,
-		logger:       config.Logger,
-		metrics:      newEntryMetrics(),
-		peers:        NewClient(),
-		answerMemory: limit.NewBudget(int64(memoryBytes * answerMemoryRatio)),
-		bodyMemory:   limit.NewBudget(int64(memoryBytes * bodyMemoryRatio)),
-		conns:        conns.New(),
-		board:        board.New(),
-		cycle:        cycle.New(config.Controllers...),
-		started:      make(chan struct{}),
-		lifetime:     ctx,
-		cancel:       cancel,
+		settings:      config.Settings,
+		dialect:       config.Dialect,
+		source:        config.Source,
+		logger:        config.Logger,
+		metrics:       newEntryMetrics(tracker),
+		peers:         NewClient(),
+		answerMemory:  callerMemory.NewPart(int64(memoryBytes * answerMemoryRatio)),
+		bodyMemory:    noHeads.NewPart(int64(memoryBytes * bodyMemoryRatio)),
+		controlMemory: limit.NewBudget(int64(memoryBytes * controlMemoryRatio)),
+		readyMemory:   limit.NewBudget(int64(memoryBytes * readyMemoryRatio)),
+		conns:         tracker,
+		board:         board.New(),
+		cycle:         cycle.New(config.Controllers...),
+		started:       make(chan struct{}),
+		lifetime:      ctx,
+		cancel:        cancel,
 	}
 	p.metrics.registerEvacuated(p.countEvacuated)
 	return p
@@ -137,6 +168,10 @@
 	b.LastStep = b.Now
 	outputs := b.TakeOutputs()
 	now := b.Now
+	if limits := b.Plan.Limits; limits != p.connLimits {
+		p.connLimits = limits
+		p.conns.SetLimits(connLimits(limits))
+	}
 	p.mutex.Unlock()
 	for _, action := range outputs {
 		p.execute(action, now)
@@ -289,7 +324,7 @@
 func (p *Proxy) logSend(s *session, send call.Send) {
 	p.logger.Part("place").Info("Request sent.", "request", s.request.Name, "endpoint", send.Endpoint,
 		"helpers", len(send.Helpers), "predicted", send.Predicted, "waited", time.Since(s.startedAt).Milliseconds(),
-		"parts", call.FormatParts(s.request.Parts), "waitCause", send.Basis.Wait, "left", send.TimeLeft, "route", send.Basis.Route, "plan", uint64(send.Basis.PlanVersion),
+		"parts", call.FormatParts(s.request.Parts), "waitCause", send.Basis.Wait, "left", send.TimeLeft, "route", send.Basis.Route, "organisation", send.Basis.Organisation, "plan", uint64(send.Basis.PlanVersion),
 		"usable", send.Basis.Usable, "entries", send.Basis.Entries, "listAge", send.Basis.ListAge)
 }
 
