--- a/internal/flow/proxy/send.go
+++ b/internal/flow/proxy/send.go
@@ -14,7 +14,6 @@
 
 	"github.com/go-faster/errors"
 
-	"mustardhook/internal/core/ident"
 	"mustardhook/internal/flow/call"
 	"mustardhook/internal/flow/input"
 	"mustardhook/internal/flow/port"
@@ -39,23 +38,6 @@
 )
 
 type (
-	// AnswerError reports that an endpoint's answer can't be forwarded to the caller.
-	AnswerError struct {
-		Reason string
-		// Truncated means that the connection ended before the answer did.
-		Truncated bool
-	}
-
-	// WithdrawnError reports that an endpoint went out of use while memory for the request was being
-	// reserved.
-	WithdrawnError struct{ Endpoint ident.Endpoint }
-
-	// EvacuatedError reports that an endpoint of a send was evacuated before the request was sent.
-	EvacuatedError struct{ Endpoint ident.Endpoint }
-
-	// CallerWriteError reports that writing the answer to the caller failed.
-	CallerWriteError struct{ Err error }
-
 	// exchange is one send of a request to an endpoint, on a connection of its own.
 	exchange struct {
 		session  *session
@@ -71,25 +53,6 @@
 	}
 )
 
-// Error returns a message with the reason.
-func (e *AnswerError) Error() string { return "answer of an endpoint: " + e.Reason }
-
-// Error returns a message with the endpoint.
-func (e *WithdrawnError) Error() string {
-	return "endpoint " + string(e.Endpoint) + " went out of use while memory was reserved"
-}
-
-// Error returns a message with the endpoint.
-func (e *EvacuatedError) Error() string {
-	return "endpoint " + string(e.Endpoint) + " was evacuated before the request was sent"
-}
-
-// Error returns a message with the cause.
-func (e *CallerWriteError) Error() string { return "write answer to caller: " + e.Err.Error() }
-
-// Unwrap returns the cause.
-func (e *CallerWriteError) Unwrap() error { return e.Err }
-
 // send sends the request to an endpoint and relays the answer. It uses a new connection
 // for each send, so that answers can't be mixed up and no HTTP client repeats a request
 // by itself.
