Plan: only the absence of tenants opens routes

What callers saw: after a version with "tenants": null every request ran, with any key or none, without an organisation.

Cause: the decoder gave nil for an absent field and for null, and nil stood for "no keys needed".

The plan holds Access, which is Open or Keyed, in place of a flag beside a map; a plan with neither admits nobody, and plan.New gives a plan that admits nobody. `check` reads whether keys are needed with the decoder of the entry, warns of a draft that drops the organisations of the version in force, and reports names that differ by case, which the entry reads. A version that begins or ceases to require keys is logged with its keys and counted: access.keys, access.changes.

--- a/cmd/mustardhook/check_test.go
+++ b/cmd/mustardhook/check_test.go
@@ -19,6 +19,8 @@
 		{"check-faulty", []string{"testdata/faulty.json", "--in-force", "testdata/current.json"}, false},
 		{"check-json", []string{"testdata/faulty.json", "--in-force", "testdata/current.json", "--format", "json"}, false},
 		{"check-unreadable", []string{"testdata/unreadable.json"}, false},
+		{"check-open", []string{"testdata/open.json", "--in-force", "testdata/current.json"}, true},
+		{"check-misspelt", []string{"testdata/misspelt.json"}, false},
 		{"check-same", []string{"testdata/current.json", "--in-force", "testdata/current.json"}, false},
 	} {
 		var output bytes.Buffer
--- a/internal/flow/board/board.go
+++ b/internal/flow/board/board.go
@@ -61,6 +61,8 @@
 
 		Plan         plan.Plan
 		PlanDocument []byte
+		// AccessChanges counts the plans in this epoch that began or ceased to require keys.
+		AccessChanges int
 		// OutdatedSince is when other entries were first known to have newer published
 		// state; zero while none has.
 		OutdatedSince clock.Millis
--- a/internal/flow/intake/intake.go
+++ b/internal/flow/intake/intake.go
@@ -8,6 +8,7 @@
 	"mustardhook/internal/flow/board"
 	"mustardhook/internal/flow/evac"
 	"mustardhook/internal/flow/input"
+	"mustardhook/internal/flow/plan"
 )
 
 // ExpireInterval is the time between two calls that expire removed endpoints.
@@ -126,12 +127,26 @@
 	return true
 }
 
+// logAccess logs that a plan opens or closes what the one in force does not.
+func logAccess(b *board.Board, next plan.Plan) {
+	text := "Requests need no key any more."
+	if next.RequiresKeys() {
+		text = "Requests need a key from now on."
+	}
+	b.Log(text, "version", uint64(next.Version), "keys", next.CountKeys(), "before", uint64(b.Plan.Version), "keysBefore", b.Plan.CountKeys())
+}
+
 // applyPlan applies a plan unless its version is not higher than the current one.
 func applyPlan(b *board.Board, read input.PlanRead) {
 	if read.Plan.Version <= b.Plan.Version {
 		return
 	}
-	b.Log("Configuration in force.", "version", uint64(read.Plan.Version), "before", uint64(b.Plan.Version))
+	b.Log("Configuration in force.", "version", uint64(read.Plan.Version), "before", uint64(b.Plan.Version),
+		"requiresKeys", read.Plan.RequiresKeys(), "keys", read.Plan.CountKeys())
+	if !b.Plan.IsZero() && b.Plan.RequiresKeys() != read.Plan.RequiresKeys() {
+		b.AccessChanges++
+		logAccess(b, read.Plan)
+	}
 	b.Plan = read.Plan
 	b.PlanDocument = read.Document
 	b.Pool.SetColdTimes(b.Plan.ColdTimes(), b.Now)
--- a/internal/flow/parts/requests_test.go
+++ b/internal/flow/parts/requests_test.go
@@ -358,3 +358,35 @@
 		requireReply(t, got, call.ReasonBadKey, http.StatusUnauthorized)
 	}
 }
+
+// Guards against a plan that says nothing of keys and admits requests.
+func TestPlanWithoutAccessAdmitsNobody(t *testing.T) {
+	e := newTestEntry(t).configure(4)
+	silent := testPlan(6)
+	silent.Access = nil
+	e.step(input.PlanRead{Plan: silent})
+	for number, key := range []string{callerKey, "made-up", ""} {
+		request := call.Request{Number: uint64(900 + number), Host: host, Path: "/read/1", Key: key, CallerTimeout: 800}
+		requireReply(t, e.outputFor(request.Number, e.step(input.RequestReceived{Request: request})), call.ReasonBadKey, http.StatusUnauthorized)
+	}
+}
+
+// A plan that begins or ceases to require keys is logged and counted; the first one is no change.
+func TestChangesOfAccessAreCounted(t *testing.T) {
+	e := newTestEntry(t).configure(4)
+	require.Zero(t, e.board.AccessChanges)
+	logs := func(emitted []output.Output) (texts []string) {
+		for _, action := range emitted {
+			if line, isLog := action.(output.Log); isLog {
+				texts = append(texts, line.Text)
+			}
+		}
+		return texts
+	}
+	require.Contains(t, logs(e.step(input.PlanRead{Plan: testPlan(6).WithOpenAccess()})), "Requests need no key any more.")
+	require.Equal(t, 1, e.board.AccessChanges)
+	e.step(input.PlanRead{Plan: testPlan(7).WithOpenAccess()})
+	require.Equal(t, 1, e.board.AccessChanges)
+	require.Contains(t, logs(e.step(input.PlanRead{Plan: testPlan(8).WithOrganisations(nil)})), "Requests need a key from now on.")
+	require.Equal(t, 2, e.board.AccessChanges)
+}
--- a/internal/flow/place/place.go
+++ b/internal/flow/place/place.go
@@ -140,9 +140,9 @@
 		return call.RoutedRequest{}, &call.Reply{Reason: call.ReasonNoRoute, Status: http.StatusNotFound}
 	}
 	routed := call.RoutedRequest{Request: received, Route: route, Rank: route.Rank}
-	if b.Plan.RequiresKeys && !route.Anonymous {
-		organisation, isValid := b.Plan.OrganisationOf(received.Key)
-		if !isValid {
+	if !route.Anonymous {
+		organisation, isAdmitted := b.Plan.Admit(received.Key)
+		if !isAdmitted {
 			return call.RoutedRequest{}, &call.Reply{Reason: call.ReasonBadKey, Status: http.StatusUnauthorized}
 		}
 		routed.Organisation = organisation.Name
--- a/internal/flow/plan/plan.go
+++ b/internal/flow/plan/plan.go
@@ -21,11 +21,8 @@
 	Plan struct {
 		Version  Version
 		Services map[ident.Service]Service
-		// RequiresKeys reports whether requests on routes that are not anonymous need an API key. It
-		// holds for a plan with organisations, also if none of them has a key.
-		RequiresKeys bool
-		// Organisations are keyed by API key.
-		Organisations map[string]Organisation
+		// Access determines which requests may run on routes that are not anonymous.
+		Access Access
 		// HasShares reports whether several organisations share the services.
 		HasShares bool
 		Limits    Limits
@@ -64,14 +61,15 @@
 	}
 )
 
-// New returns a plan with the given version, routes, services and limits.
+// New returns a plan with the given version, routes, services and limits. It has no organisations, so
+// that only requests on anonymous routes may run.
 func New(version Version, routes []Route, services []Service, limits Limits) Plan {
 	p := Plan{
-		Version:       version,
-		Services:      make(map[ident.Service]Service, len(services)),
-		Organisations: map[string]Organisation{},
-		Limits:        limits,
-		hosts:         map[string][]Route{},
+		Version:  version,
+		Services: make(map[ident.Service]Service, len(services)),
+		Access:   Keyed{},
+		Limits:   limits,
+		hosts:    map[string][]Route{},
 	}
 	for _, service := range services {
 		p.Services[service.Name] = service
@@ -85,20 +83,18 @@
 	return p
 }
 
-// WithOrganisations returns a copy of the plan that requires keys, with the given
-// organisations, which are keyed by API key.
+// WithOrganisations returns a copy of the plan with the given organisations, which are keyed by API key.
 func (p Plan) WithOrganisations(keys map[string]Organisation) Plan {
-	p.RequiresKeys = true
-	p.Organisations = keys
+	p.Access = Keyed{keys}
 	p.HasShares = hasSeveral(keys)
 	return p
 }
 
-// OrganisationOf returns the organisation that the key belongs to. An empty key, which is that of a
-// request without one, belongs to none.
-func (p Plan) OrganisationOf(key string) (Organisation, bool) {
-	organisation, isKnown := p.Organisations[key]
-	return organisation, isKnown && key != ""
+// WithOpenAccess returns a copy of the plan in which no request needs a key.
+func (p Plan) WithOpenAccess() Plan {
+	p.Access = Open{}
+	p.HasShares = false
+	return p
 }
 
 // ColdTimes returns how long endpoints are cold after their start, for the services that bound
--- a/internal/flow/proxy/meters.go
+++ b/internal/flow/proxy/meters.go
@@ -64,9 +64,9 @@
 	}
 }
 
-// registerEvacuated registers a gauge with the number of evacuated failure domains.
-func (m *entryMetrics) registerEvacuated(count func() int64) {
-	metrics.NewRegisteredFunctionalGauge("domains.evacuated", m.registry, count)
+// registerGauge registers a gauge that is read when the metrics are written.
+func (m *entryMetrics) registerGauge(name string, read func() int64) {
+	metrics.NewRegisteredFunctionalGauge(name, m.registry, read)
 }
 
 // write writes all metrics as text, one per line.
--- a/internal/flow/proxy/proxy.go
+++ b/internal/flow/proxy/proxy.go
@@ -139,7 +139,9 @@
 		lifetime:      ctx,
 		cancel:        cancel,
 	}
-	p.metrics.registerEvacuated(p.countEvacuated)
+	p.metrics.registerGauge("domains.evacuated", p.countEvacuated)
+	p.metrics.registerGauge("access.keys", p.readBoard(func(b *board.Board) int { return b.Plan.CountKeys() }))
+	p.metrics.registerGauge("access.changes", p.readBoard(func(b *board.Board) int { return b.AccessChanges }))
 	return p
 }
 
@@ -283,9 +285,16 @@
 
 // countEvacuated returns the number of evacuated failure domains.
 func (p *Proxy) countEvacuated() int64 {
-	p.mutex.Lock()
-	defer p.mutex.Unlock()
-	return int64(p.board.Pool.Evacuated().Len())
+	return p.readBoard(func(b *board.Board) int { return b.Pool.Evacuated().Len() })()
+}
+
+// readBoard returns a function that reads a count from the board.
+func (p *Proxy) readBoard(count func(*board.Board) int) func() int64 {
+	return func() int64 {
+		p.mutex.Lock()
+		defer p.mutex.Unlock()
+		return int64(count(p.board))
+	}
 }
 
 // endSilentSend reports whether the current send of the session, whose endpoint is silent,
--- a/internal/flow/verify/diff.go
+++ b/internal/flow/verify/diff.go
@@ -39,11 +39,16 @@
 
 // CheckSuccessor returns the findings that follow from the configuration in force.
 func CheckSuccessor(inForce, next Declaration) []Finding {
-	if next.Version > inForce.Version {
-		return nil
+	var findings []Finding
+	if next.Version <= inForce.Version {
+		problem := fmt.Sprintf("is never applied: version %d is in force", inForce.Version)
+		findings = append(findings, Finding{LevelError, Place{Kind: KindVersion}, problem})
 	}
-	problem := fmt.Sprintf("is never applied: version %d is in force", inForce.Version)
-	return []Finding{{LevelError, Place{Kind: KindVersion}, problem}}
+	if inForce.RequiresKeys && !next.RequiresKeys {
+		problem := "are missing: every request runs without a key, which the version in force requires"
+		findings = append(findings, Finding{LevelWarning, Place{Kind: KindOrganisation, Index: -1}, problem})
+	}
+	return findings
 }
 
 // Diff returns the differences between two configurations, by kind and name.
--- a/internal/wire/strict/strict.go
+++ b/internal/wire/strict/strict.go
@@ -17,6 +17,8 @@
 	ReasonMissing = "is missing"
 	// ReasonUnknown is the reason for a field that the format does not have.
 	ReasonUnknown = "is not a known field"
+	// ReasonOtherCase begins the reason for a field whose name differs from a known one by its case.
+	ReasonOtherCase = "must be spelled "
 	// ReasonDuplicate is the reason for a field that occurs twice in one object.
 	ReasonDuplicate = "stands twice"
 )
@@ -54,10 +56,13 @@
 		nameOffsets map[string]int
 		consumed    map[string]bool
 		names       []string
+		// inner are the objects that were read from this one.
+		inner []*Object
 	}
 
 	// Item is one element of an array.
 	Item struct {
+		outer *Object
 		doc   *Document
 		path  string
 		value hujson.Value
@@ -213,6 +218,24 @@
 	}
 }
 
+// ReportOtherCase adds an error for each field that was not read and whose name, but for its case, is that
+// of a field that was, in the object and in all that were read from it.
+func (o *Object) ReportOtherCase() {
+	for _, name := range o.names {
+		if o.consumed[name] {
+			continue
+		}
+		for known := range o.consumed {
+			if strings.EqualFold(name, known) {
+				o.doc.addError(o.nameOffsets[name], o.fieldPath(name), ReasonOtherCase+known)
+			}
+		}
+	}
+	for _, inner := range o.inner {
+		inner.ReportOtherCase()
+	}
+}
+
 // literal reads an optional field that must be a literal of the given kind, and reports
 // whether it is present and valid. The error for an invalid field names expected.
 func (o *Object) literal(name string, kind hujson.Kind, expected string) (hujson.Literal, bool) {
@@ -323,7 +346,14 @@
 	if !present {
 		return nil
 	}
-	return o.doc.newObject(value, o.fieldPath(name))
+	return o.addInner(o.doc.newObject(value, o.fieldPath(name)))
+}
+
+func (o *Object) addInner(inner *Object) *Object {
+	if inner != nil {
+		o.inner = append(o.inner, inner)
+	}
+	return inner
 }
 
 // Items reads an optional array field. It returns nil if the field is absent or invalid.
@@ -340,7 +370,7 @@
 	}
 	items := make([]Item, 0, len(array.Elements))
 	for i, element := range array.Elements {
-		items = append(items, Item{o.doc, fmt.Sprintf("%s[%d]", o.fieldPath(name), i), element})
+		items = append(items, Item{o, o.doc, fmt.Sprintf("%s[%d]", o.fieldPath(name), i), element})
 	}
 	return items
 }
@@ -358,7 +388,7 @@
 }
 
 // Object returns the element as an object, or nil if it is not one.
-func (i Item) Object() *Object { return i.doc.newObject(i.value, i.path) }
+func (i Item) Object() *Object { return i.outer.addInner(i.doc.newObject(i.value, i.path)) }
 
 // String returns the element, and reports whether it is a string that is not empty.
 func (i Item) String() (string, bool) {
