--- a/internal/flow/intake/intake.go
+++ b/internal/flow/intake/intake.go
@@ -11,8 +11,13 @@
 	"mustardhook/internal/flow/plan"
 )
 
-// ExpireInterval is the time between two calls that expire removed endpoints.
-const ExpireInterval = 1 * clock.Second
+const (
+	// ExpireInterval is the time between two calls that expire removed endpoints.
+	ExpireInterval = 1 * clock.Second
+
+	// maxIgnoredLogged bounds the log lines on entries of one plan that have no effect.
+	maxIgnoredLogged = 16
+)
 
 type controller struct{ expiredAt clock.Millis }
 
@@ -127,6 +132,13 @@
 	return true
 }
 
+// logIgnored logs the entries of a plan that have no effect, as far as maxIgnoredLogged.
+func logIgnored(b *board.Board, next plan.Plan) {
+	for _, ignored := range next.Ignored[:min(len(next.Ignored), maxIgnoredLogged)] {
+		b.Log("Part of the configuration has no effect.", "version", uint64(next.Version), "reason", ignored.Error())
+	}
+}
+
 // logAccess logs that a plan opens or closes what the one in force does not.
 func logAccess(b *board.Board, next plan.Plan) {
 	text := "Requests need no key any more."
@@ -142,7 +154,8 @@
 		return
 	}
 	b.Log("Configuration in force.", "version", uint64(read.Plan.Version), "before", uint64(b.Plan.Version),
-		"requiresKeys", read.Plan.RequiresKeys(), "keys", read.Plan.CountKeys())
+		"requiresKeys", read.Plan.RequiresKeys(), "keys", read.Plan.CountKeys(), "ignored", len(read.Plan.Ignored))
+	logIgnored(b, read.Plan)
 	if !b.Plan.IsZero() && b.Plan.RequiresKeys() != read.Plan.RequiresKeys() {
 		b.AccessChanges++
 		logAccess(b, read.Plan)
--- a/internal/flow/plan/plan.go
+++ b/internal/flow/plan/plan.go
@@ -26,6 +26,8 @@
 		// HasShares reports whether several organisations share the services.
 		HasShares bool
 		Limits    Limits
+		// Ignored has an error for each entry of the configuration that has no effect as it is written.
+		Ignored []error
 
 		// hosts maps each host to its routes, longest prefix first.
 		hosts map[string][]Route
@@ -97,6 +99,12 @@
 	return p
 }
 
+// WithIgnored returns a copy of the plan that lists the entries without effect.
+func (p Plan) WithIgnored(ignored []error) Plan {
+	p.Ignored = ignored
+	return p
+}
+
 // ColdTimes returns how long endpoints are cold after their start, for the services that bound
 // the requests to cold endpoints.
 func (p Plan) ColdTimes() map[ident.Service]clock.Millis {
