Plan: weights of zero choose no service

What callers saw: on a route whose services all have weight 0, requests ran at the last one, which the configuration had taken out.

Cause: with a sum of zero the choice fell through to the last service. Class: an empty set as permission.

Change: only services with a weight are chosen; without one the route leads to no service, and its requests are refused.

--- a/internal/flow/plan/route.go
+++ b/internal/flow/plan/route.go
@@ -73,21 +73,23 @@
 }
 
 // Service returns a service of the route, chosen at random by weight. draw is a uniform
-// random number in [0, 1). It returns "" if the route has no services.
+// random number in [0, 1). It returns "" if no service has a weight.
 func (r Route) Service(draw float64) ident.Service {
 	total := 0
 	for _, candidate := range r.Services {
-		total += candidate.Weight
+		total += max(candidate.Weight, 0)
 	}
 	remaining := draw * float64(total)
+	var last ident.Service
 	for _, candidate := range r.Services {
+		if candidate.Weight <= 0 {
+			continue
+		}
 		remaining -= float64(candidate.Weight)
 		if remaining < 0 {
 			return candidate.Service
 		}
+		last = candidate.Service
 	}
-	if len(r.Services) == 0 {
-		return ""
-	}
-	return r.Services[len(r.Services)-1].Service
+	return last
 }
