Relay, serve: fields with unlike values are refused

Cause: no rule for repeated fields.

Change: a field that names or bounds a request and occurs with unlike values gives 400 before anything runs.

--- a/internal/serve/front/front.go
+++ b/internal/serve/front/front.go
@@ -10,6 +10,7 @@
 	"strconv"
 	"strings"
 
+	"github.com/go-faster/errors"
 	"github.com/google/uuid"
 	"github.com/julienschmidt/httprouter"
 
@@ -23,6 +24,7 @@
 	"mustardhook/internal/serve/limit"
 	"mustardhook/internal/serve/shell"
 	"mustardhook/internal/wire/caller"
+	"mustardhook/internal/wire/field"
 )
 
 const (
@@ -46,6 +48,9 @@
 	problemMethod       = "methodNotAllowed"
 )
 
+// singularHeaders are the fields that a request has once.
+var singularHeaders = []string{"Authorization", caller.HeaderOrganisation, caller.HeaderDeadline, caller.HeaderIdempotencyKey}
+
 type (
 	// Handler is the HTTP handler of the callers' port.
 	Handler struct {
@@ -144,6 +149,11 @@
 func (h *Handler) admit(w http.ResponseWriter, r *http.Request, service ident.Service) (admittedRequest, *caller.Problem) {
 	name := ident.Request(uuid.NewString())
 	w.Header().Set(caller.HeaderRequest, string(name))
+	if problem := checkSingular(r); problem != nil {
+		conns.DropBody(w, r)
+		problem.Request = name
+		return admittedRequest{}, problem
+	}
 	organisation, problem := h.authenticate(r)
 	if problem != nil {
 		conns.DropBody(w, r)
@@ -159,6 +169,16 @@
 	return admittedRequest{name, organisation.Name, deadline}, nil
 }
 
+// checkSingular returns a problem if a field that names or bounds the request has unlike values.
+func checkSingular(r *http.Request) *caller.Problem {
+	err := field.CheckSingular(r.Header, singularHeaders...)
+	var ambiguous *field.AmbiguousError
+	if !errors.As(err, &ambiguous) {
+		return nil
+	}
+	return &caller.Problem{Name: problemHeader, Status: http.StatusBadRequest, Field: ambiguous.Name, Detail: "must not have several values"}
+}
+
 // authenticate returns the organisation that the request names in its header, or else
 // the owner of its key. If the organisation has a key, the request must carry it.
 func (h *Handler) authenticate(r *http.Request) (fleet.Organisation, *caller.Problem) {
--- a/internal/serve/front/front_test.go
+++ b/internal/serve/front/front_test.go
@@ -60,3 +60,21 @@
 	second.Release()
 	require.Equal(t, int64(total), budget.Free())
 }
+
+// Guards against a request that is admitted by one of two values of a field and runs with the other.
+func TestFieldsWithUnlikeValuesAreRejected(t *testing.T) {
+	settings := setup.Settings{}
+	handler := NewHandler(shell.NewShell(parts.NewCore(), settings), limit.NewBudget(1<<20))
+	for _, name := range singularHeaders {
+		request := httptest.NewRequest(http.MethodPost, "/services/crew-app/book", strings.NewReader("{}"))
+		request.Header[name] = []string{"5", "6"}
+		recorder := httptest.NewRecorder()
+		handler.ServeHTTP(recorder, request)
+		require.Equal(t, http.StatusBadRequest, recorder.Code, name)
+		require.Contains(t, recorder.Body.String(), name)
+		request.Header[name] = []string{"5", "5"}
+		recorder = httptest.NewRecorder()
+		handler.ServeHTTP(recorder, request)
+		require.NotEqual(t, http.StatusBadRequest, recorder.Code, recorder.Body.String())
+	}
+}
