Relay: targets in absolute form are served

What callers saw: POST http://host/path gave 404 with a route for the host and the path.

Cause: the path was cut out of the target as it came.

Change: the target becomes origin form before it is read; its authority is the host (RFC 9112, 3.2.2), and the endpoint gets the origin form. Other schemes, and targets without a path of a route, still give 404.

--- a/internal/flow/proxy/session.go
+++ b/internal/flow/proxy/session.go
@@ -115,6 +115,7 @@
 	defer s.memory.Release()
 	s.sending, s.cancel = context.WithCancel(r.Context())
 	defer s.cancel()
+	r.RequestURI = originForm(r)
 	request, err := p.dialect.ReadRequest(r)
 	request.Number = p.lastNumber.Add(1)
 	s.request = request
