Settings, tickets: an empty key is an error

What operators saw: a port whose `key` is "", or an organisation whose `keyDigest` is "", needs no key, without a word; an empty `authority` asks no certificate. A template with a missing value gives just that. Class: absence of data as permission.

Change: such a field must not be empty where it is present. Its absence still means that none is needed.

--- a/internal/wire/setup/setup.go
+++ b/internal/wire/setup/setup.go
@@ -122,12 +122,12 @@
 		}
 		return Listener{}
 	}
-	listener := Listener{Address: readAddress(object, "listen"), Key: object.String("key")}
+	listener := Listener{Address: readAddress(object, "listen"), Key: object.NonEmptyString("key")}
 	if listener.Key != "" && len(listener.Key) < minKeyLength {
 		object.AddError("key", "must have at least 16 characters")
 	}
 	if tls := object.Object("tls"); tls != nil {
-		listener.TLS = TLS{tls.RequiredString("certificate"), tls.RequiredString("key"), tls.String("authority")}
+		listener.TLS = TLS{tls.RequiredString("certificate"), tls.RequiredString("key"), tls.NonEmptyString("authority")}
 		tls.ReportUnknown()
 	}
 	object.ReportUnknown()
--- a/internal/wire/strict/strict.go
+++ b/internal/wire/strict/strict.go
@@ -273,6 +273,16 @@
 	return text
 }
 
+// NonEmptyString reads an optional string field that must not be empty if it is present. It is for fields whose
+// absence permits something.
+func (o *Object) NonEmptyString(name string) string {
+	if !o.Has(name) {
+		o.consumed[name] = true
+		return ""
+	}
+	return o.RequiredString(name)
+}
+
 // OneOf reads an optional string field that must have one of the values. It returns the
 // first of them if the field is absent or invalid.
 func (o *Object) OneOf(name string, values ...string) string {
--- a/internal/wire/ticket/ticket.go
+++ b/internal/wire/ticket/ticket.go
@@ -151,7 +151,7 @@
 	organisation := fleet.Organisation{
 		Name:      ident.Organisation(o.RequiredString("name")),
 		Share:     o.Float("share", 0, 1),
-		KeyDigest: o.String("keyDigest"),
+		KeyDigest: o.NonEmptyString("keyDigest"),
 		Deadline:  readMillis(o, "deadlineMillis"),
 	}
 	if digest := organisation.KeyDigest; digest != "" && len(digest) != digestHexLength {
