--- a/internal/flow/setup/setup.go
+++ b/internal/flow/setup/setup.go
@@ -142,6 +142,9 @@
 	}
 	core.NewsRate = int(bounds.Int("newsBytesPerSecond", 0, maxCount, DefaultNewsRate))
 	core.RetryWindow = duration("retryWindowSeconds", clock.Second, core.RetryWindow)
+	if core.RetryWindow <= 0 {
+		bounds.AddError("retryWindowSeconds", "must be positive")
+	}
 	core.StallTimeout = duration("stallMillis", 1, core.StallTimeout)
 	core.GracePeriod = duration("graceSeconds", clock.Second, core.GracePeriod)
 	core.HeartbeatInterval = duration("heartbeatMillis", 1, core.HeartbeatInterval)
