Budget: another window begins without counts

A window of another length begins anew.

TestCountsEndWithTheirWindow fails before (a retry is allowed by 1,000 requests of two windows ago), and passes here.

--- a/internal/flow/budget/budget.go
+++ b/internal/flow/budget/budget.go
@@ -22,6 +22,8 @@
 	}
 
 	window struct {
+		// length is the length of the window that slot counts in.
+		length   clock.Millis
 		slot     int64
 		requests [slots]int
 		retries  [slots]int
@@ -71,11 +73,11 @@
 }
 
 // windowAt returns the window of the service and advances it to now, which clears
-// expired slots.
+// expired slots. A window of another length begins without counts.
 func (b *Budget) windowAt(service ident.Service, limits Limits, now clock.Millis) *window {
 	w := b.counts[service]
-	if w == nil {
-		w = &window{}
+	if w == nil || w.length != limits.Window {
+		w = &window{length: limits.Window}
 		b.counts[service] = w
 	}
 	slot := int64(now / max(limits.Window/slots, 1))
