Connections: the end waits until the caller has the answer

Cause: the server closes the connection once it has handed the answer to the kernel. With bytes of the caller unread, or arriving later, the kernel resets it and drops what is left of the answer. Reading these bytes was ruled out before: a request that was read must be answered.

Change: Close sends the end of the answer and looks at the bytes that the caller's kernel has not acknowledged (SIOCOUTQ), every 2 to 50 ms, until there are none, none is taken for 5 s, the caller has reset the connection or the server closes it again. Nothing is read. A stop waits for these connections within its grace period. Where the system can't tell, the connection closes at once as before. The test's wrapper of connections hid the methods of the socket; it embeds them now.

Short answers end as before.

--- a/internal/serve/conns/conn.go
+++ b/internal/serve/conns/conn.go
@@ -44,6 +44,8 @@
 		// openedAt is when the connection was opened, and usedAt when its last answer ended.
 		openedAt, usedAt time.Time
 		isClosed         bool
+		// isLingering is set while the connection stays open for the rest of an answer.
+		isLingering bool
 
 		// isInHead is set from the first byte of a request to the begin of its handler. head is the
 		// size of what was read of it, headBeganAt when it began, and headDeadline when it must end;
@@ -154,21 +156,14 @@
 	return c.SetWriteDeadline(deadline)
 }
 
-// Close closes the connection.
-func (c *conn) Close() error {
-	err := c.Conn.Close()
-	c.tracker.remove(c)
-	return err
-}
-
 // reset closes the connection in such a way that its caller gets an error.
 func (c *conn) reset() error {
 	if tcp, isTCP := c.Conn.(interface{ SetLinger(seconds int) error }); isTCP {
 		if err := tcp.SetLinger(0); err != nil {
-			return errors.Join(err, c.Close())
+			return errors.Join(err, c.closeNow())
 		}
 	}
-	return c.Close()
+	return c.closeNow()
 }
 
 // becomeIdle records the end of an answer. The next request may have begun already. If the
--- a/internal/serve/conns/room.go
+++ b/internal/serve/conns/room.go
@@ -27,7 +27,7 @@
 	var chosen *conn
 	ending := 0
 	for c := range t.open {
-		if c.isInterrupted {
+		if c.isInterrupted && !c.isLingering {
 			ending++
 		}
 		if c.isEndable() && (chosen == nil || c.endsBefore(chosen)) {
--- a/internal/serve/conns/tracker_test.go
+++ b/internal/serve/conns/tracker_test.go
@@ -31,7 +31,7 @@
 	}
 
 	gatedConn struct {
-		net.Conn
+		*net.TCPConn
 		reads, writes *gate
 	}
 
@@ -57,11 +57,14 @@
 
 func (l gatedListener) Accept() (net.Conn, error) {
 	inner, err := l.Listener.Accept()
-	return gatedConn{inner, l.reads, l.writes}, err
+	if err != nil {
+		return nil, err
+	}
+	return gatedConn{inner.(*net.TCPConn), l.reads, l.writes}, nil
 }
 
 func (c gatedConn) Read(buffer []byte) (int, error) {
-	count, err := c.Conn.Read(buffer)
+	count, err := c.TCPConn.Read(buffer)
 	if count > 0 {
 		c.reads.pass()
 	}
@@ -70,7 +73,7 @@
 
 func (c gatedConn) Write(text []byte) (int, error) {
 	c.writes.pass()
-	return c.Conn.Write(text)
+	return c.TCPConn.Write(text)
 }
 
 func startServer(t *testing.T, reads, writes *gate, handler http.HandlerFunc, configure ...func(*testServer)) *testServer {
