--- a/internal/flow/board/board.go
+++ b/internal/flow/board/board.go
@@ -122,8 +122,6 @@
 	// Request is a caller's request that has not ended yet.
 	Request struct {
 		call.RoutedRequest
-		// AdmittedBy is the version of the plan by which its key was checked last.
-		AdmittedBy plan.Version
 		// Group is the hash of the group whose share the request uses; zero if it has none.
 		Group      pool.Hash
 		ArrivedAt  clock.Millis
--- a/internal/flow/parts/requests_test.go
+++ b/internal/flow/parts/requests_test.go
@@ -390,33 +390,3 @@
 	require.Contains(t, logs(e.step(input.PlanRead{Plan: testPlan(8).WithOrganisations(nil)})), "Requests need a key from now on.")
 	require.Equal(t, 2, e.board.AccessChanges)
 }
-
-// Guards against a request that waits while its key is taken away, or given to another organisation, and is sent
-// all the same. One that was sent before goes on.
-func TestRevokedKeyEndsWaitingRequests(t *testing.T) {
-	for name, keys := range map[string]map[string]plan.Organisation{"none": nil, "moved": {callerKey: {Name: "county"}}} {
-		e := newTestEntry(t).configure(16)
-		first, got := e.request("/long/1", 250000, 15000)
-		requireSend(t, got)
-		second, got := e.request("/long/2", 250000, 15000)
-		require.Nil(t, got, name)
-		running, got := e.request("/read/1", 0, 1500)
-		requireSend(t, got)
-		e.outputs = nil
-		e.step(input.PlanRead{Plan: testPlan(6).WithOrganisations(keys)})
-		e.step(input.FirstEventSent{Number: first})
-		e.advance(50)
-		requireReply(t, e.outputFor(second, e.outputs), call.ReasonBadKey, http.StatusUnauthorized)
-		requireSend(t, e.endSend(call.Result{Number: running, End: call.EndComplete, Status: http.StatusInternalServerError}))
-	}
-	// A version that keeps the key changes nothing.
-	e := newTestEntry(t).configure(16)
-	first, _ := e.request("/long/1", 250000, 15000)
-	second, got := e.request("/long/2", 250000, 15000)
-	require.Nil(t, got)
-	e.outputs = nil
-	e.step(input.PlanRead{Plan: testPlan(6)})
-	e.step(input.FirstEventSent{Number: first})
-	e.advance(50)
-	requireSend(t, e.outputFor(second, e.outputs))
-}
--- a/internal/flow/place/place.go
+++ b/internal/flow/place/place.go
@@ -106,7 +106,7 @@
 	if received.CallerTimeout > 0 {
 		timeout = min(timeout, received.CallerTimeout)
 	}
-	request := &board.Request{RoutedRequest: routed, AdmittedBy: b.Plan.Version, ArrivedAt: b.Now, DeadlineAt: b.Now + timeout}
+	request := &board.Request{RoutedRequest: routed, ArrivedAt: b.Now, DeadlineAt: b.Now + timeout}
 	if b.Plan.Services[routed.Service].Engine == nil {
 		request.Subject = subjectOf(routed)
 	}
@@ -154,27 +154,12 @@
 	return routed, nil
 }
 
-// isStillAdmitted reports whether the plan in force admits the key of a request that has not been sent yet. What
-// has been sent under an earlier plan goes on, also at other endpoints: a change cuts no request off.
-func isStillAdmitted(b *board.Board, request *board.Request) bool {
-	if request.AdmittedBy == b.Plan.Version || request.Route.Anonymous || request.Runs > 0 || request.Delivered {
-		return true
-	}
-	request.AdmittedBy = b.Plan.Version
-	organisation, isAdmitted := b.Plan.Admit(request.Request.Key)
-	return isAdmitted && organisation.Name == request.Organisation
-}
-
 // dispatch sends the request to an endpoint, queues it or refuses it.
 func dispatch(b *board.Board, request *board.Request) {
 	if b.EndsWithin(request, MinTimeLeft) {
 		failTimeout(b, request)
 		return
 	}
-	if !isStillAdmitted(b, request) {
-		finish(b, request, call.Reply{Reason: call.ReasonBadKey, Status: http.StatusUnauthorized})
-		return
-	}
 	if b.StopEndsWithin(minDuration(b, request)) {
 		refuse(b, request, call.ReasonStopping, StoppingRetryAfter)
 		return
