Answers that end with their connection: ask twice whether the process lives

Cause: the end was believed after one probe of the endpoint's port, at once. The kernel closes the sockets of a process that is killed one after the other, the listening one among the last, so that a probe in between is accepted by the kernel. Class: one early probe decides what only later evidence can.

Change: a second probe follows 100 ms later, and either one that is refused or reset shows that the process is gone. The end of such an answer waits, not its events; framed answers don't. Tried before: to hold the first connection open for that time. Weighed: 250 ms (later ends for sound endpoints that always answer so), and to believe endpoints that have announced their leaving (one that exits in the midst of its answers looks the same).

--- a/internal/flow/proxy/probe.go
+++ b/internal/flow/proxy/probe.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/url"
 	"syscall"
+	"time"
 
 	"github.com/go-faster/errors"
 
@@ -12,8 +13,13 @@
 	"mustardhook/internal/flow/output"
 )
 
-// probeTimeout is how long a probe waits for a connection.
-const probeTimeout = 400 * clock.Millis(1)
+const (
+	// probeTimeout is how long a probe waits for a connection.
+	probeTimeout = 400 * clock.Millis(1)
+	// endSettleTime is the time between two probes that show that a process lives. The kernel closes the sockets of a
+	// process that was killed one after the other, the listening one among the last.
+	endSettleTime = 100 * time.Millisecond
+)
 
 // probeEndpoint finds out whether the process of an endpoint has exited and passes that to the core.
 func (p *Proxy) probeEndpoint(action output.ProbeEndpoint) {
@@ -58,3 +64,24 @@
 	}
 	return false, conn.Close()
 }
+
+// hasExited reports whether the process at the address has exited, or exits at the moment. It takes endSettleTime
+// to find that it lives. A connection that opened while the listening socket was closed may stay open without a peer, so
+// another one is opened after that time. If nothing can be found out, it reports false.
+func hasExited(ctx context.Context, address string) bool {
+	if isRefused(ctx, address) {
+		return true
+	}
+	select {
+	case <-ctx.Done():
+		return false
+	case <-time.After(endSettleTime):
+	}
+	return isRefused(ctx, address)
+}
+
+// isRefused reports whether the address refuses a connection, or resets it while it is opened.
+func isRefused(ctx context.Context, address string) bool {
+	isGone, err := probe(ctx, address)
+	return isGone || errors.Is(err, syscall.ECONNRESET)
+}
--- a/internal/flow/proxy/send.go
+++ b/internal/flow/proxy/send.go
@@ -183,7 +183,8 @@
 }
 
 // checkEnd returns an AnswerError if an answer that ends with its connection is not whole, as far as
-// that can be told: nothing followed its head, or the process of its endpoint is gone.
+// that can be told: nothing followed its head, or the process of its endpoint is gone. The end of such an answer waits
+// for that, not its events.
 func (x *exchange) checkEnd(response *http.Response, isEmpty bool) error {
 	hasFraming := response.ContentLength >= 0 || len(response.TransferEncoding) > 0
 	if hasFraming {
@@ -194,8 +195,7 @@
 	}
 	ctx, cancel := context.WithTimeout(x.session.sending, probeTimeout.Duration())
 	defer cancel()
-	// Any other error than a refused connection says nothing of the process.
-	if hasExited, _ := probe(ctx, x.send.Address); hasExited {
+	if hasExited(ctx, x.send.Address) {
 		return &AnswerError{Reason: "its endpoint exited when it ended", Truncated: true}
 	}
 	return nil
