Crash: an answer that ends with its connection acquits once its endpoint has outlived it

A cut answer that looks complete made the part that had caused the crash as good as acquitted as all others. Class: evidence is believed before its premise has settled.

Change: acquittals by such answers wait for 1 s. They are dropped if the same run of the endpoint lost another answer since shortly before, or its crash is known from any entry, and count from the time of the answer otherwise. An answer that goes on for 500 ms past its beginning acquits as before; so does one with a length or chunks.

--- a/internal/flow/blame/acquit.go
+++ b/internal/flow/blame/acquit.go
@@ -24,18 +24,25 @@
 	l.vouchDivisor = uint64(max(entries/vouchers, 1))
 }
 
-// Acquit records that an answer to a request with the parts went on past its beginning. It reports
-// whether other entries need to know.
-func (l *Ledger) Acquit(parts []call.Part, now clock.Millis) bool {
+// Acquit records that an answer to a request with the parts goes on past its beginning. It reports whether other
+// entries need to know.
+func (l *Ledger) Acquit(parts []call.Part, now clock.Millis) bool { return l.AcquitAt(parts, now, now) }
+
+// AcquitAt records that an answer to a request with the parts went on past its beginning at the given time. It
+// reports whether other entries need to know.
+func (l *Ledger) AcquitAt(parts []call.Part, at, now clock.Millis) bool {
 	l.refresh(now)
 	isNeeded := false
 	for _, part := range parts {
 		previous := l.acquittedAt.get(part)
-		l.acquittedAt.put(part, now)
+		if at <= previous {
+			continue
+		}
+		l.acquittedAt.put(part, at)
 		// Others need the first acquittal after a crash.
 		if lastCrashAt, isLost := l.lastCrashAt[part]; isLost && previous < lastCrashAt {
-			l.acquittals.put(part, now, now)
-			l.lift(part, now)
+			l.acquittals.put(part, at, now)
+			l.lift(part, at)
 			l.isDirty = true
 			isNeeded = true
 		}
--- a/internal/flow/blame/request.go
+++ b/internal/flow/blame/request.go
@@ -119,6 +119,12 @@
 	l.isDirty = l.isDirty || len(l.losses) < before
 }
 
+// HasLossAt reports whether an answer was lost at the run of an endpoint since the given time, or its crash is known.
+func (l *Ledger) HasLossAt(run Run, since clock.Millis) bool {
+	return slices.ContainsFunc(l.crashes, func(crash *Crash) bool { return crash.Run == run && crash.At >= since }) ||
+		slices.ContainsFunc(l.losses, func(loss Loss) bool { return loss.Run == run && loss.At >= since })
+}
+
 // LossesOf returns the number of lost answers that count against a request.
 func (l *Ledger) LossesOf(fingerprint uint64, now clock.Millis) int {
 	l.refresh(now)
--- a/internal/flow/blame/request_acquit.go
+++ b/internal/flow/blame/request_acquit.go
@@ -6,18 +6,26 @@
 	"mustardhook/internal/core/clock"
 )
 
-// AcquitRequest records that a whole request had a complete answer. It reports whether other entries
-// need to know.
+// AcquitRequest records that a whole request has a complete answer. It reports whether other entries need to know.
 func (l *Ledger) AcquitRequest(fingerprint uint64, now clock.Millis) bool {
+	return l.AcquitRequestAt(fingerprint, now, now)
+}
+
+// AcquitRequestAt records that a whole request had a complete answer at the given time. It reports whether other
+// entries need to know.
+func (l *Ledger) AcquitRequestAt(fingerprint uint64, at, now clock.Millis) bool {
 	l.refresh(now)
 	count, isSuspect := l.requests[fingerprint]
 	if _, isGuilty := l.requestRulings[fingerprint]; !isSuspect && !isGuilty {
 		return false
 	}
+	if at <= l.requestsAcquittedAt[fingerprint] {
+		return false
+	}
 	isNeeded := isSuspect && l.requestsAcquittedAt[fingerprint] < count.lastAt
-	l.acquitRequest(fingerprint, now)
+	l.acquitRequest(fingerprint, at)
 	if isNeeded {
-		l.requestAcquittals.put(fingerprint, now, now)
+		l.requestAcquittals.put(fingerprint, at, now)
 	}
 	return isNeeded
 }
--- a/internal/flow/call/call.go
+++ b/internal/flow/call/call.go
@@ -229,7 +229,10 @@
 		// Closed means that the endpoint closed or reset the connection before the end of the
 		// answer.
 		Closed bool
-		Err    error
+		// Unframed means that a complete answer had neither a length nor chunks and ended with its connection, as
+		// it does when its endpoint crashes.
+		Unframed bool
+		Err      error
 	}
 )
 
--- a/internal/flow/crash/crash.go
+++ b/internal/flow/crash/crash.go
@@ -30,6 +30,8 @@
 	controller struct {
 		// losses holds the answers that were recently lost, by endpoint.
 		losses map[ident.Endpoint]*losses
+		// provisional holds the acquittals that the endpoint has yet to outlive.
+		provisional provisional
 	}
 
 	// lostAnswer is a request whose answer was lost, with its name for the log.
@@ -95,6 +97,7 @@
 		}
 	case input.Ticked:
 		acquitBegun(b)
+		c.provisional.settle(b)
 		c.probe(b)
 		c.expire(b)
 	}
@@ -110,6 +113,10 @@
 	}
 	isComplete := result.End == call.EndComplete && result.Status < http.StatusInternalServerError
 	hasBegun := request.FirstEventSent && b.Now-request.FirstEventAt > BeginningWindow
+	if isComplete && result.Unframed {
+		c.provisional.add(b, request)
+		isComplete = false
+	}
 	if isComplete || hasBegun {
 		acquit(b, request, isComplete)
 	}
--- a/internal/flow/parts/poison_test.go
+++ b/internal/flow/parts/poison_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"maps"
 	"math/rand/v2"
+	"os"
 	"slices"
 	"testing"
 
@@ -40,6 +41,9 @@
 	ownPart call.Part = 0xbae
 
 	badFingerprint = 0xbaf
+
+	// cutSeedsVariable is the environment variable with the seeds of TestCutAnswerAcquitsNothing, as FIRST-LAST.
+	cutSeedsVariable = "MUSTARDHOOK_CUT_SEEDS"
 )
 
 type (
@@ -57,6 +61,9 @@
 		// crashed engine accept connections and stay silent, instead of refusing them.
 		isRepeated  bool
 		isAccepting bool
+		// mistaken is the fraction of the answers cut by a crash that look complete; all answers end with their
+		// connection if it is not zero.
+		mistaken float64
 		// recordTTL is the time from the crash of an engine to the removal of its record,
 		// killInterval the time between two entries that are killed and restarted; zero for none.
 		recordTTL    clock.Millis
@@ -325,7 +332,7 @@
 		prompt.hasBegun = prompt.hasBegun || prompt.sends == 1
 		p.carryOut(prompt.entry, prompt.entry.step(input.FirstEventSent{Number: prompt.number}))
 	})
-	at(prefill+firstEvent+answerDuration, func() { p.result(prompt, call.Result{End: call.EndComplete, Status: 200}) })
+	at(prefill+firstEvent+answerDuration, func() { p.result(prompt, call.Result{End: call.EndComplete, Status: 200, Unframed: p.mistaken > 0}) })
 }
 
 // result ends the current send of a prompt.
@@ -346,6 +353,10 @@
 	for _, entry := range p.entries {
 		for _, number := range sortedNumbers(p.prompts[entry]) {
 			if prompt := p.prompts[entry][number]; prompt.engine == engine {
+				if p.mistaken > 0 && p.random.Float64() < p.mistaken {
+					p.result(prompt, call.Result{End: call.EndComplete, Status: 200, Unframed: true})
+					continue
+				}
 				p.result(prompt, call.Result{End: call.EndAnswerLost, Closed: true, Delivered: entry.board.Requests[number].FirstEventSent})
 			}
 		}
@@ -450,6 +461,44 @@
 	}
 }
 
+// Guards against an answer that a crash has cut, that looks complete since it ends with its connection, and that
+// acquits the part which caused the crash: a sound part was refused in its place, or no verdict was found.
+func TestCutAnswerAcquitsNothing(t *testing.T) {
+	t.Parallel()
+	first, last := uint64(1), uint64(40)
+	if text := os.Getenv(cutSeedsVariable); text != "" {
+		_, err := fmt.Sscanf(text, "%d-%d", &first, &last)
+		require.NoError(t, err)
+	}
+	for _, c := range []struct{ entries, engines int }{{9, 16}, {3, 6}} {
+		for seed := first; seed <= last; seed++ {
+			p := newPoisoning(t, c.entries, c.engines, seed)
+			p.mistaken = 1.0 / 6
+			if seed%2 == 1 {
+				// Engines crash by themselves, too.
+				p.crashesPerSecond = 0.3
+			}
+			p.run(4*clock.Second, 60, 0)
+			poisonedAt := p.now
+			p.run(18*clock.Second, 60, p.badPerSecond)
+			end := p.now
+			p.run(2*clock.Second, 0, 0)
+			begunBefore, _ := p.shares(poisonedAt-3*clock.Second, poisonedAt-clock.Second)
+			calmAt := poisonedAt + 2*stabilityWindow
+			if len(p.crashes) > 0 {
+				calmAt = p.crashes[min(len(p.crashes), 5)-1] + 2*stabilityWindow
+			}
+			begun, _ := p.shares(calmAt, end-answerDuration)
+			require.LessOrEqual(t, p.lateSends(5), maxLatePrompts, "%d engines, seed %d", c.engines, seed)
+			require.GreaterOrEqual(t, begun, begunBefore/2, "%d engines, seed %d", c.engines, seed)
+			for _, entry := range p.entries {
+				_, isGuilty := entry.board.Blame.Quarantine([]call.Part{sharedPart, 0x77}, entry.board.Now)
+				require.False(t, isGuilty, "%d engines, seed %d: the shared part is quarantined", c.engines, seed)
+			}
+		}
+	}
+}
+
 func sortedNumbers(prompts map[uint64]*poisonPrompt) []uint64 {
 	return slices.Sorted(maps.Keys(prompts))
 }
--- a/internal/wire/field/field.go
+++ b/internal/wire/field/field.go
@@ -10,7 +10,9 @@
 type AmbiguousError struct{ Name string }
 
 // Error returns a message with the name of the field.
-func (e *AmbiguousError) Error() string { return "header " + e.Name + " stands twice with unlike values" }
+func (e *AmbiguousError) Error() string {
+	return "header " + e.Name + " stands twice with unlike values"
+}
 
 // CheckSingular returns an *AmbiguousError if one of the fields, whose names are in canonical form, occurs with
 // unlike values. Receivers that take another one of them than the sender of the request would act on another request.
