Serve: an answer of a service that ends with its connection is checked

What callers saw at `serve`: an answer of a plain service without a length or chunks whose endpoint was killed counted as whole, always: nothing asked whether the process lives.

Change: the two probes of the relay are a package of their own, internal/serve/probe, and `serve` uses them. An answer that is not whole fails the call, which is then repeated or reported as any lost answer.

Answers with a length or chunks take no probe.

--- a/internal/flow/proxy/probe.go
+++ b/internal/flow/proxy/probe.go
@@ -2,30 +2,26 @@
 
 import (
 	"context"
+	"net"
 	"net/url"
 	"syscall"
-	"time"
 
 	"github.com/go-faster/errors"
 
 	"mustardhook/internal/core/clock"
 	"mustardhook/internal/flow/input"
 	"mustardhook/internal/flow/output"
+	"mustardhook/internal/serve/probe"
 )
 
-const (
-	// probeTimeout is how long a probe waits for a connection.
-	probeTimeout = 400 * clock.Millis(1)
-	// endSettleTime is the time between two probes that show that a process lives. The kernel closes the sockets of a
-	// process that was killed one after the other, the listening one among the last.
-	endSettleTime = 100 * time.Millisecond
-)
+// probeTimeout is how long a probe waits for a connection.
+const probeTimeout = 400 * clock.Millis(1)
 
 // probeEndpoint finds out whether the process of an endpoint has exited and passes that to the core.
 func (p *Proxy) probeEndpoint(action output.ProbeEndpoint) {
 	ctx, cancel := context.WithTimeout(p.lifetime, probeTimeout.Duration())
 	defer cancel()
-	hasExited, err := probe(ctx, action.Address)
+	hasExited, err := probe.IsRefused(ctx, dialProbe, action.Address)
 	outcome := input.ProbeUnknown
 	switch {
 	case hasExited:
@@ -55,33 +51,7 @@
 	return input.ProbeAnswered, err
 }
 
-// probe opens a connection and closes it at once. A refused connection means that the process at the
-// address has exited. Silence means nothing.
-func probe(ctx context.Context, address string) (hasExited bool, err error) {
-	conn, err := newDialer(userTimeoutFor(0)).DialContext(ctx, "tcp4", address)
-	if err != nil {
-		return errors.Is(err, syscall.ECONNREFUSED), err
-	}
-	return false, conn.Close()
-}
-
-// hasExited reports whether the process at the address has exited, or exits at the moment. It takes endSettleTime
-// to find that it lives. A connection that opened while the listening socket was closed may stay open without a peer, so
-// another one is opened after that time. If nothing can be found out, it reports false.
-func hasExited(ctx context.Context, address string) bool {
-	if isRefused(ctx, address) {
-		return true
-	}
-	select {
-	case <-ctx.Done():
-		return false
-	case <-time.After(endSettleTime):
-	}
-	return isRefused(ctx, address)
-}
-
-// isRefused reports whether the address refuses a connection, or resets it while it is opened.
-func isRefused(ctx context.Context, address string) bool {
-	isGone, err := probe(ctx, address)
-	return isGone || errors.Is(err, syscall.ECONNRESET)
+// dialProbe opens a connection for a probe.
+func dialProbe(ctx context.Context, network, address string) (net.Conn, error) {
+	return newDialer(userTimeoutFor(0)).DialContext(ctx, network, address)
 }
--- a/internal/flow/proxy/send.go
+++ b/internal/flow/proxy/send.go
@@ -18,6 +18,7 @@
 	"mustardhook/internal/flow/input"
 	"mustardhook/internal/flow/port"
 	"mustardhook/internal/serve/limit"
+	"mustardhook/internal/serve/probe"
 )
 
 const (
@@ -186,7 +187,7 @@
 // that can be told: nothing followed its head, or the process of its endpoint is gone. The end of such an answer waits
 // for that, not its events.
 func (x *exchange) checkEnd(response *http.Response, isEmpty bool) error {
-	if hasFraming(response) {
+	if probe.HasFraming(response) {
 		return nil
 	}
 	if isEmpty {
@@ -194,17 +195,12 @@
 	}
 	ctx, cancel := context.WithTimeout(x.session.sending, probeTimeout.Duration())
 	defer cancel()
-	if hasExited(ctx, x.send.Address) {
+	if probe.HasExited(ctx, dialProbe, x.send.Address) {
 		return &AnswerError{Reason: "its endpoint exited when it ended", Truncated: true}
 	}
 	return nil
 }
 
-// hasFraming reports whether the answer has a length or chunks.
-func hasFraming(response *http.Response) bool {
-	return response.ContentLength >= 0 || len(response.TransferEncoding) > 0
-}
-
 // reportNotice passes what the endpoint says of itself to the core, if the answer is its own to
 // this request. It does so before the answer is relayed, since a stream may last for long.
 func (x *exchange) reportNotice(head port.AnswerHead) {
@@ -350,7 +346,7 @@
 		return x.failedResult(err)
 	}
 	x.session.answer = &answer{response.StatusCode, response.Header, body}
-	return call.Result{End: call.EndComplete, Status: response.StatusCode, Unframed: !hasFraming(response)}
+	return call.Result{End: call.EndComplete, Status: response.StatusCode, Unframed: !probe.HasFraming(response)}
 }
 
 // relayStream forwards each event to the caller as soon as it is complete. A stream
@@ -430,5 +426,5 @@
 	if err := x.checkEnd(response, isEmpty); err != nil {
 		return x.failedResult(err)
 	}
-	return call.Result{End: call.EndComplete, Status: response.StatusCode, Unframed: !hasFraming(response)}
+	return call.Result{End: call.EndComplete, Status: response.StatusCode, Unframed: !probe.HasFraming(response)}
 }
--- a/internal/serve/shell/calls.go
+++ b/internal/serve/shell/calls.go
@@ -16,6 +16,7 @@
 	"mustardhook/internal/core/event"
 	"mustardhook/internal/core/msgs"
 	"mustardhook/internal/serve/limit"
+	"mustardhook/internal/serve/probe"
 	"mustardhook/internal/wire/caller"
 	"mustardhook/internal/wire/engine"
 	"mustardhook/internal/wire/watch"
@@ -31,6 +32,9 @@
 type (
 	// statusError is returned for a response with a status other than 200.
 	statusError struct{ status int }
+
+	// truncatedError is returned for an answer that ended early.
+	truncatedError struct{ reason string }
 )
 
 // Error returns the status code as text.
@@ -38,6 +42,9 @@
 
 func dialer() *net.Dialer { return &net.Dialer{Timeout: dialTimeout} }
 
+// Error returns the reason.
+func (e *truncatedError) Error() string { return "answer is not whole: " + e.reason }
+
 // isNotSent reports whether a call failed before a connection was established.
 func isNotSent(err error) bool {
 	var opErr *net.OpError
@@ -88,9 +95,27 @@
 	if err != nil {
 		return msgs.Answer{}, errors.Wrap(err, "read answer")
 	}
+	if err := checkEnd(request.Context(), response, len(body)); err != nil {
+		return msgs.Answer{}, err
+	}
 	return msgs.Answer{Status: response.StatusCode, Type: response.Header.Get("Content-Type"), Body: body}, nil
 }
 
+// checkEnd returns a truncatedError if an answer that ends with its connection is not whole, as far as that can be
+// told: nothing followed its head, or the process of its endpoint is gone.
+func checkEnd(ctx context.Context, response *http.Response, size int) error {
+	if probe.HasFraming(response) || response.Uncompressed {
+		return nil
+	}
+	if size == 0 {
+		return &truncatedError{"it has neither a length nor a body"}
+	}
+	if probe.HasExited(ctx, (&net.Dialer{Timeout: controlTimeout}).DialContext, response.Request.URL.Host) {
+		return &truncatedError{"its endpoint exited when it ended"}
+	}
+	return nil
+}
+
 func (s *Shell) cancelAttempt(address, name string) {
 	if _, err := s.post("http://"+address+engine.PathCancel, engine.EncodeCancel(name)); err != nil {
 		s.logger.Part("cancel").Debug("Cancel failed.", "attempt", name, "err", err)
