--- a/internal/flow/plan/plan.go
+++ b/internal/flow/plan/plan.go
@@ -150,6 +150,3 @@
 	}
 	return Route{}, false
 }
-
-// RoutesOf returns the routes of the host, those with the longest prefix first.
-func (p Plan) RoutesOf(host string) []Route { return slices.Clone(p.hosts[strings.ToLower(host)]) }
