--- a/internal/flow/call/call.go
+++ b/internal/flow/call/call.go
@@ -170,6 +170,8 @@
 		// ListAge is how long the list of endpoints has been unreadable; zero if it is
 		// readable.
 		ListAge clock.Millis
+		// LoadsDeferred is for how long the news of the loads at endpoints was deferred.
+		LoadsDeferred clock.Millis
 	}
 
 	// Helper is an endpoint that prefills a shard of a prompt and, if it has a lease,
--- a/internal/flow/place/send.go
+++ b/internal/flow/place/send.go
@@ -78,6 +78,7 @@
 		Route: request.Route.Name, Organisation: request.Organisation, PlanVersion: b.Plan.Version, Usable: request.Usable, Entries: len(b.Peers),
 		Wait: request.Wait, IsCallerRetry: request.IsCallerRetry(), TimeLeft: max(request.DeadlineAt-b.Now, 0),
 		StartsIn: max(request.PlannedStart-b.Now, 0), Share: int(request.Share.Share), Use: request.Share.Use,
+		LoadsDeferred: b.Tally.MaxDeferral(),
 	}
 	if b.SourceLostAt != 0 {
 		basis.ListAge = b.Now - b.SourceLostAt
--- a/internal/flow/proxy/proxy.go
+++ b/internal/flow/proxy/proxy.go
@@ -334,7 +334,8 @@
 	p.logger.Part("place").Info("Request sent.", "request", s.request.Name, "endpoint", send.Endpoint,
 		"helpers", len(send.Helpers), "predicted", send.Predicted, "waited", time.Since(s.startedAt).Milliseconds(),
 		"parts", call.FormatParts(s.request.Parts), "waitCause", send.Basis.Wait, "left", send.TimeLeft, "route", send.Basis.Route, "organisation", send.Basis.Organisation, "plan", uint64(send.Basis.PlanVersion),
-		"usable", send.Basis.Usable, "entries", send.Basis.Entries, "listAge", send.Basis.ListAge)
+		"usable", send.Basis.Usable, "entries", send.Basis.Entries, "listAge", send.Basis.ListAge,
+		"loadsDeferred", send.Basis.LoadsDeferred)
 }
 
 // logFinish logs the outcome of a request.
--- a/internal/flow/proxy/session.go
+++ b/internal/flow/proxy/session.go
@@ -296,7 +296,7 @@
 	basis := reply.Basis
 	s.proxy.logFinish(s, "Request refused.", reply.Reason, reply.Status, "retryAfter", reply.RetryAfter,
 		"waitCause", basis.Wait, "callerRetry", basis.IsCallerRetry, "left", basis.TimeLeft, "startsIn", basis.StartsIn, "share", basis.Share, "use", basis.Use, "route", basis.Route, "organisation", basis.Organisation, "plan", uint64(basis.PlanVersion), "usable", basis.Usable, "entries", basis.Entries,
-		"listAge", basis.ListAge)
+		"listAge", basis.ListAge, "loadsDeferred", basis.LoadsDeferred)
 }
 
 // copyHeader copies all header fields except hop-by-hop fields and Content-Length.
