Place: answers share engines

Cause: an engine with a single answer makes passes of 80 steps and can't prefill a shard that pauses the answer beyond its objective. Short prompts went to any idle engine of the long size class as soon as one of their own cost 200 ms more, and, the older the news of loads, to all engines alike; the lead of a long prompt was the engine that ends first, one without answers. Class: a choice that is best for one request takes capacity from another kind that the price doesn't know. Change: short prompts leave their size class only if no engine there is predicted to be on time or four fifths of its slots are taken. The answer of a long prompt joins engines that decode, if it can be on time there and its shard pauses nobody for too long.

--- a/internal/flow/parts/fleet_test.go
+++ b/internal/flow/parts/fleet_test.go
@@ -28,6 +28,7 @@
 	// fleet simulates several entries that exchange datagrams, in virtual time.
 	fleet struct {
 		t              *testing.T
+		domains        []ident.Domain
 		options        []peers.Option
 		now            clock.Millis
 		entries        []*fleetEntry
@@ -82,7 +83,12 @@
 // newFleet starts entries in three failure domains by turns. The first entry of each
 // domain has a larger capacity than the others and is a seed.
 func newFleet(t *testing.T, count int, options ...peers.Option) *fleet {
-	f := &fleet{t: t, options: options, now: 100 * clock.Second, entriesByHost: map[string]*fleetEntry{}}
+	return newFleetIn(t, []ident.Domain{"north", "south", "harbour"}, count, options...)
+}
+
+// newFleetIn starts entries in the given failure domains by turns.
+func newFleetIn(t *testing.T, domains []ident.Domain, count int, options ...peers.Option) *fleet {
+	f := &fleet{t: t, domains: domains, options: options, now: 100 * clock.Second, entriesByHost: map[string]*fleetEntry{}}
 	for i := range count {
 		f.start(i)
 	}
@@ -91,7 +97,7 @@
 
 // start starts the entry with index i, or restarts it with empty state.
 func (f *fleet) start(i int) {
-	domains := []ident.Domain{"north", "south", "harbour"}
+	domains := f.domains
 	e := newTestEntry(f.t, f.options...)
 	e.board.Now = f.now
 	capacity := 134
@@ -107,7 +113,9 @@
 	e.board.Address = host + ":9000"
 	e.board.Capacity = capacity
 	e.board.InvalidateRoster()
-	e.board.Seeds = []string{"10.0.0.0:9000", "10.0.1.1:9000", "10.0.2.2:9000"}
+	for i := range domains {
+		e.board.Seeds = append(e.board.Seeds, fmt.Sprintf("10.0.%d.%d:9000", i, i))
+	}
 	e.configure(6)
 	e.outputs = nil
 	entry := &fleetEntry{testEntry: e, host: host}
--- a/internal/flow/parts/surge_test.go
+++ b/internal/flow/parts/surge_test.go
@@ -63,6 +63,9 @@
 		// isAbusive is set if the caller comes back at once and often after a refusal, and returns counts that.
 		isAbusive bool
 		returns   int
+		// answerTokens is the length of the answer, prefillMillis the time that engines spent on the prefill.
+		answerTokens  int
+		prefillMillis float64
 		// sends counts the sends to endpoints. isServed is set with the first event of the
 		// answer, isOnTime if that was in time.
 		sends    int
--- a/internal/flow/place/engine.go
+++ b/internal/flow/place/engine.go
@@ -36,6 +36,9 @@
 	// longClassPenalty is the cost in milliseconds of running a short prompt in the long
 	// size class, where its events wait for shards of long prompts.
 	longClassPenalty = 200
+	// punctualShare is the fraction of the objective of a short prompt within which its first event must be
+	// predicted for an engine to be on time in spite of requests that are not known yet.
+	punctualShare = 0.8
 	// spreadMillis is how much later the first event may be predicted at an engine that is
 	// chosen to spread the load: a fifth of the objective of short prompts.
 	spreadMillis = 60.0
@@ -120,7 +123,7 @@
 		return choice{reason: call.ReasonPromptTooLong, retryAfter: FullRetryAfter}
 	}
 	if !isLong {
-		decision := memory.chooseShort(b, short, long, slow, prompt, need)
+		decision := memory.chooseShort(b, short, long, slow, prompt, need, request.Route.Objective)
 		decision.urgency = urgencyShort
 		verdict, mustWait := judgeShare(b, request, decision)
 		request.Share = verdict
@@ -219,11 +222,14 @@
 	c.isFull = c.load.MemoryTokens+need > c.engine.MemoryTokens || c.load.Leads >= c.engine.Slots
 }
 
-// chooseShort chooses an engine for a short prompt by its price. Engines outside the
-// short size class cost more. Entries that decide within the delay of the news see the
+// chooseShort chooses an engine for a short prompt by its price. It leaves the short size class only if none
+// of its engines can be on time or the class is nearly full: a single short answer makes an engine unable to prefill the shards of
+// the longest prompts, since they would pause it. Engines outside the class cost more. Entries that decide within the delay of the news see the
 // same loads, so each chooses at random among the cheapest engines. Their number is the
 // estimated number of prompts whose load is not yet published, plus one.
-func (s *scratch) chooseShort(b *board.Board, short, long, slow []*candidate, prompt, need int) choice {
+func (s *scratch) chooseShort(b *board.Board, short, long, slow []*candidate, prompt, need int, objective clock.Millis) choice {
+	punctual := clock.Millis(punctualShare * float64(objective))
+	isClassPunctual, classLeads, classSlots := false, 0, 0
 	byPrice := append(s.byPrice[:0], short...)
 	byPrice = append(byPrice, long...)
 	byPrice = append(byPrice, slow...)
@@ -235,15 +241,22 @@
 		c.setShortPrice(prompt, need)
 		if i >= len(short) {
 			c.price += longClassPenalty
+		} else {
+			classLeads += c.load.Leads
+			classSlots += c.engine.Slots
+			isClassPunctual = isClassPunctual || !c.isFull && c.firstEvent <= punctual
 		}
 		if c.isFull {
 			c.price += fullPenalty
 		}
 		c.price *= 1 + priceJitter*b.Random.Float64()
 	}
-	slices.SortFunc(byPrice, func(a, b *candidate) int { return cmp.Compare(a.price, b.price) })
 	delay := cost.NewsDelay + b.Tally.MaxDeferral()
 	unpublished := int(math.Round(float64(shortPrompts) * float64(delay) / float64(cost.ShortRequestDuration)))
+	if isClassPunctual && float64(classLeads) <= firstLimits.occupied*float64(classSlots) {
+		byPrice = byPrice[:len(short)]
+	}
+	slices.SortFunc(byPrice, func(a, b *candidate) int { return cmp.Compare(a.price, b.price) })
 	// The cheapest engine gets all unpublished prompts if the others cost much more.
 	spread := spreadMillis * max(1, float64(unpublished)/maxPromptsForSpread)
 	choices := 1
--- a/internal/flow/place/long.go
+++ b/internal/flow/place/long.go
@@ -24,6 +24,9 @@
 	maxPendingMillis = 100.0
 	// maxHelpers is the maximum number of helpers for the prefill of a prompt.
 	maxHelpers = 16
+	// leadSafety is how often the predicted time to the first event must fit into the time that is left until it
+	// is due for the answer to join others: the shards of other entries may be ahead of it.
+	leadSafety = 3
 	// shardDuration is how long a shard of a long prompt takes on average until its engine has
 	// prefilled it.
 	shardDuration = 200 * clock.Millis(1)
@@ -80,11 +83,11 @@
 		return choice{wait: call.WaitEngines, own: own, shards: shards, free: len(free)}
 	case isOversized:
 		left := free[min(own.enginesAhead, len(free)-shards):]
-		return divideMemory(b, engine, left, chooseGang(b, engine, left, shards, need), need, own)
+		return divideMemory(b, engine, left, chooseGang(b, engine, left, request, shards, need), need, own)
 	case own.enginesAhead+shards <= len(free):
-		return chooseGang(b, engine, free[own.enginesAhead:], shards, need)
+		return chooseGang(b, engine, free[own.enginesAhead:], request, shards, need)
 	case hasWaitedForOthers(b, request, own):
-		return chooseGang(b, engine, free, shards, need)
+		return chooseGang(b, engine, free, request, shards, need)
 	}
 	return choice{wait: call.WaitQueue, own: own, shards: shards, free: len(free)}
 }
@@ -134,7 +137,7 @@
 // price. Entries that decide within the delay of the news see the same loads, so each
 // chooses at random among the cheapest candidates. Their number grows by the estimated
 // number of shards whose load is not yet published.
-func chooseGang(b *board.Board, engine *plan.Engine, candidates []*candidate, shards, need int) choice {
+func chooseGang(b *board.Board, engine *plan.Engine, candidates []*candidate, request *board.Request, shards, need int) choice {
 	prefilling := 0
 	for _, c := range candidates {
 		prefilling += c.load.Prefilling
@@ -149,10 +152,7 @@
 		b.Random.Shuffle(choices, func(i, j int) { gang[i], gang[j] = gang[j], gang[i] })
 		gang = gang[:shards]
 	}
-	lead := chooseLead(engine, gang, need)
-	if !lead.canLead(engine, need) {
-		lead = chooseLead(engine, candidates, need)
-	}
+	lead := chooseLead(b, engine, candidates, request, shards, need)
 	decision := choice{lead: lead.endpoint, firstEvent: clock.Millis(lead.price)}
 	for _, c := range gang {
 		if c != lead && len(decision.helpers) < shards-1 {
@@ -202,15 +202,33 @@
 	return own.isOnTime && b.Now-request.CapacitySince > QueueTimeout
 }
 
-// chooseLead returns the engine that has enough memory for the prompt and is predicted to
-// finish an answer of mean length first.
-func chooseLead(engine *plan.Engine, candidates []*candidate, need int) *candidate {
-	price := func(c *candidate) float64 {
-		total := c.price + cost.PassMillis(c.engine, c.load)*float64(engine.MeanOutputTokens)/float64(max(engine.StepsPerPass, 1))
+// chooseLead returns an engine that has enough memory for the prompt and that the answer takes the least time
+// of. An engine that decodes makes whole passes, however few answers there are, so the answer joins others
+// if it can be on time there and its shard does not pause them for too long. Entries that decide within the
+// delay of the news choose at random among engines that differ by less than a pass.
+func chooseLead(b *board.Board, engine *plan.Engine, candidates []*candidate, request *board.Request, shards, need int) *candidate {
+	shard := cost.PrefillMillis(engine, request.Request.PromptTokens, shards)
+	alone := engine.StepMillis * float64(engine.MeanOutputTokens)
+	latest := float64(request.DueAt()-b.Now) / leadSafety
+	priceOf := func(c *candidate) float64 {
+		price := c.price
+		if c.load.Leads == 0 || c.price > latest {
+			price += alone
+		}
+		if c.load.MaxShardMillis < shard {
+			price += 2 * alone
+		}
 		if !c.canLead(engine, need) {
-			total += fullPenalty
+			price += fullPenalty
 		}
-		return total
+		return price
+	}
+	least := math.Inf(1)
+	for _, c := range candidates {
+		least = min(least, priceOf(c))
 	}
-	return slices.MinFunc(candidates, func(a, b *candidate) int { return cmp.Compare(price(a), price(b)) })
+	similar := slices.DeleteFunc(slices.Clone(candidates), func(c *candidate) bool {
+		return priceOf(c) > least+engine.StepMillis*float64(engine.StepsPerPass)
+	})
+	return similar[b.Random.IntN(len(similar))]
 }
