Deployments: 64,000 bytes of news a second instead of 32,000

Cause: a hub may send each entry so many bytes a second, and what that makes in 20 s in advance. Ruled out: a part of the rate for loads alone; what helps exceeds 9 KB/s at the target size (TestControlTrafficIsBounded: 10.3 KB/s with 0.3 of the rate). Change: the template's rate. That other news can leave the loads nothing stays open.

--- a/internal/flow/parts/day_test.go
+++ b/internal/flow/parts/day_test.go
@@ -23,7 +23,7 @@
 	// checks is the route of short prompts.
 	checks = "checks"
 	// siteNewsRate is the rate of news in the settings of the deployments, in bytes per second.
-	siteNewsRate = 32000
+	siteNewsRate = 64000
 	// dayOrganisations is the number of organisations, a few of which are large.
 	dayOrganisations = 40
 	// tenths is the number of equal groups into which prompts are divided by length.
