--- a/internal/flow/parts/day_test.go
+++ b/internal/flow/parts/day_test.go
@@ -32,9 +32,12 @@
 	tokensPerAnswerEvent = 80
 	// minPatience is the smallest part of the timeout of its route that a caller waits.
 	minPatience = 0.85
-	// maxReturnShare is the largest part of the time left after which a caller returns.
-	maxReturnShare = 3
-	// largeEngines is the number of engines of the large site.
+	// returnDivisor divides the time that a caller has left to give the longest time after which it returns.
+	returnDivisor = 3
+	// maxAnswerFactor is the ratio of the longest answer of a route to its mean.
+	maxAnswerFactor = 2.5
+	// largeEntries and largeEngines are the numbers of entries and engines of the large site.
+	largeEntries = 195
 	largeEngines = 135
 )
 
@@ -58,11 +61,12 @@
 		prompts       prompts
 		pending       map[*fleetEntry]map[uint64]*prompt
 		returning     []returningCaller
-		engines       map[ident.Endpoint]*passEngine
-		inOrder       []*passEngine
-		jobs          []*passJob
-		sources       []arrivals
-		revision      uint64
+		// engines holds the engines by name, inOrder in an order that does not vary.
+		engines  map[ident.Endpoint]*passEngine
+		inOrder  []*passEngine
+		jobs     []*passJob
+		sources  []arrivals
+		revision uint64
 	}
 )
 
@@ -85,17 +89,15 @@
 	return &engine
 }
 
-// newDay starts a fleet before engines that work in passes, with the given part of the entries, engines and
-// callers of the large site.
-func newDay(t *testing.T, scale float64, seed uint64) *day {
-	entries, count := int(195*scale), int(largeEngines*scale)
+// newDay starts the entries of the large site before engines that work in passes.
+func newDay(t *testing.T, seed uint64) *day {
 	d := &day{
-		fleet: newFleetIn(t, dayDomains, entries), random: rand.New(rand.NewPCG(seed, 5)), pending: map[*fleetEntry]map[uint64]*prompt{},
+		fleet: newFleetIn(t, dayDomains, largeEntries), random: rand.New(rand.NewPCG(seed, 5)), pending: map[*fleetEntry]map[uint64]*prompt{},
 		engines: map[ident.Endpoint]*passEngine{}, revision: 20,
 		sources: []arrivals{
-			{checks, 186 * scale, 4960, 0.9, 23800, 400, 10000, 0},
-			{reviews, 13.7 * scale, 45000, 0.5, 110000, 1500, 10000, 0},
-			{dossiers, 4.53 * scale, 220000, 0.55, longestPrompt, 4000, promptTimeout, 0},
+			{checks, 186, 4960, 0.9, 23800, 400, 10000, 0},
+			{reviews, 13.7, 45000, 0.5, 110000, 1500, 10000, 0},
+			{dossiers, 4.53, 220000, 0.55, longestPrompt, 4000, promptTimeout, 0},
 		},
 	}
 	d.organisations = rand.NewZipf(d.random, organisationSkew, 1, dayOrganisations-1)
@@ -116,7 +118,7 @@
 	}
 	newPlan = newPlan.WithOrganisations(keys)
 	var list []pool.Listing
-	for i := range count {
+	for i := range largeEngines {
 		list = append(list, pool.Listing{
 			Name: ident.Endpoint(fmt.Sprintf("engine-%02d", i)), Service: engines, Slots: largeEngine().Slots,
 			Address: fmt.Sprintf("10.1.0.%d:80", i), Domain: dayDomains[i%len(dayDomains)], Epoch: 1,
@@ -129,7 +131,7 @@
 		e.outputs = nil
 	}
 	for _, endpoint := range d.entries[0].board.Pool.ByService(engines) {
-		engine := &passEngine{name: endpoint.Name, model: largeEngine()}
+		engine := &passEngine{model: largeEngine()}
 		d.engines[endpoint.Name] = engine
 		d.inOrder = append(d.inOrder, engine)
 	}
@@ -172,6 +174,9 @@
 	for next := nextPassEnd(d.inOrder); next != nil && next.endsAt <= float64(d.now); next = nextPassEnd(d.inOrder) {
 		next.endPass()
 	}
+	for _, engine := range d.inOrder {
+		engine.wake(d.now)
+	}
 	d.reportJobs()
 	returning := d.returning
 	d.returning = nil
@@ -204,7 +209,7 @@
 	patience := minPatience + (1-minPatience)*d.random.Float64()
 	return &prompt{
 		from: source, tokens: min(int(lognormal(source.mean, source.spread, math.Inf(1))), source.maximum),
-		answerTokens: int(max(lognormal(answer.mean, answer.spread, 2.5), 1)) * tokensPerAnswerEvent,
+		answerTokens: int(max(lognormal(answer.mean, answer.spread, maxAnswerFactor), 1)) * tokensPerAnswerEvent,
 		dueAt:        d.now + source.objective, deadlineAt: d.now + clock.Millis(patience*float64(source.timeout)),
 	}
 }
@@ -243,7 +248,7 @@
 		case output.Reply:
 			if refused := d.pending[entry][out.Reply.Number]; !refused.hasRetried && out.Reply.RetryAfter > 0 {
 				refused.hasRetried = true
-				delay := min(out.Reply.RetryAfter, (refused.deadlineAt-d.now)/maxReturnShare)
+				delay := min(out.Reply.RetryAfter, (refused.deadlineAt-d.now)/returnDivisor)
 				d.returning = append(d.returning, returningCaller{d.now + delay, refused})
 			}
 			delete(d.pending[entry], out.Reply.Number)
@@ -337,13 +342,13 @@
 		for seed := range uint64(seeds) {
 			t.Run(fmt.Sprint(seed), func(t *testing.T) {
 				t.Parallel()
-				d := newDay(t, 1, seed)
+				d := newDay(t, seed)
 				d.play(scaleDay)
 				played[seed] = d.prompts
 			})
 		}
 	})
-	all := prompts(slices.Concat(played...))
+	all := slices.Concat(played...)
 	for _, route := range []string{checks, reviews, dossiers} {
 		of := all.filter(func(p *prompt) bool { return p.from.route == route })
 		t.Logf("%s: %d, served %.2f, on time %.2f", route, len(of), of.ratio((*prompt).served), of.ratio((*prompt).onTime))
@@ -356,6 +361,6 @@
 	}
 	served := got.ratio((*prompt).served)
 	assert.GreaterOrEqual(t, divided[tenths-1].ratio((*prompt).served), floor*served, "largest tenth")
-	fifth := prompts(slices.Concat(divided[tenths-3], divided[tenths-2]))
+	fifth := slices.Concat(divided[tenths-3], divided[tenths-2])
 	assert.GreaterOrEqual(t, fifth.ratio((*prompt).served), floor*served, "fifth below it")
 }
--- a/internal/flow/parts/passes_test.go
+++ b/internal/flow/parts/passes_test.go
@@ -17,7 +17,6 @@
 	// StepsPerPass steps and prefills up to a chunk in each; any other pass prefills one chunk. Times
 	// are in milliseconds.
 	passEngine struct {
-		name  ident.Endpoint
 		model *plan.Engine
 		// waiting are the jobs that have no slot or memory yet, leads those that have.
 		waiting []*passJob
@@ -43,7 +42,6 @@
 		lead     *passEngine
 		helpers  []*passEngine
 		leases   []int
-		sentAt   clock.Millis
 		silentAt clock.Millis
 		// memory is what the job holds at its lead, in tokens.
 		memory     int
@@ -100,6 +98,13 @@
 	}
 }
 
+// wake starts a pass of an idle engine whose waiting jobs may have memory by now.
+func (e *passEngine) wake(now clock.Millis) {
+	if e.endsAt == 0 && len(e.waiting) > 0 {
+		e.beginPass(float64(now))
+	}
+}
+
 // beginPass starts a pass if there is work.
 func (e *passEngine) beginPass(now float64) {
 	e.admit(now)
@@ -189,7 +194,7 @@
 func newPassJob(engines map[ident.Endpoint]*passEngine, entry *fleetEntry, send call.Send, sent *prompt, now clock.Millis) *passJob {
 	lead := engines[send.Endpoint]
 	job := &passJob{
-		entry: entry, number: send.Number, prompt: sent, urgency: send.Urgency, lead: lead, sentAt: now,
+		entry: entry, number: send.Number, prompt: sent, urgency: send.Urgency, lead: lead,
 		silentAt: now + send.FirstEventTimeout, memory: sent.tokens + sent.answerTokens, stepsLeft: sent.answerTokens,
 	}
 	for _, helper := range send.Helpers {
--- a/internal/flow/place/engine.go
+++ b/internal/flow/place/engine.go
@@ -223,10 +223,11 @@
 }
 
 // chooseShort chooses an engine for a short prompt by its price. It leaves the short size class only if none
-// of its engines can be on time or the class is nearly full: a single short answer makes an engine unable to prefill the shards of
-// the longest prompts, since they would pause it. Engines outside the class cost more. Entries that decide within the delay of the news see the
-// same loads, so each chooses at random among the cheapest engines. Their number is the
-// estimated number of prompts whose load is not yet published, plus one.
+// of its engines can be on time or the class is nearly full: an engine with a single answer can't prefill
+// the shards of the longest prompts, since they would pause it. Engines outside the class cost more.
+// Entries that decide within the delay of the news see the same loads, so each chooses at random among
+// the cheapest engines. Their number is the estimated number of prompts whose load is not yet published,
+// plus one.
 func (s *scratch) chooseShort(b *board.Board, short, long, slow []*candidate, prompt, need int, objective clock.Millis) choice {
 	punctual := clock.Millis(punctualShare * float64(objective))
 	isClassPunctual, classLeads, classSlots := false, 0, 0
--- a/internal/flow/place/long.go
+++ b/internal/flow/place/long.go
@@ -208,6 +208,7 @@
 // delay of the news choose at random among engines that differ by less than a pass.
 func chooseLead(b *board.Board, engine *plan.Engine, candidates []*candidate, request *board.Request, shards, need int) *candidate {
 	shard := cost.PrefillMillis(engine, request.Request.PromptTokens, shards)
+	// alone is the time of the steps of an answer that shares them with no other.
 	alone := engine.StepMillis * float64(engine.MeanOutputTokens)
 	latest := float64(request.DueAt()-b.Now) / leadSafety
 	priceOf := func(c *candidate) float64 {
