Share: the level of a room does not depend on the order of the asks

Cause: the total of the asks was summed up in the order of a map, and sums of floating-point numbers depend on it. Where the total is about the room, equal inputs gave unlike verdicts, while the core is said to be deterministic. Change: the asks are sorted before they are summed. Result: TestLevelDoesNotDependOnOrder; before, one order gave infinity and the other 2.6.

--- a/internal/flow/share/share.go
+++ b/internal/flow/share/share.go
@@ -63,16 +63,19 @@
 // Level returns the max-min level of the room: the amount per weight up to which all groups
 // together get what they ask for and no more than the room. It is infinite if the room suffices.
 func Level(room float64, asks []Ask) float64 {
+	// Sums of floating-point numbers depend on their order, which is arbitrary for asks from a map.
+	ordered := slices.Clone(asks)
+	slices.SortFunc(ordered, func(a, b Ask) int {
+		return cmp.Or(cmp.Compare(a.Amount/a.Weight, b.Amount/b.Weight), cmp.Compare(a.Weight, b.Weight))
+	})
 	total, weight := 0.0, 0.0
-	for _, ask := range asks {
+	for _, ask := range ordered {
 		total += ask.Amount
 		weight += ask.Weight
 	}
 	if total <= room {
 		return math.Inf(1)
 	}
-	ordered := slices.Clone(asks)
-	slices.SortFunc(ordered, func(a, b Ask) int { return cmp.Compare(a.Amount/a.Weight, b.Amount/b.Weight) })
 	left := max(room, 0)
 	for _, ask := range ordered {
 		if ask.Amount*weight > left*ask.Weight {
--- a/internal/flow/share/share_test.go
+++ b/internal/flow/share/share_test.go
@@ -15,6 +15,18 @@
 
 const maxError = 1e-6
 
+// Guards against verdicts that depend on the order in which groups are listed: it is that of a map.
+func TestLevelDoesNotDependOnOrder(t *testing.T) {
+	t.Parallel()
+	asks := []Ask{{1.5, 1}, {2.6, 1}, {2, 1}, {0.8, 1}}
+	shuffled := []Ask{{1.5, 1}, {0.8, 1}, {2, 1}, {2.6, 1}}
+	room := 0.0
+	for _, ask := range asks {
+		room += ask.Amount
+	}
+	require.Equal(t, Level(room, asks), Level(room, shuffled))
+}
+
 // All room is used if it doesn't suffice, nobody gets more than it asks for, a group that gets less has
 // the level, and an equal part is never refused.
 func TestLevelIsMaxMin(t *testing.T) {
