Evacuation test: every entry may use the endpoints again, and each domain gets requests

Cause: a trace shows both domains usable at all entries, and eight sends in all. Few short prompts keep to one engine since, and long prompts of other entries were in the way in so short a time: the check was of the placement. Change: the test checks at each entry that each engine of the two domains is usable and none of the evacuated one is, which no check did; requests must reach both domains, and none the third, within the limit for an instruction, 2 s.

--- a/internal/flow/parts/evacuation_test.go
+++ b/internal/flow/parts/evacuation_test.go
@@ -239,8 +239,12 @@
 			r.run(evacuationLimit)
 			for _, entry := range r.entries {
 				require.Equal(t, evac.NewSet(map[ident.Domain]uint64{"harbour": 21}), entry.board.Pool.Evacuated(), entry.board.Self)
+				for _, endpoint := range entry.board.Pool.ByService(engines) {
+					require.Equal(t, endpoint.Domain != "harbour", endpoint.IsUsable(entry.board.Now), "%s at %s", endpoint.Name, entry.board.Self)
+				}
 			}
-			counts := r.run(300)
+			// Few short prompts need no more than one engine, so a domain gets its first request with a long one.
+			counts := r.run(evacuationLimit)
 			require.NotZero(t, counts["south"])
 			require.NotZero(t, counts["north"])
 			require.Zero(t, counts["harbour"])
