Simulation of mixed loads: ends of shards in order, one term for one thing

Change: chunks of a pass are a slice; takeDue and drawLognormal serve both simulations; one slice of engines; mixedLoad, surgesByTurns and routes of short, medium and long prompts. TestEqualInputsGiveEqualDecisions plays 5 s twice.

--- a/internal/flow/parts/passes_test.go
+++ b/internal/flow/parts/passes_test.go
@@ -17,6 +17,7 @@
 	// StepsPerPass steps and prefills up to a chunk in each; any other pass prefills one chunk. Times
 	// are in milliseconds.
 	passEngine struct {
+		name  ident.Endpoint
 		model *plan.Engine
 		// waiting are the jobs that have no slot or memory yet, leads those that have.
 		waiting []*passJob
@@ -25,14 +26,16 @@
 		shards []*passShard
 		// leased is the memory that helpers hold for jobs of other engines, in tokens.
 		leased int
-		// endsAt is when the running pass ends; it is not running if that is zero. chunks are the
-		// tokens that it prefills of each shard.
+		// endsAt is when the running pass ends; it is not running if that is zero. chunks are what it
+		// prefills of the shards.
 		endsAt float64
-		chunks map[*passShard]float64
+		chunks []passChunk
 		// writers are the jobs whose answers the running pass continues.
 		writers []*passJob
 	}
 
+	passEngines []*passEngine
+
 	// passJob is a prompt that was sent to an engine and its helpers.
 	passJob struct {
 		entry    *fleetEntry
@@ -52,6 +55,12 @@
 		isSilent, isFirstTold bool
 	}
 
+	// passChunk is the part of a shard that one pass prefills.
+	passChunk struct {
+		shard  *passShard
+		tokens float64
+	}
+
 	// passShard is the part of a prompt that one engine prefills.
 	passShard struct {
 		job *passJob
@@ -128,11 +137,11 @@
 	}
 	budget := steps * float64(e.model.ChunkTokens)
 	prefill := 0.0
-	e.chunks = map[*passShard]float64{}
+	e.chunks = nil
 	for _, helped := range []bool{true, false} {
 		for _, shard := range e.shards {
 			if tokens := min(budget, shard.tokensLeft); shard.isHelped == helped && tokens > 0 {
-				e.chunks[shard] = tokens
+				e.chunks = append(e.chunks, passChunk{shard, tokens})
 				prefill += shard.millisLeft * tokens / shard.tokensLeft
 				budget -= tokens
 			}
@@ -144,7 +153,8 @@
 // endPass ends the running pass and starts the next one.
 func (e *passEngine) endPass() {
 	now := e.endsAt
-	for shard, tokens := range e.chunks {
+	for _, chunk := range e.chunks {
+		shard, tokens := chunk.shard, chunk.tokens
 		prefill := shard.millisLeft * tokens / shard.tokensLeft
 		shard.job.prompt.prefillMillis += prefill
 		shard.millisLeft -= prefill
@@ -181,24 +191,20 @@
 	}
 	for _, engine := range append([]*passEngine{j.lead}, j.helpers...) {
 		engine.shards = slices.DeleteFunc(engine.shards, func(s *passShard) bool { return s.job == j })
-		for shard := range engine.chunks {
-			if shard.job == j {
-				delete(engine.chunks, shard)
-			}
-		}
+		engine.chunks = slices.DeleteFunc(slices.Clone(engine.chunks), func(c passChunk) bool { return c.shard.job == j })
 		engine.writers = slices.DeleteFunc(slices.Clone(engine.writers), isOfJob)
 	}
 }
 
 // newPassJob puts a prompt at the engines of a send. It returns nil if an engine has no memory for a lease.
-func newPassJob(engines map[ident.Endpoint]*passEngine, entry *fleetEntry, send call.Send, sent *prompt, now clock.Millis) *passJob {
-	lead := engines[send.Endpoint]
+func newPassJob(engines passEngines, entry *fleetEntry, send call.Send, sent *prompt, now clock.Millis) *passJob {
+	lead := engines.find(send.Endpoint)
 	job := &passJob{
 		entry: entry, number: send.Number, prompt: sent, urgency: send.Urgency, lead: lead,
 		silentAt: now + send.FirstEventTimeout, memory: sent.tokens + sent.answerTokens, stepsLeft: sent.answerTokens,
 	}
 	for _, helper := range send.Helpers {
-		engine := engines[helper.Endpoint]
+		engine := engines.find(helper.Endpoint)
 		if engine.memoryInUse()+helper.LeaseTokens > engine.model.MemoryTokens {
 			return nil
 		}
@@ -216,11 +222,25 @@
 	return job
 }
 
+func (p passEngines) find(name ident.Endpoint) *passEngine {
+	return p[slices.IndexFunc(p, func(e *passEngine) bool { return e.name == name })]
+}
+
+// run ends all passes that end by the given time, in their order.
+func (p passEngines) run(now clock.Millis) {
+	for next := p.nextPassEnd(); next != nil && next.endsAt <= float64(now); next = p.nextPassEnd() {
+		next.endPass()
+	}
+	for _, engine := range p {
+		engine.wake(now)
+	}
+}
+
 // nextPassEnd returns the engine whose pass ends first, or nil if none is running.
-func nextPassEnd(engines []*passEngine) *passEngine {
+func (p passEngines) nextPassEnd() *passEngine {
 	var next *passEngine
 	first := math.Inf(1)
-	for _, engine := range engines {
+	for _, engine := range p {
 		if engine.endsAt > 0 && engine.endsAt < first {
 			first, next = engine.endsAt, engine
 		}
--- a/internal/flow/parts/surge_test.go
+++ b/internal/flow/parts/surge_test.go
@@ -22,9 +22,9 @@
 )
 
 const (
-	// reviews and dossiers are the routes of prompts of medium and of great length.
-	reviews  = "reviews"
-	dossiers = "dossiers"
+	// mediumPrompts and longPrompts are the routes of prompts of medium and of great length.
+	mediumPrompts = "medium"
+	longPrompts   = "long"
 	// longestPrompt is the length of the longest prompt in tokens.
 	longestPrompt = 700000
 	// maxReturns is how often an abusive caller comes back at once.
@@ -88,15 +88,16 @@
 		due  []scheduledInput
 		// slots is the number of slots of an engine, 0 for no limit, and ends holds when the requests in
 		// them end.
-		slots int
-		ends  map[ident.Endpoint][]clock.Millis
-		// returning are the callers that send their prompts again at a later time.
-		returning []returningCaller
+		slots     int
+		ends      map[ident.Endpoint][]clock.Millis
+		returning returningCallers
 		// minPatience is the smallest part of the timeout of its route that a caller waits.
 		minPatience float64
 	}
 
-	// returningCaller is a caller that was refused.
+	// returningCallers are the callers that were refused and send their prompts again at a later time.
+	returningCallers []returningCaller
+
 	returningCaller struct {
 		at     clock.Millis
 		prompt *prompt
@@ -120,6 +121,25 @@
 	return sorted[:int(share*float64(len(sorted)))]
 }
 
+// takeDue removes the callers that return by the given time and returns their prompts.
+func (r *returningCallers) takeDue(now clock.Millis) prompts {
+	var due prompts
+	*r = slices.DeleteFunc(*r, func(caller returningCaller) bool {
+		if caller.at > now {
+			return false
+		}
+		due = append(due, caller.prompt)
+		return true
+	})
+	return due
+}
+
+// drawLognormal returns a number from the lognormal distribution with the given mean, whose logarithm has the
+// given standard deviation.
+func drawLognormal(random *rand.Rand, mean, spread float64) float64 {
+	return math.Exp(math.Log(mean) - spread*spread/2 + spread*random.NormFloat64())
+}
+
 func (p *prompt) sent() bool { return p.sends > 0 }
 
 func (p *prompt) served() bool { return p.isServed }
@@ -129,7 +149,7 @@
 func (p *prompt) isOversized() bool { return p.tokens+1600 > testEngine().MemoryTokens }
 
 // newLongPromptFleet starts a fleet of the given size before one service with the given
-// number of engines, and routes for reviews and dossiers.
+// number of engines, and routes for prompts of medium and of great length.
 func newLongPromptFleet(t *testing.T, entries, engineCount int) *fleet {
 	f := newFleet(t, entries)
 	for _, e := range f.entries {
@@ -137,11 +157,11 @@
 		service := []plan.WeightedService{{Service: "model-00", Weight: 1}}
 		routes := []plan.Route{
 			{
-				Name: reviews, Host: host, Prefix: "/reviews/", Repeat: plan.Stream{Resumable: true, GapObjective: 800},
+				Name: mediumPrompts, Host: host, Prefix: "/medium/", Repeat: plan.Stream{Resumable: true, GapObjective: 800},
 				Timeout: 10000, Objective: 1500, Attempts: 2, Services: service,
 			},
 			{
-				Name: dossiers, Host: host, Prefix: "/dossiers/", Repeat: plan.Stream{Resumable: true, GapObjective: 1200},
+				Name: longPrompts, Host: host, Prefix: "/long/", Repeat: plan.Stream{Resumable: true, GapObjective: 1200},
 				Timeout: 15000, Objective: 4000, Attempts: 2, Services: service,
 			},
 		}
@@ -154,10 +174,10 @@
 }
 
 // largeSite returns the arrivals of a site with 135 engines, multiplied by the given factors.
-func largeSite(reviewFactor, dossierFactor float64) []arrivals {
+func largeSite(mediumFactor, longFactor float64) []arrivals {
 	return []arrivals{
-		{reviews, 13.7 * reviewFactor, 45000, 0.5, 110000, 1500, 10000, 1100},
-		{dossiers, 4.53 * dossierFactor, 220000, 0.55, longestPrompt, 4000, promptTimeout, 900},
+		{mediumPrompts, 13.7 * mediumFactor, 45000, 0.5, 110000, 1500, 10000, 1100},
+		{longPrompts, 4.53 * longFactor, 220000, 0.55, longestPrompt, 4000, promptTimeout, 900},
 	}
 }
 
@@ -323,14 +343,8 @@
 func (s *surge) advanceTick(sources []arrivals) {
 	s.advance(fleetTick)
 	s.stepDue()
-	returning := s.returning
-	s.returning = nil
-	for _, caller := range returning {
-		if caller.at > s.now {
-			s.returning = append(s.returning, caller)
-			continue
-		}
-		s.ask(caller.prompt)
+	for _, asked := range s.returning.takeDue(s.now) {
+		s.ask(asked)
 	}
 	for _, source := range sources {
 		if s.random.Float64() < source.perSecond*fleetTick.Duration().Seconds() {
@@ -344,8 +358,7 @@
 }
 
 func (s *surge) newPrompt(source arrivals) *prompt {
-	mu := math.Log(source.mean) - source.spread*source.spread/2
-	tokens := min(int(math.Exp(mu+source.spread*s.random.NormFloat64())), source.maximum)
+	tokens := min(int(drawLognormal(s.random, source.mean, source.spread)), source.maximum)
 	timeout := source.timeout
 	if s.minPatience < 1 {
 		timeout = clock.Millis((s.minPatience + (1-s.minPatience)*s.random.Float64()) * float64(timeout))
@@ -358,11 +371,11 @@
 // others, as often as these.
 func TestOversizedPromptsStartBesideOthers(t *testing.T) {
 	t.Parallel()
-	for _, dossierFactor := range []float64{1, 2} {
-		got := newLongPromptFleet(t, 40, 90).runPrompts(20*clock.Second, largeSite(1, dossierFactor))
+	for _, longFactor := range []float64{1, 2} {
+		got := newLongPromptFleet(t, 40, 90).runPrompts(20*clock.Second, largeSite(1, longFactor))
 		oversized := got.filter((*prompt).isOversized)
 		normal := got.filter(func(p *prompt) bool { return !p.isOversized() })
-		t.Logf("dossiers x %v: %d and %d oversized, sent %.2f and %.2f", dossierFactor, len(normal), len(oversized),
+		t.Logf("long prompts x %v: %d and %d oversized, sent %.2f and %.2f", longFactor, len(normal), len(oversized),
 			normal.ratio((*prompt).sent), oversized.ratio((*prompt).sent))
 		require.Greater(t, len(oversized), 10)
 		require.GreaterOrEqual(t, normal.ratio((*prompt).onTime), 0.95)
@@ -396,25 +409,25 @@
 // oversized prompt is refused as soon as it can't be on time, while shorter ones may start late.
 // Users require that the largest tenth is served half as often as all.
 //
-// Pattern: a surge of dossiers for 9.5 s that the engines can't serve on time, and few of them
+// Pattern: a surge of long prompts for 9.5 s that the engines can't serve on time, and few of them
 // before and after it.
 func TestLongestPromptsAreServedInASurge(t *testing.T) {
 	t.Parallel()
 	const floor = 0.5
 	phases := []struct {
-		duration      clock.Millis
-		dossierFactor float64
+		duration   clock.Millis
+		longFactor float64
 	}{{2 * clock.Second, 0.6}, {9500, 2.2}, {promptTimeout, 0.05}}
 	var got prompts
 	for seed := range uint64(3) {
 		s := newSurge(newLongPromptFleet(t, 40, 50), seed)
 		for _, phase := range phases {
-			s.run(phase.duration, largeSite(1, phase.dossierFactor))
+			s.run(phase.duration, largeSite(1, phase.longFactor))
 		}
-		got = append(got, s.prompts.filter(func(p *prompt) bool { return p.from.route == dossiers })...)
+		got = append(got, s.prompts.filter(func(p *prompt) bool { return p.from.route == longPrompts })...)
 	}
 	largest := got.largest(0.1)
-	t.Logf("dossiers: %d, served %.2f, on time %.2f; largest tenth: %d, served %.2f, on time %.2f", len(got),
+	t.Logf("long prompts: %d, served %.2f, on time %.2f; largest tenth: %d, served %.2f, on time %.2f", len(got),
 		got.ratio((*prompt).served), got.ratio((*prompt).onTime), len(largest),
 		largest.ratio((*prompt).served), largest.ratio((*prompt).onTime))
 	require.GreaterOrEqual(t, largest.ratio((*prompt).served), floor*got.ratio((*prompt).served))
@@ -424,7 +437,7 @@
 // that wait for less than the timeout of their route. Users require that the largest tenth and the fifth
 // below it are served half as often as all.
 //
-// Pattern: surges of dossiers that the engines can't serve on time.
+// Pattern: surges of long prompts that the engines can't serve on time.
 func TestNoSizeIsStarvedInASurge(t *testing.T) {
 	t.Parallel()
 	const floor = 0.5
@@ -440,12 +453,12 @@
 			s.run(2*clock.Second, largeSite(test.load, 0.6*test.load))
 			s.run(9500, largeSite(test.load, 2.2*test.load))
 			s.run(promptTimeout, largeSite(test.load, 0.05*test.load))
-			got = append(got, s.prompts.filter(func(p *prompt) bool { return p.from.route == dossiers })...)
+			got = append(got, s.prompts.filter(func(p *prompt) bool { return p.from.route == longPrompts })...)
 		}
 		all := got.ratio((*prompt).served)
 		tenth := got.largest(0.1)
 		fifth := got.largest(0.3)[len(tenth):]
-		t.Logf("%d entries, %d engines: %d dossiers, served %.2f, on time %.2f; largest tenth %.2f, fifth below %.2f", test.entries,
+		t.Logf("%d entries, %d engines: %d long prompts, served %.2f, on time %.2f; largest tenth %.2f, fifth below %.2f", test.entries,
 			test.engines, len(got), all, got.ratio((*prompt).onTime), tenth.ratio((*prompt).served), fifth.ratio((*prompt).served))
 		assert.GreaterOrEqual(t, tenth.ratio((*prompt).served), floor*all, "largest tenth at %d engines", test.engines)
 		assert.GreaterOrEqual(t, fifth.ratio((*prompt).served), floor*all, "fifth below it at %d engines", test.engines)
--- a/internal/flow/parts/turns_test.go
+++ b/internal/flow/parts/turns_test.go
@@ -3,12 +3,12 @@
 import (
 	"cmp"
 	"fmt"
-	"math"
 	"math/rand/v2"
 	"slices"
 	"testing"
 
 	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
 
 	"mustardhook/internal/core/clock"
 	"mustardhook/internal/core/ident"
@@ -20,12 +20,12 @@
 )
 
 const (
-	// checks is the route of short prompts.
-	checks = "checks"
+	// shortPrompts is the route of short prompts.
+	shortPrompts = "short"
 	// siteNewsRate is the rate of news in the settings of the deployments, in bytes per second.
 	siteNewsRate = 64000
-	// dayOrganisations is the number of organisations, a few of which are large.
-	dayOrganisations = 40
+	// largeOrganisations is the number of organisations, a few of which are large.
+	largeOrganisations = 40
 	// tenths is the number of equal groups into which prompts are divided by length.
 	tenths = 10
 	// tokensPerAnswerEvent is the number of tokens in an event of an answer.
@@ -42,45 +42,43 @@
 )
 
 type (
-	// dayLoad is a phase of a day with the factors of the usual rates.
-	dayLoad struct {
-		duration                  clock.Millis
-		checks, reviews, dossiers float64
+	// loadPhase is a phase of the load with the factors of the usual rates.
+	loadPhase struct {
+		duration            clock.Millis
+		short, medium, long float64
 		// leaving is the fraction of the engines that leave at the start of the phase.
 		leaving float64
 	}
 
-	// answerEvents is the lognormal distribution of the number of events in an answer.
-	answerEvents struct{ mean, spread float64 }
+	// answerLength is the lognormal distribution of the number of events in an answer.
+	answerLength struct{ mean, spread float64 }
 
-	// day plays callers of short and long prompts before engines that work in passes.
-	day struct {
+	// mixedLoad runs callers of short and long prompts before engines that work in passes.
+	mixedLoad struct {
 		*fleet
 		random        *rand.Rand
 		organisations *rand.Zipf
 		prompts       prompts
 		pending       map[*fleetEntry]map[uint64]*prompt
-		returning     []returningCaller
-		// engines holds the engines by name, inOrder in an order that does not vary.
-		engines  map[ident.Endpoint]*passEngine
-		inOrder  []*passEngine
-		jobs     []*passJob
-		sources  []arrivals
-		revision uint64
+		returning     returningCallers
+		engines       passEngines
+		jobs          []*passJob
+		sources       []arrivals
+		revision      uint64
 	}
 )
 
-// dayDomains are the failure domains of the large site.
-var dayDomains = []ident.Domain{"north", "south", "harbour", "west", "east"}
+// largeDomains are the failure domains of the large site.
+var largeDomains = []ident.Domain{"north", "south", "harbour", "west", "east"}
 
-// scaleDay is a day of surges by turns: of dossiers, of checks, and of dossiers again.
-var scaleDay = []dayLoad{
+// surgesByTurns are a surge of long prompts, one of short prompts, and one of long prompts again.
+var surgesByTurns = []loadPhase{
 	{2700, 1, 1, 1, 0}, {9900, 0.39, 1.5, 3.2, 0}, {1200, 1, 1, 1, 0}, {10900, 2.5, 0.5, 0.05, 0}, {500, 1, 1, 1, 0.1},
 	{9900, 0.34, 1.5, 3.3, 0}, {6000, 1, 1, 1, 0},
 }
 
-// dayAnswers holds the lengths of answers by route.
-var dayAnswers = map[string]answerEvents{checks: {23.5, 0.7}, reviews: {14.1, 0.6}, dossiers: {11.8, 0.5}}
+// answerLengths holds the lengths of answers by route.
+var answerLengths = map[string]answerLength{shortPrompts: {23.5, 0.7}, mediumPrompts: {14.1, 0.6}, longPrompts: {11.8, 0.5}}
 
 // largeEngine returns the performance model of the engines of the large site.
 func largeEngine() *plan.Engine {
@@ -89,18 +87,18 @@
 	return &engine
 }
 
-// newDay starts the entries of the large site before engines that work in passes.
-func newDay(t *testing.T, seed uint64) *day {
-	d := &day{
-		fleet: newFleetIn(t, dayDomains, largeEntries), random: rand.New(rand.NewPCG(seed, 5)), pending: map[*fleetEntry]map[uint64]*prompt{},
-		engines: map[ident.Endpoint]*passEngine{}, revision: 20,
+// newMixedLoad starts the entries of the large site before engines that work in passes.
+func newMixedLoad(t *testing.T, seed uint64) *mixedLoad {
+	m := &mixedLoad{
+		fleet: newFleetIn(t, largeDomains, largeEntries), random: rand.New(rand.NewPCG(seed, 5)), pending: map[*fleetEntry]map[uint64]*prompt{},
+		revision: 20,
 		sources: []arrivals{
-			{checks, 186, 4960, 0.9, 23800, 400, 10000, 0},
-			{reviews, 13.7, 45000, 0.5, 110000, 1500, 10000, 0},
-			{dossiers, 4.53, 220000, 0.55, longestPrompt, 4000, promptTimeout, 0},
+			{shortPrompts, 186, 4960, 0.9, 23800, 400, 10000, 0},
+			{mediumPrompts, 13.7, 45000, 0.5, 110000, 1500, 10000, 0},
+			{longPrompts, 4.53, 220000, 0.55, longestPrompt, 4000, promptTimeout, 0},
 		},
 	}
-	d.organisations = rand.NewZipf(d.random, organisationSkew, 1, dayOrganisations-1)
+	m.organisations = rand.NewZipf(m.random, organisationSkew, 1, largeOrganisations-1)
 	service := []plan.WeightedService{{Service: engines, Weight: 1}}
 	route := func(name string, timeout, objective, gap clock.Millis) plan.Route {
 		return plan.Route{
@@ -109,11 +107,11 @@
 		}
 	}
 	routes := []plan.Route{
-		route(checks, 10000, 400, 300), route(reviews, 10000, 1500, 800), route(dossiers, promptTimeout, 4000, 1200),
+		route(shortPrompts, 10000, 400, 300), route(mediumPrompts, 10000, 1500, 800), route(longPrompts, promptTimeout, 4000, 1200),
 	}
 	newPlan := plan.New(7, routes, []plan.Service{{Name: engines, Engine: largeEngine()}}, plan.Limits{})
 	keys := map[string]plan.Organisation{}
-	for i := range dayOrganisations {
+	for i := range largeOrganisations {
 		keys[manyKey(uint64(i))] = plan.Organisation{Name: ident.Organisation(fmt.Sprintf("organisation-%d", i))}
 	}
 	newPlan = newPlan.WithOrganisations(keys)
@@ -121,185 +119,170 @@
 	for i := range largeEngines {
 		list = append(list, pool.Listing{
 			Name: ident.Endpoint(fmt.Sprintf("engine-%02d", i)), Service: engines, Slots: largeEngine().Slots,
-			Address: fmt.Sprintf("10.1.0.%d:80", i), Domain: dayDomains[i%len(dayDomains)], Epoch: 1,
+			Address: fmt.Sprintf("10.1.0.%d:80", i), Domain: largeDomains[i%len(largeDomains)], Epoch: 1,
 		})
 	}
-	for _, e := range d.entries {
+	for _, e := range m.entries {
 		e.board.Settings.NewsRate = siteNewsRate
 		e.step(input.PlanRead{Plan: newPlan})
-		e.step(input.ListRead{List: list, Revision: d.revision})
+		e.step(input.ListRead{List: list, Revision: m.revision})
 		e.outputs = nil
 	}
-	for _, endpoint := range d.entries[0].board.Pool.ByService(engines) {
-		engine := &passEngine{model: largeEngine()}
-		d.engines[endpoint.Name] = engine
-		d.inOrder = append(d.inOrder, engine)
+	for _, endpoint := range m.entries[0].board.Pool.ByService(engines) {
+		m.engines = append(m.engines, &passEngine{name: endpoint.Name, model: largeEngine()})
 	}
-	d.advance(3 * clock.Second)
-	return d
+	m.advance(3 * clock.Second)
+	return m
 }
 
 // play plays the phases and lets all prompts end.
-func (d *day) play(phases []dayLoad) {
+func (m *mixedLoad) play(phases []loadPhase) {
 	for _, phase := range phases {
-		d.leave(phase.leaving)
-		factors := map[string]float64{checks: phase.checks, reviews: phase.reviews, dossiers: phase.dossiers}
-		for end := d.now + phase.duration; d.now < end; {
-			d.advanceTick(factors)
+		m.leave(phase.leaving)
+		factors := map[string]float64{shortPrompts: phase.short, mediumPrompts: phase.medium, longPrompts: phase.long}
+		for end := m.now + phase.duration; m.now < end; {
+			m.advanceTick(factors)
 		}
 	}
-	for end := d.now + promptTimeout; d.now < end; {
-		d.advanceTick(nil)
+	for end := m.now + promptTimeout; m.now < end; {
+		m.advanceTick(nil)
 	}
 }
 
 // leave lets the fraction of the engines announce that they leave. They finish what they run.
-func (d *day) leave(fraction float64) {
-	all := d.entries[0].board.Pool.ByService(engines)
+func (m *mixedLoad) leave(fraction float64) {
+	all := m.entries[0].board.Pool.ByService(engines)
 	for i := range int(fraction * float64(len(all))) {
 		endpoint := all[i*len(all)/int(fraction*float64(len(all)))]
-		d.revision++
+		m.revision++
 		record := pool.Listing{
 			Name: endpoint.Name, Service: engines, Address: endpoint.Address, Slots: endpoint.Slots, Domain: endpoint.Domain, Leaving: true, Epoch: 1,
 		}
-		for _, e := range d.entries[:len(dayDomains)] {
-			d.carryOut(e, e.step(input.EndpointRead{Record: record, Revision: d.revision}))
+		for _, e := range m.entries[:len(largeDomains)] {
+			m.carryOut(e, e.step(input.EndpointRead{Record: record, Revision: m.revision}))
 		}
 	}
 }
 
 // advanceTick moves the time forward by one tick, in which callers send prompts.
-func (d *day) advanceTick(factors map[string]float64) {
-	d.advance(fleetTick)
-	for next := nextPassEnd(d.inOrder); next != nil && next.endsAt <= float64(d.now); next = nextPassEnd(d.inOrder) {
-		next.endPass()
+func (m *mixedLoad) advanceTick(factors map[string]float64) {
+	m.advance(fleetTick)
+	m.engines.run(m.now)
+	m.reportJobs()
+	for _, asked := range m.returning.takeDue(m.now) {
+		m.ask(asked)
 	}
-	for _, engine := range d.inOrder {
-		engine.wake(d.now)
-	}
-	d.reportJobs()
-	returning := d.returning
-	d.returning = nil
-	for _, caller := range returning {
-		if caller.at > d.now {
-			d.returning = append(d.returning, caller)
-			continue
-		}
-		d.ask(caller.prompt)
-	}
-	for _, source := range d.sources {
+	for _, source := range m.sources {
 		for expected := factors[source.route] * source.perSecond * fleetTick.Duration().Seconds(); expected > 0; expected-- {
-			if d.random.Float64() < expected {
-				asked := d.newPrompt(source)
-				d.prompts = append(d.prompts, asked)
-				d.ask(asked)
+			if m.random.Float64() < expected {
+				asked := m.newPrompt(source)
+				m.prompts = append(m.prompts, asked)
+				m.ask(asked)
 			}
 		}
 	}
-	for _, entry := range d.entries {
-		d.collect(entry)
+	for _, entry := range m.entries {
+		m.collect(entry)
 	}
 }
 
-func (d *day) newPrompt(source arrivals) *prompt {
-	lognormal := func(mean, spread, factor float64) float64 {
-		return min(math.Exp(math.Log(mean)-spread*spread/2+spread*d.random.NormFloat64()), factor*mean)
-	}
-	answer := dayAnswers[source.route]
-	patience := minPatience + (1-minPatience)*d.random.Float64()
+func (m *mixedLoad) newPrompt(source arrivals) *prompt {
+	answer := answerLengths[source.route]
+	events := min(drawLognormal(m.random, answer.mean, answer.spread), maxAnswerFactor*answer.mean)
+	patience := minPatience + (1-minPatience)*m.random.Float64()
 	return &prompt{
-		from: source, tokens: min(int(lognormal(source.mean, source.spread, math.Inf(1))), source.maximum),
-		answerTokens: int(max(lognormal(answer.mean, answer.spread, maxAnswerFactor), 1)) * tokensPerAnswerEvent,
-		dueAt:        d.now + source.objective, deadlineAt: d.now + clock.Millis(patience*float64(source.timeout)),
+		from: source, tokens: min(int(drawLognormal(m.random, source.mean, source.spread)), source.maximum),
+		answerTokens: int(max(events, 1)) * tokensPerAnswerEvent,
+		dueAt:        m.now + source.objective, deadlineAt: m.now + clock.Millis(patience*float64(source.timeout)),
 	}
 }
 
 // ask sends a prompt to a random entry.
-func (d *day) ask(asked *prompt) {
-	entry := d.entries[d.random.IntN(len(d.entries))]
-	d.collect(entry)
-	if d.pending[entry] == nil {
-		d.pending[entry] = map[uint64]*prompt{}
+func (m *mixedLoad) ask(asked *prompt) {
+	entry := m.entries[m.random.IntN(len(m.entries))]
+	m.collect(entry)
+	if m.pending[entry] == nil {
+		m.pending[entry] = map[uint64]*prompt{}
 	}
 	entry.lastNumber++
-	d.pending[entry][entry.lastNumber] = asked
-	d.tell(entry, input.RequestReceived{Request: call.Request{
+	m.pending[entry][entry.lastNumber] = asked
+	m.tell(entry, input.RequestReceived{Request: call.Request{
 		Number: entry.lastNumber, Name: ident.Request(asked.from.route), Host: host, Path: "/" + asked.from.route + "/1",
-		Key: manyKey(d.organisations.Uint64()), CallerTimeout: asked.deadlineAt - d.now, PromptTokens: asked.tokens,
+		Key: manyKey(m.organisations.Uint64()), CallerTimeout: asked.deadlineAt - m.now, PromptTokens: asked.tokens,
 		OutputTokens: asked.answerTokens, Fingerprint: entry.lastNumber,
 	}})
 }
 
 // collect carries out the sends and replies of the entry.
-func (d *day) collect(entry *fleetEntry) {
+func (m *mixedLoad) collect(entry *fleetEntry) {
 	outputs := entry.outputs
 	entry.outputs = nil
 	for _, out := range outputs {
 		switch out := out.(type) {
 		case output.Send:
-			sent := d.pending[entry][out.Send.Number]
+			sent := m.pending[entry][out.Send.Number]
 			sent.sends++
-			job := newPassJob(d.engines, entry, out.Send, sent, d.now)
+			job := newPassJob(m.engines, entry, out.Send, sent, m.now)
 			if job == nil {
-				d.tell(entry, input.SendEnded{Result: call.Result{Number: out.Send.Number, End: call.EndNotRun, LeaseRefused: true}})
+				m.tell(entry, input.SendEnded{Result: call.Result{Number: out.Send.Number, End: call.EndNotRun, LeaseRefused: true}})
 				continue
 			}
-			d.jobs = append(d.jobs, job)
+			m.jobs = append(m.jobs, job)
 		case output.Reply:
-			if refused := d.pending[entry][out.Reply.Number]; !refused.hasRetried && out.Reply.RetryAfter > 0 {
+			if refused := m.pending[entry][out.Reply.Number]; !refused.hasRetried && out.Reply.RetryAfter > 0 {
 				refused.hasRetried = true
-				delay := min(out.Reply.RetryAfter, (refused.deadlineAt-d.now)/returnDivisor)
-				d.returning = append(d.returning, returningCaller{d.now + delay, refused})
+				delay := min(out.Reply.RetryAfter, (refused.deadlineAt-m.now)/returnDivisor)
+				m.returning = append(m.returning, returningCaller{m.now + delay, refused})
 			}
-			delete(d.pending[entry], out.Reply.Number)
+			delete(m.pending[entry], out.Reply.Number)
 		}
 	}
 }
 
 // tell passes an input to the entry.
-func (d *day) tell(entry *fleetEntry, in input.Input) []output.Output {
+func (m *mixedLoad) tell(entry *fleetEntry, in input.Input) []output.Output {
 	outputs := entry.step(in)
-	d.carryOut(entry, outputs)
-	d.collect(entry)
+	m.carryOut(entry, outputs)
+	m.collect(entry)
 	return outputs
 }
 
 // reportJobs tells the entries what has become of their sends.
-func (d *day) reportJobs() {
-	jobs := d.jobs
-	d.jobs = nil
+func (m *mixedLoad) reportJobs() {
+	jobs := m.jobs
+	m.jobs = nil
 	var open []*passJob
 	for _, job := range jobs {
-		if d.report(job) {
+		if m.report(job) {
 			open = append(open, job)
 		}
 	}
-	d.jobs = append(open, d.jobs...)
+	m.jobs = append(open, m.jobs...)
 }
 
 // report tells the entry of the job what has happened to it, and reports whether the job goes on.
-func (d *day) report(job *passJob) bool {
+func (m *mixedLoad) report(job *passJob) bool {
 	if job.firstAt > 0 && !job.isFirstTold {
 		job.isFirstTold = true
-		job.prompt.isOnTime = d.now <= job.prompt.dueAt
-		d.tell(job.entry, input.FirstEventSent{Number: job.number})
+		job.prompt.isOnTime = m.now <= job.prompt.dueAt
+		m.tell(job.entry, input.FirstEventSent{Number: job.number})
 	}
 	switch {
 	case job.endedAt > 0:
 		job.prompt.isServed = true
-		d.tell(job.entry, input.SendEnded{Result: completeResult(job.number)})
-		delete(d.pending[job.entry], job.number)
+		m.tell(job.entry, input.SendEnded{Result: completeResult(job.number)})
+		delete(m.pending[job.entry], job.number)
 		return false
-	case d.now >= job.prompt.deadlineAt:
+	case m.now >= job.prompt.deadlineAt:
 		job.leave()
-		d.tell(job.entry, input.SendEnded{Result: call.Result{Number: job.number, End: call.EndTimeout}})
+		m.tell(job.entry, input.SendEnded{Result: call.Result{Number: job.number, End: call.EndTimeout}})
 		return false
-	case job.firstAt == 0 && d.now >= job.silentAt && !job.isSilent:
+	case job.firstAt == 0 && m.now >= job.silentAt && !job.isSilent:
 		job.isSilent = true
 		silent := input.EndpointSilent{Number: job.number}
-		if slices.Contains(d.tell(job.entry, silent), output.Output(output.MoveSend(silent))) {
+		if slices.Contains(m.tell(job.entry, silent), output.Output(output.MoveSend(silent))) {
 			job.leave()
-			d.tell(job.entry, input.SendEnded{Result: call.Result{Number: job.number, End: call.EndAnswerLost}})
+			m.tell(job.entry, input.SendEnded{Result: call.Result{Number: job.number, End: call.EndAnswerLost}})
 			return false
 		}
 	}
@@ -326,11 +309,11 @@
 	return total / float64(clock.Second)
 }
 
-// Guards against a day on which hardly any of the longest prompts are served, because answers stand one by one on
+// Guards against surges in which hardly any of the longest prompts are served, because answers stand one by one on
 // engines that can't prefill long shards then. Users require that the largest tenth and the fifth below it
 // are served half as often as all.
 //
-// Pattern: a surge of dossiers, one of checks, and one of dossiers again, which the engines can't serve.
+// Pattern: a surge of long prompts, one of short prompts, and one of long prompts again, which the engines can't serve.
 func TestLongestPromptsAreServedInSurgesByTurns(t *testing.T) {
 	t.Parallel()
 	const (
@@ -342,21 +325,21 @@
 		for seed := range uint64(seeds) {
 			t.Run(fmt.Sprint(seed), func(t *testing.T) {
 				t.Parallel()
-				d := newDay(t, seed)
-				d.play(scaleDay)
-				played[seed] = d.prompts
+				m := newMixedLoad(t, seed)
+				m.play(surgesByTurns)
+				played[seed] = m.prompts
 			})
 		}
 	})
 	all := slices.Concat(played...)
-	for _, route := range []string{checks, reviews, dossiers} {
+	for _, route := range []string{shortPrompts, mediumPrompts, longPrompts} {
 		of := all.filter(func(p *prompt) bool { return p.from.route == route })
 		t.Logf("%s: %d, served %.2f, on time %.2f", route, len(of), of.ratio((*prompt).served), of.ratio((*prompt).onTime))
 	}
-	got := all.filter(func(p *prompt) bool { return p.from.route == dossiers })
+	got := all.filter(func(p *prompt) bool { return p.from.route == longPrompts })
 	divided := got.byTenth()
 	for i, of := range divided {
-		t.Logf("tenth %d of the dossiers: served %.2f, on time %.2f, %.0f engine-seconds of prefill", i+1, of.ratio((*prompt).served),
+		t.Logf("tenth %d of the long prompts: served %.2f, on time %.2f, %.0f engine-seconds of prefill", i+1, of.ratio((*prompt).served),
 			of.ratio((*prompt).onTime), of.prefillSeconds())
 	}
 	served := got.ratio((*prompt).served)
@@ -364,3 +347,19 @@
 	fifth := slices.Concat(divided[tenths-3], divided[tenths-2])
 	assert.GreaterOrEqual(t, fifth.ratio((*prompt).served), floor*served, "fifth below it")
 }
+
+// Guards against decisions that depend on the order of a map: two fleets with equal inputs must decide alike.
+func TestEqualInputsGiveEqualDecisions(t *testing.T) {
+	t.Parallel()
+	var decisions [2][]string
+	for i := range decisions {
+		m := newMixedLoad(t, 1)
+		for end := m.now + 5*clock.Second; m.now < end; {
+			m.advanceTick(map[string]float64{shortPrompts: 1, mediumPrompts: 1.5, longPrompts: 3})
+			for _, job := range m.jobs {
+				decisions[i] = append(decisions[i], fmt.Sprint(job.entry.host, job.number, job.lead.name, len(job.helpers), job.silentAt))
+			}
+		}
+	}
+	require.Equal(t, decisions[0], decisions[1])
+}
