--- a/internal/flow/plan/plan.go
+++ b/internal/flow/plan/plan.go
@@ -64,7 +64,8 @@
 )
 
 // New returns a plan with the given version, routes, services and limits. It has no organisations, so
-// that only requests on anonymous routes may run.
+// that only requests on anonymous routes may run. A route without a host or a prefix has no effect, and one
+// without a timeout has DefaultTimeout.
 func New(version Version, routes []Route, services []Service, limits Limits) Plan {
 	p := Plan{
 		Version:  version,
@@ -77,6 +78,12 @@
 		p.Services[service.Name] = service
 	}
 	for _, route := range routes {
+		switch route.Missing() {
+		case NeedHost, NeedPrefix:
+			continue
+		case NeedTimeout:
+			route.Timeout = DefaultTimeout
+		}
 		p.hosts[route.Host] = append(p.hosts[route.Host], route)
 	}
 	for _, routes := range p.hosts {
--- a/internal/flow/plan/route.go
+++ b/internal/flow/plan/route.go
@@ -5,7 +5,20 @@
 	"mustardhook/internal/core/ident"
 )
 
+// DefaultTimeout is the timeout of a route that has none.
+const DefaultTimeout = 60 * clock.Second
+
+// What a route needs.
+const (
+	NeedHost    Need = "host"
+	NeedPrefix  Need = "prefix"
+	NeedTimeout Need = "timeout"
+)
+
 type (
+	// Need is something that a route needs.
+	Need string
+
 	// Route maps requests for a host and path prefix to services.
 	Route struct {
 		Name   string
@@ -51,6 +64,20 @@
 	}
 )
 
+// Missing returns what the route needs and lacks; empty if there is nothing. A route without a host or a
+// prefix would match requests that nobody has assigned to it.
+func (r Route) Missing() Need {
+	switch {
+	case r.Host == "":
+		return NeedHost
+	case r.Prefix == "":
+		return NeedPrefix
+	case r.Timeout <= 0:
+		return NeedTimeout
+	}
+	return ""
+}
+
 func (Idempotent) isRepeatPolicy() {}
 func (Once) isRepeatPolicy()       {}
 func (Stream) isRepeatPolicy()     {}
