Place: the price of a lead says what each case costs

Cause: read as a newcomer, the penalties of a lead added up in ways that no case needs. Change: one case for each kind of engine.

--- a/internal/flow/place/long.go
+++ b/internal/flow/place/long.go
@@ -213,11 +213,12 @@
 	latest := float64(request.DueAt()-b.Now) / leadSafety
 	priceOf := func(c *candidate) float64 {
 		price := c.price
-		if c.load.Leads == 0 || c.price > latest {
-			price += alone
-		}
-		if c.load.MaxShardMillis < shard {
+		switch {
+		case c.load.MaxShardMillis < shard:
+			// An engine without answers comes before one whose answers would pause for too long.
 			price += 2 * alone
+		case c.load.Leads == 0, c.price > latest:
+			price += alone
 		}
 		if !c.canLead(engine, need) {
 			price += fullPenalty
