Fields: what applies to a single connection stands in one place

Cause: the fields that a proxy must not forward stood in platform/ for requests and, less Proxy-Authenticate and Proxy-Authorization, in the proxy for answers; both are the business of HTTP, not of the platform. Answers lose the two fields as well.

--- a/internal/flow/proxy/session.go
+++ b/internal/flow/proxy/session.go
@@ -18,6 +18,7 @@
 	"mustardhook/internal/flow/output"
 	"mustardhook/internal/serve/conns"
 	"mustardhook/internal/serve/limit"
+	"mustardhook/internal/wire/field"
 )
 
 const (
@@ -302,10 +303,7 @@
 // copyHeader copies all header fields except hop-by-hop fields and Content-Length.
 func copyHeader(to, from http.Header) {
 	for name, values := range from {
-		switch name {
-		case "Connection", "Keep-Alive", "Transfer-Encoding", "Trailer", "Upgrade", "Te", "Content-Length",
-			"Proxy-Connection":
-		default:
+		if !field.IsHopByHop(name) && name != "Content-Length" {
 			to[name] = values
 		}
 	}
