Organisations: which names and keys are usable is told once, and by check as well

Cause: platform/ decided which keys admit nobody; check had its own rule, which took keys with control characters for usable, and said nothing of a name that can't be passed to endpoints, whose keys admit nobody. Change: plan.ByKey and plan.IsFieldValue decide, for entries and for check; plan.Holder takes the place of verify.Organisation.

--- a/cmd/mustardhook/check_test.go
+++ b/cmd/mustardhook/check_test.go
@@ -21,6 +21,7 @@
 		{"check-unreadable", []string{"testdata/unreadable.json"}, false},
 		{"check-open", []string{"testdata/open.json", "--in-force", "testdata/current.json"}, true},
 		{"check-misspelt", []string{"testdata/misspelt.json"}, false},
+		{"check-unusable", []string{"testdata/unusable.json"}, false},
 		{"check-same", []string{"testdata/current.json", "--in-force", "testdata/current.json"}, false},
 	} {
 		var output bytes.Buffer
--- a/internal/flow/plan/plan.go
+++ b/internal/flow/plan/plan.go
@@ -7,6 +7,7 @@
 	"net"
 	"slices"
 	"strings"
+	"unicode"
 
 	"mustardhook/internal/core/clock"
 	"mustardhook/internal/core/ident"
@@ -41,6 +42,12 @@
 		HasRank bool
 	}
 
+	// Holder is an organisation with the API keys that it holds.
+	Holder struct {
+		Organisation
+		Keys []string
+	}
+
 	// Limits bounds the size of callers' requests and the time to wait for them.
 	Limits struct {
 		HeaderBytes   int
@@ -99,6 +106,30 @@
 	return p
 }
 
+// ByKey returns the organisations by their keys, and the names that can't be passed to endpoints: the keys of
+// these organisations admit nobody, and neither do keys that no request can carry. Of two organisations
+// with one key, the last one has it.
+func ByKey(holders []Holder) (keys map[string]Organisation, unusable []ident.Organisation) {
+	keys = map[string]Organisation{}
+	for _, holder := range holders {
+		if !IsFieldValue(string(holder.Name)) {
+			unusable = append(unusable, holder.Name)
+			continue
+		}
+		for _, key := range holder.Keys {
+			if IsFieldValue(key) {
+				keys[key] = holder.Organisation
+			}
+		}
+	}
+	return keys, unusable
+}
+
+// IsFieldValue reports whether the text is not empty and arrives unchanged as the value of a header field.
+func IsFieldValue(text string) bool {
+	return text != "" && text == strings.TrimSpace(text) && !strings.ContainsFunc(text, unicode.IsControl)
+}
+
 // WithOpenAccess returns a copy of the plan in which no request needs a key.
 func (p Plan) WithOpenAccess() Plan {
 	p.Access = Open{}
--- a/internal/flow/verify/organisation.go
+++ b/internal/flow/verify/organisation.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"slices"
-	"strings"
 
 	"mustardhook/internal/core/ident"
 	"mustardhook/internal/flow/plan"
@@ -18,6 +17,9 @@
 			c.fail(at(FieldName), problemDuplicateName)
 		}
 		names[organisation.Name] = true
+		if organisation.Name != "" && !plan.IsFieldValue(string(organisation.Name)) {
+			c.fail(at(FieldName), "can't be passed to endpoints: its keys admit nobody")
+		}
 		if organisation.HasRank && organisation.Rank < 0 {
 			c.fail(at(FieldRank), problemNegative)
 		}
@@ -33,10 +35,10 @@
 }
 
 // checkKeys checks the keys of an organisation. holders has the first organisation that holds each key.
-func (c *checker) checkKeys(index int, organisation Organisation, holders map[string]int) {
+func (c *checker) checkKeys(index int, organisation plan.Holder, holders map[string]int) {
 	at := Place{KindOrganisation, index, FieldKeys}
 	for number, key := range organisation.Keys {
-		if key == "" || key != strings.TrimSpace(key) {
+		if !plan.IsFieldValue(key) {
 			c.fail(at, fmt.Sprintf("has a key that no request can carry, the one at %d", number))
 			continue
 		}
--- a/internal/flow/verify/verify.go
+++ b/internal/flow/verify/verify.go
@@ -6,7 +6,6 @@
 	"cmp"
 	"slices"
 
-	"mustardhook/internal/core/ident"
 	"mustardhook/internal/flow/plan"
 )
 
@@ -74,18 +73,10 @@
 		Services []plan.Service
 		// RequiresKeys reports whether requests need the key of an organisation.
 		RequiresKeys  bool
-		Organisations []Organisation
+		Organisations []plan.Holder
 		Limits        plan.Limits
 	}
 
-	// Organisation is an organisation with the keys that it holds.
-	Organisation struct {
-		Name    ident.Organisation
-		Keys    []string
-		Rank    int
-		HasRank bool
-	}
-
 	// Place is the entry and the field that a finding is about.
 	Place struct {
 		Kind Kind
