--- a/internal/flow/parts/answers_test.go
+++ b/internal/flow/parts/answers_test.go
@@ -24,19 +24,7 @@
 // newLargeEntry starts an entry before the engines of the large site.
 func newLargeEntry(t *testing.T) *testEntry {
 	e := newTestEntry(t).configure(largeEngines)
-	service := []plan.WeightedService{{Service: engines, Weight: 1}}
-	routes := []plan.Route{
-		{
-			Name: "short", Host: host, Prefix: "/short/", Repeat: plan.Stream{Resumable: true, GapObjective: 300}, Timeout: 10000,
-			Objective: 400, Attempts: 2, Services: service,
-		},
-		{
-			Name: "long", Host: host, Prefix: "/long/", Repeat: plan.Stream{Resumable: true, GapObjective: 800}, Timeout: 10000,
-			Objective: 1500, Attempts: 2, Services: service,
-		},
-	}
-	large := plan.New(7, routes, []plan.Service{{Name: engines, Engine: largeEngine()}}, plan.Limits{})
-	e.step(input.PlanRead{Plan: large.WithOrganisations(map[string]plan.Organisation{callerKey: {Name: "city"}})})
+	e.step(input.PlanRead{Plan: largePlan().WithOrganisations(map[string]plan.Organisation{callerKey: {Name: "city"}})})
 	e.outputs = nil
 	return e
 }
@@ -108,7 +96,7 @@
 // passes for its answer and prefills less. An answer must join others unless its shard would pause them
 // beyond their objective.
 //
-// Pattern: long prompts of different lengths while three engines decode.
+// Pattern: a prompt of several shards while three engines decode.
 func TestLongAnswersShareEngines(t *testing.T) {
 	for _, test := range []struct {
 		name      string
@@ -123,7 +111,7 @@
 					loads[endpoint.Hash()] = pool.Load{Leads: 1, Decoding: 1, ContextTokens: 50000, MemoryTokens: 52000, MinGap: test.gap}
 				}
 				e.receiveLoads(loads)
-				_, got := e.request("/long/1", 45000, 10000)
+				_, got := e.request("/medium/1", 45000, 10000)
 				_, isShared := loads[pool.HashOf(requireSend(t, got).Endpoint)]
 				require.Equal(t, test.mustShare, isShared)
 			}
--- a/internal/flow/parts/surge_test.go
+++ b/internal/flow/parts/surge_test.go
@@ -22,7 +22,8 @@
 )
 
 const (
-	// mediumPrompts and longPrompts are the routes of prompts of medium and of great length.
+	// shortPrompts, mediumPrompts and longPrompts are the routes of prompts by their length.
+	shortPrompts  = "short"
 	mediumPrompts = "medium"
 	longPrompts   = "long"
 	// longestPrompt is the length of the longest prompt in tokens.
@@ -114,13 +115,16 @@
 	return float64(len(p.filter(holds))) / float64(max(len(p), 1))
 }
 
-// largest returns the given share of the prompts, those with the most tokens.
-func (p prompts) largest(share float64) prompts {
+// byLength returns the prompts in the order of their tokens, the longest first.
+func (p prompts) byLength() prompts {
 	sorted := slices.Clone(p)
 	slices.SortStableFunc(sorted, func(a, b *prompt) int { return cmp.Compare(b.tokens, a.tokens) })
-	return sorted[:int(share*float64(len(sorted)))]
+	return sorted
 }
 
+// largest returns the given share of the prompts, those with the most tokens.
+func (p prompts) largest(share float64) prompts { return p.byLength()[:int(share*float64(len(p)))] }
+
 // takeDue removes the callers that return by the given time and returns their prompts.
 func (r *returningCallers) takeDue(now clock.Millis) prompts {
 	var due prompts
@@ -140,6 +144,26 @@
 	return math.Exp(math.Log(mean) - spread*spread/2 + spread*random.NormFloat64())
 }
 
+// draw returns a prompt that arrives at the given time. Its caller waits for at least the given part of the timeout
+// of its route.
+func (a arrivals) draw(random *rand.Rand, now clock.Millis, minPatience float64) *prompt {
+	tokens := min(int(drawLognormal(random, a.mean, a.spread)), a.maximum)
+	timeout := a.timeout
+	if minPatience < 1 {
+		timeout = clock.Millis((minPatience + (1-minPatience)*random.Float64()) * float64(timeout))
+	}
+	return &prompt{from: a, tokens: tokens, dueAt: now + a.objective, deadlineAt: now + timeout}
+}
+
+// inTick calls the function for each arrival of a tick.
+func (a arrivals) inTick(random *rand.Rand, arrive func()) {
+	for expected := a.perSecond * fleetTick.Duration().Seconds(); expected > 0; expected-- {
+		if random.Float64() < expected {
+			arrive()
+		}
+	}
+}
+
 func (p *prompt) sent() bool { return p.sends > 0 }
 
 func (p *prompt) served() bool { return p.isServed }
@@ -154,17 +178,7 @@
 	f := newFleet(t, entries)
 	for _, e := range f.entries {
 		e.configureModels(1, engineCount)
-		service := []plan.WeightedService{{Service: "model-00", Weight: 1}}
-		routes := []plan.Route{
-			{
-				Name: mediumPrompts, Host: host, Prefix: "/medium/", Repeat: plan.Stream{Resumable: true, GapObjective: 800},
-				Timeout: 10000, Objective: 1500, Attempts: 2, Services: service,
-			},
-			{
-				Name: longPrompts, Host: host, Prefix: "/long/", Repeat: plan.Stream{Resumable: true, GapObjective: 1200},
-				Timeout: 15000, Objective: 4000, Attempts: 2, Services: service,
-			},
-		}
+		routes := []plan.Route{promptRoute(mediumPrompts, "model-00"), promptRoute(longPrompts, "model-00")}
 		newPlan := plan.New(7, routes, []plan.Service{{Name: "model-00", Engine: testEngine()}}, plan.Limits{})
 		e.step(input.PlanRead{Plan: newPlan.WithOrganisations(map[string]plan.Organisation{callerKey: {Name: "city"}})})
 		e.outputs = nil
@@ -173,6 +187,22 @@
 	return f
 }
 
+// promptRoute returns the route of short, medium or long prompts to a service.
+func promptRoute(name string, service ident.Service) plan.Route {
+	route := plan.Route{
+		Name: name, Host: host, Prefix: "/" + name + "/", Attempts: 2, Services: []plan.WeightedService{{Service: service, Weight: 1}},
+	}
+	switch name {
+	case shortPrompts:
+		route.Timeout, route.Objective, route.Repeat = 10000, 400, plan.Stream{Resumable: true, GapObjective: 300}
+	case mediumPrompts:
+		route.Timeout, route.Objective, route.Repeat = 10000, 1500, plan.Stream{Resumable: true, GapObjective: 800}
+	case longPrompts:
+		route.Timeout, route.Objective, route.Repeat = promptTimeout, 4000, plan.Stream{Resumable: true, GapObjective: 1200}
+	}
+	return route
+}
+
 // largeSite returns the arrivals of a site with 135 engines, multiplied by the given factors.
 func largeSite(mediumFactor, longFactor float64) []arrivals {
 	return []arrivals{
@@ -347,25 +377,17 @@
 		s.ask(asked)
 	}
 	for _, source := range sources {
-		if s.random.Float64() < source.perSecond*fleetTick.Duration().Seconds() {
-			s.prompts = append(s.prompts, s.newPrompt(source))
-			s.ask(s.prompts[len(s.prompts)-1])
-		}
+		source.inTick(s.random, func() {
+			asked := source.draw(s.random, s.now, s.minPatience)
+			s.prompts = append(s.prompts, asked)
+			s.ask(asked)
+		})
 	}
 	for _, entry := range s.entries {
 		s.collect(entry)
 	}
 }
 
-func (s *surge) newPrompt(source arrivals) *prompt {
-	tokens := min(int(drawLognormal(s.random, source.mean, source.spread)), source.maximum)
-	timeout := source.timeout
-	if s.minPatience < 1 {
-		timeout = clock.Millis((s.minPatience + (1-s.minPatience)*s.random.Float64()) * float64(timeout))
-	}
-	return &prompt{from: source, tokens: tokens, dueAt: s.now + source.objective, deadlineAt: s.now + timeout}
-}
-
 // Pattern: long prompts arrive faster than they start, so that the queue of a large service
 // is hardly ever empty. Prompts that exceed the memory of one engine must start beside the
 // others, as often as these.
--- a/internal/flow/parts/turns_test.go
+++ b/internal/flow/parts/turns_test.go
@@ -1,7 +1,6 @@
 package parts
 
 import (
-	"cmp"
 	"fmt"
 	"math/rand/v2"
 	"slices"
@@ -20,8 +19,6 @@
 )
 
 const (
-	// shortPrompts is the route of short prompts.
-	shortPrompts = "short"
 	// siteNewsRate is the rate of news in the settings of the deployments, in bytes per second.
 	siteNewsRate = 64000
 	// largeOrganisations is the number of organisations, a few of which are large.
@@ -63,7 +60,6 @@
 		returning     returningCallers
 		engines       passEngines
 		jobs          []*passJob
-		sources       []arrivals
 		revision      uint64
 	}
 )
@@ -87,29 +83,20 @@
 	return &engine
 }
 
+// largePlan returns the configuration of the large site, without organisations.
+func largePlan() plan.Plan {
+	routes := []plan.Route{promptRoute(shortPrompts, engines), promptRoute(mediumPrompts, engines), promptRoute(longPrompts, engines)}
+	return plan.New(7, routes, []plan.Service{{Name: engines, Engine: largeEngine()}}, plan.Limits{})
+}
+
 // newMixedLoad starts the entries of the large site before engines that work in passes.
 func newMixedLoad(t *testing.T, seed uint64) *mixedLoad {
 	m := &mixedLoad{
 		fleet: newFleetIn(t, largeDomains, largeEntries), random: rand.New(rand.NewPCG(seed, 5)), pending: map[*fleetEntry]map[uint64]*prompt{},
 		revision: 20,
-		sources: []arrivals{
-			{shortPrompts, 186, 4960, 0.9, 23800, 400, 10000, 0},
-			{mediumPrompts, 13.7, 45000, 0.5, 110000, 1500, 10000, 0},
-			{longPrompts, 4.53, 220000, 0.55, longestPrompt, 4000, promptTimeout, 0},
-		},
 	}
 	m.organisations = rand.NewZipf(m.random, organisationSkew, 1, largeOrganisations-1)
-	service := []plan.WeightedService{{Service: engines, Weight: 1}}
-	route := func(name string, timeout, objective, gap clock.Millis) plan.Route {
-		return plan.Route{
-			Name: name, Host: host, Prefix: "/" + name + "/", Repeat: plan.Stream{Resumable: true, GapObjective: gap},
-			Timeout: timeout, Objective: objective, Attempts: 2, Services: service,
-		}
-	}
-	routes := []plan.Route{
-		route(shortPrompts, 10000, 400, 300), route(mediumPrompts, 10000, 1500, 800), route(longPrompts, promptTimeout, 4000, 1200),
-	}
-	newPlan := plan.New(7, routes, []plan.Service{{Name: engines, Engine: largeEngine()}}, plan.Limits{})
+	newPlan := largePlan()
 	keys := map[string]plan.Organisation{}
 	for i := range largeOrganisations {
 		keys[manyKey(uint64(i))] = plan.Organisation{Name: ident.Organisation(fmt.Sprintf("organisation-%d", i))}
@@ -135,13 +122,18 @@
 	return m
 }
 
+// sources returns the arrivals of the phase.
+func (p loadPhase) sources() []arrivals {
+	short := arrivals{shortPrompts, 186 * p.short, 4960, 0.9, 23800, 400, 10000, 0}
+	return append([]arrivals{short}, largeSite(p.medium, p.long)...)
+}
+
 // play plays the phases and lets all prompts end.
 func (m *mixedLoad) play(phases []loadPhase) {
 	for _, phase := range phases {
 		m.leave(phase.leaving)
-		factors := map[string]float64{shortPrompts: phase.short, mediumPrompts: phase.medium, longPrompts: phase.long}
 		for end := m.now + phase.duration; m.now < end; {
-			m.advanceTick(factors)
+			m.advanceTick(phase.sources())
 		}
 	}
 	for end := m.now + promptTimeout; m.now < end; {
@@ -165,21 +157,19 @@
 }
 
 // advanceTick moves the time forward by one tick, in which callers send prompts.
-func (m *mixedLoad) advanceTick(factors map[string]float64) {
+func (m *mixedLoad) advanceTick(sources []arrivals) {
 	m.advance(fleetTick)
 	m.engines.run(m.now)
 	m.reportJobs()
 	for _, asked := range m.returning.takeDue(m.now) {
 		m.ask(asked)
 	}
-	for _, source := range m.sources {
-		for expected := factors[source.route] * source.perSecond * fleetTick.Duration().Seconds(); expected > 0; expected-- {
-			if m.random.Float64() < expected {
-				asked := m.newPrompt(source)
-				m.prompts = append(m.prompts, asked)
-				m.ask(asked)
-			}
-		}
+	for _, source := range sources {
+		source.inTick(m.random, func() {
+			asked := m.newPrompt(source)
+			m.prompts = append(m.prompts, asked)
+			m.ask(asked)
+		})
 	}
 	for _, entry := range m.entries {
 		m.collect(entry)
@@ -187,14 +177,11 @@
 }
 
 func (m *mixedLoad) newPrompt(source arrivals) *prompt {
+	asked := source.draw(m.random, m.now, minPatience)
 	answer := answerLengths[source.route]
 	events := min(drawLognormal(m.random, answer.mean, answer.spread), maxAnswerFactor*answer.mean)
-	patience := minPatience + (1-minPatience)*m.random.Float64()
-	return &prompt{
-		from: source, tokens: min(int(drawLognormal(m.random, source.mean, source.spread)), source.maximum),
-		answerTokens: int(max(events, 1)) * tokensPerAnswerEvent,
-		dueAt:        m.now + source.objective, deadlineAt: m.now + clock.Millis(patience*float64(source.timeout)),
-	}
+	asked.answerTokens = int(max(events, 1)) * tokensPerAnswerEvent
+	return asked
 }
 
 // ask sends a prompt to a random entry.
@@ -289,10 +276,9 @@
 	return true
 }
 
-// byTenth divides the prompts into tenths by length, the shortest first.
+// byTenth divides the prompts into tenths by length, the longest first.
 func (p prompts) byTenth() []prompts {
-	sorted := slices.Clone(p)
-	slices.SortStableFunc(sorted, func(a, b *prompt) int { return cmp.Compare(a.tokens, b.tokens) })
+	sorted := p.byLength()
 	divided := make([]prompts, tenths)
 	for i := range divided {
 		divided[i] = sorted[i*len(sorted)/tenths : (i+1)*len(sorted)/tenths]
@@ -318,7 +304,7 @@
 	t.Parallel()
 	const (
 		floor = 0.5
-		seeds = 6
+		seeds = 12
 	)
 	played := make([]prompts, seeds)
 	t.Run("play", func(t *testing.T) {
@@ -339,12 +325,12 @@
 	got := all.filter(func(p *prompt) bool { return p.from.route == longPrompts })
 	divided := got.byTenth()
 	for i, of := range divided {
-		t.Logf("tenth %d of the long prompts: served %.2f, on time %.2f, %.0f engine-seconds of prefill", i+1, of.ratio((*prompt).served),
+		t.Logf("tenth %d of the long prompts from the longest: served %.2f, on time %.2f, %.0f engine-seconds of prefill", i+1, of.ratio((*prompt).served),
 			of.ratio((*prompt).onTime), of.prefillSeconds())
 	}
 	served := got.ratio((*prompt).served)
-	assert.GreaterOrEqual(t, divided[tenths-1].ratio((*prompt).served), floor*served, "largest tenth")
-	fifth := slices.Concat(divided[tenths-3], divided[tenths-2])
+	assert.GreaterOrEqual(t, divided[0].ratio((*prompt).served), floor*served, "largest tenth")
+	fifth := slices.Concat(divided[1], divided[2])
 	assert.GreaterOrEqual(t, fifth.ratio((*prompt).served), floor*served, "fifth below it")
 }
 
@@ -355,7 +341,7 @@
 	for i := range decisions {
 		m := newMixedLoad(t, 1)
 		for end := m.now + 5*clock.Second; m.now < end; {
-			m.advanceTick(map[string]float64{shortPrompts: 1, mediumPrompts: 1.5, longPrompts: 3})
+			m.advanceTick(loadPhase{short: 1, medium: 1.5, long: 3}.sources())
 			for _, job := range m.jobs {
 				decisions[i] = append(decisions[i], fmt.Sprint(job.entry.host, job.number, job.lead.name, len(job.helpers), job.silentAt))
 			}
