Simulations of surges: one kind of callers

Cause: both simulations kept callers, pending prompts and returns in their own way, in the same lines. Change: callers_test.go holds prompts, arrivals and callers; entries hand over their outputs with takeOutputs.

--- a/internal/flow/parts/entry_test.go
+++ b/internal/flow/parts/entry_test.go
@@ -67,6 +67,13 @@
 	return emitted
 }
 
+// takeOutputs returns the outputs since the last call.
+func (e *testEntry) takeOutputs() []output.Output {
+	outputs := e.outputs
+	e.outputs = nil
+	return outputs
+}
+
 // advance moves the virtual time forward by the given time, in ticks.
 func (e *testEntry) advance(duration clock.Millis) {
 	const tick = 50
--- a/internal/flow/parts/poison_test.go
+++ b/internal/flow/parts/poison_test.go
@@ -234,8 +234,7 @@
 	for isDone := false; !isDone; {
 		isDone = true
 		for _, entry := range p.entries {
-			outputs := entry.outputs
-			entry.outputs = nil
+			outputs := entry.takeOutputs()
 			for _, out := range outputs {
 				p.executeOne(entry, out)
 			}
--- a/internal/flow/parts/turns_test.go
+++ b/internal/flow/parts/turns_test.go
@@ -23,12 +23,10 @@
 	siteNewsRate = 64000
 	// largeOrganisations is the number of organisations, a few of which are large.
 	largeOrganisations = 40
-	// tenths is the number of equal groups into which prompts are divided by length.
-	tenths = 10
 	// tokensPerAnswerEvent is the number of tokens in an event of an answer.
 	tokensPerAnswerEvent = 80
-	// minPatience is the smallest part of the timeout of its route that a caller waits.
-	minPatience = 0.85
+	// leastPatience is the smallest part of the timeout of its route that a caller waits.
+	leastPatience = 0.85
 	// returnDivisor divides the time that a caller has left to give the longest time after which it returns.
 	returnDivisor = 3
 	// maxAnswerFactor is the ratio of the longest answer of a route to its mean.
@@ -52,12 +50,8 @@
 
 	// mixedLoad runs callers of short and long prompts before engines that work in passes.
 	mixedLoad struct {
-		*fleet
-		random        *rand.Rand
+		callers
 		organisations *rand.Zipf
-		prompts       prompts
-		pending       map[*fleetEntry]map[uint64]*prompt
-		returning     returningCallers
 		engines       passEngines
 		jobs          []*passJob
 		revision      uint64
@@ -92,7 +86,7 @@
 // newMixedLoad starts the entries of the large site before engines that work in passes.
 func newMixedLoad(t *testing.T, seed uint64) *mixedLoad {
 	m := &mixedLoad{
-		fleet: newFleetIn(t, largeDomains, largeEntries), random: rand.New(rand.NewPCG(seed, 5)), pending: map[*fleetEntry]map[uint64]*prompt{},
+		callers:  newCallers(newFleetIn(t, largeDomains, largeEntries), rand.New(rand.NewPCG(seed, 5)), leastPatience),
 		revision: 20,
 	}
 	m.organisations = rand.NewZipf(m.random, organisationSkew, 1, largeOrganisations-1)
@@ -161,38 +155,28 @@
 	m.advance(fleetTick)
 	m.engines.run(m.now)
 	m.reportJobs()
-	for _, asked := range m.returning.takeDue(m.now) {
-		m.ask(asked)
-	}
-	for _, source := range sources {
-		source.inTick(m.random, func() {
-			asked := m.newPrompt(source)
-			m.prompts = append(m.prompts, asked)
-			m.ask(asked)
-		})
-	}
+	m.arrive(sources, m.ask)
 	for _, entry := range m.entries {
 		m.collect(entry)
 	}
 }
 
-func (m *mixedLoad) newPrompt(source arrivals) *prompt {
-	asked := source.draw(m.random, m.now, minPatience)
-	answer := answerLengths[source.route]
+// drawAnswer draws the length of the answer to a prompt, in tokens.
+func (m *mixedLoad) drawAnswer(asked *prompt) int {
+	answer := answerLengths[asked.from.route]
 	events := min(drawLognormal(m.random, answer.mean, answer.spread), maxAnswerFactor*answer.mean)
-	asked.answerTokens = int(max(events, 1)) * tokensPerAnswerEvent
-	return asked
+	return int(max(events, 1)) * tokensPerAnswerEvent
 }
 
 // ask sends a prompt to a random entry.
 func (m *mixedLoad) ask(asked *prompt) {
+	if asked.answerTokens == 0 {
+		asked.answerTokens = m.drawAnswer(asked)
+	}
 	entry := m.entries[m.random.IntN(len(m.entries))]
 	m.collect(entry)
-	if m.pending[entry] == nil {
-		m.pending[entry] = map[uint64]*prompt{}
-	}
 	entry.lastNumber++
-	m.pending[entry][entry.lastNumber] = asked
+	m.await(entry, entry.lastNumber, asked)
 	m.tell(entry, input.RequestReceived{Request: call.Request{
 		Number: entry.lastNumber, Name: ident.Request(asked.from.route), Host: host, Path: "/" + asked.from.route + "/1",
 		Key: manyKey(m.organisations.Uint64()), CallerTimeout: asked.deadlineAt - m.now, PromptTokens: asked.tokens,
@@ -202,9 +186,7 @@
 
 // collect carries out the sends and replies of the entry.
 func (m *mixedLoad) collect(entry *fleetEntry) {
-	outputs := entry.outputs
-	entry.outputs = nil
-	for _, out := range outputs {
+	for _, out := range entry.takeOutputs() {
 		switch out := out.(type) {
 		case output.Send:
 			sent := m.pending[entry][out.Send.Number]
@@ -276,25 +258,6 @@
 	return true
 }
 
-// byTenth divides the prompts into tenths by length, the longest first.
-func (p prompts) byTenth() []prompts {
-	sorted := p.byLength()
-	divided := make([]prompts, tenths)
-	for i := range divided {
-		divided[i] = sorted[i*len(sorted)/tenths : (i+1)*len(sorted)/tenths]
-	}
-	return divided
-}
-
-// prefillSeconds returns the engine-seconds that were spent on the prefill of the prompts.
-func (p prompts) prefillSeconds() float64 {
-	total := 0.0
-	for _, one := range p {
-		total += one.prefillMillis
-	}
-	return total / float64(clock.Second)
-}
-
 // Guards against surges in which hardly any of the longest prompts are served, because answers stand one by one on
 // engines that can't prefill long shards then. Users require that the largest tenth and the fifth below it
 // are served half as often as all.
