--- a/review/rig2/oversized.go
+++ b/review/rig2/long.go
@@ -7,20 +7,20 @@
 )
 
 const (
-	// oversizedTokens is the length of a prompt that one runner can't hold, oversizedPerEntry the number of clients
-	// that send one to each entry, and oversizedDeadline how long they wait.
-	oversizedTokens   = 400_000
-	oversizedPerEntry = 300
-	oversizedDeadline = 15 * time.Second
+	// longTokens is the length of a prompt, longPerEntry the number of clients
+	// that send one to each entry, and longDeadline how long they wait.
+	longTokens   = 25_000
+	longPerEntry = 300
+	longDeadline = 15 * time.Second
 
 	calmTime  = 3 * time.Second
 	crowdTime = 8 * time.Second
 )
 
-func init() { cases["oversized"] = playOversized }
+func init() { cases["long"] = playLong }
 
-// playOversized lets many clients send one long prompt each, and books meanwhile.
-func playOversized(w *world) int {
+// playLong lets many clients send one long prompt each, and books meanwhile.
+func playLong(w *world) int {
 	f, ok := w.newFleet()
 	if !ok {
 		return exitNotRun
@@ -33,11 +33,11 @@
 	}
 	var crowd sync.WaitGroup
 	if w.hasTrouble {
-		w.logf("%d clients send a prompt of %d tokens to each entry", oversizedPerEntry, oversizedTokens)
-		for range oversizedPerEntry {
+		w.logf("%d clients send a prompt of %d tokens to each entry", longPerEntry, longTokens)
+		for range longPerEntry {
 			for _, e := range f.entries {
 				crowd.Go(func() {
-					a := newAttempt(http.MethodPost, "/dossier/2f", oversizedDeadline, prompt(oversizedTokens, 800)...)
+					a := newAttempt(http.MethodPost, "/dossier/2f", longDeadline, prompt(longTokens, 800)...)
 					a.body = a.id
 					w.logf("prompt %s at %s: %v", a.id, e.name, a.send(e.address("frontend")))
 				})
