--- a/review/rig2/idle.go
+++ b/review/rig2/idle.go
@@ -11,7 +11,7 @@
 const (
 	// idleWave is the number of clients that come at once, maxIdle the largest number of them that is tried, and
 	// idleTime how long they keep a connection without a request: four fifths of the limit in the configuration.
-	idleWave = 10
+	idleWave = 15
 	maxIdle  = 3000
 	idleTime = 12 * time.Second
 	// readTimeout is the time after which a client abandons an attempt that was not read.
