--- a/review/rig2/store.go
+++ b/review/rig2/store.go
@@ -20,6 +20,9 @@
 	history  []map[string]any
 	revision int
 	changed  chan struct{}
+	// watchLife is how long a watch waits before the store cuts it; zero for no cuts.
+	watchLife time.Duration
+	cuts      int
 }
 
 // newStore starts a store on a free port of the address.
@@ -69,7 +72,12 @@
 	case "/kv-watch":
 		after, _ := strconv.Atoi(query.Get("after"))
 		wait, _ := strconv.Atoi(query.Get("wait_ms"))
-		_ = json.NewEncoder(w).Encode(s.await(r, prefix, after, time.Duration(wait)*time.Millisecond))
+		page, ok := s.await(r, prefix, after, time.Duration(wait)*time.Millisecond)
+		if !ok {
+			// The connection is closed without an answer.
+			panic(http.ErrAbortHandler)
+		}
+		_ = json.NewEncoder(w).Encode(page)
 	default:
 		w.WriteHeader(http.StatusNotFound)
 	}
@@ -92,9 +100,33 @@
 	return map[string]any{"items": items, "truncated": false, "store_revision": s.revision}
 }
 
-// await returns the changes after the revision as soon as there is one.
-func (s *store) await(r *http.Request, prefix string, after int, wait time.Duration) map[string]any {
-	timeout := time.After(wait)
+// cutWatches makes the store cut all watches that wait for longer than the given time.
+func (s *store) cutWatches(life time.Duration) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.watchLife = life
+}
+
+// cutCount returns how many watches were cut.
+func (s *store) cutCount() int {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.cuts
+}
+
+// startCut returns a channel that gets a value when the watch that begins is cut; nil if it isn't.
+func (s *store) startCut() <-chan time.Time {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if s.watchLife == 0 {
+		return nil
+	}
+	return time.After(s.watchLife)
+}
+
+// await returns the changes after the revision as soon as there is one. It reports false if the watch is cut or its caller has left.
+func (s *store) await(r *http.Request, prefix string, after int, wait time.Duration) (page map[string]any, ok bool) {
+	timeout, cut := time.After(wait), s.startCut()
 	for {
 		s.mutex.Lock()
 		changed, revision := s.changed, s.revision
@@ -106,14 +138,19 @@
 		}
 		s.mutex.Unlock()
 		if len(events) > 0 {
-			return map[string]any{"events": events, "store_revision": revision}
+			return map[string]any{"events": events, "store_revision": revision}, true
 		}
 		select {
 		case <-changed:
 		case <-r.Context().Done():
-			return nil
+			return nil, false
+		case <-cut:
+			s.mutex.Lock()
+			s.cuts++
+			s.mutex.Unlock()
+			return nil, false
 		case <-timeout:
-			return map[string]any{"events": events, "store_revision": revision}
+			return map[string]any{"events": events, "store_revision": revision}, true
 		}
 	}
 }
