--- a/review/rig2/part.go
+++ b/review/rig2/part.go
@@ -39,9 +39,11 @@
 	mutex   sync.Mutex
 	crashes []time.Time
 	crashed map[string]bool
-	// badRuns is the number of prompts with the part that reached a runner, late those of them that count.
+	// badRuns is the number of prompts with the part that reached a runner, late those of them that count. badRefused is
+	// the number of those that were refused.
 	badRuns    int
 	late       int
+	badRefused int
 	started    int
 	soundSent  int
 	soundOK    int
@@ -50,14 +52,10 @@
 
 // playPart sends sound prompts and, as the disruption, prompts with a part that crashes runners.
 func playPart(w *world) int {
-	f, ok := w.newFleet()
+	p, ok := w.newPartCase()
 	if !ok {
 		return exitNotRun
 	}
-	p := &partCase{world: w, fleet: f, crashed: map[string]bool{}}
-	for _, r := range f.models {
-		p.arm(r)
-	}
 	var group sync.WaitGroup
 	until := time.Now().Add(partTime)
 	group.Go(func() {
@@ -78,7 +76,26 @@
 		}
 	}
 	group.Wait()
-	for _, e := range f.entries {
+	return p.judge()
+}
+
+// newPartCase starts a deployment whose models crash on the part. It reports false if the case can't run.
+func (w *world) newPartCase() (*partCase, bool) {
+	f, ok := w.newFleet()
+	if !ok {
+		return nil, false
+	}
+	p := &partCase{world: w, fleet: f, crashed: map[string]bool{}}
+	for _, r := range f.models {
+		p.arm(r)
+	}
+	return p, true
+}
+
+// judge logs what was seen and returns the exit code.
+func (p *partCase) judge() int {
+	w := p.world
+	for _, e := range p.fleet.entries {
 		for line := range strings.Lines(e.logText()) {
 			if strings.Contains(line, "such prompts are refused") {
 				w.logf("%s: %s", e.name, strings.TrimSpace(line))
@@ -92,7 +109,7 @@
 	switch {
 	case p.late > maxLatePrompts:
 		return exitBroken
-	case w.hasTrouble && len(p.crashes) < countedCrash:
+	case w.hasTrouble && len(p.crashes) < countedCrash && p.badRefused == 0:
 		w.logf("too few crashes for the rule")
 		return exitNotRun
 	case !w.hasTrouble && p.soundOK < p.soundSent:
@@ -157,25 +174,38 @@
 
 // send sends a prompt to the next entry. No two are alike; all share their first part and their caller.
 func (p *partCase) send(isBad bool) {
-	p.mutex.Lock()
-	p.sentNumber++
-	number := p.sentNumber
-	p.mutex.Unlock()
+	number := p.next()
 	middle := fmt.Sprintf("%x:900", 0xaa0000+number%7)
 	if isBad {
 		middle = badPart + ":900"
 	}
+	p.sendParts(number, "5c1e07a2:40,"+middle, isBad)
+}
+
+// next returns the number of the next prompt.
+func (p *partCase) next() int {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	p.sentNumber++
+	return p.sentNumber
+}
+
+// sendParts sends a prompt with the given parts and one of its own to the entry with the number.
+func (p *partCase) sendParts(number int, parts string, isBad bool) {
 	a := newAttempt(http.MethodPost, "/short/2f", partDeadline, "Model: m", "Token-Usage: 1000,800",
-		fmt.Sprintf("Prompt-Prefix: 5c1e07a2:40,%s,%x:60", middle, attempts.Add(1)+1<<33))
+		fmt.Sprintf("Prompt-Prefix: %s,%x:60", parts, attempts.Add(1)+1<<33))
 	a.body = a.id
 	e := p.fleet.entries[number%len(p.fleet.entries)]
 	got := a.send(e.address("frontend"))
 	p.world.logf("prompt %s, with the part: %v, at %s: %v", a.id, isBad, e.name, got)
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
 	if isBad {
+		if got.status == http.StatusServiceUnavailable {
+			p.badRefused++
+		}
 		return
 	}
-	p.mutex.Lock()
-	defer p.mutex.Unlock()
 	p.soundSent++
 	if got.status == http.StatusOK && got.err == nil {
 		p.soundOK++
