A reset that the write of a request has seen ends no answer

Cause: the kernel reports the failure of a connection to one system call. The relay reads the answer while it writes the request. If the write gets ECONNRESET or ETIMEDOUT, the read returns what has arrived and then io.EOF, which is the end of an answer without a length. The error of the write was read only if the head failed, and the endpoint lives, so the probe of its port found nothing wrong.

Fix: connections for answers keep the first error of their writes and return it where a read would report the end. At the end a write that is still in progress is ended first, so that its result is known. EPIPE is no such error: the kernel gives it if the peer had ended its direction before the reset, and then all of the answer has arrived.

--- /dev/null
+++ b/internal/fake/rawtcp/rawtcp.go
@@ -0,0 +1,30 @@
+// Package rawtcp serves TCP connections with bytes that no HTTP server would send.
+package rawtcp
+
+import (
+	"net"
+
+	"github.com/go-faster/errors"
+)
+
+// Serve listens on a loopback address and calls handle for each connection, which is closed afterwards. It ends when
+// the listener is closed.
+func Serve(handle func(*net.TCPConn)) (net.Listener, error) {
+	listener, err := net.ListenTCP("tcp4", &net.TCPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	if err != nil {
+		return nil, errors.Wrap(err, "listen")
+	}
+	go func() {
+		for {
+			conn, err := listener.AcceptTCP()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer func() { _ = conn.Close() }()
+				handle(conn)
+			}()
+		}
+	}()
+	return listener, nil
+}
--- a/internal/flow/proxy/dial.go
+++ b/internal/flow/proxy/dial.go
@@ -8,6 +8,7 @@
 
 	"golang.org/x/sys/unix"
 
+	"mustardhook/internal/serve/answer"
 	"mustardhook/internal/serve/limit"
 )
 
@@ -77,7 +78,7 @@
 // soon after the peer has disappeared, and reading a response fails over maxResponseBytes.
 func NewClient() *http.Client {
 	transport := &http.Transport{
-		DialContext: newDialer(tcpUserTimeout).DialContext, IdleConnTimeout: idleConnTimeout, DisableCompression: true,
+		DialContext: answer.NewDial(newDialer(tcpUserTimeout).DialContext), IdleConnTimeout: idleConnTimeout, DisableCompression: true,
 		MaxIdleConnsPerHost: 2, MaxResponseHeaderBytes: maxResponseHeadBytes,
 	}
 	return &http.Client{Transport: limit.NewTransport(transport, maxResponseBytes)}
--- a/internal/flow/proxy/dial_test.go
+++ b/internal/flow/proxy/dial_test.go
@@ -1,11 +1,17 @@
 package proxy
 
 import (
+	"bufio"
+	"bytes"
+	"io"
 	"net"
+	"net/http"
 	"testing"
 
 	"github.com/stretchr/testify/require"
 	"golang.org/x/sys/unix"
+
+	"mustardhook/internal/fake/rawtcp"
 )
 
 // Guards against a dead endpoint that is not noticed before the deadline of a request with a
@@ -31,3 +37,27 @@
 		require.Equal(t, expected, value, "option %d", option)
 	}
 }
+
+// Guards against the part of an answer to a call without a length or chunks that counts as whole: it came before the
+// request was written, and the connection was reset.
+func TestResetDuringCallIsNoEnd(t *testing.T) {
+	t.Parallel()
+	const calls, callBytes = 50, 8 << 20
+	listener, err := rawtcp.Serve(func(conn *net.TCPConn) {
+		_ = conn.SetReadBuffer(4 << 10)
+		_, _ = http.ReadRequest(bufio.NewReader(conn))
+		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\n\r\n{}")
+		_ = conn.SetLinger(0)
+	})
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = listener.Close() })
+	for range calls {
+		response, err := NewClient().Post("http://"+listener.Addr().String(), "text/plain", bytes.NewReader(make([]byte, callBytes)))
+		if err != nil {
+			continue
+		}
+		content, err := io.ReadAll(response.Body)
+		require.Error(t, err, "%q counts as complete", content)
+		require.NoError(t, response.Body.Close())
+	}
+}
--- a/internal/flow/proxy/send.go
+++ b/internal/flow/proxy/send.go
@@ -17,6 +17,7 @@
 	"mustardhook/internal/flow/call"
 	"mustardhook/internal/flow/input"
 	"mustardhook/internal/flow/port"
+	"mustardhook/internal/serve/answer"
 	"mustardhook/internal/serve/limit"
 	"mustardhook/internal/serve/probe"
 )
@@ -85,7 +86,8 @@
 		return s.classifyEnd(result)
 	}
 	s.stage.Store(stageSent)
-	conn, err := newDialer(userTimeoutFor(len(s.body))).DialContext(ctx, "tcp4", target.Address)
+	dial := answer.NewDial(newDialer(userTimeoutFor(len(s.body))).DialContext)
+	conn, err := dial(ctx, "tcp4", target.Address)
 	if err != nil {
 		result.Err = err
 		result.Exited = errors.Is(err, syscall.ECONNREFUSED)
@@ -137,6 +139,7 @@
 func (x *exchange) run() call.Result {
 	// An endpoint may answer before it has read a long body, so write and read
 	// concurrently.
+	_ = x.conn.SetWriteDeadline(x.deadline)
 	writeErr := make(chan error, 1)
 	x.session.proxy.spawn(func() { writeErr <- x.writeRequest() })
 	x.setReadTimeout(x.send.FirstEventTimeout.Duration())
@@ -314,7 +317,6 @@
 func (x *exchange) writeRequest() error {
 	s := x.session
 	header := s.proxy.dialect.EndpointHeader(s.head.Header, x.send, s.lastEventID)
-	_ = x.conn.SetWriteDeadline(x.deadline)
 	writer := bufio.NewWriterSize(x.conn, ioBufferBytes)
 	requestHead := s.head.Method + " " + s.head.RequestURI + " HTTP/1.1\r\nHost: " + s.head.Host + "\r\n"
 	if _, err := writer.WriteString(requestHead); err != nil {
@@ -345,7 +347,7 @@
 	if err := x.checkEnd(response, len(body) == 0); err != nil {
 		return x.failedResult(err)
 	}
-	x.session.answer = &answer{response.StatusCode, response.Header, body}
+	x.session.answer = &bufferedAnswer{response.StatusCode, response.Header, body}
 	return call.Result{End: call.EndComplete, Status: response.StatusCode, Unframed: !probe.HasFraming(response)}
 }
 
--- a/internal/flow/proxy/session.go
+++ b/internal/flow/proxy/session.go
@@ -78,7 +78,7 @@
 		// memory holds what the session has buffered of answers.
 		memory *limit.Share
 		// answer is the last complete answer that was not streamed.
-		answer *answer
+		answer *bufferedAnswer
 		// streamOpen is set once the header of a stream was forwarded to the caller.
 		// lastEventID is the id of the last event that was.
 		streamOpen   bool
@@ -93,8 +93,8 @@
 		sends           int
 	}
 
-	// answer is a complete answer of an endpoint.
-	answer struct {
+	// bufferedAnswer is a complete answer of an endpoint.
+	bufferedAnswer struct {
 		status int
 		header http.Header
 		body   []byte
--- a/internal/serve/shell/shell.go
+++ b/internal/serve/shell/shell.go
@@ -20,6 +20,7 @@
 	"mustardhook/internal/core/ident"
 	"mustardhook/internal/core/loop"
 	"mustardhook/internal/core/msgs"
+	"mustardhook/internal/serve/answer"
 	"mustardhook/internal/serve/audit"
 	"mustardhook/internal/serve/limit"
 	"mustardhook/internal/serve/logs"
@@ -116,7 +117,7 @@
 // connection.
 func newTransport(keepAlive bool) *http.Transport {
 	return &http.Transport{
-		DialContext:            dialer().DialContext,
+		DialContext:            answer.NewDial(dialer().DialContext),
 		MaxIdleConnsPerHost:    idleConnsPerHost,
 		IdleConnTimeout:        idleTimeout,
 		DisableKeepAlives:      !keepAlive,
--- a/internal/serve/shell/unframed_test.go
+++ b/internal/serve/shell/unframed_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"io"
 	"net"
 	"net/http"
@@ -9,6 +10,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"mustardhook/internal/fake/rawtcp"
 )
 
 // Guards against an answer of a service without a length or chunks whose endpoint is killed, and that counts as
@@ -57,3 +60,26 @@
 		})
 	}
 }
+
+// Guards against the part of an answer of a service without a length or chunks that counts as whole: its endpoint
+// answered before it had read the request, and reset the connection.
+func TestResetDuringCallIsNoEnd(t *testing.T) {
+	t.Parallel()
+	const calls, callBytes = 50, 8 << 20
+	listener, err := rawtcp.Serve(func(conn *net.TCPConn) {
+		_ = conn.SetReadBuffer(4 << 10)
+		_, _ = http.ReadRequest(bufio.NewReader(conn))
+		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nMustardhook-Attempt: a1\r\n\r\nro")
+		_ = conn.SetLinger(0)
+	})
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = listener.Close() })
+	s := newTestShell(t)
+	body := make([]byte, callBytes)
+	for range calls {
+		request, err := http.NewRequestWithContext(t.Context(), http.MethodPost, "http://"+listener.Addr().String()+"/book", bytes.NewReader(body))
+		require.NoError(t, err)
+		answer, err := s.readAnswer(request, "a1")
+		require.Error(t, err, "%q counts as complete", answer.Body)
+	}
+}
--- a/internal/tool/client/client.go
+++ b/internal/tool/client/client.go
@@ -7,6 +7,7 @@
 	"bytes"
 	"context"
 	"io"
+	"net"
 	"net/http"
 	"strconv"
 	"strings"
@@ -15,6 +16,7 @@
 	"github.com/go-faster/errors"
 
 	"mustardhook/internal/core/clock"
+	"mustardhook/internal/serve/answer"
 	"mustardhook/internal/serve/limit"
 	"mustardhook/internal/wire/caller"
 )
@@ -80,7 +82,9 @@
 
 // New returns a client without timeouts of its own. Its responses fail over maxAnswerBytes.
 func New(organisation string) *Client {
-	transport := limit.NewTransport(&http.Transport{MaxIdleConnsPerHost: 256, DisableCompression: true}, maxAnswerBytes)
+	transport := limit.NewTransport(&http.Transport{
+		DialContext: answer.NewDial((&net.Dialer{}).DialContext), MaxIdleConnsPerHost: 256, DisableCompression: true,
+	}, maxAnswerBytes)
 	return &Client{HTTP: &http.Client{Transport: transport}, Organisation: organisation}
 }
 
