A status that no answer can have makes it a broken answer

Here the relay skipped such a head like an informational one, as it did with every status under 200 but 101, and read on: if the body of that answer, or what followed it, looks like an answer, the caller got that one. Answers with 101 and 600 to 999 were passed on, and refusals with them believed. A service of serve that answered 000 was taken for done: the answer was kept for its idempotency key. An engine of serve that answered so counted as one that had refused the prompt.

Cause: http.ReadResponse takes any three characters that strconv.Atoi reads as a status, signs too, and nothing of ours asked for the range.

Evidence: TestInvalidStatusIsNoAnswer sends answers, streams and refusals with twelve statuses from the stand-in, before the request, during an upload and after the request. On the code before this commit 120 of its 432 requests got no failure of the relay ("000 before an answer" gave its events). TestBrokenHeadIsNoAnswer (serve, the client for orders, peers and the store, the load tool) and TestBrokenHeadIsNoRefusal were red too: "status 0, body roof". All pass now.

Fix: answer.CheckHead allows 100 to 599 without 101, which answers only a request that asks for an upgrade; the relay sends none. The relay asks for each head, informational ones too, before it believes anything in it; every client of net/http does by a RoundTripper, so that a broken answer is an error like bytes that can't be parsed: 502 or a retry where the request may be repeated, never a refusal.

--- a/internal/fake/rawtcp/rawtcp.go
+++ b/internal/fake/rawtcp/rawtcp.go
@@ -2,7 +2,10 @@
 package rawtcp
 
 import (
+	"bufio"
+	"io"
 	"net"
+	"net/http"
 
 	"github.com/go-faster/errors"
 )
@@ -28,3 +31,12 @@
 	}()
 	return listener, nil
 }
+
+// Answer returns a handler that reads the head of a request and sends the text.
+func Answer(text string) func(*net.TCPConn) {
+	return func(conn *net.TCPConn) {
+		if _, err := http.ReadRequest(bufio.NewReader(conn)); err == nil {
+			_, _ = io.WriteString(conn, text)
+		}
+	}
+}
--- a/internal/flow/proxy/dial.go
+++ b/internal/flow/proxy/dial.go
@@ -81,5 +81,5 @@
 		DialContext: answer.NewDial(newDialer(tcpUserTimeout).DialContext), IdleConnTimeout: idleConnTimeout, DisableCompression: true,
 		MaxIdleConnsPerHost: 2, MaxResponseHeaderBytes: maxResponseHeadBytes,
 	}
-	return &http.Client{Transport: limit.NewTransport(transport, maxResponseBytes)}
+	return &http.Client{Transport: limit.NewTransport(answer.NewTransport(transport), maxResponseBytes)}
 }
--- a/internal/flow/proxy/dial_test.go
+++ b/internal/flow/proxy/dial_test.go
@@ -12,6 +12,7 @@
 	"golang.org/x/sys/unix"
 
 	"mustardhook/internal/fake/rawtcp"
+	"mustardhook/internal/serve/answer"
 )
 
 // Guards against a dead endpoint that is not noticed before the deadline of a request with a
@@ -61,3 +62,19 @@
 		require.NoError(t, response.Body.Close())
 	}
 }
+
+// Guards against a client that takes a broken answer to an order, a peer or the store for an answer.
+func TestBrokenHeadIsNoAnswer(t *testing.T) {
+	t.Parallel()
+	for _, text := range []string{
+		"HTTP/1.1 000 OK\r\nContent-Length: 2\r\n\r\n{}",
+		"HTTP/1.1 999 OK\r\nContent-Length: 2\r\n\r\n{}",
+	} {
+		listener, err := rawtcp.Serve(rawtcp.Answer(text))
+		require.NoError(t, err)
+		t.Cleanup(func() { _ = listener.Close() })
+		_, err = NewClient().Get("http://" + listener.Addr().String())
+		var headErr *answer.HeadError
+		require.ErrorAs(t, err, &headErr, text)
+	}
+}
--- a/internal/flow/proxy/send.go
+++ b/internal/flow/proxy/send.go
@@ -179,9 +179,14 @@
 func (x *exchange) readHead() (*http.Response, error) {
 	for {
 		response, err := http.ReadResponse(x.reader, x.session.head)
-		isInformational := err == nil && response.StatusCode < http.StatusOK && response.StatusCode != http.StatusSwitchingProtocols
-		if !isInformational {
-			return response, err
+		if err != nil {
+			return nil, err
+		}
+		if err := answer.CheckHead(response); err != nil {
+			return nil, err
+		}
+		if response.StatusCode >= http.StatusOK {
+			return response, nil
 		}
 	}
 }
--- a/internal/serve/shell/shell.go
+++ b/internal/serve/shell/shell.go
@@ -128,7 +128,7 @@
 
 func newClient(transport http.RoundTripper) *http.Client {
 	return &http.Client{
-		Transport:     transport,
+		Transport:     answer.NewTransport(transport),
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
 }
--- a/internal/tool/client/client.go
+++ b/internal/tool/client/client.go
@@ -82,10 +82,11 @@
 
 // New returns a client without timeouts of its own. Its responses fail over maxAnswerBytes.
 func New(organisation string) *Client {
-	transport := limit.NewTransport(&http.Transport{
+	transport := &http.Transport{
 		DialContext: answer.NewDial((&net.Dialer{}).DialContext), MaxIdleConnsPerHost: 256, DisableCompression: true,
-	}, maxAnswerBytes)
-	return &Client{HTTP: &http.Client{Transport: transport}, Organisation: organisation}
+	}
+	limited := limit.NewTransport(answer.NewTransport(transport), maxAnswerBytes)
+	return &Client{HTTP: &http.Client{Transport: limited}, Organisation: organisation}
 }
 
 // Complete sends a prompt and reads the stream of its answer to the end. It returns an
--- a/internal/tool/client/client_test.go
+++ b/internal/tool/client/client_test.go
@@ -9,6 +9,8 @@
 
 	"github.com/stretchr/testify/require"
 
+	"mustardhook/internal/fake/rawtcp"
+	"mustardhook/internal/serve/answer"
 	"mustardhook/internal/serve/limit"
 	"mustardhook/internal/tool/client"
 )
@@ -37,3 +39,14 @@
 		})
 	}
 }
+
+// Guards against a broken answer that counts as one in a load test.
+func TestBrokenHeadIsNoAnswer(t *testing.T) {
+	t.Parallel()
+	listener, err := rawtcp.Serve(rawtcp.Answer("HTTP/1.1 000 OK\r\nContent-Length: 0\r\n\r\n"))
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = listener.Close() })
+	_, err = client.New("city").SendCall(t.Context(), "http://"+listener.Addr().String(), client.Call{Method: http.MethodPost})
+	var headErr *answer.HeadError
+	require.ErrorAs(t, err, &headErr)
+}
