A blank in the name of a field makes a broken answer

With "Transfer-Encoding : chunked" they got the sizes of the chunks as text in the body, with "Content-Length : 15" an answer that counted as one without a length.

The relay read the length, the coding and its own fields by their right names and took them for absent, or believed the rest of the head.

Fix: answer.CheckHead rejects such names, for the relay in each head and for all clients. RFC 9112, section 5.1, lets a proxy remove such a blank; then the length would be believed that an endpoint in trouble has given. As with an unreadable head, the send has failed.

--- a/internal/flow/proxy/dial_test.go
+++ b/internal/flow/proxy/dial_test.go
@@ -69,6 +69,7 @@
 	for _, text := range []string{
 		"HTTP/1.1 000 OK\r\nContent-Length: 2\r\n\r\n{}",
 		"HTTP/1.1 999 OK\r\nContent-Length: 2\r\n\r\n{}",
+		"HTTP/1.1 200 OK\r\nContent-Length : 2\r\n\r\n{}",
 	} {
 		listener, err := rawtcp.Serve(rawtcp.Answer(text))
 		require.NoError(t, err)
--- a/internal/serve/answer/head.go
+++ b/internal/serve/answer/head.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 	"strconv"
+	"strings"
 )
 
 // The status codes that an answer can have (RFC 9110, section 15).
@@ -29,6 +30,12 @@
 	if status < minStatus || status > maxStatus || status == http.StatusSwitchingProtocols {
 		return &HeadError{"status " + strconv.Itoa(status)}
 	}
+	for name := range response.Header {
+		// net/http rejects all other names that are no tokens.
+		if strings.Contains(name, " ") {
+			return &HeadError{"blank in field name " + strconv.Quote(name)}
+		}
+	}
 	return nil
 }
 
--- a/internal/serve/answer/head_test.go
+++ b/internal/serve/answer/head_test.go
@@ -41,3 +41,18 @@
 		require.Equal(t, "roof", body)
 	}
 }
+
+// Guards against a client that takes a field for another one, or for none, since its name has a blank or a control
+// character.
+func TestInvalidFieldNameIsRejected(t *testing.T) {
+	t.Parallel()
+	for _, field := range []string{"Content-Length : 4", "Transfer-Encoding : chunked", "No te: x", "Note : x"} {
+		body, err := get(t, "HTTP/1.1 200 OK\r\n"+field+"\r\n\r\n4\r\nroof\r\n0\r\n\r\n")
+		var headErr *answer.HeadError
+		require.ErrorAs(t, err, &headErr, "%s: %q", field, body)
+	}
+	for _, field := range []string{"Content-Length\t: 4", "No\x00te: x", "No\x01te: x", "No\rte: x", "Note\x7f: x", ": x"} {
+		_, err := get(t, "HTTP/1.1 200 OK\r\n"+field+"\r\n\r\nroof")
+		require.Error(t, err, "%q", field)
+	}
+}
