A folded line in a head makes a broken answer

Cause: a line that begins with a blank continues the one before (RFC 9112, section 5.2). net/http joins them, and the parsed head doesn't show it, so that CheckHead can't.

Fix: connections for answers scan the bytes of the first answer, up to the end of its last head, informational ones included, and fail at such a line. The section lets a proxy either join the lines or answer 502; no sound sender folds lines, so a failed send is the right reading of it. The relay and the services of serve open a connection for each request, so that all answers which reach callers are scanned; the scan ends with the head and leaves bodies and encrypted bytes alone (TestFoldedLineIsRejected).

--- a/internal/flow/proxy/dial_test.go
+++ b/internal/flow/proxy/dial_test.go
@@ -70,6 +70,7 @@
 		"HTTP/1.1 000 OK\r\nContent-Length: 2\r\n\r\n{}",
 		"HTTP/1.1 999 OK\r\nContent-Length: 2\r\n\r\n{}",
 		"HTTP/1.1 200 OK\r\nContent-Length : 2\r\n\r\n{}",
+		"HTTP/1.1 200 OK\r\nA: b\r\n Content-Length: 2\r\n\r\n{}",
 	} {
 		listener, err := rawtcp.Serve(rawtcp.Answer(text))
 		require.NoError(t, err)
--- a/internal/serve/answer/conn.go
+++ b/internal/serve/answer/conn.go
@@ -24,9 +24,11 @@
 	// may be only a part of the answer.
 	ResetError struct{ Err error }
 
-	// conn is a connection that distinguishes its regular end from a failure that a write has reported.
+	// conn is a connection that distinguishes its regular end from a failure that a write has reported. It rejects
+	// the first answer if its head has a folded line.
 	conn struct {
 		net.Conn
+		folds foldScanner
 		// mutex is held during a write. It guards writeErr, the error of the first write that failed.
 		mutex    sync.Mutex
 		writeErr error
@@ -41,7 +43,8 @@
 
 // NewDial returns a Dial whose connections fail with a *ResetError where they would report io.EOF although they
 // were reset or timed out. The kernel reports such a failure to one system call only: if that is a write, the reads
-// that follow succeed up to what has arrived and then report the end of the connection.
+// that follow succeed up to what has arrived and then report the end of the connection. Reads of the first answer on
+// a connection fail with a *HeadError if its head has a folded line.
 func NewDial(dial Dial) Dial {
 	return func(ctx context.Context, network, address string) (net.Conn, error) {
 		opened, err := dial(ctx, network, address)
@@ -55,6 +58,9 @@
 // Read reads from the connection. At its end, a write that is still in progress is ended too.
 func (c *conn) Read(buffer []byte) (int, error) {
 	count, err := c.Conn.Read(buffer)
+	if c.folds.scan(buffer[:count]) {
+		return 0, &HeadError{"folded line"}
+	}
 	if !errors.Is(err, io.EOF) {
 		return count, err
 	}
--- a/internal/serve/shell/head_test.go
+++ b/internal/serve/shell/head_test.go
@@ -18,6 +18,7 @@
 	"HTTP/1.1 000 OK\r\nMustardhook-Attempt: a1\r\nContent-Length: 4\r\n\r\nroof",
 	"HTTP/1.1 999 OK\r\nMustardhook-Attempt: a1\r\nContent-Length: 4\r\n\r\nroof",
 	"HTTP/1.1 200 OK\r\nMustardhook-Attempt: a1\r\nTransfer-Encoding : chunked\r\n\r\n4\r\nroof\r\n0\r\n\r\n",
+	"HTTP/1.1 200 OK\r\nMustardhook-Attempt: a1\r\nA: b\r\n Transfer-Encoding: chunked\r\n\r\n4\r\nroof\r\n0\r\n\r\n",
 }
 
 // serveText starts a server that answers with the text, and returns its address.
