Package answer uses the Dial of package probe, and has a test for timeouts

The type stood twice. TestTimeoutIsNoEnd plays a connection whose timeout a write has got, which a test with sockets would wait seconds for. With endWrite reporting no error it is red ("Expected error with connection timed out in chain but got nil"), and so are TestResetIsNoEnd and TestResetDuringWriteIsNoEnd. No change of behaviour.

--- a/internal/serve/answer/conn.go
+++ b/internal/serve/answer/conn.go
@@ -11,15 +11,14 @@
 	"time"
 
 	"github.com/go-faster/errors"
+
+	"mustardhook/internal/serve/probe"
 )
 
 // past is a deadline that ends a write at once.
 var past = time.Unix(1, 0)
 
 type (
-	// Dial opens a connection, like the method of net.Dialer.
-	Dial func(ctx context.Context, network, address string) (net.Conn, error)
-
 	// ResetError reports that a connection failed while a request was being written, so that what was read from it
 	// may be only a part of the answer.
 	ResetError struct{ Err error }
@@ -41,11 +40,11 @@
 // Unwrap returns the cause.
 func (e *ResetError) Unwrap() error { return e.Err }
 
-// NewDial returns a Dial whose connections fail with a *ResetError where they would report io.EOF although they
+// NewDial returns a probe.Dial whose connections fail with a *ResetError where they would report io.EOF although they
 // were reset or timed out. The kernel reports such a failure to one system call only: if that is a write, the reads
 // that follow succeed up to what has arrived and then report the end of the connection. Reads of the first answer on
 // a connection fail with a *HeadError if its head has a folded line.
-func NewDial(dial Dial) Dial {
+func NewDial(dial probe.Dial) probe.Dial {
 	return func(ctx context.Context, network, address string) (net.Conn, error) {
 		opened, err := dial(ctx, network, address)
 		if err != nil {
--- a/internal/serve/answer/conn_test.go
+++ b/internal/serve/answer/conn_test.go
@@ -1,11 +1,13 @@
 package answer_test
 
 import (
+	"context"
 	"errors"
 	"io"
 	"net"
 	"syscall"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
@@ -100,6 +102,25 @@
 	}
 }
 
+// timedOut is a connection whose timeout a write has got.
+type timedOut struct{ net.Conn }
+
+func (timedOut) Write([]byte) (int, error)        { return 0, syscall.ETIMEDOUT }
+func (timedOut) Read([]byte) (int, error)         { return 0, io.EOF }
+func (timedOut) SetWriteDeadline(time.Time) error { return nil }
+
+// Guards against the part of an answer before a timeout that is taken for the whole.
+func TestTimeoutIsNoEnd(t *testing.T) {
+	t.Parallel()
+	client, err := answer.NewDial(func(context.Context, string, string) (net.Conn, error) {
+		return timedOut{}, nil
+	})(t.Context(), "tcp4", "")
+	require.NoError(t, err)
+	require.ErrorIs(t, writeUntilError(client), syscall.ETIMEDOUT)
+	_, err = io.ReadAll(client)
+	require.ErrorIs(t, err, syscall.ETIMEDOUT)
+}
+
 // Guards against a dial that fails and returns a connection.
 func TestFailedDialReturnsNoConnection(t *testing.T) {
 	t.Parallel()
