Commands of the operator reject broken answers

What operators saw: `mustardhook status` and its like took an answer of an entry with status 000, or with a blank in the name of a field, for a sound one. Cause: the client of net/http as it comes; the last place outside the tests that read answers without package answer. TestBrokenHeadIsNoAnswerToOperator was red for both heads with http.DefaultClient and passes now. These calls have no body, and the port that they call gives each answer a length or chunks, so the connection stays that of net/http.

--- a/cmd/mustardhook/operate.go
+++ b/cmd/mustardhook/operate.go
@@ -15,6 +15,7 @@
 	"github.com/go-faster/errors"
 	"github.com/spf13/cobra"
 
+	"mustardhook/internal/serve/answer"
 	"mustardhook/internal/serve/limit"
 	"mustardhook/internal/serve/parts"
 	"mustardhook/internal/wire/admin"
@@ -49,6 +50,9 @@
 	}
 )
 
+// operatorClient rejects broken answers.
+var operatorClient = &http.Client{Transport: answer.NewTransport(http.DefaultTransport)}
+
 // Error returns the message with the status and the body of the response.
 func (e *responseError) Error() string { return "entry answered " + e.status + ": " + e.text }
 
@@ -70,7 +74,7 @@
 		return nil, errors.Wrap(err, "make request")
 	}
 	request.Header.Set(admin.HeaderOperatorKey, os.Getenv(operatorKeyVariable))
-	response, err := http.DefaultClient.Do(request)
+	response, err := operatorClient.Do(request)
 	if err != nil {
 		return nil, err
 	}
--- a/cmd/mustardhook/operate_test.go
+++ b/cmd/mustardhook/operate_test.go
@@ -11,7 +11,10 @@
 	"github.com/spf13/cobra"
 	"github.com/stretchr/testify/require"
 
+	"mustardhook/internal/fake/rawtcp"
+	"mustardhook/internal/serve/answer"
 	"mustardhook/internal/serve/limit"
+	"mustardhook/internal/wire/admin"
 )
 
 // runAgainst runs a command against an entry that serves every request with the handler.
@@ -60,3 +63,16 @@
 		})
 	}
 }
+
+// Guards against a broken answer that is printed as that of an entry.
+func TestBrokenHeadIsNoAnswerToOperator(t *testing.T) {
+	t.Parallel()
+	for _, head := range []string{"HTTP/1.1 000 OK\r\nContent-Length: 2", "HTTP/1.1 200 OK\r\nContent-Length : 2"} {
+		listener, err := rawtcp.Serve(rawtcp.Answer(head + "\r\n\r\n{}"))
+		require.NoError(t, err)
+		t.Cleanup(func() { _ = listener.Close() })
+		_, err = (&operator{address: listener.Addr().String()}).call(t.Context(), http.MethodGet, admin.PathStatus)
+		var headErr *answer.HeadError
+		require.ErrorAs(t, err, &headErr, head)
+	}
+}
