--- a/internal/fake/rawtcp/rawtcp.go
+++ b/internal/fake/rawtcp/rawtcp.go
@@ -10,6 +10,8 @@
 	"github.com/go-faster/errors"
 )
 
+const windowBytes = 4 << 10
+
 // Serve listens on a loopback address and calls handle for each connection, which is closed afterwards. It ends when
 // the listener is closed.
 func Serve(handle func(*net.TCPConn)) (net.Listener, error) {
@@ -40,3 +42,13 @@
 		}
 	}
 }
+
+// AnswerAndReset returns a handler that sends the text once it has read the head of a request, and resets the connection.
+func AnswerAndReset(text string) func(*net.TCPConn) {
+	return func(conn *net.TCPConn) {
+		// A small window keeps the sender of a long body writing.
+		_ = conn.SetReadBuffer(windowBytes)
+		Answer(text)(conn)
+		_ = conn.SetLinger(0)
+	}
+}
