Folded lines are found after an informational answer with spaces before its status

Callers could still see, after: an answer with a folded line, behind an informational answer with two spaces before its status. Cause: net/http drops all spaces there, the scanner took the second one for the status, and so the head for the last one. Found by reading the change again. Fix: the scanner skips the spaces too. Versions can't shift the status: net/http accepts only those of eight characters.

--- a/internal/serve/answer/fold.go
+++ b/internal/serve/answer/fold.go
@@ -31,6 +31,9 @@
 		case s.line == 0 && s.column == 0 && char != 'H':
 			// No head. Over TLS, the text is encrypted.
 			s.isDone = true
+		case s.line == 0 && s.column == statusOffset && char == ' ':
+			// net/http accepts more than one space before the status.
+			continue
 		case s.line == 0 && s.column == statusOffset:
 			s.isInformational = char == '1'
 		}
--- a/internal/serve/answer/fold_test.go
+++ b/internal/serve/answer/fold_test.go
@@ -25,12 +25,13 @@
 		"after the status":            {"HTTP/1.1 200 OK\r\n A: b\r\n\r\n", true},
 		"in an informational answer":  {"HTTP/1.1 103 Early Hints\r\nA: b\r\n c\r\n\r\n" + head + "\r\n", true},
 		"after informational answers": {"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\n\r\n" + head + " c\r\n\r\n", true},
-		"none":                        {head + "\r\n", false},
-		"blanks in values":            {"HTTP/1.1 200 OK \r\nA: \tb c \r\n\r\n", false},
-		"in the body":                 {head + "\r\nid: 1\n data: x\n\n d", false},
-		"answer in the body":          {head + "\r\n" + head + " c\r\n\r\n", false},
-		"no head":                     {"\x16\x03\x01\n \n\t", false},
-		"empty":                       {"", false},
+		"after spaces and an informational answer": {"HTTP/1.1   103 Early Hints\r\n\r\n" + head + " c\r\n\r\n", true},
+		"none":               {head + "\r\n", false},
+		"blanks in values":   {"HTTP/1.1 200 OK \r\nA: \tb c \r\n\r\n", false},
+		"in the body":        {head + "\r\nid: 1\n data: x\n\n d", false},
+		"answer in the body": {head + "\r\n" + head + " c\r\n\r\n", false},
+		"no head":            {"\x16\x03\x01\n \n\t", false},
+		"empty":              {"", false},
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
