--- a/internal/serve/answer/conn.go
+++ b/internal/serve/answer/conn.go
@@ -1,4 +1,4 @@
-// Package answer detects broken answers, those that net/http takes for whole.
+// Package answer detects broken answers that net/http accepts: parts of an answer before a reset, and invalid heads.
 package answer
 
 import (
--- a/internal/serve/answer/fold.go
+++ b/internal/serve/answer/fold.go
@@ -3,8 +3,8 @@
 // statusOffset is the number of bytes before the status in the first line of a head.
 const statusOffset = len("HTTP/1.1 ")
 
-// foldScanner finds folded lines in the heads that begin an answer. net/http joins such a line, which begins with a
-// blank, with the one before (RFC 9112, section 5.2), so that a parsed head doesn't show it.
+// foldScanner finds folded lines in the heads that begin an answer. net/http joins such a line, which begins with
+// whitespace, with the one before (RFC 9112, section 5.2), so that a parsed head doesn't show it.
 type foldScanner struct {
 	// line is the number of the current line, column the number of its bytes so far.
 	line, column int
@@ -42,7 +42,7 @@
 	return false
 }
 
-// endLine ends the current line. A blank one ends the head.
+// endLine ends the current line. An empty one ends the head.
 func (s *foldScanner) endLine() {
 	switch {
 	case s.column > 0:
--- a/internal/serve/answer/head.go
+++ b/internal/serve/answer/head.go
@@ -33,7 +33,7 @@
 	for name := range response.Header {
 		// net/http rejects all other names that are no tokens.
 		if strings.Contains(name, " ") {
-			return &HeadError{"blank in field name " + strconv.Quote(name)}
+			return &HeadError{"space in field name " + strconv.Quote(name)}
 		}
 	}
 	return nil
--- a/internal/serve/answer/head_test.go
+++ b/internal/serve/answer/head_test.go
@@ -42,7 +42,7 @@
 	}
 }
 
-// Guards against a client that takes a field for another one, or for none, since its name has a blank or a control
+// Guards against a client that takes a field for another one, or for none, since its name has a space or a control
 // character.
 func TestInvalidFieldNameIsRejected(t *testing.T) {
 	t.Parallel()
