Log the removal grace of an endpoint, and count failed reads of published state

The log did not tell whether a request reached a removed endpoint since the removal was read late or since the endpoint stayed in use for its removal grace. "Endpoint gone from the list." now has removalGrace, and the counter published.failedReads counts the reads that failed. No decision changes; the tests of internal/flow pass.

--- a/internal/flow/intake/intake.go
+++ b/internal/flow/intake/intake.go
@@ -55,8 +55,8 @@
 		}
 	case input.EndpointRemoved:
 		if advanceRevision(b, in.Revision) {
-			b.Pool.Remove(in.Name, b.Now)
-			b.Log("Endpoint gone from the list.", "endpoint", in.Name)
+			removalGrace := b.Pool.Remove(in.Name, b.Now)
+			b.Log("Endpoint gone from the list.", "endpoint", in.Name, "removalGrace", removalGrace)
 		}
 	case input.EvacuationRead:
 		// A known instruction counts, too, so that no state from before it can end the evacuation.
--- a/internal/flow/pool/list.go
+++ b/internal/flow/pool/list.go
@@ -91,11 +91,11 @@
 
 // Remove records that the endpoint was removed from the list. While the list can't be
 // read and shortly after, the endpoint may be listed again soon: it stays in use for a
-// grace period, as long as it answers.
-func (p *Pool) Remove(name ident.Endpoint, now clock.Millis) {
+// grace period, as long as it answers. Remove returns how long that period lasts.
+func (p *Pool) Remove(name ident.Endpoint, now clock.Millis) clock.Millis {
 	endpoint := p.endpoints[name]
 	if endpoint == nil || endpoint.RemovedAt != 0 {
-		return
+		return 0
 	}
 	endpoint.RemovedAt = now
 	endpoint.revision = p.revision
@@ -108,7 +108,9 @@
 	default:
 		endpoint.markLeaving(now)
 		p.track(endpoint)
+		return 0
 	}
+	return endpoint.RemovalGraceUntil - now
 }
 
 // Replace applies a complete list that was read from the published state.
--- a/internal/flow/proxy/meters.go
+++ b/internal/flow/proxy/meters.go
@@ -28,6 +28,8 @@
 		pauses  metrics.Counter
 		// withdrawn counts the sends that were given up because an endpoint was evacuated first.
 		withdrawn metrics.Counter
+		// failedReads counts the reads of published state that failed.
+		failedReads metrics.Counter
 		// timeToFirstEvent measures the time until the first event of a stream, and
 		// duration the time until the whole answer was delivered.
 		timeToFirstEvent metrics.Timer
@@ -58,6 +60,7 @@
 		leaving:          metrics.NewRegisteredCounter("endpoints.leaving", r),
 		pauses:           metrics.NewRegisteredCounter("endpoints.pauses", r),
 		withdrawn:        metrics.NewRegisteredCounter("sends.withdrawn", r),
+		failedReads:      metrics.NewRegisteredCounter("published.failedReads", r),
 		timeToFirstEvent: metrics.NewRegisteredTimer("requests.firstEvent", r),
 		duration:         metrics.NewRegisteredTimer("requests.total", r),
 		predictionError:  metrics.NewRegisteredTimer("sends.predictionError", r),
--- a/internal/flow/proxy/read.go
+++ b/internal/flow/proxy/read.go
@@ -37,6 +37,7 @@
 			p.logger.Part("source").Info("History of published state is gone; all is read anew.", "after", next.AfterRevision)
 			state.RecordHistoryLost()
 		default:
+			p.metrics.failedReads.Inc(1)
 			p.Step(input.SourceLost{Reason: err.Error()})
 			p.sleep(state.RecordFailure(role, random))
 		}
