--- a/internal/flow/proxy/read.go
+++ b/internal/flow/proxy/read.go
@@ -38,8 +38,11 @@
 			state.RecordHistoryLost()
 		default:
 			p.metrics.failedReads.Inc(1)
-			p.Step(input.SourceLost{Reason: err.Error()})
-			p.sleep(state.RecordFailure(role, random))
+			pause := state.RecordFailure(role, random)
+			if state.IsUnavailable() {
+				p.Step(input.SourceLost{Reason: err.Error()})
+			}
+			p.sleep(pause)
 		}
 	}
 }
@@ -63,11 +66,12 @@
 	return p.source.Follow(ctx, next.AfterRevision, next.Wait)
 }
 
-// reportSourceRecovered reports to the core that the source can be read again, if the
-// previous read failed.
+// reportSourceRecovered reports to the core that the source can be read again, if it was
+// unavailable.
 func (p *Proxy) reportSourceRecovered(state *reader.Reader) {
-	if state.IsFailing {
-		state.IsFailing = false
+	wasUnavailable := state.IsUnavailable()
+	state.ResetFailures()
+	if wasUnavailable {
 		p.Step(input.SourceRecovered{})
 	}
 }
--- a/internal/flow/reader/reader.go
+++ b/internal/flow/reader/reader.go
@@ -30,6 +30,9 @@
 	// MaxSpareBackoff bounds the pauses of other entries, which get changes from their
 	// hub.
 	MaxSpareBackoff = 4 * clock.Second
+	// outageFailures is the number of failed reads in a row from which the source counts as
+	// unavailable.
+	outageFailures = 2
 )
 
 type (
@@ -37,8 +40,8 @@
 	Reader struct {
 		// Revision is the revision of the last answer; zero before the first one.
 		Revision uint64
-		// IsFailing reports whether the last read failed.
-		IsFailing bool
+		// failures is the number of reads that failed in a row.
+		failures int
 		// needsFullRead reports whether the next read must fetch the full state.
 		needsFullRead bool
 		backoff       clock.Millis
@@ -66,21 +69,37 @@
 	if r.needsFullRead || r.Revision == 0 && b.ListRevision == 0 || b.Plan.IsZero() {
 		return Decision{ShouldRead: true, Timeout: FullReadTimeout}
 	}
-	return Decision{
+	next := Decision{
 		ShouldRead: true, AfterRevision: max(r.Revision, b.ListRevision), Wait: WatchWait, Timeout: WatchWait + WatchMargin,
 	}
+	if r.failures > 0 {
+		// The source may cut a read that waits, at any time. One that doesn't wait shows whether
+		// the source can be read.
+		next.Wait = 0
+	}
+	if r.failures == 1 {
+		next.Timeout = WatchMargin
+	}
+	return next
 }
 
+// IsUnavailable reports whether the source can't be read. A single failed read doesn't show
+// that.
+func (r *Reader) IsUnavailable() bool { return r.failures >= outageFailures }
+
 // RecordSuccess records a read with the revision of its answer and returns the pause until
 // the next read.
 func (r *Reader) RecordSuccess(revision uint64) clock.Millis {
 	r.Revision = max(r.Revision, revision)
-	r.IsFailing = false
 	r.needsFullRead = false
 	r.backoff = 0
+	r.ResetFailures()
 	return BatchInterval
 }
 
+// ResetFailures forgets the failed reads.
+func (r *Reader) ResetFailures() { r.failures = 0 }
+
 // RecordHistoryLost records that the source no longer has the changes after the last
 // revision, so that the next read fetches the full state.
 func (r *Reader) RecordHistoryLost() { r.needsFullRead = true }
@@ -92,7 +111,7 @@
 	if role != peers.RoleHub {
 		maxBackoff = MaxSpareBackoff
 	}
-	r.IsFailing = true
+	r.failures++
 	r.backoff = min(max(2*r.backoff, InitialBackoff), maxBackoff)
 	// Jitter keeps many entries from retrying at the same time.
 	return r.backoff/2 + clock.Millis(float64(r.backoff)*random/2)
--- a/internal/flow/reader/reader_test.go
+++ b/internal/flow/reader/reader_test.go
@@ -83,3 +83,31 @@
 	r.RecordSuccess(50)
 	require.Equal(t, uint64(50), r.Next(b).AfterRevision)
 }
+
+// Guards against an outage that is reported because the source has cut a read that waits.
+func TestCutReadIsNoOutage(t *testing.T) {
+	b := boardOf(90 * clock.Second)
+	r := Reader{Revision: 30}
+	for range 10 {
+		require.Equal(t, WatchWait, r.Next(b).Wait)
+		require.LessOrEqual(t, r.RecordFailure(peers.RoleHub, 1), InitialBackoff)
+		require.False(t, r.IsUnavailable())
+		require.Equal(t, Decision{ShouldRead: true, AfterRevision: 40, Timeout: WatchMargin}, r.Next(b))
+		r.RecordSuccess(31)
+	}
+}
+
+// A source that answers not even a read that doesn't wait is unavailable until it answers one.
+func TestFailedReadsAreAnOutage(t *testing.T) {
+	b := boardOf(90 * clock.Second)
+	r := Reader{Revision: 30}
+	for failures := 1; failures <= 10; failures++ {
+		r.RecordFailure(peers.RoleHub, 1)
+		require.Equal(t, failures > 1, r.IsUnavailable())
+		require.Zero(t, r.Next(b).Wait)
+	}
+	require.Equal(t, WatchWait+WatchMargin, r.Next(b).Timeout, "a slow source can be read")
+	r.RecordSuccess(31)
+	require.False(t, r.IsUnavailable())
+	require.Equal(t, WatchWait, r.Next(b).Wait)
+}
