serve: a long poll that the platform cuts is no outage of the platform

With a platform that cuts each long poll (20 ms to 2 s), an entry that is alone sent no orders, so engines loaded no models; at all lives tried (20 ms to 10 s), a majority of witnesses that was lost was never replaced.

Cause: a failed long poll counted as an outage until a read succeeded, and every further read was a long poll again. Fix: the read after a failure doesn't wait, and the platform is unavailable after two failures in a row. The pauses still grow to 5 s while polls are cut, so that a large fleet adds no more than one read to each of its polls.

A single failed read is logged, in the relay too.

--- a/internal/claim/voter/voter.go
+++ b/internal/claim/voter/voter.go
@@ -192,7 +192,7 @@
 		}
 	}
 	hasMajority := views.HasMajority(b.Membership.Members(), remaining)
-	if hasMajority || b.Platform.Failures > 0 || !b.Listed || !isFirstMember(b) || b.Stopping {
+	if hasMajority || b.Platform.IsUnavailable() || !b.Listed || !isFirstMember(b) || b.Stopping {
 		b.MajorityLostAt = 0
 		return
 	}
--- a/internal/core/board/board.go
+++ b/internal/core/board/board.go
@@ -25,6 +25,9 @@
 	// CatchUpTimeout limits how long an entry that has started or was paused waits for
 	// a message from a peer before it places prompts.
 	CatchUpTimeout = 1 * clock.Second
+	// outageFailures is the number of consecutive failed reads from which the platform
+	// counts as unavailable.
+	outageFailures = 2
 )
 
 type (
@@ -107,6 +110,8 @@
 		LastRead clock.Millis
 		// Failures counts consecutive failed reads.
 		Failures int
+		// CutPolls counts consecutive long polls that failed while the platform could be read.
+		CutPolls int
 		RetryAt  clock.Millis
 	}
 
@@ -159,6 +164,10 @@
 	}
 }
 
+// IsUnavailable reports whether the platform can't be read. A single failed read doesn't
+// show that: the platform may cut a long poll at any time.
+func (p Platform) IsUnavailable() bool { return p.Failures >= outageFailures }
+
 // Emit queues an action for the shell.
 func (b *Board) Emit(output action.Action) { b.actions = append(b.actions, output) }
 
--- a/internal/core/intake/intake.go
+++ b/internal/core/intake/intake.go
@@ -50,22 +50,28 @@
 	}
 }
 
-// watch starts the next long poll of the platform. The first read returns at once.
+// watch starts the next long poll of the platform. The first read returns at once, and so
+// does one after a failure, which shows whether the platform can be read.
 func watch(b *board.Board) {
 	if b.Platform.Watching || b.Now < b.Platform.RetryAt {
 		return
 	}
 	b.Platform.Watching = true
 	wait := WatchTimeout
-	if b.Platform.LastRead == 0 {
+	if b.Platform.LastRead == 0 || b.Platform.Failures > 0 {
 		wait = 0
 	}
 	b.Emit(action.WatchPlatform{AfterRevision: b.Platform.Revision, Wait: wait})
 }
 
 func recordRead(b *board.Board, revision uint64) {
-	if b.Platform.Failures > 0 {
+	switch {
+	case b.Platform.IsUnavailable():
 		b.Audit(action.AuditPlatform, "platform", "Platform answers again.")
+	case b.Platform.Failures > 0:
+		b.Platform.CutPolls++
+	default:
+		b.Platform.CutPolls = 0
 	}
 	b.Platform.Watching = false
 	b.Platform.Failures = 0
@@ -78,13 +84,14 @@
 }
 
 func recordReadFailure(b *board.Board, failed event.PlatformFailed) {
-	if b.Platform.Failures == 0 {
-		b.Audit(action.AuditPlatform, "platform", "Platform fails: "+failed.Reason+".")
-	}
+	wasUnavailable := b.Platform.IsUnavailable()
 	b.Platform.Watching = false
-	doublings := min(b.Platform.Failures, maxDoublings)
+	doublings := min(b.Platform.Failures+b.Platform.CutPolls, maxDoublings)
 	backoff := min(firstBackoff<<doublings, maxBackoff)
 	b.Platform.Failures++
+	if !wasUnavailable && b.Platform.IsUnavailable() {
+		b.Audit(action.AuditPlatform, "platform", "Platform fails: "+failed.Reason+".")
+	}
 	b.Platform.RetryAt = b.Now + backoff/2 + clock.Millis(b.Random.Int64N(int64(backoff)))
 }
 
--- a/internal/flow/proxy/read.go
+++ b/internal/flow/proxy/read.go
@@ -41,6 +41,8 @@
 			pause := state.RecordFailure(role, random)
 			if state.IsUnavailable() {
 				p.Step(input.SourceLost{Reason: err.Error()})
+			} else {
+				p.logger.Part("source").Info("Read of published state failed; it is repeated.", "err", err)
 			}
 			p.sleep(pause)
 		}
--- a/internal/peer/gossip/gossip.go
+++ b/internal/peer/gossip/gossip.go
@@ -384,7 +384,7 @@
 			return false
 		}
 	}
-	return b.ListRead && b.Platform.Failures == 0
+	return b.ListRead && !b.Platform.IsUnavailable()
 }
 
 // mayBeNewer reports whether the peer may hold newer tickets than this entry. A listed
--- a/internal/serve/parts/simulation_test.go
+++ b/internal/serve/parts/simulation_test.go
@@ -142,6 +142,8 @@
 		visibleTickets  int
 		unreachable     map[ident.Domain]bool
 		withoutPlatform map[ident.Domain]bool
+		// pollLife is how long a long poll waits before the platform cuts it; zero for no cuts.
+		pollLife clock.Millis
 		// reportDelay is added to the latency of the reports of engines.
 		reportDelay  clock.Millis
 		prompts      map[ident.Request]*prompt
@@ -649,6 +651,11 @@
 		sim.schedule(50, func() { sim.step(e, entryEpoch, event.PlatformFailed{Reason: "down"}) })
 		return
 	}
+	waited := sim.now - (until - act.Wait)
+	if sim.pollLife > 0 && sim.pollLife < act.Wait && waited >= sim.pollLife {
+		sim.step(e, entryEpoch, event.PlatformFailed{Reason: "cut"})
+		return
+	}
 	count := len(sim.ticketTexts)
 	if sim.visibleTickets >= 0 {
 		count = sim.visibleTickets
--- a/internal/serve/shell/calls.go
+++ b/internal/serve/shell/calls.go
@@ -150,11 +150,13 @@
 	timeout := act.Wait.Duration() + controlTimeout
 	text, err := s.get("http://"+s.settings.Platform+watch.Path+query, timeout)
 	if err != nil {
+		s.logger.Part("platform").Info("Platform can't be read.", "after", act.AfterRevision, "wait", act.Wait, "err", err)
 		s.Step(event.PlatformFailed{Reason: err.Error()})
 		return
 	}
 	page, err := watch.DecodePage(text)
 	if err != nil {
+		s.logger.Part("platform").Warn("Answer of the platform can't be decoded.", "after", act.AfterRevision, "err", err)
 		s.Step(event.PlatformFailed{Reason: err.Error()})
 		return
 	}
