--- a/internal/flow/reader/reader.go
+++ b/internal/flow/reader/reader.go
@@ -78,6 +78,8 @@
 		next.Wait = 0
 	}
 	if r.failures == 1 {
+		// Silence of two seconds counts as an outage. Later reads may take longer, since a slow
+		// source is better than none.
 		next.Timeout = WatchMargin
 	}
 	return next
