Only a cut watch is followed by a read that doesn't wait; other failures are outages at once

Cause: took two failed reads for an outage, whatever the failure, and let no read wait until the source answered. An entry that begins to read in an outage sees one failure or none. After a silent outage hubs found two versions at once and later than before; the second one, of 1,520 routes, filled the links. Ruled out: that only the reads without waiting delay it; a variant with waiting reads in silent outages broke the rule too (its hubs read 0.6 to 1 s later).

TestFailedReadIsAnOutage takes the place of TestFailedReadsAreAnOutage, whose rule is gone: it asks for an outage after one failure.

--- a/internal/flow/port/port.go
+++ b/internal/flow/port/port.go
@@ -73,7 +73,8 @@
 		ReadAll(ctx context.Context) (ReadResult, error)
 		// Follow returns the changes after the given revision. If there are none, it
 		// waits for some, for the given time at most. It returns a CompactedError if the
-		// source no longer has those changes.
+		// source no longer has those changes, and a CutError if the source ended a read that
+		// waited without an answer.
 		Follow(ctx context.Context, after uint64, wait clock.Millis) (ReadResult, error)
 		// DecodePlan parses a published plan. Peers forward plans in this encoding.
 		DecodePlan(document []byte) (plan.Plan, error)
@@ -97,8 +98,18 @@
 
 	// CompactedError reports that the source no longer has the changes after a revision.
 	CompactedError struct{ After uint64 }
+
+	// CutError reports that the source ended the connection of a read that waited for
+	// changes. It may do so at any time, so this doesn't show that it can't be read.
+	CutError struct{ Err error }
 )
 
+// Error returns a message with the cause.
+func (e *CutError) Error() string { return "the source ended a read that waited: " + e.Err.Error() }
+
+// Unwrap returns the cause.
+func (e *CutError) Unwrap() error { return e.Err }
+
 // Error returns a message with the revision.
 func (e *CompactedError) Error() string {
 	return "changes after revision " + strconv.FormatUint(e.After, 10) + " are no longer available"
--- a/internal/flow/proxy/read.go
+++ b/internal/flow/proxy/read.go
@@ -26,6 +26,7 @@
 		}
 		read, err := p.readOnce(next)
 		var compacted *port.CompactedError
+		var cut *port.CutError
 		switch {
 		case err == nil:
 			p.reportSourceRecovered(state)
@@ -36,15 +37,14 @@
 		case errors.As(err, &compacted):
 			p.logger.Part("source").Info("History of published state is gone; all is read anew.", "after", next.AfterRevision)
 			state.RecordHistoryLost()
+		case errors.As(err, &cut):
+			p.metrics.failedReads.Inc(1)
+			p.logger.Part("source").Info("Watch of published state was cut.", "after", next.AfterRevision, "err", err)
+			p.sleep(state.RecordCut(role, random))
 		default:
 			p.metrics.failedReads.Inc(1)
-			pause := state.RecordFailure(role, random)
-			if state.IsUnavailable() {
-				p.Step(input.SourceLost{Reason: err.Error()})
-			} else {
-				p.logger.Part("source").Info("Read of published state failed; it is repeated.", "err", err)
-			}
-			p.sleep(pause)
+			p.Step(input.SourceLost{Reason: err.Error()})
+			p.sleep(state.RecordFailure(role, random))
 		}
 	}
 }
@@ -71,7 +71,7 @@
 // reportSourceRecovered reports to the core that the source can be read again, if it was
 // unavailable.
 func (p *Proxy) reportSourceRecovered(state *reader.Reader) {
-	wasUnavailable := state.IsUnavailable()
+	wasUnavailable := state.IsUnavailable
 	state.ResetFailures()
 	if wasUnavailable {
 		p.Step(input.SourceRecovered{})
--- a/internal/flow/reader/reader.go
+++ b/internal/flow/reader/reader.go
@@ -30,9 +30,6 @@
 	// MaxSpareBackoff bounds the pauses of other entries, which get changes from their
 	// hub.
 	MaxSpareBackoff = 4 * clock.Second
-	// outageFailures is the number of failed reads in a row from which the source counts as
-	// unavailable.
-	outageFailures = 2
 )
 
 type (
@@ -40,8 +37,10 @@
 	Reader struct {
 		// Revision is the revision of the last answer; zero before the first one.
 		Revision uint64
-		// failures is the number of reads that failed in a row.
-		failures int
+		// IsUnavailable reports whether the source can't be read.
+		IsUnavailable bool
+		// wasCut reports whether the source cut the last read while it waited.
+		wasCut bool
 		// needsFullRead reports whether the next read must fetch the full state.
 		needsFullRead bool
 		backoff       clock.Millis
@@ -72,23 +71,13 @@
 	next := Decision{
 		ShouldRead: true, AfterRevision: max(r.Revision, b.ListRevision), Wait: WatchWait, Timeout: WatchWait + WatchMargin,
 	}
-	if r.failures > 0 {
-		// The source may cut a read that waits, at any time. One that doesn't wait shows whether
-		// the source can be read.
+	if r.wasCut {
+		// A read that doesn't wait shows whether the source can be read.
 		next.Wait = 0
 	}
-	if r.failures == 1 {
-		// Silence of two seconds counts as an outage. Later reads may take longer, since a slow
-		// source is better than none.
-		next.Timeout = WatchMargin
-	}
 	return next
 }
 
-// IsUnavailable reports whether the source can't be read. A single failed read doesn't show
-// that.
-func (r *Reader) IsUnavailable() bool { return r.failures >= outageFailures }
-
 // RecordSuccess records a read with the revision of its answer and returns the pause until
 // the next read.
 func (r *Reader) RecordSuccess(revision uint64) clock.Millis {
@@ -100,12 +89,25 @@
 }
 
 // ResetFailures forgets the failed reads.
-func (r *Reader) ResetFailures() { r.failures = 0 }
+func (r *Reader) ResetFailures() {
+	r.IsUnavailable = false
+	r.wasCut = false
+}
 
 // RecordHistoryLost records that the source no longer has the changes after the last
 // revision, so that the next read fetches the full state.
 func (r *Reader) RecordHistoryLost() { r.needsFullRead = true }
 
+// RecordCut records that the source cut a read that waited, and returns the pause before the
+// next read, as for RecordFailure.
+func (r *Reader) RecordCut(role peers.Role, random float64) clock.Millis {
+	wasUnavailable := r.IsUnavailable
+	pause := r.RecordFailure(role, random)
+	r.IsUnavailable = wasUnavailable
+	r.wasCut = true
+	return pause
+}
+
 // RecordFailure records a failed read and returns the pause before the next one. The random
 // number, from 0 to 1, extends the pause from half of the backoff to all of it.
 func (r *Reader) RecordFailure(role peers.Role, random float64) clock.Millis {
@@ -113,7 +115,8 @@
 	if role != peers.RoleHub {
 		maxBackoff = MaxSpareBackoff
 	}
-	r.failures++
+	r.IsUnavailable = true
+	r.wasCut = false
 	r.backoff = min(max(2*r.backoff, InitialBackoff), maxBackoff)
 	// Jitter keeps many entries from retrying at the same time.
 	return r.backoff/2 + clock.Millis(float64(r.backoff)*random/2)
--- a/internal/flow/reader/reader_test.go
+++ b/internal/flow/reader/reader_test.go
@@ -90,24 +90,27 @@
 	r := Reader{Revision: 30}
 	for range 10 {
 		require.Equal(t, WatchWait, r.Next(b).Wait)
-		require.LessOrEqual(t, r.RecordFailure(peers.RoleHub, 1), InitialBackoff)
-		require.False(t, r.IsUnavailable())
-		require.Equal(t, Decision{ShouldRead: true, AfterRevision: 40, Timeout: WatchMargin}, r.Next(b))
+		require.LessOrEqual(t, r.RecordCut(peers.RoleHub, 1), InitialBackoff)
+		require.False(t, r.IsUnavailable)
+		require.Equal(t, Decision{ShouldRead: true, AfterRevision: 40, Timeout: WatchWait + WatchMargin}, r.Next(b))
 		r.RecordSuccess(31)
 	}
 }
 
-// A source that answers not even a read that doesn't wait is unavailable until it answers one.
-func TestFailedReadsAreAnOutage(t *testing.T) {
+// A source that doesn't answer the read after a cut is unavailable, also while further reads are cut.
+func TestFailedReadIsAnOutage(t *testing.T) {
 	b := boardOf(90 * clock.Second)
 	r := Reader{Revision: 30}
-	for failures := 1; failures <= 10; failures++ {
+	r.RecordCut(peers.RoleHub, 1)
+	for range 10 {
 		r.RecordFailure(peers.RoleHub, 1)
-		require.Equal(t, failures > 1, r.IsUnavailable())
+		require.True(t, r.IsUnavailable)
+		require.Equal(t, WatchWait, r.Next(b).Wait)
+		r.RecordCut(peers.RoleHub, 1)
+		require.True(t, r.IsUnavailable)
 		require.Zero(t, r.Next(b).Wait)
 	}
-	require.Equal(t, WatchWait+WatchMargin, r.Next(b).Timeout, "a slow source can be read")
 	r.RecordSuccess(31)
-	require.False(t, r.IsUnavailable())
+	require.False(t, r.IsUnavailable)
 	require.Equal(t, WatchWait, r.Next(b).Wait)
 }
