--- a/review/rig3/drill.go
+++ b/review/rig3/drill.go
@@ -17,7 +17,7 @@
 	drillAway = 500 * time.Millisecond
 	// configRounds and evacuationRounds are the numbers of drills in a case.
 	configRounds     = 5
-	evacuationRounds = 3
+	evacuationRounds = 4
 	// settleTime is how long the deployment runs before the first drill, and after each one.
 	settleTime = 5 * time.Second
 
--- a/review/rig3/runner.go
+++ b/review/rig3/runner.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"strconv"
@@ -14,8 +15,9 @@
 const (
 	// heartbeat is the time between two records of a runner.
 	heartbeat = 1200 * time.Millisecond
-	// pollPause is the time between two attempts to write to the store.
-	pollPause = 20 * time.Millisecond
+	// pollPause is the least time between two attempts to write to the store. Runners take up to pollSpread more.
+	pollPause  = 15 * time.Millisecond
+	pollSpread = 45 * time.Millisecond
 	// queuePlaces is the number of requests that wait at a runner besides those that it works on.
 	queuePlaces = 24
 )
@@ -105,7 +107,7 @@
 	era := r.store.currentEra()
 	next := time.Now().Add(heartbeat)
 	for {
-		time.Sleep(pollPause)
+		time.Sleep(pollPause + rand.N(pollSpread))
 		if now := r.store.currentEra(); now != era {
 			era = now
 			for range r.countLost(r.store.lossTime()) {
