Log what an entry had read when it refused, and where its configuration comes from

"Request refused." now begins with plan, era, revision and listRevision, "Configuration in force." names its origin, and changes of the store's era and lists that are dropped have lines of their own; gauges published.*. No change of logic.

--- a/internal/flow/board/board.go
+++ b/internal/flow/board/board.go
@@ -16,6 +16,7 @@
 	"mustardhook/internal/flow/learn"
 	"mustardhook/internal/flow/output"
 	"mustardhook/internal/flow/plan"
+	"mustardhook/internal/flow/point"
 	"mustardhook/internal/flow/pool"
 	"mustardhook/internal/flow/share"
 	"mustardhook/internal/flow/tally"
@@ -73,8 +74,10 @@
 		// ListRevision is the revision of the published state that it comes from.
 		HasList      bool
 		ListRevision uint64
-		// ConfirmedAt is when this entry last read published state completely.
+		// ConfirmedAt is when this entry last read published state completely, and ReadTo the
+		// point of its history up to which it did.
 		ConfirmedAt clock.Millis
+		ReadTo      point.Point
 		// SourceLostAt is when reads of published state began to fail; zero while they
 		// succeed.
 		SourceLostAt clock.Millis
--- a/internal/flow/input/input.go
+++ b/internal/flow/input/input.go
@@ -10,6 +10,7 @@
 	"mustardhook/internal/flow/evac"
 	"mustardhook/internal/flow/learn"
 	"mustardhook/internal/flow/plan"
+	"mustardhook/internal/flow/point"
 	"mustardhook/internal/flow/pool"
 	"mustardhook/internal/flow/tally"
 )
@@ -78,6 +79,9 @@
 	PlanRead struct {
 		Plan     plan.Plan
 		Document []byte
+		// Origin is the address of the entry that it comes from; empty if this entry has read it
+		// itself.
+		Origin string
 	}
 
 	// ListRead delivers the complete list of endpoints at a revision.
@@ -127,8 +131,9 @@
 	// FetchEnded reports that a call for published state to another entry has ended.
 	FetchEnded struct{}
 
-	// Confirmed reports that this entry has read all published changes up to now.
-	Confirmed struct{}
+	// Confirmed reports that this entry has read all published changes up to now, which is the
+	// given point of their history.
+	Confirmed struct{ At point.Point }
 
 	// SourceLost reports that published state can't be read.
 	SourceLost struct{ Reason string }
--- a/internal/flow/intake/intake.go
+++ b/internal/flow/intake/intake.go
@@ -9,6 +9,7 @@
 	"mustardhook/internal/flow/evac"
 	"mustardhook/internal/flow/input"
 	"mustardhook/internal/flow/plan"
+	"mustardhook/internal/flow/point"
 )
 
 const (
@@ -39,6 +40,8 @@
 			b.HasList = true
 			b.Log("List of endpoints read.", "endpoints", len(in.List), "revision", in.Revision)
 			setEvacuated(b, b.Pool.Evacuated().Replace(in.Evacuated, in.Revision), in.Revision)
+		} else {
+			b.Log("List of endpoints that was read is not newer than the known one.", "endpoints", len(in.List), "revision", in.Revision, "known", b.ListRevision)
 		}
 	case input.ListReceived:
 		if advanceRevision(b, in.Revision) {
@@ -68,6 +71,7 @@
 			setEvacuated(b, b.Pool.Evacuated().Without(in.Domain), in.Revision)
 		}
 	case input.Confirmed:
+		recordRead(b, in.At)
 		b.ConfirmedAt = b.Now
 		b.NewsChanged = true
 	case input.SourceLost:
@@ -88,6 +92,14 @@
 	}
 }
 
+// recordRead records the point up to which published state was read. It logs changes of the era.
+func recordRead(b *board.Board, at point.Point) {
+	if before := b.ReadTo; !before.IsZero() && before.Era != at.Era {
+		b.Log("Era of published state has changed.", "era", at.Era, "before", before.Era, "revision", at.Revision, "revisionBefore", before.Revision)
+	}
+	b.ReadTo = at
+}
+
 // applyReceivedList applies the list, or the changes of it, from another entry.
 func applyReceivedList(b *board.Board, received input.ListReceived) {
 	if received.IsDelta {
@@ -153,7 +165,11 @@
 	if read.Plan.Version <= b.Plan.Version {
 		return
 	}
-	b.Log("Configuration in force.", "version", uint64(read.Plan.Version), "before", uint64(b.Plan.Version),
+	origin := read.Origin
+	if origin == "" {
+		origin = "source"
+	}
+	b.Log("Configuration in force.", "version", uint64(read.Plan.Version), "before", uint64(b.Plan.Version), "origin", origin,
 		"requiresKeys", read.Plan.RequiresKeys(), "keys", read.Plan.CountKeys(), "ignored", len(read.Plan.Ignored))
 	logIgnored(b, read.Plan)
 	if !b.Plan.IsZero() && b.Plan.RequiresKeys() != read.Plan.RequiresKeys() {
--- a/internal/flow/parts/requests_test.go
+++ b/internal/flow/parts/requests_test.go
@@ -11,6 +11,7 @@
 	"mustardhook/internal/flow/input"
 	"mustardhook/internal/flow/output"
 	"mustardhook/internal/flow/plan"
+	"mustardhook/internal/flow/point"
 	"mustardhook/internal/flow/pool"
 	"mustardhook/internal/flow/tally"
 )
@@ -371,22 +372,40 @@
 	}
 }
 
+// logsOf returns the texts of the log lines among the outputs.
+func logsOf(emitted []output.Output) (texts []string) {
+	for _, action := range emitted {
+		if line, isLog := action.(output.Log); isLog {
+			texts = append(texts, line.Text)
+		}
+	}
+	return texts
+}
+
 // A plan that begins or ceases to require keys is logged and counted; the first one is no change.
 func TestChangesOfAccessAreCounted(t *testing.T) {
 	e := newTestEntry(t).configure(4)
 	require.Zero(t, e.board.AccessChanges)
-	logs := func(emitted []output.Output) (texts []string) {
-		for _, action := range emitted {
-			if line, isLog := action.(output.Log); isLog {
-				texts = append(texts, line.Text)
-			}
-		}
-		return texts
-	}
-	require.Contains(t, logs(e.step(input.PlanRead{Plan: testPlan(6).WithOpenAccess()})), "Requests need no key any more.")
+	require.Contains(t, logsOf(e.step(input.PlanRead{Plan: testPlan(6).WithOpenAccess()})), "Requests need no key any more.")
 	require.Equal(t, 1, e.board.AccessChanges)
 	e.step(input.PlanRead{Plan: testPlan(7).WithOpenAccess()})
 	require.Equal(t, 1, e.board.AccessChanges)
-	require.Contains(t, logs(e.step(input.PlanRead{Plan: testPlan(8).WithOrganisations(nil)})), "Requests need a key from now on.")
+	require.Contains(t, logsOf(e.step(input.PlanRead{Plan: testPlan(8).WithOrganisations(nil)})), "Requests need a key from now on.")
 	require.Equal(t, 2, e.board.AccessChanges)
 }
+
+// Guards against a refusal whose log line doesn't tell which published state it is based on.
+func TestRefusalTellsWhatTheEntryHasRead(t *testing.T) {
+	e := newTestEntry(t).configure(1)
+	e.step(input.Confirmed{At: point.Point{Era: 2, Revision: 12}})
+	_, out := e.request("/unknown/1", 100, 0)
+	basis := out.(output.Reply).Reply.Basis
+	require.Equal(t, call.Basis{PlanVersion: 5, ReadTo: point.Point{Era: 2, Revision: 12}, ListRevision: 10}, basis)
+}
+
+// Guards against a source that comes back from an older copy without a line in the log.
+func TestNewEraIsLogged(t *testing.T) {
+	e := newTestEntry(t).configure(1)
+	require.NotContains(t, logsOf(e.step(input.Confirmed{At: point.Point{Era: 2, Revision: 12}})), "Era of published state has changed.")
+	require.Contains(t, logsOf(e.step(input.Confirmed{At: point.Point{Era: 3, Revision: 8}})), "Era of published state has changed.")
+}
--- a/internal/flow/port/port.go
+++ b/internal/flow/port/port.go
@@ -13,6 +13,7 @@
 	"mustardhook/internal/flow/call"
 	"mustardhook/internal/flow/input"
 	"mustardhook/internal/flow/plan"
+	"mustardhook/internal/flow/point"
 )
 
 // MaxStateBytes is the maximum size of the published state that a Source reads at a time. Over
@@ -81,13 +82,13 @@
 	}
 
 	// ReadResult is the result of a read: the changes in the order in which the source
-	// made them, and the revision that they lead to.
+	// made them, and the point of its history that they lead to.
 	ReadResult struct {
 		Inputs []input.Input
 		// Invalid lists the published records that can't be decoded. Endpoints among them
 		// must not be used.
-		Invalid  []InvalidRecord
-		Revision uint64
+		Invalid []InvalidRecord
+		At      point.Point
 	}
 
 	// InvalidRecord is a published record that can't be decoded.
--- a/internal/flow/proxy/news.go
+++ b/internal/flow/proxy/news.go
@@ -158,5 +158,5 @@
 		logger.Warn("Configuration from another entry can't be decoded.", "address", action.Address, "err", err)
 		return
 	}
-	p.Step(input.PlanRead{Plan: fetched, Document: reply.GetDocument()})
+	p.Step(input.PlanRead{Plan: fetched, Document: reply.GetDocument(), Origin: action.Address})
 }
--- a/internal/flow/proxy/proxy.go
+++ b/internal/flow/proxy/proxy.go
@@ -140,6 +140,10 @@
 		cancel:        cancel,
 	}
 	p.metrics.registerGauge("domains.evacuated", p.countEvacuated)
+	p.metrics.registerGauge("published.version", p.readBoard(func(b *board.Board) int { return int(b.Plan.Version) }))
+	p.metrics.registerGauge("published.era", p.readBoard(func(b *board.Board) int { return int(b.ReadTo.Era) }))
+	p.metrics.registerGauge("published.revision", p.readBoard(func(b *board.Board) int { return int(b.ReadTo.Revision) }))
+	p.metrics.registerGauge("published.listRevision", p.readBoard(func(b *board.Board) int { return int(b.ListRevision) }))
 	p.metrics.registerGauge("access.keys", p.readBoard(func(b *board.Board) int { return b.Plan.CountKeys() }))
 	p.metrics.registerGauge("access.changes", p.readBoard(func(b *board.Board) int { return b.AccessChanges }))
 	return p
@@ -340,11 +344,16 @@
 
 // logFinish logs the outcome of a request.
 func (p *Proxy) logFinish(s *session, outcome string, reason call.Reason, status int, more ...any) {
-	pairs := []any{
-		"request", s.request.Name, "reason", reason, "status", status, "endpoint", s.lastEndpoint, "sends", s.sends,
+	pairs := []any{"request", s.request.Name, "reason", reason, "status", status}
+	if basis := s.refusal; basis != nil {
+		pairs = append(pairs, "plan", uint64(basis.PlanVersion), "era", basis.ReadTo.Era, "revision", basis.ReadTo.Revision,
+			"listRevision", basis.ListRevision)
+	}
+	pairs = append(pairs,
+		"endpoint", s.lastEndpoint, "sends", s.sends,
 		"millis", time.Since(s.startedAt).Milliseconds(), "first", s.timeToFirst.Milliseconds(),
 		"predicted", int64(s.predicted), "longestGap", s.longestEventGap.Milliseconds(),
 		"promptTokens", s.request.PromptTokens,
-	}
+	)
 	p.logger.Part("request").Info(outcome, append(pairs, more...)...)
 }
--- a/internal/flow/proxy/read.go
+++ b/internal/flow/proxy/read.go
@@ -31,7 +31,7 @@
 		case err == nil:
 			p.reportSourceRecovered(state)
 			p.applyRead(read)
-			p.sleep(state.RecordSuccess(read.Revision))
+			p.sleep(state.RecordSuccess(read.At.Revision))
 		case p.lifetime.Err() != nil:
 			return
 		case errors.As(err, &compacted):
@@ -86,7 +86,7 @@
 	for _, in := range result.Inputs {
 		p.Step(in)
 	}
-	p.Step(input.Confirmed{})
+	p.Step(input.Confirmed{At: result.At})
 }
 
 // sleep waits for the given time or until the proxy stops.
--- a/internal/flow/proxy/session.go
+++ b/internal/flow/proxy/session.go
@@ -91,6 +91,8 @@
 		lastEventAt     time.Time
 		longestEventGap time.Duration
 		sends           int
+		// refusal is what a refusal was based on; nil if the request was not refused.
+		refusal *call.Basis
 	}
 
 	// bufferedAnswer is a complete answer of an endpoint.
@@ -295,8 +297,9 @@
 		s.proxy.logger.Part("request").Info("Refusal could not be written to the caller.", "request", s.request.Name, "err", err)
 	}
 	basis := reply.Basis
+	s.refusal = &basis
 	s.proxy.logFinish(s, "Request refused.", reply.Reason, reply.Status, "retryAfter", reply.RetryAfter,
-		"waitCause", basis.Wait, "callerRetry", basis.IsCallerRetry, "left", basis.TimeLeft, "startsIn", basis.StartsIn, "share", basis.Share, "use", basis.Use, "route", basis.Route, "organisation", basis.Organisation, "plan", uint64(basis.PlanVersion), "usable", basis.Usable, "entries", basis.Entries,
+		"waitCause", basis.Wait, "callerRetry", basis.IsCallerRetry, "left", basis.TimeLeft, "startsIn", basis.StartsIn, "share", basis.Share, "use", basis.Use, "route", basis.Route, "organisation", basis.Organisation, "usable", basis.Usable, "entries", basis.Entries,
 		"listAge", basis.ListAge, "loadsDeferred", basis.LoadsDeferred)
 }
 
