--- a/internal/flow/board/board.go
+++ b/internal/flow/board/board.go
@@ -71,9 +71,11 @@
 		// published state.
 		FetchBlockedUntil clock.Millis
 		// HasList reports whether the list of endpoints has been read in this epoch.
-		// ListRevision is the revision of the published state that it comes from.
-		HasList      bool
-		ListRevision uint64
+		// ListAt is the point of the published state that it comes from, and EraSince when the
+		// list moved to its era; zero if it began there.
+		HasList  bool
+		ListAt   point.Point
+		EraSince clock.Millis
 		// ConfirmedAt is when this entry last read published state completely, and ReadTo the
 		// point of its history up to which it did.
 		ConfirmedAt clock.Millis
--- a/internal/flow/call/call.go
+++ b/internal/flow/call/call.go
@@ -153,10 +153,10 @@
 		// Organisation is empty on anonymous routes.
 		Organisation ident.Organisation
 		PlanVersion  plan.Version
-		// ReadTo is the point up to which the entry itself has read published state, ListRevision the
-		// revision of its list of endpoints.
-		ReadTo       point.Point
-		ListRevision uint64
+		// ReadTo is the point up to which the entry itself has read published state, ListAt that of its
+		// list of endpoints.
+		ReadTo point.Point
+		ListAt point.Point
 		// Usable is the number of endpoints that could run the request, Entries the
 		// number of other entries whose load is known.
 		Usable  int
--- a/internal/flow/codec/codec.go
+++ b/internal/flow/codec/codec.go
@@ -18,6 +18,7 @@
 	"mustardhook/internal/flow/input"
 	"mustardhook/internal/flow/newspb"
 	"mustardhook/internal/flow/plan"
+	"mustardhook/internal/flow/point"
 	"mustardhook/internal/flow/pool"
 	"mustardhook/internal/flow/tally"
 )
@@ -104,6 +105,7 @@
 			Born:        listing.Epoch,
 			DoubtMillis: uint32(listing.RemovalGrace),
 			ColdMillis:  uint32(listing.ColdRemaining),
+			HoldMillis:  uint32(listing.Hold),
 		})
 	}
 	return encoded
@@ -125,6 +127,7 @@
 			},
 			RemovalGrace:  clock.Millis(listing.DoubtMillis),
 			ColdRemaining: clock.Millis(listing.ColdMillis),
+			Hold:          clock.Millis(listing.HoldMillis),
 		})
 	}
 	return list
@@ -133,19 +136,19 @@
 // EncodeEvacuated encodes a set of evacuated failure domains.
 func EncodeEvacuated(set evac.Set) []*newspb.Evacuation {
 	encoded := make([]*newspb.Evacuation, 0, set.Len())
-	for domain, revision := range set.All() {
-		encoded = append(encoded, &newspb.Evacuation{Domain: string(domain), Revision: revision})
+	for domain, since := range set.All() {
+		encoded = append(encoded, &newspb.Evacuation{Domain: string(domain), Era: since.Era, Revision: since.Revision})
 	}
 	return encoded
 }
 
 // DecodeEvacuated decodes a set of evacuated failure domains from another entry.
 func DecodeEvacuated(encoded []*newspb.Evacuation) evac.Set {
-	revisions := make(map[ident.Domain]uint64, len(encoded))
+	points := make(map[ident.Domain]point.Point, len(encoded))
 	for _, instruction := range encoded {
-		revisions[ident.Domain(instruction.Domain)] = instruction.Revision
+		points[ident.Domain(instruction.Domain)] = point.Point{Era: instruction.Era, Revision: instruction.Revision}
 	}
-	return evac.NewSet(revisions)
+	return evac.NewSet(points)
 }
 
 func encodeNews(news input.News, now clock.Millis) *newspb.News {
@@ -160,7 +163,8 @@
 		Known:        news.HubAddresses,
 		Capacity:     uint32(news.Capacity),
 		Members:      uint32(news.Members),
-		ListRevision: news.ListRevision,
+		ListEra:      news.ListAt.Era,
+		ListRevision: news.ListAt.Revision,
 	}
 	if news.ConfirmedAt != 0 {
 		message.ConfirmedAgeMillis = uint64(max(now-news.ConfirmedAt, 0)) + 1
@@ -210,7 +214,7 @@
 		HubAddresses: message.Known,
 		Capacity:     int(message.Capacity),
 		Members:      int(message.Members),
-		ListRevision: message.ListRevision,
+		ListAt:       point.Point{Era: message.ListEra, Revision: message.ListRevision},
 	}
 	if message.ConfirmedAgeMillis > 0 {
 		news.ConfirmedAt = now - clock.Millis(message.ConfirmedAgeMillis-1)
--- a/internal/flow/codec/codec_test.go
+++ b/internal/flow/codec/codec_test.go
@@ -14,6 +14,7 @@
 	"mustardhook/internal/flow/input"
 	"mustardhook/internal/flow/newspb"
 	"mustardhook/internal/flow/plan"
+	"mustardhook/internal/flow/point"
 	"mustardhook/internal/flow/pool"
 	"mustardhook/internal/flow/tally"
 )
@@ -24,7 +25,7 @@
 	count := rapid.IntRange(0, 1_000_000)
 	news := input.News{
 		Entry: ident.Entry(name.Draw(t, "entry")), Epoch: rapid.Uint64().Draw(t, "life"), Sequence: 3, Domain: "d",
-		Address: "10.0.0.1:9", Capacity: 134, Members: 370, ListRevision: 8, ConfirmedAt: now - 5, PlanVersion: plan.Version(count.Draw(t, "version")), Leaving: rapid.Bool().Draw(t, "leaving"),
+		Address: "10.0.0.1:9", Capacity: 134, Members: 370, ListAt: point.Point{Revision: 8}, ConfirmedAt: now - 5, PlanVersion: plan.Version(count.Draw(t, "version")), Leaving: rapid.Bool().Draw(t, "leaving"),
 	}
 	if rapid.Bool().Draw(t, "left") {
 		news.LeavingEndpoints = []pool.Hash{7, 9}
--- a/internal/flow/crash/crash.go
+++ b/internal/flow/crash/crash.go
@@ -20,10 +20,8 @@
 	// BeginningWindow is the time after the first event in which an answer is at its beginning.
 	BeginningWindow = 500 * clock.Millis(1)
 
-	// The record of an endpoint lapses after missedHeartbeats heartbeat intervals; listDelay is how
-	// long the change takes to reach all entries.
-	missedHeartbeats = 3
-	listDelay        = 1500 * clock.Millis(1)
+	// listDelay is how long it takes all entries to learn that the record of an endpoint has lapsed.
+	listDelay = 1500 * clock.Millis(1)
 )
 
 type (
@@ -63,7 +61,7 @@
 // confirmWindow returns the longest time between the loss of an answer and the detected end of its endpoint for
 // which the two are connected.
 func confirmWindow(b *board.Board) clock.Millis {
-	return missedHeartbeats*b.Settings.HeartbeatInterval + listDelay
+	return b.Settings.RecordTTL() + listDelay
 }
 
 // NewController returns the controller that detects requests which crash endpoints.
--- a/internal/flow/input/input.go
+++ b/internal/flow/input/input.go
@@ -15,6 +15,9 @@
 	"mustardhook/internal/flow/tally"
 )
 
+// missedHeartbeats is the number of heartbeat intervals after which a record lapses.
+const missedHeartbeats = 3
+
 // The possible outcomes of a probe.
 const (
 	// ProbeRefused means that the connection was refused: the process of the endpoint has exited.
@@ -84,20 +87,23 @@
 		Origin string
 	}
 
-	// ListRead delivers the complete list of endpoints at a revision.
+	// ListRead delivers the complete list of endpoints at a point of its history.
 	ListRead struct {
-		List     []pool.Listing
-		Revision uint64
+		List []pool.Listing
+		At   point.Point
 		// Evacuated are all evacuated failure domains.
 		Evacuated evac.Set
 	}
 
 	// ListReceived delivers the list of endpoints of another entry.
 	ListReceived struct {
-		List     []pool.PeerListing
-		Revision uint64
-		// IsDelta means that List holds only the changes since the revision that this
-		// entry asked for, and Removed the endpoints removed since then.
+		List []pool.PeerListing
+		At   point.Point
+		// EraAge is how long ago the sender's list moved to its era.
+		EraAge clock.Millis
+		// IsDelta means that List holds only the changes since the point that this
+		// entry asked for, and Removed the endpoints removed since then. Otherwise Removed holds
+		// those that the sender has removed lately.
 		IsDelta bool
 		Removed []ident.Endpoint
 		// Evacuated are all evacuated failure domains, also in a delta.
@@ -106,26 +112,26 @@
 
 	// EndpointRead delivers one changed record of the list of endpoints.
 	EndpointRead struct {
-		Record   pool.Listing
-		Revision uint64
+		Record pool.Listing
+		At     point.Point
 	}
 
 	// EndpointRemoved reports that an endpoint was removed from the list.
 	EndpointRemoved struct {
-		Name     ident.Endpoint
-		Revision uint64
+		Name ident.Endpoint
+		At   point.Point
 	}
 
 	// EvacuationRead reports that a failure domain was evacuated.
 	EvacuationRead struct {
-		Domain   ident.Domain
-		Revision uint64
+		Domain ident.Domain
+		At     point.Point
 	}
 
 	// EvacuationRemoved reports that the evacuation of a failure domain was taken back.
 	EvacuationRemoved struct {
-		Domain   ident.Domain
-		Revision uint64
+		Domain ident.Domain
+		At     point.Point
 	}
 
 	// FetchEnded reports that a call for published state to another entry has ended.
@@ -219,11 +225,12 @@
 		Sequence uint64
 		// Domain, Address and Capacity are constant during an epoch and empty in brief
 		// news. Capacity is the processor share, in thousandths of a core.
-		Domain       ident.Domain
-		Address      string
-		Capacity     int
-		PlanVersion  plan.Version
-		ListRevision uint64
+		Domain      ident.Domain
+		Address     string
+		Capacity    int
+		PlanVersion plan.Version
+		// ListAt is the point of the published state that the list of endpoints comes from.
+		ListAt point.Point
 		// ConfirmedAt is when the entry itself last read published state completely; zero
 		// if it never did.
 		ConfirmedAt clock.Millis
@@ -273,6 +280,9 @@
 	}
 )
 
+// RecordTTL returns how long the record of an endpoint that doesn't renew it stays in the list.
+func (s Settings) RecordTTL() clock.Millis { return missedHeartbeats * s.HeartbeatInterval }
+
 // Brief returns a copy of the news without the fields that rarely change.
 func (n News) Brief() News {
 	n.Domain = ""
--- a/internal/flow/intake/intake.go
+++ b/internal/flow/intake/intake.go
@@ -10,6 +10,7 @@
 	"mustardhook/internal/flow/input"
 	"mustardhook/internal/flow/plan"
 	"mustardhook/internal/flow/point"
+	"mustardhook/internal/flow/pool"
 )
 
 const (
@@ -35,40 +36,30 @@
 	case input.PlanRead:
 		applyPlan(b, in)
 	case input.ListRead:
-		if advanceRevision(b, in.Revision) || !b.HasList {
-			b.Pool.Replace(in.List, b.Now)
-			b.HasList = true
-			b.Log("List of endpoints read.", "endpoints", len(in.List), "revision", in.Revision)
-			setEvacuated(b, b.Pool.Evacuated().Replace(in.Evacuated, in.Revision), in.Revision)
-		} else {
-			b.Log("List of endpoints that was read is not newer than the known one.", "endpoints", len(in.List), "revision", in.Revision, "known", b.ListRevision)
-		}
+		applyList(b, in)
 	case input.ListReceived:
-		if advanceRevision(b, in.Revision) {
-			applyReceivedList(b, in)
-			setEvacuated(b, b.Pool.Evacuated().Replace(in.Evacuated, in.Revision), in.Revision)
-		}
+		applyReceivedList(b, in)
 	case input.EndpointRead:
 		if b.Pool.Has(in.Record, b.Now) {
 			b.Pool.UpdateColdness(in.Record, b.Now)
-		} else if advanceRevision(b, in.Revision) {
+		} else if advance(b, in.At, 0) {
 			b.Pool.Put(in.Record, b.Now)
 			b.Log("Endpoint changed.", "endpoint", in.Record.Name, "leaving", in.Record.Leaving,
 				"coldLeft", in.Record.ColdLeft)
 		}
 	case input.EndpointRemoved:
-		if advanceRevision(b, in.Revision) {
+		if advance(b, in.At, 0) {
 			removalGrace := b.Pool.Remove(in.Name, b.Now)
 			b.Log("Endpoint gone from the list.", "endpoint", in.Name, "removalGrace", removalGrace)
 		}
 	case input.EvacuationRead:
 		// A known instruction counts, too, so that no state from before it can end the evacuation.
-		if advanceRevision(b, in.Revision) {
-			setEvacuated(b, b.Pool.Evacuated().With(in.Domain, in.Revision), in.Revision)
+		if advance(b, in.At, 0) {
+			setEvacuated(b, b.Pool.Evacuated().With(in.Domain, in.At), in.At)
 		}
 	case input.EvacuationRemoved:
-		if advanceRevision(b, in.Revision) {
-			setEvacuated(b, b.Pool.Evacuated().Without(in.Domain), in.Revision)
+		if advance(b, in.At, 0) {
+			setEvacuated(b, b.Pool.Evacuated().Without(in.Domain), in.At)
 		}
 	case input.Confirmed:
 		recordRead(b, in.At)
@@ -88,6 +79,7 @@
 		if b.Now-c.expiredAt >= ExpireInterval {
 			c.expiredAt = b.Now
 			b.Pool.Expire(b.Now)
+			expireEvacuated(b)
 		}
 	}
 }
@@ -100,46 +92,94 @@
 	b.ReadTo = at
 }
 
-// applyReceivedList applies the list, or the changes of it, from another entry.
+// applyList applies a list that this entry has read, unless it knows a newer one.
+func applyList(b *board.Board, read input.ListRead) {
+	before, hadList := b.ListAt, b.HasList
+	if !advance(b, read.At, 0) && hadList {
+		b.Log("List of endpoints that was read is not newer than the known one.", "endpoints", len(read.List),
+			"era", read.At.Era, "revision", read.At.Revision, "knownEra", before.Era, "knownRevision", before.Revision)
+		return
+	}
+	b.Pool.Replace(read.List, begunEra(b, before, hadList), b.Now)
+	b.HasList = true
+	b.Log("List of endpoints read.", "endpoints", len(read.List), "era", read.At.Era, "revision", read.At.Revision)
+	setEvacuated(b, b.Pool.Evacuated().Replace(read.Evacuated, read.At), read.At)
+}
+
+// applyReceivedList applies the list, or the changes of it, from another entry, unless this one knows a newer one.
 func applyReceivedList(b *board.Board, received input.ListReceived) {
+	before, hadList := b.ListAt, b.HasList
+	if !advance(b, received.At, received.EraAge) {
+		return
+	}
 	if received.IsDelta {
 		b.Pool.ApplyDelta(received.List, received.Removed, b.Now)
 		b.Log(
 			"Endpoint changes received from another entry.",
-			"endpoints", len(received.List), "gone", len(received.Removed), "revision", received.Revision,
+			"endpoints", len(received.List), "gone", len(received.Removed), "era", received.At.Era, "revision", received.At.Revision,
 		)
-		return
+	} else {
+		b.Pool.ApplySnapshot(received.List, received.Removed, begunEra(b, before, hadList), b.Now)
+		b.HasList = true
+		b.Log("List of endpoints told.", "endpoints", len(received.List), "era", received.At.Era, "revision", received.At.Revision)
 	}
-	b.Pool.ApplySnapshot(received.List, b.Now)
-	b.HasList = true
-	b.Log("List of endpoints told.", "endpoints", len(received.List), "revision", received.Revision)
+	setEvacuated(b, b.Pool.Evacuated().Replace(received.Evacuated, received.At), received.At)
 }
 
-// setEvacuated replaces the set of evacuated failure domains, and logs the changes.
-func setEvacuated(b *board.Board, evacuated evac.Set, revision uint64) {
+// setEvacuated replaces the set of evacuated failure domains, and logs the changes. Instructions of earlier eras end if
+// they have not been published again in time.
+func setEvacuated(b *board.Board, evacuated evac.Set, at point.Point) {
+	if b.Now >= eraOf(b).HoldUntil {
+		evacuated = evacuated.InEra(b.ListAt.Era)
+	}
 	before := b.Pool.Evacuated()
-	for domain, at := range evacuated.All() {
+	for domain, since := range evacuated.All() {
 		if !before.Contains(domain) {
-			b.Log("Failure domain is evacuated.", "failureDomain", domain, "revision", at)
+			b.Log("Failure domain is evacuated.", "failureDomain", domain, "era", since.Era, "revision", since.Revision)
 		}
 	}
 	for domain := range before.All() {
 		if !evacuated.Contains(domain) {
-			b.Log("Failure domain is taken back.", "failureDomain", domain, "revision", revision)
+			b.Log("Failure domain is taken back.", "failureDomain", domain, "era", at.Era, "revision", at.Revision)
 		}
 	}
 	b.Pool.SetEvacuated(evacuated, b.Now)
 }
 
-// advanceRevision sets the revision of the list if it is newer than the current one, and
-// reports whether it is. Changes with an older revision must be ignored: a newer list may
-// have been received from another entry.
-func advanceRevision(b *board.Board, revision uint64) bool {
-	if revision <= b.ListRevision {
+// expireEvacuated ends the instructions of earlier eras that have not been published again in time.
+func expireEvacuated(b *board.Board) {
+	evacuated := b.Pool.Evacuated()
+	if b.Now >= eraOf(b).HoldUntil && evacuated.InEra(b.ListAt.Era).Len() < evacuated.Len() {
+		setEvacuated(b, evacuated, b.ListAt)
+	}
+}
+
+// eraOf returns the era of the list. What is known from the era before holds against a state that may come from an
+// older copy until a record that nobody renews has lapsed, and living endpoints are listed again.
+func eraOf(b *board.Board) pool.Era {
+	return pool.Era{Since: b.EraSince, HoldUntil: b.EraSince + b.Settings.RecordTTL() + pool.RemovalGrace}
+}
+
+// begunEra returns the era of the list if the list was in another one before, and the zero value otherwise.
+func begunEra(b *board.Board, before point.Point, hadList bool) pool.Era {
+	if !hadList || before.Era == b.ListAt.Era {
+		return pool.Era{}
+	}
+	return eraOf(b)
+}
+
+// advance sets the point of the list if it is after the current one, and reports whether it is. Changes at
+// earlier points must be ignored: a newer list may have been received from another entry. eraAge is how long ago the
+// era of the point is known to have begun.
+func advance(b *board.Board, at point.Point, eraAge clock.Millis) bool {
+	if !at.IsAfter(b.ListAt) {
 		return false
 	}
-	b.ListRevision = revision
-	b.Pool.SetRevision(revision)
+	if !b.HasList || at.Era != b.ListAt.Era {
+		b.EraSince = b.Now - eraAge
+	}
+	b.ListAt = at
+	b.Pool.SetPoint(at)
 	b.NewsChanged = true
 	return true
 }
--- a/internal/flow/output/output.go
+++ b/internal/flow/output/output.go
@@ -8,6 +8,7 @@
 	"mustardhook/internal/flow/call"
 	"mustardhook/internal/flow/input"
 	"mustardhook/internal/flow/plan"
+	"mustardhook/internal/flow/point"
 )
 
 type (
@@ -48,11 +49,11 @@
 	SetTimer struct{ After clock.Millis }
 
 	// FetchPublished asks another entry for published state that is newer than the given
-	// version and revision.
+	// version and point.
 	FetchPublished struct {
-		Address      string
-		PlanVersion  plan.Version
-		ListRevision uint64
+		Address     string
+		PlanVersion plan.Version
+		ListAt      point.Point
 	}
 
 	// RequestPace asks an endpoint to report its pace.
--- a/internal/flow/parts/cold_test.go
+++ b/internal/flow/parts/cold_test.go
@@ -15,6 +15,7 @@
 	"mustardhook/internal/flow/output"
 	"mustardhook/internal/flow/peers"
 	"mustardhook/internal/flow/plan"
+	"mustardhook/internal/flow/point"
 	"mustardhook/internal/flow/pool"
 	"mustardhook/internal/flow/warm"
 )
@@ -155,14 +156,14 @@
 		f := newColdFleet(t, test.entries, engineCount, test.rate)
 		returning := f.listings("south")
 		for i, listing := range returning {
-			f.read(input.EndpointRemoved{Name: listing.Name, Revision: uint64(20 + i)})
+			f.read(input.EndpointRemoved{Name: listing.Name, At: point.Point{Revision: uint64(20 + i)}})
 		}
 		f.run(4*clock.Second, perSecond/2)
 		f.refused = 0
 		for i, listing := range returning {
 			listing.Epoch++
 			listing.ColdLeft = coldTime
-			f.read(input.EndpointRead{Record: listing, Revision: uint64(60 + i)})
+			f.read(input.EndpointRead{Record: listing, At: point.Point{Revision: uint64(60 + i)}})
 		}
 		start := f.now
 		f.run(coldTime+warm.RampTime+clock.Second, perSecond)
@@ -225,7 +226,7 @@
 		}
 		for _, entry := range f.entries {
 			if seed%2 == 0 || groups[entry.host] == 0 {
-				f.carryOut(entry, entry.step(input.EndpointRead{Record: target, Revision: 90}))
+				f.carryOut(entry, entry.step(input.EndpointRead{Record: target, At: point.Point{Revision: 90}}))
 			}
 		}
 		start := f.now
@@ -244,7 +245,7 @@
 	record := endpoint().Listing
 	require.False(t, endpoint().IsCold(e.board.Now))
 	record.Epoch++
-	e.step(input.EndpointRead{Record: record, Revision: 20})
+	e.step(input.EndpointRead{Record: record, At: point.Point{Revision: 20}})
 	require.Equal(t, e.board.Now+coldTime, endpoint().ColdUntil())
 	require.Greater(t, endpoint().Pace(e.board.Now), endpoint().Pace(e.board.Now+coldTime/2))
 	e.advance(coldTime)
@@ -252,24 +253,24 @@
 	require.InDelta(t, 1, endpoint().Pace(e.board.Now), 0)
 
 	record.ColdLeft = 2000
-	e.step(input.EndpointRead{Record: record, Revision: 21})
+	e.step(input.EndpointRead{Record: record, At: point.Point{Revision: 21}})
 	until := e.board.Now + 2000
 	e.advance(500)
-	e.step(input.ListRead{List: []pool.Listing{record}, Revision: 22})
+	e.step(input.ListRead{List: []pool.Listing{record}, At: point.Point{Revision: 22}})
 	record.Slots = 5
-	e.step(input.EndpointRead{Record: record, Revision: 23})
+	e.step(input.EndpointRead{Record: record, At: point.Point{Revision: 23}})
 	require.Equal(t, until, endpoint().ColdUntil())
 	other := newTestEntry(t).configureCold(6, coldRate)
-	list, removed, _ := e.board.Pool.Delta(20, e.board.Now)
-	other.step(input.ListReceived{List: list, Removed: removed, IsDelta: true, Revision: 24})
+	list, removed, _ := e.board.Pool.Delta(point.Point{Revision: 22}, e.board.Now)
+	other.step(input.ListReceived{List: list, Removed: removed, IsDelta: true, At: point.Point{Revision: 24}})
 	require.Equal(t, coldTime, other.board.Pool.Find("engine-0001").ColdUntil()-other.board.Now, "it has started anew")
-	other.step(input.ListRead{List: []pool.Listing{record}, Revision: 23})
+	other.step(input.ListRead{List: []pool.Listing{record}, At: point.Point{Revision: 23}})
 	require.Equal(t, coldTime, other.board.Pool.Find("engine-0001").ColdUntil()-other.board.Now)
 
-	e.step(input.EndpointRemoved{Name: record.Name, Revision: 30})
+	e.step(input.EndpointRemoved{Name: record.Name, At: point.Point{Revision: 30}})
 	e.advance(10 * clock.Second)
 	require.Nil(t, endpoint())
-	e.step(input.EndpointRead{Record: record, Revision: 31})
+	e.step(input.EndpointRead{Record: record, At: point.Point{Revision: 31}})
 	require.Equal(t, e.board.Now+record.ColdLeft, endpoint().ColdUntil())
 	e.coldAll(coldTime, "south")
 	require.Equal(t, e.board.Now+coldTime, endpoint().ColdUntil())
@@ -288,9 +289,9 @@
 func TestDomainThatIsTakenBackIsCold(t *testing.T) {
 	e := newTestEntry(t).configureCold(6, coldRate)
 	e.advance(warm.SettleTime)
-	e.step(input.EvacuationRead{Domain: "south", Revision: 50})
+	e.step(input.EvacuationRead{Domain: "south", At: point.Point{Revision: 50}})
 	e.advance(clock.Second)
-	e.step(input.EvacuationRemoved{Domain: "south", Revision: 51})
+	e.step(input.EvacuationRemoved{Domain: "south", At: point.Point{Revision: 51}})
 	for _, endpoint := range e.board.Pool.ByService(coldService) {
 		require.Equal(t, endpoint.Domain == "south", endpoint.IsCold(e.board.Now), endpoint.Name)
 	}
@@ -366,7 +367,7 @@
 	e := newTestEntry(t).configure(4)
 	record := e.board.Pool.Find("engine-01").Listing
 	record.Epoch, record.ColdLeft = 2, 3000
-	e.step(input.EndpointRead{Record: record, Revision: 20})
+	e.step(input.EndpointRead{Record: record, At: point.Point{Revision: 20}})
 	require.False(t, e.board.Pool.Find("engine-01").IsCold(e.board.Now))
 	require.InDelta(t, 1, e.board.Pool.Find("engine-01").Pace(e.board.Now), 0)
 }
--- a/internal/flow/parts/cost_test.go
+++ b/internal/flow/parts/cost_test.go
@@ -11,6 +11,7 @@
 	"mustardhook/internal/flow/call"
 	"mustardhook/internal/flow/input"
 	"mustardhook/internal/flow/plan"
+	"mustardhook/internal/flow/point"
 	"mustardhook/internal/flow/pool"
 	"mustardhook/internal/flow/tally"
 )
@@ -53,7 +54,7 @@
 			Domain: domains[i%len(domains)], Epoch: 1,
 		})
 	}
-	e.step(input.ListRead{List: list, Revision: 11})
+	e.step(input.ListRead{List: list, At: point.Point{Revision: 11}})
 	return e
 }
 
--- a/internal/flow/parts/entry_test.go
+++ b/internal/flow/parts/entry_test.go
@@ -15,6 +15,7 @@
 	"mustardhook/internal/flow/output"
 	"mustardhook/internal/flow/peers"
 	"mustardhook/internal/flow/plan"
+	"mustardhook/internal/flow/point"
 	"mustardhook/internal/flow/pool"
 	"mustardhook/internal/flow/tally"
 )
@@ -145,7 +146,7 @@
 			Address: fmt.Sprintf("10.2.0.%d:80", i), Domain: domain, Epoch: 1,
 		})
 	}
-	e.step(input.ListRead{List: list, Revision: 10})
+	e.step(input.ListRead{List: list, At: point.Point{Revision: 10}})
 	return e
 }
 
--- /dev/null
+++ b/internal/flow/parts/era_test.go
@@ -0,0 +1,232 @@
+package parts
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"mustardhook/internal/core/clock"
+	"mustardhook/internal/core/ident"
+	"mustardhook/internal/flow/evac"
+	"mustardhook/internal/flow/input"
+	"mustardhook/internal/flow/output"
+	"mustardhook/internal/flow/point"
+	"mustardhook/internal/flow/pool"
+)
+
+const (
+	// eraHold is how long what an entry knows from the era before holds, by the default settings.
+	eraHold = 3*1200 + pool.RemovalGrace
+	// expiryDelay is the longest time until a hold that has ended is noticed.
+	expiryDelay = 1100 * clock.Millis(1)
+)
+
+// eraListing returns the record of an endpoint of the service desk.
+func eraListing(name ident.Endpoint) pool.Listing {
+	return pool.Listing{Name: name, Service: desk, Slots: 6, Address: "10.2.0.9:80", Domain: "north", Epoch: 1}
+}
+
+// newEraEntry returns an entry that has read the endpoints at revision 50 of the first era.
+func newEraEntry(t *testing.T, names ...ident.Endpoint) *testEntry {
+	e := newTestEntry(t)
+	e.board.Settings.HeartbeatInterval = 1200
+	e.step(input.PlanRead{Plan: testPlan(5)})
+	var list []pool.Listing
+	for _, name := range names {
+		list = append(list, eraListing(name))
+	}
+	e.step(input.ListRead{List: list, At: point.Point{Era: 1, Revision: 50}})
+	return e
+}
+
+// isUsed reports whether the entry may send to the endpoint.
+func (e *testEntry) isUsed(name ident.Endpoint) bool {
+	endpoint := e.board.Pool.Find(name)
+	return endpoint != nil && endpoint.IsUsable(e.board.Now)
+}
+
+// Guards against a list of a new era that is ignored because its revision is below a known one, and against one of the
+// era before that takes its place.
+func TestListOfNewEraReplacesTheOldOne(t *testing.T) {
+	for _, isFromPeer := range []bool{false, true} {
+		e := newEraEntry(t, "kept")
+		list := []pool.Listing{eraListing("kept"), eraListing("new")}
+		at := point.Point{Era: 2, Revision: 30}
+		if isFromPeer {
+			e.step(input.ListReceived{List: []pool.PeerListing{{Listing: list[0]}, {Listing: list[1]}}, At: at})
+		} else {
+			e.step(input.ListRead{List: list, At: at})
+		}
+		require.True(t, e.isUsed("new"))
+		require.Equal(t, at, e.board.ListAt)
+		e.step(input.ListReceived{At: point.Point{Era: 1, Revision: 60}})
+		e.step(input.ListRead{At: point.Point{Era: 1, Revision: 60}})
+		e.step(input.EndpointRemoved{Name: "kept", At: point.Point{Era: 1, Revision: 61}})
+		require.True(t, e.isUsed("kept"))
+		require.Equal(t, at, e.board.ListAt)
+	}
+}
+
+// Guards against endpoints that are given up because the copy that a store came back from lacks their records, and against
+// ones that are kept for good.
+func TestEndpointMissingFromTheCopyIsKeptForAWhile(t *testing.T) {
+	for _, isFromPeer := range []bool{false, true} {
+		e := newEraEntry(t, "alive", "dead")
+		at := point.Point{Era: 2, Revision: 30}
+		if isFromPeer {
+			e.step(input.ListReceived{At: at})
+		} else {
+			e.step(input.ListRead{At: at})
+		}
+		require.True(t, e.isUsed("alive"))
+		e.advance(pool.RemovalGrace - 100)
+		require.True(t, e.isUsed("dead"))
+		e.step(input.EndpointRead{Record: eraListing("alive"), At: point.Point{Era: 2, Revision: 31}})
+		e.advance(200)
+		require.True(t, e.isUsed("alive"))
+		require.False(t, e.isUsed("dead"))
+	}
+}
+
+// Guards against an entry that keeps endpoints longer because it hears late of the new era, and one that keeps those of
+// which its peer knows that they were removed.
+func TestPeerTellsHowLongToKeepEndpoints(t *testing.T) {
+	e := newEraEntry(t, "lost", "removed")
+	e.step(input.ListReceived{At: point.Point{Era: 2, Revision: 30}, EraAge: pool.RemovalGrace - 500, Removed: []ident.Endpoint{"removed"}})
+	require.True(t, e.isUsed("lost"))
+	require.False(t, e.isUsed("removed"))
+	e.advance(600)
+	require.False(t, e.isUsed("lost"))
+}
+
+// Guards against an endpoint that was removed or is leaving and is used again because the copy that a store came back from
+// still lists it as ready. It is used once its record is written anew, or has not lapsed.
+func TestRemovedEndpointIsNotUsedForAnOldRecord(t *testing.T) {
+	leaving := eraListing("leaving")
+	leaving.Leaving = true
+	names := []ident.Endpoint{"leaving", "removed", "forgotten"}
+	for _, isFromPeer := range []bool{false, true} {
+		newEntry := func() *testEntry {
+			e := newEraEntry(t, names...)
+			e.step(input.EndpointRemoved{Name: "forgotten", At: point.Point{Era: 1, Revision: 51}})
+			e.advance(5 * clock.Second)
+			require.Nil(t, e.board.Pool.Find("forgotten"))
+			e.step(input.EndpointRemoved{Name: "removed", At: point.Point{Era: 1, Revision: 52}})
+			e.step(input.EndpointRead{Record: leaving, At: point.Point{Era: 1, Revision: 53}})
+			at := point.Point{Era: 2, Revision: 30}
+			var list []pool.Listing
+			var peerList []pool.PeerListing
+			for _, name := range names {
+				list = append(list, eraListing(name))
+				peerList = append(peerList, pool.PeerListing{Listing: eraListing(name)})
+			}
+			if isFromPeer {
+				e.step(input.ListReceived{List: peerList, At: at})
+			} else {
+				e.step(input.ListRead{List: list, At: at})
+			}
+			return e
+		}
+		for _, name := range names {
+			e := newEntry()
+			require.False(t, e.isUsed(name))
+			e.advance(eraHold - 100)
+			require.False(t, e.isUsed(name))
+			e.advance(100 + expiryDelay)
+			require.True(t, e.isUsed(name), "its record has not lapsed")
+
+			e = newEntry()
+			e.step(input.EndpointRead{Record: eraListing(name), At: point.Point{Era: 2, Revision: 31}})
+			require.True(t, e.isUsed(name), "its record was written anew")
+
+			e = newEntry()
+			e.step(input.EndpointRemoved{Name: name, At: point.Point{Era: 2, Revision: 31}})
+			e.advance(eraHold + expiryDelay)
+			require.False(t, e.isUsed(name))
+		}
+		// A new run is no old record.
+		e := newEraEntry(t, "restarted")
+		e.step(input.EndpointRemoved{Name: "restarted", At: point.Point{Era: 1, Revision: 51}})
+		restarted := eraListing("restarted")
+		restarted.Epoch = 2
+		e.step(input.ListRead{List: []pool.Listing{restarted}, At: point.Point{Era: 2, Revision: 30}})
+		require.True(t, e.isUsed("restarted"))
+	}
+}
+
+// Guards against a held endpoint that another entry uses at once because it is told of it without the hold.
+func TestHoldIsToldToOtherEntries(t *testing.T) {
+	e := newEraEntry(t, "removed")
+	e.step(input.EndpointRemoved{Name: "removed", At: point.Point{Era: 1, Revision: 51}})
+	e.step(input.ListRead{List: []pool.Listing{eraListing("removed")}, At: point.Point{Era: 2, Revision: 30}})
+	other := newTestEntry(t)
+	other.board.Settings.HeartbeatInterval = 1200
+	other.step(input.ListReceived{List: e.board.Pool.Snapshot(e.board.Now), At: e.board.ListAt})
+	require.False(t, other.isUsed("removed"))
+	other.advance(eraHold + expiryDelay)
+	require.True(t, other.isUsed("removed"))
+}
+
+// Guards against an evacuation that ends because the copy that a store came back from lacks it, before it is written again, and
+// against one that never ends because nobody writes it again.
+func TestEvacuationMissingFromTheCopyIsKeptForAWhile(t *testing.T) {
+	for _, isWrittenAgain := range []bool{false, true} {
+		e := newEraEntry(t, "desk")
+		e.step(input.EvacuationRead{Domain: "north", At: point.Point{Era: 1, Revision: 51}})
+		e.step(input.ListRead{List: []pool.Listing{eraListing("desk")}, At: point.Point{Era: 2, Revision: 30}})
+		require.True(t, e.board.Pool.Evacuated().Contains("north"))
+		other := newTestEntry(t)
+		other.board.Settings.HeartbeatInterval = 1200
+		other.step(input.ListReceived{
+			List: e.board.Pool.Snapshot(e.board.Now), At: e.board.ListAt, EraAge: 1000, Evacuated: e.board.Pool.Evacuated(),
+		})
+		if isWrittenAgain {
+			e.step(input.EvacuationRead{Domain: "north", At: point.Point{Era: 2, Revision: 31}})
+		}
+		for _, entry := range []*testEntry{e, other} {
+			entry.advance(eraHold - 1000 - 100)
+			require.True(t, entry.board.Pool.Evacuated().Contains("north"))
+			entry.advance(1000 + 100 + expiryDelay)
+		}
+		require.Equal(t, isWrittenAgain, e.board.Pool.Evacuated().Contains("north"))
+		require.False(t, other.board.Pool.Evacuated().Contains("north"))
+		// Another entry that still has the old instruction doesn't bring it back.
+		other.step(input.ListReceived{
+			IsDelta: true, At: point.Point{Era: 2, Revision: 40}, Evacuated: evac.NewSet(map[ident.Domain]point.Point{"north": {Era: 1, Revision: 51}}),
+		})
+		require.False(t, other.board.Pool.Evacuated().Contains("north"))
+	}
+}
+
+// Guards against an entry that asks for the state of peers that are still in the era before, whose revisions are greater, and
+// against one there that doesn't ask for the new one.
+func TestEntriesAskForTheNewestEra(t *testing.T) {
+	for _, test := range []struct {
+		own, peer point.Point
+		isAsked   bool
+	}{
+		{point.Point{Era: 2, Revision: 30}, point.Point{Era: 1, Revision: 60}, false},
+		{point.Point{Era: 1, Revision: 60}, point.Point{Era: 2, Revision: 30}, true},
+		{point.Point{Era: 2, Revision: 30}, point.Point{Era: 2, Revision: 30}, false},
+	} {
+		e := newEraEntry(t, "desk")
+		if test.own.Era > 1 {
+			e.step(input.ListRead{List: []pool.Listing{eraListing("desk")}, At: test.own})
+		} else {
+			e.step(input.EndpointRead{Record: eraListing("other"), At: test.own})
+		}
+		e.step(input.NewsReceived{Batch: input.Batch{Sender: "peer", News: []input.News{{
+			Entry: "peer", Epoch: 1, Sequence: 1, Domain: "north", Address: "10.9.0.1:9000", Capacity: 100, PlanVersion: 5, ListAt: test.peer,
+		}}}})
+		e.outputs = nil
+		e.advance(1000)
+		isAsked := false
+		for _, out := range e.outputs {
+			if fetch, isFetch := out.(output.FetchPublished); isFetch {
+				isAsked = true
+				require.Equal(t, test.own, fetch.ListAt)
+			}
+		}
+		require.Equal(t, test.isAsked, isAsked, "%+v", test)
+	}
+}
--- a/internal/flow/parts/evacuation_test.go
+++ b/internal/flow/parts/evacuation_test.go
@@ -16,6 +16,7 @@
 	"mustardhook/internal/flow/input"
 	"mustardhook/internal/flow/output"
 	"mustardhook/internal/flow/place"
+	"mustardhook/internal/flow/point"
 	"mustardhook/internal/flow/pool"
 )
 
@@ -37,7 +38,7 @@
 	}
 	require.NotZero(t, runningSouth)
 	e.outputs = nil
-	e.step(input.EvacuationRead{Domain: "south", Revision: 20})
+	e.step(input.EvacuationRead{Domain: "south", At: point.Point{Revision: 20}})
 	require.Zero(t, e.countSouth())
 	e.advance(1000)
 	e.board.Pool.MarkUnreachable("south", e.board.Now)
@@ -74,7 +75,7 @@
 		requireSend(t, e.endSend(call.Result{Number: number, End: call.EndNotRun, Withdrawn: true}))
 	}
 	e.board.Pool.MarkReachable("south")
-	e.step(input.EvacuationRemoved{Domain: "south", Revision: 21})
+	e.step(input.EvacuationRemoved{Domain: "south", At: point.Point{Revision: 21}})
 	counts := map[ident.Domain]int{}
 	for range 12 {
 		_, got := e.request("/read/1", 0, 800)
@@ -100,11 +101,11 @@
 func TestCallerIsToldOfEvacuation(t *testing.T) {
 	e := newTestEntry(t).configure(6)
 	for i, domain := range []ident.Domain{"south", "nowhere", "harbour"} {
-		e.step(input.EvacuationRead{Domain: domain, Revision: 20 + uint64(i)})
+		e.step(input.EvacuationRead{Domain: domain, At: point.Point{Revision: 20 + uint64(i)}})
 		_, got := e.request("/short/1", 5000, 10000)
 		requireSend(t, got)
 	}
-	e.step(input.EvacuationRead{Domain: "north", Revision: 23})
+	e.step(input.EvacuationRead{Domain: "north", At: point.Point{Revision: 23}})
 	for path, tokens := range map[string]int{"/short/1": 5000, "/long/1": 154000, "/read/1": 0} {
 		_, got := e.request(path, tokens, 0)
 		requireReply(t, got, call.ReasonEvacuated, http.StatusServiceUnavailable)
@@ -115,7 +116,7 @@
 // Guards against older state that evacuates a failure domain anew or ends an evacuation, wherever it comes from.
 func TestEvacuationNeverReverts(t *testing.T) {
 	e := newTestEntry(t).configure(6)
-	south := evac.NewSet(map[ident.Domain]uint64{"south": 20})
+	south := evac.NewSet(map[ident.Domain]point.Point{"south": {Revision: 20}})
 	listed := e.board.Pool.Snapshot(e.board.Now)
 	var list []pool.Listing
 	for _, listing := range listed {
@@ -126,29 +127,29 @@
 		isInSet  bool
 		revision uint64
 	}{
-		{input.EvacuationRead{Domain: "south", Revision: 20}, true, 20},
-		{input.EvacuationRemoved{Domain: "south", Revision: 19}, true, 20},
-		{input.ListRead{List: list, Revision: 20}, true, 20},
-		{input.ListReceived{List: listed, Revision: 15}, true, 20},
-		{input.ListReceived{IsDelta: true, Revision: 21, Evacuated: south}, true, 21},
-		{input.EvacuationRead{Domain: "south", Revision: 22}, true, 22},
-		{input.ListReceived{IsDelta: true, Revision: 23}, false, 23},
-		{input.EvacuationRead{Domain: "south", Revision: 20}, false, 23},
-		{input.ListReceived{IsDelta: true, Revision: 21, Evacuated: south}, false, 23},
-		{input.ListRead{List: list, Revision: 22, Evacuated: south}, false, 23},
+		{input.EvacuationRead{Domain: "south", At: point.Point{Revision: 20}}, true, 20},
+		{input.EvacuationRemoved{Domain: "south", At: point.Point{Revision: 19}}, true, 20},
+		{input.ListRead{List: list, At: point.Point{Revision: 20}}, true, 20},
+		{input.ListReceived{List: listed, At: point.Point{Revision: 15}}, true, 20},
+		{input.ListReceived{IsDelta: true, At: point.Point{Revision: 21}, Evacuated: south}, true, 21},
+		{input.EvacuationRead{Domain: "south", At: point.Point{Revision: 22}}, true, 22},
+		{input.ListReceived{IsDelta: true, At: point.Point{Revision: 23}}, false, 23},
+		{input.EvacuationRead{Domain: "south", At: point.Point{Revision: 20}}, false, 23},
+		{input.ListReceived{IsDelta: true, At: point.Point{Revision: 21}, Evacuated: south}, false, 23},
+		{input.ListRead{List: list, At: point.Point{Revision: 22}, Evacuated: south}, false, 23},
 		// A page of a whole read that is newer than the first one.
-		{input.ListRead{List: list, Revision: 24, Evacuated: evac.NewSet(map[ident.Domain]uint64{"south": 26})}, true, 24},
-		{input.ListReceived{IsDelta: true, Revision: 25}, true, 25},
-		{input.EvacuationRead{Domain: "south", Revision: 26}, true, 26},
-		{input.ListRead{List: list, Revision: 27}, false, 27},
+		{input.ListRead{List: list, At: point.Point{Revision: 24}, Evacuated: evac.NewSet(map[ident.Domain]point.Point{"south": {Revision: 26}})}, true, 24},
+		{input.ListReceived{IsDelta: true, At: point.Point{Revision: 25}}, true, 25},
+		{input.EvacuationRead{Domain: "south", At: point.Point{Revision: 26}}, true, 26},
+		{input.ListRead{List: list, At: point.Point{Revision: 27}}, false, 27},
 	} {
 		e.step(step.in)
 		require.Equal(t, step.isInSet, e.board.Pool.Evacuated().Contains("south"), i)
 		require.Equal(t, step.isInSet, e.board.Pool.Find("engine-01").IsEvacuated(), i)
-		require.Equal(t, step.revision, e.board.ListRevision, i)
+		require.Equal(t, point.Point{Revision: step.revision}, e.board.ListAt, i)
 	}
-	e.step(input.EvacuationRead{Domain: "harbour", Revision: 28})
-	e.step(input.EndpointRead{Revision: 29, Record: pool.Listing{Name: "new", Service: engines, Slots: 16, Domain: "harbour", Epoch: 1}})
+	e.step(input.EvacuationRead{Domain: "harbour", At: point.Point{Revision: 28}})
+	e.step(input.EndpointRead{At: point.Point{Revision: 29}, Record: pool.Listing{Name: "new", Service: engines, Slots: 16, Domain: "harbour", Epoch: 1}})
 	require.False(t, e.board.Pool.Find("new").IsUsable(e.board.Now), "listed during the evacuation")
 }
 
@@ -226,19 +227,19 @@
 			}
 			r.advance(3 * clock.Second)
 			reader := r.entries[0]
-			r.publish(reader, input.EvacuationRead{Domain: "south", Revision: 20})
+			r.publish(reader, input.EvacuationRead{Domain: "south", At: point.Point{Revision: 20}})
 			r.run(700)
 			r.healedAt = r.now + 1200
 			r.start(size - 1)
-			r.publish(reader, input.EvacuationRead{Domain: "harbour", Revision: 21})
+			r.publish(reader, input.EvacuationRead{Domain: "harbour", At: point.Point{Revision: 21}})
 			r.run(evacuationLimit + 500)
-			r.publish(reader, input.EvacuationRemoved{Domain: "south", Revision: 22})
-			r.publish(reader, input.EvacuationRead{Domain: "north", Revision: 23})
+			r.publish(reader, input.EvacuationRemoved{Domain: "south", At: point.Point{Revision: 22}})
+			r.publish(reader, input.EvacuationRead{Domain: "north", At: point.Point{Revision: 23}})
 			r.run(500)
-			r.publish(reader, input.EvacuationRemoved{Domain: "north", Revision: 24})
+			r.publish(reader, input.EvacuationRemoved{Domain: "north", At: point.Point{Revision: 24}})
 			r.run(evacuationLimit)
 			for _, entry := range r.entries {
-				require.Equal(t, evac.NewSet(map[ident.Domain]uint64{"harbour": 21}), entry.board.Pool.Evacuated(), entry.board.Self)
+				require.Equal(t, evac.NewSet(map[ident.Domain]point.Point{"harbour": {Revision: 21}}), entry.board.Pool.Evacuated(), entry.board.Self)
 				for _, endpoint := range entry.board.Pool.ByService(engines) {
 					require.Equal(t, endpoint.Domain != "harbour", endpoint.IsUsable(entry.board.Now), "%s at %s", endpoint.Name, entry.board.Self)
 				}
--- a/internal/flow/parts/fleet_test.go
+++ b/internal/flow/parts/fleet_test.go
@@ -12,6 +12,7 @@
 	"mustardhook/internal/flow/input"
 	"mustardhook/internal/flow/output"
 	"mustardhook/internal/flow/peers"
+	"mustardhook/internal/flow/point"
 	"mustardhook/internal/flow/pool"
 	"mustardhook/internal/flow/tally"
 )
@@ -222,9 +223,9 @@
 			fetch.from.board.Now = f.now
 			source := fetch.to.board
 			received := input.ListReceived{
-				List: source.Pool.Snapshot(f.now), Revision: source.ListRevision, Evacuated: source.Pool.Evacuated(),
+				List: source.Pool.Snapshot(f.now), Removed: source.Pool.Removed(f.now), At: source.ListAt, EraAge: f.now - source.EraSince, Evacuated: source.Pool.Evacuated(),
 			}
-			if list, removed, isDelta := source.Pool.Delta(fetch.from.board.ListRevision, f.now); isDelta {
+			if list, removed, isDelta := source.Pool.Delta(fetch.from.board.ListAt, f.now); isDelta {
 				received.List, received.Removed, received.IsDelta = list, removed, true
 			}
 			f.carryOut(fetch.from, fetch.from.step(received))
@@ -400,11 +401,11 @@
 	}
 	hub := f.entries[0]
 	leaving := pool.Listing{Name: "engine-03", Service: engines, Address: "10.1.0.3:80", Slots: 16, Leaving: true, Epoch: 1}
-	f.carryOut(hub, hub.step(input.EndpointRead{Record: leaving, Revision: 20}))
+	f.carryOut(hub, hub.step(input.EndpointRead{Record: leaving, At: point.Point{Revision: 20}}))
 	f.advance(1000)
 	for _, entry := range f.entries {
 		require.True(t, entry.board.Pool.Find("engine-03").Leaving, entry.board.Self)
-		require.Equal(t, uint64(20), entry.board.ListRevision)
+		require.Equal(t, point.Point{Revision: 20}, entry.board.ListAt)
 	}
 	// Each entry may fetch only once, since documents of a megabyte saturate the links of
 	// small instances.
@@ -413,6 +414,6 @@
 	}
 	outdated := leaving
 	outdated.Leaving = false
-	hub.step(input.EndpointRead{Record: outdated, Revision: 15})
+	hub.step(input.EndpointRead{Record: outdated, At: point.Point{Revision: 15}})
 	require.True(t, hub.board.Pool.Find("engine-03").Leaving)
 }
--- a/internal/flow/parts/notice_test.go
+++ b/internal/flow/parts/notice_test.go
@@ -10,6 +10,7 @@
 	"mustardhook/internal/flow/call"
 	"mustardhook/internal/flow/input"
 	"mustardhook/internal/flow/output"
+	"mustardhook/internal/flow/point"
 	"mustardhook/internal/flow/pool"
 )
 
@@ -28,7 +29,7 @@
 	leaving := requireSend(t, got).Endpoint
 	e.step(input.EndpointNoticed{Endpoint: leaving, Epoch: 1, Request: "r1", Leaving: true})
 	record := e.board.Pool.Find(leaving).Listing
-	e.step(input.EndpointRead{Record: record, Revision: 20})
+	e.step(input.EndpointRead{Record: record, At: point.Point{Revision: 20}})
 	e.step(input.FirstEventSent{Number: number})
 	resumed := requireSend(t, e.endSend(call.Result{Number: number, End: call.EndAnswerLost, Delivered: true}))
 	require.NotEqual(t, leaving, resumed.Endpoint)
@@ -44,7 +45,7 @@
 		require.NotEqual(t, leaving, helper.Endpoint)
 	}
 	record.Epoch++
-	e.step(input.EndpointRead{Record: record, Revision: 21})
+	e.step(input.EndpointRead{Record: record, At: point.Point{Revision: 21}})
 	require.True(t, e.board.Pool.Find(leaving).IsUsable(e.board.Now))
 	// The late answer of the former run says nothing about the new one.
 	e.step(input.EndpointNoticed{Endpoint: leaving, Epoch: 1, Leaving: true, RetryAfter: 1000})
@@ -86,7 +87,7 @@
 	list := e.board.Pool.ByService(desk)
 	e.pauseAll(4000)
 	e.step(input.EndpointNoticed{Endpoint: list[0].Name, Epoch: 1, RetryAfter: 6000})
-	e.step(input.EndpointRemoved{Name: list[1].Name, Revision: 30})
+	e.step(input.EndpointRemoved{Name: list[1].Name, At: point.Point{Revision: 30}})
 	times := map[clock.Millis]bool{}
 	for range 20 {
 		_, got := e.request("/book/1", 0, 0)
--- a/internal/flow/parts/outcome_test.go
+++ b/internal/flow/parts/outcome_test.go
@@ -13,6 +13,7 @@
 	"mustardhook/internal/flow/call"
 	"mustardhook/internal/flow/input"
 	"mustardhook/internal/flow/output"
+	"mustardhook/internal/flow/point"
 )
 
 // schedules is the number of random schedules of faults that TestOutcomesAreTrue plays.
@@ -152,7 +153,7 @@
 	case choice == 4:
 		r.step(input.EndpointSilent{Number: sent[r.random.IntN(len(sent))]})
 	case choice == 5:
-		r.step(input.EndpointRemoved{Name: r.requests[sent[r.random.IntN(len(sent))]].endpoint, Revision: revision})
+		r.step(input.EndpointRemoved{Name: r.requests[sent[r.random.IntN(len(sent))]].endpoint, At: point.Point{Revision: revision}})
 	case choice == 6:
 		r.advance(300)
 	default:
--- a/internal/flow/parts/poison_test.go
+++ b/internal/flow/parts/poison_test.go
@@ -17,6 +17,7 @@
 	"mustardhook/internal/flow/input"
 	"mustardhook/internal/flow/output"
 	"mustardhook/internal/flow/peers"
+	"mustardhook/internal/flow/point"
 	"mustardhook/internal/flow/pool"
 )
 
@@ -118,7 +119,7 @@
 	p.revision++
 	for _, entry := range p.entries {
 		p.prompts[entry] = map[uint64]*poisonPrompt{}
-		entry.step(input.ListRead{List: p.listings(), Revision: p.revision})
+		entry.step(input.ListRead{List: p.listings(), At: point.Point{Revision: p.revision}})
 	}
 	p.advance(4 * clock.Second)
 	for _, entry := range p.entries {
@@ -184,7 +185,7 @@
 	}
 	p.prompts[entry] = map[uint64]*poisonPrompt{}
 	p.start(index)
-	entry.step(input.ListRead{List: p.listings(), Revision: p.revision})
+	entry.step(input.ListRead{List: p.listings(), At: point.Point{Revision: p.revision}})
 	entry.outputs = nil
 }
 
@@ -363,13 +364,15 @@
 	}
 	ended := engine.name()
 	p.schedule(p.recordTTL, func() {
-		p.change(func(revision uint64) input.Input { return input.EndpointRemoved{Name: ended, Revision: revision} })
+		p.change(func(revision uint64) input.Input {
+			return input.EndpointRemoved{Name: ended, At: point.Point{Revision: revision}}
+		})
 	})
 	p.schedule(restartDelay, func() {
 		engine.isDown = false
 		engine.life++
 		p.change(func(revision uint64) input.Input {
-			return input.EndpointRead{Record: engine.listing(), Revision: revision}
+			return input.EndpointRead{Record: engine.listing(), At: point.Point{Revision: revision}}
 		})
 	})
 }
--- a/internal/flow/parts/price_test.go
+++ b/internal/flow/parts/price_test.go
@@ -18,6 +18,7 @@
 	"mustardhook/internal/flow/learn"
 	"mustardhook/internal/flow/output"
 	"mustardhook/internal/flow/plan"
+	"mustardhook/internal/flow/point"
 	"mustardhook/internal/flow/pool"
 )
 
@@ -86,7 +87,7 @@
 			Address: fmt.Sprintf("10.2.0.%d:80", i), Domain: domains[i%len(domains)], Epoch: 1,
 		})
 	}
-	e.step(input.ListRead{List: list, Revision: 11})
+	e.step(input.ListRead{List: list, At: point.Point{Revision: 11}})
 	e.outputs = nil
 }
 
--- a/internal/flow/parts/requests_test.go
+++ b/internal/flow/parts/requests_test.go
@@ -149,7 +149,7 @@
 	for i := range 2 {
 		send := requireSend(t, got)
 		got = e.endSend(call.Result{Number: send.Number, End: call.EndAnswerLost})
-		e.step(input.EndpointRemoved{Name: send.Endpoint, Revision: 11 + uint64(i)})
+		e.step(input.EndpointRemoved{Name: send.Endpoint, At: point.Point{Revision: 11 + uint64(i)}})
 		if _, isSent := got.(output.Send); !isSent {
 			got = sendRequest()
 		}
@@ -168,9 +168,9 @@
 	e := newTestEntry(t).configure(4)
 	e.receiveNews("entry-2", func(n *input.News) { n.PlanVersion = 6 })
 	e.advance(300)
-	require.NotContains(t, e.outputs, output.FetchPublished{Address: "10.9.0.1:9000", PlanVersion: 5, ListRevision: 10})
+	require.NotContains(t, e.outputs, output.FetchPublished{Address: "10.9.0.1:9000", PlanVersion: 5, ListAt: point.Point{Revision: 10}})
 	e.advance(400)
-	require.Contains(t, e.outputs, output.FetchPublished{Address: "10.9.0.1:9000", PlanVersion: 5, ListRevision: 10})
+	require.Contains(t, e.outputs, output.FetchPublished{Address: "10.9.0.1:9000", PlanVersion: 5, ListAt: point.Point{Revision: 10}})
 }
 
 // If no entry of a failure domain responds, one failed send to it must make the whole
@@ -218,7 +218,7 @@
 func TestRequestEndsByTimeoutOfItsRoute(t *testing.T) {
 	e := newTestEntry(t).configure(0)
 	e.step(input.PlanRead{Plan: testPlan(6)})
-	e.step(input.EndpointRead{Record: pool.Listing{Name: "desk-0", Service: desk, Address: "10.2.0.0:80", Slots: 6}, Revision: 11})
+	e.step(input.EndpointRead{Record: pool.Listing{Name: "desk-0", Service: desk, Address: "10.2.0.0:80", Slots: 6}, At: point.Point{Revision: 11}})
 	number, got := e.request("/book/1", 0, 60000)
 	send := requireSend(t, got)
 	require.LessOrEqual(t, send.TimeLeft, clock.Millis(800))
@@ -300,16 +300,16 @@
 			without = append(without, listing)
 		}
 	}
-	e.step(input.ListReceived{List: without, Revision: 11})
+	e.step(input.ListReceived{List: without, At: point.Point{Revision: 11}})
 	require.False(t, e.board.Pool.Find("desk-0").IsUsable(e.board.Now))
 	require.Equal(t, without, e.board.Pool.Snapshot(e.board.Now))
 
 	removed := pool.Listing{Name: "desk-0", Service: desk, Address: "10.2.0.0:80", Domain: "north", Slots: 6, Epoch: 1}
 	withGrace := append(without, pool.PeerListing{Listing: removed, RemovalGrace: 900})
-	e.step(input.ListReceived{List: withGrace, Revision: 12})
+	e.step(input.ListReceived{List: withGrace, At: point.Point{Revision: 12}})
 	require.False(t, e.board.Pool.Find("desk-0").IsUsable(e.board.Now))
 	restored := append(without, pool.PeerListing{Listing: removed})
-	e.step(input.ListReceived{List: restored, Revision: 13})
+	e.step(input.ListReceived{List: restored, At: point.Point{Revision: 13}})
 	require.True(t, e.board.Pool.Find("desk-0").IsUsable(e.board.Now))
 }
 
@@ -321,27 +321,27 @@
 	e.step(input.SourceLost{Reason: "test"})
 	e.advance(3 * clock.Second)
 	e.step(input.SourceRecovered{})
-	e.step(input.EndpointRemoved{Name: "desk-0", Revision: 20})
+	e.step(input.EndpointRemoved{Name: "desk-0", At: point.Point{Revision: 20}})
 	require.Empty(t, e.board.Pool.RecentlyLeaving(e.board.Now))
 	require.True(t, e.board.Pool.Find("desk-0").IsUsable(e.board.Now), "within the removal grace")
 	restored := pool.Listing{Name: "desk-0", Service: desk, Address: "10.2.0.0:80", Domain: "north", Slots: 6, Epoch: 1}
-	e.step(input.EndpointRead{Record: restored, Revision: 21})
+	e.step(input.EndpointRead{Record: restored, At: point.Point{Revision: 21}})
 	require.Empty(t, e.board.Pool.RecentlyLeaving(e.board.Now))
 	require.True(t, e.board.Pool.Find("desk-0").IsUsable(e.board.Now))
 
 	// An endpoint that is still missing at the end of its removal grace is removed. Later
 	// removals are published.
-	e.step(input.EndpointRemoved{Name: "desk-1", Revision: 22})
+	e.step(input.EndpointRemoved{Name: "desk-1", At: point.Point{Revision: 22}})
 	e.advance(pool.RemovalGrace)
 	require.False(t, e.board.Pool.Find("desk-1").IsUsable(e.board.Now))
-	e.step(input.EndpointRemoved{Name: "desk-2", Revision: 23})
+	e.step(input.EndpointRemoved{Name: "desk-2", At: point.Point{Revision: 23}})
 	require.Equal(t, []pool.Hash{pool.HashOf("desk-2")}, e.board.Pool.RecentlyLeaving(e.board.Now))
 
 	// An endpoint that is listed again is no longer published as leaving.
 	restored.Name = "desk-2"
 	restored.Address = "10.2.0.2:80"
 	restored.Domain = "harbour"
-	e.step(input.EndpointRead{Record: restored, Revision: 24})
+	e.step(input.EndpointRead{Record: restored, At: point.Point{Revision: 24}})
 	require.Empty(t, e.board.Pool.RecentlyLeaving(e.board.Now))
 }
 
@@ -400,7 +400,7 @@
 	e.step(input.Confirmed{At: point.Point{Era: 2, Revision: 12}})
 	_, out := e.request("/unknown/1", 100, 0)
 	basis := out.(output.Reply).Reply.Basis
-	require.Equal(t, call.Basis{PlanVersion: 5, ReadTo: point.Point{Era: 2, Revision: 12}, ListRevision: 10}, basis)
+	require.Equal(t, call.Basis{PlanVersion: 5, ReadTo: point.Point{Era: 2, Revision: 12}, ListAt: point.Point{Revision: 10}}, basis)
 }
 
 // Guards against a source that comes back from an older copy without a line in the log.
--- a/internal/flow/parts/turns_test.go
+++ b/internal/flow/parts/turns_test.go
@@ -15,6 +15,7 @@
 	"mustardhook/internal/flow/input"
 	"mustardhook/internal/flow/output"
 	"mustardhook/internal/flow/plan"
+	"mustardhook/internal/flow/point"
 	"mustardhook/internal/flow/pool"
 )
 
@@ -106,7 +107,7 @@
 	for _, e := range m.entries {
 		e.board.Settings.NewsRate = siteNewsRate
 		e.step(input.PlanRead{Plan: newPlan})
-		e.step(input.ListRead{List: list, Revision: m.revision})
+		e.step(input.ListRead{List: list, At: point.Point{Revision: m.revision}})
 		e.outputs = nil
 	}
 	for _, endpoint := range m.entries[0].board.Pool.ByService(engines) {
@@ -145,7 +146,7 @@
 			Name: endpoint.Name, Service: engines, Address: endpoint.Address, Slots: endpoint.Slots, Domain: endpoint.Domain, Leaving: true, Epoch: 1,
 		}
 		for _, e := range m.entries[:len(largeDomains)] {
-			m.carryOut(e, e.step(input.EndpointRead{Record: record, Revision: m.revision}))
+			m.carryOut(e, e.step(input.EndpointRead{Record: record, At: point.Point{Revision: m.revision}}))
 		}
 	}
 }
--- a/internal/flow/peers/fetch.go
+++ b/internal/flow/peers/fetch.go
@@ -43,7 +43,7 @@
 	// others in turn, so that no single link carries it to all.
 	source := candidates[b.Random.IntN(len(candidates))]
 	b.Emit(output.FetchPublished{
-		Address: source.News.Address, PlanVersion: b.Plan.Version, ListRevision: b.ListRevision,
+		Address: source.News.Address, PlanVersion: b.Plan.Version, ListAt: b.ListAt,
 	})
 }
 
@@ -52,7 +52,7 @@
 func newerPeers(b *board.Board) []*board.Peer {
 	var local, remote []*board.Peer
 	for _, peer := range b.Peers {
-		isNewer := peer.News.PlanVersion > b.Plan.Version || peer.News.ListRevision > b.ListRevision
+		isNewer := peer.News.PlanVersion > b.Plan.Version || peer.News.ListAt.IsAfter(b.ListAt)
 		switch {
 		case !isNewer || !isLive(b, peer):
 		case peer.News.Domain == b.Domain:
--- a/internal/flow/peers/peers.go
+++ b/internal/flow/peers/peers.go
@@ -216,7 +216,7 @@
 			len(n.FailureCounts) > 0 || len(n.Paces) > 0 || len(n.Pauses) > 0
 	}
 	return isBusy(news) || isBusy(before) || before.PlanVersion != news.PlanVersion || before.Leaving != news.Leaving ||
-		before.ListRevision != news.ListRevision || news.ConfirmedAt > before.ConfirmedAt
+		before.ListAt != news.ListAt || news.ConfirmedAt > before.ConfirmedAt
 }
 
 // hasRecentEvidence reports whether the news tells of a recent crash of an endpoint, or of a loss or an
--- a/internal/flow/peers/publish.go
+++ b/internal/flow/peers/publish.go
@@ -309,7 +309,7 @@
 func (p *publisher) buildNews(b *board.Board, isFull bool) input.News {
 	p.sequence++
 	news := input.News{
-		Entry: b.Self, Epoch: b.Epoch, Sequence: p.sequence, PlanVersion: b.Plan.Version, ListRevision: b.ListRevision,
+		Entry: b.Self, Epoch: b.Epoch, Sequence: p.sequence, PlanVersion: b.Plan.Version, ListAt: b.ListAt,
 		ConfirmedAt: b.ConfirmedAt, Leaving: b.Stopping, LeavingEndpoints: b.Pool.RecentlyLeaving(b.Now),
 		FailureCounts: b.Pool.RecentFailures(b.Now),
 		Paces:         b.Pool.RecentReports(b.Now),
--- a/internal/flow/place/place.go
+++ b/internal/flow/place/place.go
@@ -98,7 +98,7 @@
 	routed, refusal := matchRoute(b, received)
 	if refusal != nil {
 		refusal.Number = received.Number
-		refusal.Basis = call.Basis{PlanVersion: b.Plan.Version, ReadTo: b.ReadTo, ListRevision: b.ListRevision}
+		refusal.Basis = call.Basis{PlanVersion: b.Plan.Version, ReadTo: b.ReadTo, ListAt: b.ListAt}
 		b.Emit(output.Reply{Reply: *refusal})
 		return
 	}
--- a/internal/flow/place/send.go
+++ b/internal/flow/place/send.go
@@ -76,7 +76,7 @@
 func basisOf(b *board.Board, request *board.Request) call.Basis {
 	basis := call.Basis{
 		Route: request.Route.Name, Organisation: request.Organisation, PlanVersion: b.Plan.Version, Usable: request.Usable, Entries: len(b.Peers),
-		ReadTo: b.ReadTo, ListRevision: b.ListRevision,
+		ReadTo: b.ReadTo, ListAt: b.ListAt,
 		Wait: request.Wait, IsCallerRetry: request.IsCallerRetry(), TimeLeft: max(request.DeadlineAt-b.Now, 0),
 		StartsIn: max(request.PlannedStart-b.Now, 0), Share: int(request.Share.Share), Use: request.Share.Use,
 		LoadsDeferred: b.Tally.MaxDeferral(),
--- a/internal/flow/pool/health.go
+++ b/internal/flow/pool/health.go
@@ -44,7 +44,7 @@
 
 // IsUsable reports whether new work may be sent to the endpoint.
 func (e *Endpoint) IsUsable(now clock.Millis) bool {
-	isListed := e.RemovedAt == 0 || now < e.RemovalGraceUntil
+	isListed := (e.RemovedAt == 0 || now < e.RemovalGraceUntil) && now >= e.heldUntil
 	return isListed && !e.isEvacuated && !e.IsLeaving() && now >= e.BackoffUntil && now >= e.PeerLeavingUntil && now >= e.ejectedUntil &&
 		now >= e.pausedUntil
 }
--- a/internal/flow/pool/list.go
+++ b/internal/flow/pool/list.go
@@ -9,22 +9,29 @@
 
 	"mustardhook/internal/core/clock"
 	"mustardhook/internal/core/ident"
+	"mustardhook/internal/flow/point"
 )
 
-// SetRevision sets the revision of the list to which the changes that follow belong.
-func (p *Pool) SetRevision(revision uint64) { p.revision = revision }
+// SetPoint sets the point of the list to which the changes that follow belong.
+func (p *Pool) SetPoint(at point.Point) { p.listAt = at }
 
-// Put adds or updates an endpoint of the published list.
-func (p *Pool) Put(listing Listing, now clock.Millis) { p.put(listing, listing.ColdLeft, now) }
+// Put adds or updates an endpoint whose record was written anew.
+func (p *Pool) Put(listing Listing, now clock.Millis) { p.put(listing, listing.ColdLeft, 0, now) }
 
 // putPeerListing adds or updates an endpoint of a peer's list.
 func (p *Pool) putPeerListing(listing PeerListing, now clock.Millis) {
-	p.put(listing.Listing, listing.ColdRemaining, now)
+	p.put(listing.Listing, listing.ColdRemaining, now+listing.Hold, now)
 }
 
-// put adds or updates an endpoint that is cold for the given time.
-func (p *Pool) put(listing Listing, coldLeft, now clock.Millis) {
+// put adds or updates an endpoint that is cold for the given time and held until the other one.
+func (p *Pool) put(listing Listing, coldLeft, heldUntil, now clock.Millis) {
 	endpoint := p.upsert(listing, coldLeft, now)
+	endpoint.heldUntil = 0
+	if heldUntil > now {
+		// What is known of the endpoint stays published.
+		endpoint.heldUntil = heldUntil
+		return
+	}
 	if !endpoint.IsLeaving() {
 		endpoint.LeavingAt = 0
 		return
@@ -54,7 +61,7 @@
 	endpoint.isEvacuated = p.evacuated.Contains(listing.Domain)
 	endpoint.RemovedAt = 0
 	endpoint.RemovalGraceUntil = 0
-	endpoint.revision = p.revision
+	endpoint.changedAt = p.listAt
 	return endpoint
 }
 
@@ -62,7 +69,7 @@
 // epoch or address.
 func (p *Pool) create(listing Listing, previous *Endpoint) *Endpoint {
 	created := &Endpoint{
-		Listing: listing, Work: map[uint64]Work{}, revision: p.revision, hash: HashOf(listing.Name),
+		Listing: listing, Work: map[uint64]Work{}, changedAt: p.listAt, hash: HashOf(listing.Name),
 		sortKey: xxhash.Sum64String(string(listing.Name)), isEvacuated: p.evacuated.Contains(listing.Domain),
 	}
 	if previous != nil {
@@ -80,7 +87,7 @@
 // record tells of is known, but for coldTolerance.
 func (p *Pool) Has(listing Listing, now clock.Millis) bool {
 	endpoint := p.endpoints[listing.Name]
-	if endpoint == nil || endpoint.RemovedAt != 0 {
+	if endpoint == nil || endpoint.RemovedAt != 0 || endpoint.heldUntil != 0 {
 		return false
 	}
 	coldLeft := listing.ColdLeft
@@ -98,7 +105,7 @@
 		return 0
 	}
 	endpoint.RemovedAt = now
-	endpoint.revision = p.revision
+	endpoint.changedAt = p.listAt
 	switch {
 	case p.unavailableSince != 0:
 		endpoint.RemovalGraceUntil = now + RemovalGrace
@@ -113,24 +120,52 @@
 	return endpoint.RemovalGraceUntil - now
 }
 
-// Replace applies a complete list that was read from the published state.
-func (p *Pool) Replace(list []Listing, now clock.Millis) {
+// Replace applies a complete list that was read from the published state. begun is its era if it is the first
+// one of that, and the zero value otherwise.
+func (p *Pool) Replace(list []Listing, begun Era, now clock.Millis) {
 	isListed := make(map[ident.Endpoint]bool, len(list))
 	for _, listing := range list {
 		isListed[listing.Name] = true
-		p.Put(listing, now)
+		p.put(listing, listing.ColdLeft, p.heldUntil(listing, begun, now), now)
 	}
+	p.beginEra(begun)
 	for name := range p.endpoints {
 		if !isListed[name] {
 			p.Remove(name, now)
 		}
 	}
 	p.hasList = true
+	p.completeSince = p.listAt
+}
+
+// beginEra records the begin of an era: records may be lost with the one before, and are written again.
+func (p *Pool) beginEra(begun Era) { p.availableAt = max(p.availableAt, begun.Since) }
+
+// heldUntil returns until when an endpoint with a record of a complete list is out of use: if that list is the first one
+// of an era, an endpoint whose run is known to have been removed or to be leaving is held.
+func (p *Pool) heldUntil(listing Listing, begun Era, now clock.Millis) clock.Millis {
+	endpoint := p.endpoints[listing.Name]
+	switch {
+	case endpoint == nil:
+		run, isExpired := p.expiredRuns[listing.Name]
+		if isExpired && run.epoch == listing.Epoch {
+			return begun.HoldUntil
+		}
+		return 0
+	case endpoint.Epoch != listing.Epoch || endpoint.Address != listing.Address:
+		return 0
+	}
+	isRemoved := endpoint.RemovedAt != 0 && now >= endpoint.RemovalGraceUntil
+	if isRemoved || endpoint.Leaving && !listing.Leaving {
+		return max(begun.HoldUntil, endpoint.heldUntil)
+	}
+	return endpoint.heldUntil
 }
 
-// ApplySnapshot applies the complete list of a peer. Removal grace periods are taken over
-// from the peer, whether or not this entry can read the list itself.
-func (p *Pool) ApplySnapshot(list []PeerListing, now clock.Millis) {
+// ApplySnapshot applies the complete list of a peer, which has removed the other endpoints. Removal grace
+// periods and holds are taken over from the peer, whether or not this entry can read the list itself. For
+// begun, see Replace.
+func (p *Pool) ApplySnapshot(list []PeerListing, removed []ident.Endpoint, begun Era, now clock.Millis) {
 	isListed := make(map[ident.Endpoint]bool, len(list))
 	for _, listing := range list {
 		isListed[listing.Name] = true
@@ -138,14 +173,22 @@
 			p.startRemovalGrace(listing, now)
 			continue
 		}
+		listing.Hold = max(listing.Hold, p.heldUntil(listing.Listing, begun, now)-now)
 		p.putPeerListing(listing, now)
 	}
+	p.beginEra(begun)
 	for name, endpoint := range p.endpoints {
-		if !isListed[name] {
+		switch {
+		case isListed[name]:
+		case begun != Era{} && now < begun.Since+RemovalGrace && !slices.Contains(removed, name):
+			// The peer may not know the endpoint: its record may be lost with the era before.
+			p.Remove(name, now)
+		default:
 			p.confirmRemoval(endpoint, now)
 		}
 	}
 	p.hasList = true
+	p.completeSince = p.listAt
 }
 
 // ApplyDelta applies a peer's changes to the list. The endpoints in removed are removed
@@ -165,16 +208,16 @@
 	}
 }
 
-// Delta returns the changes to the list after the revision, in order of the names: the
+// Delta returns the changes to the list after the point, in order of the names: the
 // endpoints that are listed or in a removal grace period, and those that are removed. ok
 // is false if the pool no longer has all changes since then.
-func (p *Pool) Delta(after uint64, now clock.Millis) (list []PeerListing, removed []ident.Endpoint, ok bool) {
-	if after == 0 || after < p.expiredRevision {
+func (p *Pool) Delta(after point.Point, now clock.Millis) (list []PeerListing, removed []ident.Endpoint, ok bool) {
+	if after.IsZero() || p.completeSince.IsAfter(after) {
 		return nil, nil, false
 	}
 	for name, endpoint := range p.endpoints {
 		switch {
-		case endpoint.revision <= after:
+		case !endpoint.changedAt.IsAfter(after):
 		case endpoint.RemovedAt == 0, now < endpoint.RemovalGraceUntil:
 			list = append(list, endpoint.peerListing(now))
 		default:
@@ -195,7 +238,7 @@
 	}
 	endpoint.RemovedAt = now
 	endpoint.RemovalGraceUntil = now + listing.RemovalGrace
-	endpoint.revision = p.revision
+	endpoint.changedAt = p.listAt
 }
 
 // markLeaving records the first time at which the endpoint was found to be leaving.
@@ -205,11 +248,19 @@
 	}
 }
 
+// endHold lets an endpoint that is still listed be used like others.
+func (e *Endpoint) endHold() {
+	e.heldUntil = 0
+	if e.RemovedAt == 0 && !e.IsLeaving() {
+		e.LeavingAt = 0
+	}
+}
+
 // confirmRemoval removes the endpoint without a grace period.
 func (p *Pool) confirmRemoval(e *Endpoint, now clock.Millis) {
 	if e.RemovedAt == 0 {
 		e.RemovedAt = now
-		e.revision = p.revision
+		e.changedAt = p.listAt
 	}
 	e.markLeaving(now)
 	e.RemovalGraceUntil = 0
@@ -229,9 +280,27 @@
 	return list
 }
 
+// Removed returns the endpoints that were removed lately and are in no removal grace period, in order of
+// the names.
+func (p *Pool) Removed(now clock.Millis) []ident.Endpoint {
+	var removed []ident.Endpoint
+	for name, endpoint := range p.endpoints {
+		if endpoint.RemovedAt != 0 && now >= endpoint.RemovalGraceUntil {
+			removed = append(removed, name)
+		}
+	}
+	for name := range p.expiredRuns {
+		if p.endpoints[name] == nil {
+			removed = append(removed, name)
+		}
+	}
+	slices.Sort(removed)
+	return removed
+}
+
 // peerListing returns the listing of the endpoint as it is sent to peers.
 func (e *Endpoint) peerListing(now clock.Millis) PeerListing {
-	listing := PeerListing{Listing: e.Listing, ColdRemaining: max(e.cold.until-now, 0)}
+	listing := PeerListing{Listing: e.Listing, ColdRemaining: max(e.cold.until-now, 0), Hold: max(e.heldUntil-now, 0)}
 	if e.RemovedAt != 0 {
 		listing.RemovalGrace = e.RemovalGraceUntil - now
 	}
@@ -256,10 +325,13 @@
 func (p *Pool) Expire(now clock.Millis) {
 	maps.DeleteFunc(p.expiredRuns, func(_ ident.Endpoint, run expiredRun) bool { return now-run.at > expiredRunTTL })
 	for name, endpoint := range p.endpoints {
+		if endpoint.heldUntil != 0 && now >= endpoint.heldUntil {
+			endpoint.endHold()
+		}
 		if endpoint.RemovedAt == 0 || now <= endpoint.RemovalGraceUntil || len(endpoint.Work) > 0 {
 			continue
 		}
-		p.expiredRevision = max(p.expiredRevision, endpoint.revision)
+		p.completeSince = point.Max(p.completeSince, endpoint.changedAt)
 		p.expiredRuns[name] = expiredRun{endpoint.Epoch, now}
 		delete(p.endpoints, name)
 		delete(p.byHash, endpoint.hash)
--- a/internal/flow/pool/pool.go
+++ b/internal/flow/pool/pool.go
@@ -12,6 +12,7 @@
 	"mustardhook/internal/core/clock"
 	"mustardhook/internal/core/ident"
 	"mustardhook/internal/flow/evac"
+	"mustardhook/internal/flow/point"
 )
 
 const (
@@ -55,10 +56,21 @@
 		// RemovalGrace is how much longer an endpoint that was removed from the list
 		// stays in use. It is zero while the endpoint is listed.
 		RemovalGrace clock.Millis
+		// Hold is how much longer the endpoint is out of use because its record may be older
+		// than what the sender knows of it.
+		Hold clock.Millis
 		// ColdRemaining is how much longer the endpoint is cold by what the sender knows.
 		ColdRemaining clock.Millis
 	}
 
+	// Era is an era of published state, which begins when the source comes back from an older copy.
+	Era struct {
+		// Since is when the first list of the era was read. Until HoldUntil, a list may still have records that
+		// the source had removed, or that endpoints had replaced, in the era before.
+		Since     clock.Millis
+		HoldUntil clock.Millis
+	}
+
 	// Hash is a short hash of an endpoint's name. Entries exchange hashes instead of
 	// names. A collision only attributes work to the wrong endpoint.
 	Hash uint32
@@ -71,6 +83,9 @@
 		RemovedAt clock.Millis
 		// RemovalGraceUntil is the end of the removal grace period.
 		RemovalGraceUntil clock.Millis
+		// heldUntil is until when the endpoint is out of use because its record may be older than
+		// what is known of it.
+		heldUntil clock.Millis
 
 		ConsecutiveFailures int
 		BackoffUntil        clock.Millis
@@ -113,8 +128,8 @@
 		reported    Pace
 		requestedAt clock.Millis
 
-		// revision is the revision of the list at which the endpoint last changed.
-		revision uint64
+		// changedAt is the point of the list at which the endpoint last changed.
+		changedAt point.Point
 
 		hash Hash
 		// sortKey orders the endpoints of a service in the same way at all entries. It
@@ -153,10 +168,10 @@
 		// byService caches the sorted endpoints of each service. The cached slice is
 		// dropped if an endpoint is added to the service or removed from it.
 		byService map[ident.Service][]*Endpoint
-		// revision is the revision of the list. expiredRevision is the newest revision at
-		// which an endpoint changed that has been deleted since.
-		revision        uint64
-		expiredRevision uint64
+		// listAt is the point of the list, and completeSince the oldest point after which the
+		// pool has all changes of it.
+		listAt        point.Point
+		completeSince point.Point
 		// tracked are the endpoints with recent failures, reports or a leaving state, which
 		// are published or counted until they expire.
 		tracked map[Hash]*Endpoint
--- a/internal/flow/pool/pool_test.go
+++ b/internal/flow/pool/pool_test.go
@@ -11,6 +11,7 @@
 	"mustardhook/internal/core/clock"
 	"mustardhook/internal/core/ident"
 	"mustardhook/internal/flow/evac"
+	"mustardhook/internal/flow/point"
 )
 
 // testListing returns the listing of endpoint e-1. Its epoch is the length of the text.
@@ -37,7 +38,7 @@
 	p := New()
 	p.Put(testListing("a"), 500)
 	p.MarkListUnavailable(1000)
-	p.Replace(nil, 5000)
+	p.Replace(nil, Era{}, 5000)
 	p.MarkListAvailable(5000)
 	require.True(t, p.Find("e-1").IsUsable(6500))
 	require.False(t, p.Find("e-1").IsUsable(7000))
@@ -78,45 +79,89 @@
 	require.True(t, peer.Find("e-1").IsUsable(1100+PeerLeavingTTL))
 }
 
+// listedNames are the names of the endpoints in random lists.
+var listedNames = []ident.Endpoint{"a", "b", "c", "d"}
+
+// drawListing returns the listing of an endpoint with the name.
+func drawListing(t *rapid.T, name ident.Endpoint) Listing {
+	return Listing{
+		Name: name, Service: "s", Address: "10.0.0.1:80", Epoch: uint64(rapid.IntRange(1, 2).Draw(t, "born")),
+		Leaving: rapid.Bool().Draw(t, "leaving"),
+	}
+}
+
+// drawChange makes a change of the kind: 4 is a list of the era that begins, 5 another list of a known one.
+func drawChange(t *rapid.T, source *Pool, kind int, begun Era, now clock.Millis) {
+	switch name := rapid.SampledFrom(listedNames).Draw(t, "name"); kind {
+	case 0:
+		source.Remove(name, now)
+	case 1:
+		source.MarkListUnavailable(now)
+	case 2:
+		source.MarkListAvailable(now)
+	case 3:
+		source.Expire(now)
+	case 4:
+		source.Replace(drawList(t), begun, now)
+	case 5:
+		source.Replace(drawList(t), Era{}, now)
+	default:
+		source.Put(drawListing(t, name), now)
+	}
+}
+
+func drawList(t *rapid.T) []Listing {
+	var list []Listing
+	for _, name := range listedNames {
+		if rapid.Bool().Draw(t, "isListed") {
+			list = append(list, drawListing(t, name))
+		}
+	}
+	return list
+}
+
 // An entry that receives deltas of the list sees the same usable endpoints as one that
-// receives a snapshot each time.
+// receives a snapshot each time, also if the list was read anew, in the same era or in another one.
 func TestDeltaMatchesSnapshot(t *testing.T) {
+	const hold = 5 * clock.Second
 	rapid.Check(t, func(t *rapid.T) {
 		source, snapshots, deltas := New(), New(), New()
-		receivedRevision := uint64(0)
+		received, at := point.Point{}, point.Point{Era: 1}
+		era := Era{}
 		now := clock.Millis(1000)
-		for revision := uint64(1); revision <= uint64(rapid.IntRange(1, 30).Draw(t, "steps")); revision++ {
+		for range rapid.IntRange(1, 30).Draw(t, "steps") {
 			now += clock.Millis(rapid.IntRange(0, 3000).Draw(t, "span"))
-			name := ident.Endpoint(rapid.SampledFrom([]string{"a", "b", "c", "d"}).Draw(t, "name"))
-			source.SetRevision(revision)
-			switch rapid.IntRange(0, 5).Draw(t, "what") {
-			case 0:
-				source.Remove(name, now)
-			case 1:
-				source.MarkListUnavailable(now)
-			case 2:
-				source.MarkListAvailable(now)
-			case 3:
-				source.Expire(now)
-			default:
-				source.Put(Listing{
-					Name: name, Service: "s", Address: "10.0.0.1:80", Epoch: uint64(rapid.IntRange(1, 2).Draw(t, "born")),
-					Leaving: rapid.Bool().Draw(t, "leaving"),
-				}, now)
+			at.Revision++
+			what := rapid.IntRange(0, 7).Draw(t, "what")
+			if what == 4 {
+				at = point.Point{Era: at.Era + 1, Revision: uint64(rapid.IntRange(1, int(at.Revision)).Draw(t, "revision"))}
+			}
+			source.SetPoint(at)
+			if what == 4 {
+				era = Era{Since: now, HoldUntil: now + hold}
 			}
+			drawChange(t, source, what, era, now)
 			if rapid.Bool().Draw(t, "isSilent") {
 				continue
 			}
-			snapshots.SetRevision(revision)
-			snapshots.ApplySnapshot(source.Snapshot(now), now)
-			deltas.SetRevision(revision)
-			if list, removed, ok := source.Delta(receivedRevision, now); ok {
+			begun := Era{}
+			if received.Era != 0 && received.Era != at.Era {
+				begun = era
+			}
+			snapshots.SetPoint(at)
+			snapshots.ApplySnapshot(source.Snapshot(now), source.Removed(now), begun, now)
+			deltas.SetPoint(at)
+			if list, removed, ok := source.Delta(received, now); ok {
 				deltas.ApplyDelta(list, removed, now)
 			} else {
-				deltas.ApplySnapshot(source.Snapshot(now), now)
+				deltas.ApplySnapshot(source.Snapshot(now), source.Removed(now), begun, now)
 			}
-			receivedRevision = revision
-			for _, name := range []ident.Endpoint{"a", "b", "c", "d"} {
+			received = at
+			for _, name := range listedNames {
+				if endpoint := snapshots.Find(name); endpoint != nil && now < endpoint.heldUntil {
+					// A snapshot doesn't tell which records were written anew.
+					continue
+				}
 				require.Equal(t, isUsable(snapshots, name, now), isUsable(deltas, name, now), name)
 			}
 		}
@@ -140,7 +185,7 @@
 	changed := listing
 	changed.Slots = 8
 	p.Put(changed, 500)
-	p.ApplySnapshot([]PeerListing{{Listing: listing}}, 600)
+	p.ApplySnapshot([]PeerListing{{Listing: listing}}, nil, Era{}, 600)
 	require.False(t, p.Find("r1").IsUsable(100000))
 	require.Equal(t, []Hash{HashOf("r1")}, p.RecentlyLeaving(600))
 	listing.Epoch = 2
@@ -189,7 +234,7 @@
 		p.Put(Listing{Name: name, Service: "s", Domain: []ident.Domain{"north", "south", "harbour"}[i%3], Epoch: 1}, 1000)
 		failures[HashOf(name)] = 3
 	}
-	p.SetEvacuated(evac.NewSet(map[ident.Domain]uint64{"south": 7}), 1000)
+	p.SetEvacuated(evac.NewSet(map[ident.Domain]point.Point{"south": {Revision: 7}}), 1000)
 	p.UpdatePeerFailures("a", failures, 1000)
 	p.UpdatePeerFailures("b", failures, 1000)
 	p.EjectFailing(1000)
--- a/internal/flow/port/port.go
+++ b/internal/flow/port/port.go
@@ -70,13 +70,15 @@
 
 	// Source reads published state: the plan and the list of endpoints.
 	Source interface {
-		// ReadAll reads all published state.
-		ReadAll(ctx context.Context) (ReadResult, error)
-		// Follow returns the changes after the given revision. If there are none, it
-		// waits for some, for the given time at most. It returns a CompactedError if the
-		// source no longer has those changes, and a CutError if the source ended a read that
-		// waited without an answer.
-		Follow(ctx context.Context, after uint64, wait clock.Millis) (ReadResult, error)
+		// ReadAll reads all published state. It returns an EraError if an era of the source
+		// ended meanwhile. The given era is assumed if the source tells of none.
+		ReadAll(ctx context.Context, era uint64) (ReadResult, error)
+		// Follow returns the changes after the given revision of the current era. If there are none,
+		// it waits for some, for the given time at most. The era of the point is assumed if the
+		// source tells of none; if the result is of another era, it lacks changes. Follow returns a
+		// CompactedError if the source no longer has those changes, and a CutError if the source
+		// ended a read that waited without an answer.
+		Follow(ctx context.Context, after point.Point, wait clock.Millis) (ReadResult, error)
 		// DecodePlan parses a published plan. Peers forward plans in this encoding.
 		DecodePlan(document []byte) (plan.Plan, error)
 	}
@@ -97,8 +99,11 @@
 		Err error
 	}
 
-	// CompactedError reports that the source no longer has the changes after a revision.
-	CompactedError struct{ After uint64 }
+	// CompactedError reports that the source no longer has the changes after a point.
+	CompactedError struct{ After point.Point }
+
+	// EraError reports that the source answered in another era than the known one.
+	EraError struct{ Known, Found uint64 }
 
 	// CutError reports that the source ended the connection of a read that waited for
 	// changes. It may do so at any time, so this doesn't show that it can't be read.
@@ -113,5 +118,10 @@
 
 // Error returns a message with the revision.
 func (e *CompactedError) Error() string {
-	return "changes after revision " + strconv.FormatUint(e.After, 10) + " are no longer available"
+	return "changes after revision " + strconv.FormatUint(e.After.Revision, 10) + " are no longer available"
+}
+
+// Error returns a message with the eras.
+func (e *EraError) Error() string {
+	return "the source answered in era " + strconv.FormatUint(e.Found, 10) + ", known is " + strconv.FormatUint(e.Known, 10)
 }
--- a/internal/flow/proxy/evacuation_test.go
+++ b/internal/flow/proxy/evacuation_test.go
@@ -17,6 +17,7 @@
 	"mustardhook/internal/flow/evac"
 	"mustardhook/internal/flow/intake"
 	"mustardhook/internal/flow/output"
+	"mustardhook/internal/flow/point"
 	"mustardhook/internal/flow/pool"
 	"mustardhook/internal/flow/port"
 )
@@ -37,10 +38,10 @@
 	return p
 }
 
-func (p *Proxy) evacuateForTest(revisions map[ident.Domain]uint64) {
+func (p *Proxy) evacuateForTest(points map[ident.Domain]point.Point) {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
-	p.board.Pool.SetEvacuated(evac.NewSet(revisions), 1)
+	p.board.Pool.SetEvacuated(evac.NewSet(points), 1)
 }
 
 // Guards against memory that stays reserved, and a request that is sent, if an endpoint of the send is
@@ -53,7 +54,7 @@
 			var mutex sync.Mutex
 			var received []string
 			server := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
-				p.evacuateForTest(map[ident.Domain]uint64{evacuated: 7})
+				p.evacuateForTest(map[ident.Domain]point.Point{evacuated: {Revision: 7}})
 				mutex.Lock()
 				defer mutex.Unlock()
 				received = append(received, r.URL.Path)
@@ -69,7 +70,7 @@
 				target.Helpers = append(target.Helpers, helper)
 			}
 			if !hasLeases {
-				p.evacuateForTest(map[ident.Domain]uint64{evacuated: 7})
+				p.evacuateForTest(map[ident.Domain]point.Point{evacuated: {Revision: 7}})
 			}
 			s := &session{proxy: p, head: httptest.NewRequest(http.MethodPost, "/x", nil)}
 			s.sending, s.cancel = context.WithCancel(t.Context())
@@ -97,11 +98,12 @@
 	source := newEvacuationProxy(t, "north")
 	server := httptest.NewServer(source.peerHandler())
 	t.Cleanup(server.Close)
-	for i, revisions := range []map[ident.Domain]uint64{{}, {"north": 2}, {"north": 2, "south": 3}, {}} {
-		source.evacuateForTest(revisions)
-		source.board.ListRevision = uint64(i + 1)
-		p.fetchPublished(output.FetchPublished{Address: strings.TrimPrefix(server.URL, "http://"), ListRevision: p.board.ListRevision})
-		require.Equal(t, evac.NewSet(revisions), p.board.Pool.Evacuated())
-		require.EqualValues(t, i+1, p.board.ListRevision)
+	north, south := point.Point{Era: 1, Revision: 2}, point.Point{Era: 1, Revision: 3}
+	for i, points := range []map[ident.Domain]point.Point{{}, {"north": north}, {"north": north, "south": south}, {}} {
+		source.evacuateForTest(points)
+		source.board.ListAt = point.Point{Era: 1, Revision: uint64(i) + 1}
+		p.fetchPublished(output.FetchPublished{Address: strings.TrimPrefix(server.URL, "http://"), ListAt: p.board.ListAt})
+		require.Equal(t, evac.NewSet(points), p.board.Pool.Evacuated())
+		require.Equal(t, source.board.ListAt, p.board.ListAt)
 	}
 }
--- a/internal/flow/proxy/news.go
+++ b/internal/flow/proxy/news.go
@@ -16,12 +16,15 @@
 	"mustardhook/internal/flow/newspb"
 	"mustardhook/internal/flow/output"
 	"mustardhook/internal/flow/peers"
+	"mustardhook/internal/flow/point"
 	"mustardhook/internal/serve/logs"
 )
 
 const (
 	// maxDatagramBytes is the maximum payload of a UDP datagram over IPv4.
 	maxDatagramBytes = 65507
+	// maxEraAge is the largest age of an era that another entry may tell, in milliseconds.
+	maxEraAge = 1 << 40
 )
 
 type (
@@ -95,22 +98,33 @@
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	b := p.board
-	reply := &newspb.PublishedGive{PlanVersion: uint64(b.Plan.Version), ListRevision: b.ListRevision}
+	reply := &newspb.PublishedGive{
+		PlanVersion: uint64(b.Plan.Version), ListEra: b.ListAt.Era, ListRevision: b.ListAt.Revision,
+		EraAgeMillis: uint64(max(b.Now-b.EraSince, 0)),
+	}
 	if reply.PlanVersion > request.GetPlanVersion() {
 		reply.Document = b.PlanDocument
 	}
-	if reply.ListRevision > request.GetListRevision() {
-		fillList(b, reply, request.GetListRevision())
+	if after := listPoint(request); b.ListAt.IsAfter(after) {
+		fillList(b, reply, after)
 	}
 	return reply, nil
 }
 
-// fillList adds the changes of the endpoint list after the revision to the reply, or
+// listPoint returns the point of a list of endpoints that a message between entries names.
+func listPoint(message interface {
+	GetListEra() uint64
+	GetListRevision() uint64
+}) point.Point {
+	return point.Point{Era: message.GetListEra(), Revision: message.GetListRevision()}
+}
+
+// fillList adds the changes of the endpoint list after the point to the reply, or
 // the whole list if those changes are no longer available, and all evacuated failure domains.
-func fillList(b *board.Board, reply *newspb.PublishedGive, after uint64) {
+func fillList(b *board.Board, reply *newspb.PublishedGive, after point.Point) {
 	list, removed, isDelta := b.Pool.Delta(after, b.Now)
 	if !isDelta {
-		list = b.Pool.Snapshot(b.Now)
+		list, removed = b.Pool.Snapshot(b.Now), b.Pool.Removed(b.Now)
 	}
 	reply.Endpoints = codec.EncodeList(list)
 	reply.Changes = isDelta
@@ -125,7 +139,8 @@
 // decodeList returns the endpoint list in another entry's reply as an input of the core.
 func decodeList(reply *newspb.PublishedGive) input.ListReceived {
 	received := input.ListReceived{
-		List: codec.DecodeList(reply.GetEndpoints()), Revision: reply.GetListRevision(), IsDelta: reply.GetChanges(),
+		List: codec.DecodeList(reply.GetEndpoints()), At: listPoint(reply), IsDelta: reply.GetChanges(),
+		EraAge:    clock.Millis(min(reply.GetEraAgeMillis(), maxEraAge)),
 		Evacuated: codec.DecodeEvacuated(reply.GetEvacuated()),
 	}
 	for _, name := range reply.GetGone() {
@@ -141,13 +156,15 @@
 	logger := p.logger.Part("share")
 	ctx, cancel := context.WithTimeout(p.lifetime, peers.FetchTimeout.Duration())
 	defer cancel()
-	request := &newspb.PublishedAsk{PlanVersion: uint64(action.PlanVersion), ListRevision: action.ListRevision}
+	request := &newspb.PublishedAsk{
+		PlanVersion: uint64(action.PlanVersion), ListEra: action.ListAt.Era, ListRevision: action.ListAt.Revision,
+	}
 	reply, err := newspb.NewShareProtobufClient("http://"+action.Address, p.peers).GetPublished(ctx, request)
 	if err != nil {
 		logger.Warn("Published state could not be fetched from another entry.", "address", action.Address, "err", err)
 		return
 	}
-	if reply.GetListRevision() > action.ListRevision {
+	if listPoint(reply).IsAfter(action.ListAt) {
 		p.Step(decodeList(reply))
 	}
 	if len(reply.GetDocument()) == 0 {
--- a/internal/flow/proxy/panic_test.go
+++ b/internal/flow/proxy/panic_test.go
@@ -15,6 +15,7 @@
 	"mustardhook/internal/flow/board"
 	"mustardhook/internal/flow/input"
 	"mustardhook/internal/flow/plan"
+	"mustardhook/internal/flow/point"
 	"mustardhook/internal/flow/port"
 	"mustardhook/internal/flow/setup"
 	"mustardhook/internal/serve/logs"
@@ -43,10 +44,12 @@
 }
 
 // ReadAll implements port.Source.
-func (emptySource) ReadAll(context.Context) (port.ReadResult, error) { return port.ReadResult{}, nil }
+func (emptySource) ReadAll(context.Context, uint64) (port.ReadResult, error) {
+	return port.ReadResult{}, nil
+}
 
 // Follow implements port.Source.
-func (emptySource) Follow(ctx context.Context, _ uint64, wait clock.Millis) (port.ReadResult, error) {
+func (emptySource) Follow(ctx context.Context, _ point.Point, wait clock.Millis) (port.ReadResult, error) {
 	select {
 	case <-ctx.Done():
 	case <-time.After(wait.Duration()):
--- a/internal/flow/proxy/proxy.go
+++ b/internal/flow/proxy/proxy.go
@@ -143,7 +143,7 @@
 	p.metrics.registerGauge("published.version", p.readBoard(func(b *board.Board) int { return int(b.Plan.Version) }))
 	p.metrics.registerGauge("published.era", p.readBoard(func(b *board.Board) int { return int(b.ReadTo.Era) }))
 	p.metrics.registerGauge("published.revision", p.readBoard(func(b *board.Board) int { return int(b.ReadTo.Revision) }))
-	p.metrics.registerGauge("published.listRevision", p.readBoard(func(b *board.Board) int { return int(b.ListRevision) }))
+	p.metrics.registerGauge("published.listRevision", p.readBoard(func(b *board.Board) int { return int(b.ListAt.Revision) }))
 	p.metrics.registerGauge("access.keys", p.readBoard(func(b *board.Board) int { return b.Plan.CountKeys() }))
 	p.metrics.registerGauge("access.changes", p.readBoard(func(b *board.Board) int { return b.AccessChanges }))
 	return p
@@ -347,7 +347,7 @@
 	pairs := []any{"request", s.request.Name, "reason", reason, "status", status}
 	if basis := s.refusal; basis != nil {
 		pairs = append(pairs, "plan", uint64(basis.PlanVersion), "era", basis.ReadTo.Era, "revision", basis.ReadTo.Revision,
-			"listRevision", basis.ListRevision)
+			"listEra", basis.ListAt.Era, "listRevision", basis.ListAt.Revision)
 	}
 	pairs = append(pairs,
 		"endpoint", s.lastEndpoint, "sends", s.sends,
--- a/internal/flow/proxy/read.go
+++ b/internal/flow/proxy/read.go
@@ -26,20 +26,26 @@
 		}
 		read, err := p.readOnce(next)
 		var compacted *port.CompactedError
+		var era *port.EraError
 		var cut *port.CutError
 		switch {
 		case err == nil:
 			p.reportSourceRecovered(state)
 			p.applyRead(read)
-			p.sleep(state.RecordSuccess(read.At.Revision))
+			p.sleep(state.RecordSuccess(read.At))
 		case p.lifetime.Err() != nil:
 			return
 		case errors.As(err, &compacted):
-			p.logger.Part("source").Info("History of published state is gone; all is read anew.", "after", next.AfterRevision)
+			p.logger.Part("source").Info("History of published state is gone; all is read anew.", "after", next.After.Revision)
 			state.RecordHistoryLost()
+		case errors.As(err, &era) && era.Found > era.Known:
+			p.reportSourceRecovered(state)
+			p.logger.Part("source").Info("Published state has a new era; all is read anew.", "era", era.Found, "before", era.Known)
+			state.RecordHistoryLost()
+			p.sleep(reader.BatchInterval)
 		case errors.As(err, &cut):
 			p.metrics.failedReads.Inc(1)
-			p.logger.Part("source").Info("Watch of published state was cut.", "after", next.AfterRevision, "err", err)
+			p.logger.Part("source").Info("Watch of published state was cut.", "after", next.After.Revision, "err", err)
 			p.sleep(state.RecordCut(role, random))
 		default:
 			p.metrics.failedReads.Inc(1)
@@ -58,14 +64,23 @@
 	return state.Next(p.board), peers.RoleOf(p.board), p.board.Random.Float64()
 }
 
-// readOnce reads all published state, or waits for changes after the last read.
+// readOnce reads all published state, or waits for changes after the last read. It returns a
+// port.EraError if the answer is of a lower era, or lacks changes because it is of a higher one.
 func (p *Proxy) readOnce(next reader.Decision) (port.ReadResult, error) {
 	ctx, cancel := context.WithTimeout(p.lifetime, next.Timeout.Duration())
 	defer cancel()
-	if next.AfterRevision == 0 {
-		return p.source.ReadAll(ctx)
+	isFull := next.After.IsZero()
+	var read port.ReadResult
+	var err error
+	if isFull {
+		read, err = p.source.ReadAll(ctx, next.Era)
+	} else {
+		read, err = p.source.Follow(ctx, next.After, next.Wait)
+	}
+	if err == nil && (read.At.Era < next.Era || !isFull && read.At.Era != next.Era) {
+		return port.ReadResult{}, &port.EraError{Known: next.Era, Found: read.At.Era}
 	}
-	return p.source.Follow(ctx, next.AfterRevision, next.Wait)
+	return read, err
 }
 
 // reportSourceRecovered reports to the core that the source can be read again, if it was
--- a/internal/flow/reader/reader.go
+++ b/internal/flow/reader/reader.go
@@ -6,6 +6,7 @@
 	"mustardhook/internal/core/clock"
 	"mustardhook/internal/flow/board"
 	"mustardhook/internal/flow/peers"
+	"mustardhook/internal/flow/point"
 )
 
 const (
@@ -35,8 +36,8 @@
 type (
 	// Reader holds the state of an entry's reads of published state.
 	Reader struct {
-		// Revision is the revision of the last answer; zero before the first one.
-		Revision uint64
+		// ReadTo is the point of the last answer; zero before the first one.
+		ReadTo point.Point
 		// IsUnavailable reports whether the source can't be read.
 		IsUnavailable bool
 		// wasCut reports whether the source cut the last read while it waited.
@@ -49,9 +50,10 @@
 	// Decision is what to do next: read, or only pause.
 	Decision struct {
 		ShouldRead bool
-		// AfterRevision is the revision whose later changes are read; zero requests the
-		// full state.
-		AfterRevision uint64
+		// After is the point whose later changes are read; zero requests the full state.
+		After point.Point
+		// Era is the last known era. An answer of a lower one is out of date.
+		Era uint64
 		// Wait is how long the read waits for changes, Timeout how long it may take.
 		Wait    clock.Millis
 		Timeout clock.Millis
@@ -65,12 +67,11 @@
 	if peers.RoleOf(b) == peers.RoleNone {
 		return Decision{Pause: IdleInterval}
 	}
-	if r.needsFullRead || r.Revision == 0 && b.ListRevision == 0 || b.Plan.IsZero() {
-		return Decision{ShouldRead: true, Timeout: FullReadTimeout}
-	}
-	next := Decision{
-		ShouldRead: true, AfterRevision: max(r.Revision, b.ListRevision), Wait: WatchWait, Timeout: WatchWait + WatchMargin,
+	after := point.Max(r.ReadTo, b.ListAt)
+	if r.needsFullRead || after.IsZero() || b.Plan.IsZero() {
+		return Decision{ShouldRead: true, Era: after.Era, Timeout: FullReadTimeout}
 	}
+	next := Decision{ShouldRead: true, After: after, Era: after.Era, Wait: WatchWait, Timeout: WatchWait + WatchMargin}
 	if r.wasCut {
 		// A read that doesn't wait shows whether the source can be read.
 		next.Wait = 0
@@ -78,10 +79,9 @@
 	return next
 }
 
-// RecordSuccess records a read with the revision of its answer and returns the pause until
-// the next read.
-func (r *Reader) RecordSuccess(revision uint64) clock.Millis {
-	r.Revision = max(r.Revision, revision)
+// RecordSuccess records a read up to a point and returns the pause until the next read.
+func (r *Reader) RecordSuccess(at point.Point) clock.Millis {
+	r.ReadTo = point.Max(r.ReadTo, at)
 	r.needsFullRead = false
 	r.backoff = 0
 	r.ResetFailures()
@@ -95,7 +95,7 @@
 }
 
 // RecordHistoryLost records that the source no longer has the changes after the last
-// revision, so that the next read fetches the full state.
+// point, so that the next read fetches the full state.
 func (r *Reader) RecordHistoryLost() { r.needsFullRead = true }
 
 // RecordCut records that the source cut a read that waited, and returns the pause before the
--- a/internal/flow/reader/reader_test.go
+++ b/internal/flow/reader/reader_test.go
@@ -10,6 +10,7 @@
 	"mustardhook/internal/flow/input"
 	"mustardhook/internal/flow/peers"
 	"mustardhook/internal/flow/plan"
+	"mustardhook/internal/flow/point"
 )
 
 // boardOf returns the board of an entry that has published state. The only peer has more
@@ -21,7 +22,7 @@
 	b.Domain = "north"
 	b.Plan = plan.New(3, nil, nil, plan.Limits{})
 	b.HasList = true
-	b.ListRevision = 40
+	b.ListAt = point.Point{Revision: 40}
 	b.Peers["entry-2"] = &board.Peer{LastSeenAt: b.Now, News: input.News{
 		Entry: "entry-2", Domain: "north", Capacity: 800, ConfirmedAt: confirmedAt,
 	}}
@@ -38,7 +39,7 @@
 func TestColdEntryReadsEverything(t *testing.T) {
 	b := boardOf(99 * clock.Second)
 	b.HasList = false
-	b.ListRevision = 0
+	b.ListAt = point.Point{}
 	var r Reader
 	require.Equal(t, Decision{ShouldRead: true, Timeout: FullReadTimeout}, r.Next(b))
 }
@@ -47,12 +48,12 @@
 // would revert the list.
 func TestReadStartsAtNewestKnownRevision(t *testing.T) {
 	b := boardOf(90 * clock.Second)
-	r := Reader{Revision: 30}
+	r := Reader{ReadTo: point.Point{Revision: 30}}
 	next := r.Next(b)
 	require.True(t, next.ShouldRead)
-	require.Equal(t, uint64(40), next.AfterRevision)
-	r.RecordSuccess(55)
-	require.Equal(t, uint64(55), r.Next(b).AfterRevision)
+	require.Equal(t, point.Point{Revision: 40}, next.After)
+	r.RecordSuccess(point.Point{Revision: 55})
+	require.Equal(t, point.Point{Revision: 55}, r.Next(b).After)
 }
 
 // When the store is unavailable, the pauses between reads grow up to a bound that depends
@@ -69,38 +70,38 @@
 		}
 		require.Equal(t, maxBackoff, backoff)
 		require.Equal(t, maxBackoff/2, r.RecordFailure(role, 0))
-		r.RecordSuccess(1)
+		r.RecordSuccess(point.Point{Revision: 1})
 		require.Equal(t, InitialBackoff, r.RecordFailure(role, 1))
 	}
 }
 
 func TestLostHistoryCausesFullRead(t *testing.T) {
 	b := boardOf(90 * clock.Second)
-	r := Reader{Revision: 30}
+	r := Reader{ReadTo: point.Point{Revision: 30}}
 	r.RecordHistoryLost()
-	require.Zero(t, r.Next(b).AfterRevision)
-	require.Equal(t, uint64(40), b.ListRevision, "an older list of another entry must not take its place")
-	r.RecordSuccess(50)
-	require.Equal(t, uint64(50), r.Next(b).AfterRevision)
+	require.Zero(t, r.Next(b).After)
+	require.Equal(t, point.Point{Revision: 40}, b.ListAt, "an older list of another entry must not take its place")
+	r.RecordSuccess(point.Point{Revision: 50})
+	require.Equal(t, point.Point{Revision: 50}, r.Next(b).After)
 }
 
 // Guards against an outage that is reported because the source has cut a read that waits.
 func TestCutReadIsNoOutage(t *testing.T) {
 	b := boardOf(90 * clock.Second)
-	r := Reader{Revision: 30}
+	r := Reader{ReadTo: point.Point{Revision: 30}}
 	for range 10 {
 		require.Equal(t, WatchWait, r.Next(b).Wait)
 		require.LessOrEqual(t, r.RecordCut(peers.RoleHub, 1), InitialBackoff)
 		require.False(t, r.IsUnavailable)
-		require.Equal(t, Decision{ShouldRead: true, AfterRevision: 40, Timeout: WatchWait + WatchMargin}, r.Next(b))
-		r.RecordSuccess(31)
+		require.Equal(t, Decision{ShouldRead: true, After: point.Point{Revision: 40}, Timeout: WatchWait + WatchMargin}, r.Next(b))
+		r.RecordSuccess(point.Point{Revision: 31})
 	}
 }
 
 // A source that doesn't answer the read after a cut is unavailable, also while further reads are cut.
 func TestFailedReadIsAnOutage(t *testing.T) {
 	b := boardOf(90 * clock.Second)
-	r := Reader{Revision: 30}
+	r := Reader{ReadTo: point.Point{Revision: 30}}
 	r.RecordCut(peers.RoleHub, 1)
 	for range 10 {
 		r.RecordFailure(peers.RoleHub, 1)
@@ -110,7 +111,21 @@
 		require.True(t, r.IsUnavailable)
 		require.Zero(t, r.Next(b).Wait)
 	}
-	r.RecordSuccess(31)
+	r.RecordSuccess(point.Point{Revision: 31})
 	require.False(t, r.IsUnavailable)
 	require.Equal(t, WatchWait, r.Next(b).Wait)
 }
+
+// Guards against a watch that starts at a revision of an era that has ended, whatever is known of which era from whom.
+func TestReadStartsInNewestKnownEra(t *testing.T) {
+	b := boardOf(90 * clock.Second)
+	b.ListAt = point.Point{Era: 2, Revision: 20}
+	r := Reader{ReadTo: point.Point{Era: 1, Revision: 90}}
+	require.Equal(t, point.Point{Era: 2, Revision: 20}, r.Next(b).After)
+	r.RecordSuccess(point.Point{Era: 3, Revision: 5})
+	require.Equal(t, point.Point{Era: 3, Revision: 5}, r.Next(b).After)
+	r.RecordHistoryLost()
+	next := r.Next(b)
+	require.True(t, next.After.IsZero())
+	require.Equal(t, uint64(3), next.Era)
+}
