--- a/internal/flow/parts/era_test.go
+++ b/internal/flow/parts/era_test.go
@@ -10,6 +10,7 @@
 	"mustardhook/internal/flow/evac"
 	"mustardhook/internal/flow/input"
 	"mustardhook/internal/flow/output"
+	"mustardhook/internal/flow/peers"
 	"mustardhook/internal/flow/point"
 	"mustardhook/internal/flow/pool"
 )
@@ -316,3 +317,18 @@
 	other.step(input.ListReceived{List: source.board.Pool.Snapshot(source.board.Now), At: source.board.ListAt})
 	require.True(t, other.isUsed("removed"))
 }
+
+// Guards against entries that leave reading to a peer which still follows an era that has ended.
+func TestPeerOfEndedEraConfirmsNothing(t *testing.T) {
+	e := newEraEntry(t, "desk")
+	e.stepList(false, point.Point{Era: 2, Revision: 30}, eraListing("desk"))
+	for era, role := range map[uint64]peers.Role{1: peers.RoleSpare, 2: peers.RoleNone} {
+		e.receiveNews("entry-9", func(n *input.News) {
+			n.Domain = e.board.Domain
+			n.Capacity = e.board.Capacity + 100
+			n.ConfirmedAt = e.board.Now
+			n.ListAt = point.Point{Era: era, Revision: 60}
+		})
+		require.Equal(t, role, peers.RoleOf(e.board), "era %d", era)
+	}
+}
--- a/internal/flow/peers/role.go
+++ b/internal/flow/peers/role.go
@@ -41,7 +41,8 @@
 	}
 	confirmedAt := clock.Millis(0)
 	for _, peer := range b.Peers {
-		if isLive(b, peer) {
+		// What was read in an era that has ended confirms nothing.
+		if isLive(b, peer) && peer.News.ListAt.Era >= b.ListAt.Era {
 			confirmedAt = max(confirmedAt, peer.News.ConfirmedAt)
 		}
 	}
