serve: a ticket that is read again is not refused

What operators saw: if the platform answers with tickets that an entry knows, and one of them names an object that a later ticket has removed, the entry reported "Refused, not in force" for a ticket in force, kept it in its list of pending tickets for good, and with over 64 of these pushed out tickets that do wait for an object. The fault was rare, as tickets are sent once; an entry that reads everything anew after the platform came back from an older copy meets it at once.

Cause: the controller checked each ticket of the answer against the state, also those that the state contained before. The tickets of one answer are checked together and then one by one, and an older ticket alone is not valid against a state that has moved on.

Now only tickets that the merge accepted are checked. The merge itself ignores known ones.

No golden file changes.

--- a/internal/core/intake/intake.go
+++ b/internal/core/intake/intake.go
@@ -102,7 +102,7 @@
 		return
 	}
 	next, results := b.State.WithAll(tickets)
-	if len(validate(next, tickets)) == 0 {
+	if len(validate(next, tickets, results)) == 0 {
 		accept(b, next, tickets, results)
 		retryPending(b)
 		return
@@ -125,7 +125,7 @@
 func mergeOne(b *board.Board, ticket fleet.Ticket) bool {
 	tickets := []fleet.Ticket{ticket}
 	next, results := b.State.WithAll(tickets)
-	errs := validate(next, tickets)
+	errs := validate(next, tickets, results)
 	if len(errs) > 0 {
 		addPending(b, ticket, errs[0])
 		return false
@@ -160,7 +160,7 @@
 		for _, ticket := range pending {
 			tickets := []fleet.Ticket{ticket}
 			next, results := b.State.WithAll(tickets)
-			if len(validate(next, tickets)) > 0 {
+			if len(validate(next, tickets, results)) > 0 {
 				b.PendingTickets = append(b.PendingTickets, ticket)
 				continue
 			}
@@ -170,10 +170,14 @@
 	}
 }
 
-func validate(next fleet.State, tickets []fleet.Ticket) []error {
+// validate checks the tickets that were merged. One that was known before may name what a
+// later one has removed.
+func validate(next fleet.State, tickets []fleet.Ticket, results []fleet.MergeResult) []error {
 	var errs []error
-	for _, ticket := range tickets {
-		errs = append(errs, next.CheckTicket(ticket)...)
+	for i, ticket := range tickets {
+		if results[i] == fleet.Accepted || results[i] == fleet.ConflictWon {
+			errs = append(errs, next.CheckTicket(ticket)...)
+		}
 	}
 	return errs
 }
