serve: read the platform anew when it comes back from an older copy

What callers saw: after the platform came back from an older copy and had given out the revision that an entry knew, the entry polled on from there. Tickets and records of instances that were written below that revision were never in force: new endpoints and keys unknown, endpoints that leave in use, until each of them was written once more.

Cause: the entry remembered a bare revision and compared it across the return. A revision below the known one was audited and taken over, but nothing was read again.

Now a page tells the era of its revision (absent is 0, as from a platform that has none), and a poll names the era that it goes on from. A page of another era, or with a revision below the one that the poll named, is dropped, also from a platform that ignores the era of the poll, and everything is read from the start, at most once a second. Until that read has come to its end, the platform confirms nothing. Tickets in force stay so, as they are merged by number. Polls of older entries name no era, so that the platform doesn't take them for polls of era 0; messages between entries are as before.

A list of instances that was read from the start may be older than what was known. A list in several pages is now applied once it is whole.

The simulation answers a poll beyond its revision as the reader does.

--- a/cmd/mustardhook/operate.go
+++ b/cmd/mustardhook/operate.go
@@ -129,8 +129,8 @@
 	row("ENTRY\tDOMAIN\tSYNCED\tMAY ORDER\tSTOPPING\tHIGHEST TICKET\tOBJECTS\tREFUSED\tPROMPTS\tCALLS")
 	row("%s\t%s\t%t\t%t\t%t\t%d\t%d\t%v\t%d\t%d",
 		s.Entry, s.Domain, s.Synced, s.MayOrder, s.Stopping, s.HighestTicket, s.Objects, s.PendingTickets, s.Prompts, s.Calls)
-	row("\nPLATFORM REVISION\tFAILURES\tREAD AGO")
-	row("%d\t%d\t%s", s.Platform.Revision, s.Platform.Failures, s.Platform.LastReadAge)
+	row("\nPLATFORM ERA\tREVISION\tFAILURES\tREAD AGO")
+	row("%d\t%d\t%d\t%s", s.Platform.Era, s.Platform.Revision, s.Platform.Failures, s.Platform.LastReadAge)
 	row("\nPEER\tDOMAIN\tADDRESS\tLIVE\tLEAVING\tHEARD AGO")
 	for _, p := range s.Peers {
 		row("%s\t%s\t%s\t%t\t%t\t%s", p.Entry, p.Domain, p.Address, p.Live, p.Leaving, p.LastSeenAge)
--- a/internal/core/action/action.go
+++ b/internal/core/action/action.go
@@ -122,8 +122,9 @@
 	}
 
 	// WatchPlatform starts a long poll, of at most Wait, for tickets and instances newer
-	// than AfterRevision.
+	// than AfterRevision of the era. Zero stands for all of any era.
 	WatchPlatform struct {
+		Era           uint64
 		AfterRevision uint64
 		Wait          clock.Millis
 	}
--- a/internal/core/board/board.go
+++ b/internal/core/board/board.go
@@ -15,6 +15,7 @@
 	"mustardhook/internal/core/event"
 	"mustardhook/internal/core/fleet"
 	"mustardhook/internal/core/ident"
+	"mustardhook/internal/core/listing"
 	"mustardhook/internal/core/msgs"
 )
 
@@ -53,6 +54,8 @@
 		UnpushedTickets []fleet.Ticket
 		Platform        Platform
 
+		// List is the platform's list of instances.
+		List listing.List
 		// ListRead reports whether the platform's instance list was read in this epoch.
 		ListRead bool
 		// Listed reports whether the platform's instance list contains this entry.
@@ -104,7 +107,13 @@
 
 	// Platform is the state of the reads from the platform.
 	Platform struct {
+		// Era and Revision are the point in the platform's history up to which it was read.
+		Era      uint64
 		Revision uint64
+		// IsReadAnew reports whether the platform came back from an older copy and was not read
+		// to the end since. ReadAnewAt is the time of the first read after that.
+		IsReadAnew bool
+		ReadAnewAt clock.Millis
 		// Watching reports whether a long poll is in flight.
 		Watching bool
 		LastRead clock.Millis
--- a/internal/core/event/event.go
+++ b/internal/core/event/event.go
@@ -59,7 +59,18 @@
 
 	// TicketsRead delivers tickets from the platform, oldest first.
 	TicketsRead struct {
-		Tickets  []fleet.Ticket
+		Tickets []fleet.Ticket
+		// Era and Revision are the point in the platform's history to read on from.
+		Era      uint64
+		Revision uint64
+		// More reports whether the platform has further changes.
+		More bool
+	}
+
+	// HistoryChanged reports an answer of the platform that doesn't continue what was read
+	// before: the platform came back from an older copy. Nothing of the answer was used.
+	HistoryChanged struct {
+		Era      uint64
 		Revision uint64
 	}
 
@@ -77,6 +88,9 @@
 	InstancesRead struct {
 		Instances []Instance
 		Revision  uint64
+		// Anew reports whether the list was read from the start. The platform may then have
+		// come back from an older copy.
+		Anew bool
 	}
 
 	// Instance is one row of the platform's instance list.
@@ -87,6 +101,8 @@
 		// IsEntry is true for an entry and false for an endpoint.
 		IsEntry bool
 		Leaving bool
+		// Revision is the revision that last wrote the row.
+		Revision uint64
 	}
 
 	// CompletionAsked is a prompt submitted by a caller.
@@ -235,6 +251,7 @@
 func (Ticked) isEvent()          {}
 func (TicketsRead) isEvent()     {}
 func (TicketRefused) isEvent()   {}
+func (HistoryChanged) isEvent()  {}
 func (PlatformFailed) isEvent()  {}
 func (InstancesRead) isEvent()   {}
 func (CompletionAsked) isEvent() {}
--- a/internal/core/intake/intake.go
+++ b/internal/core/intake/intake.go
@@ -18,6 +18,9 @@
 	// MaxPendingTickets limits the number of tickets that wait for the objects they
 	// refer to.
 	MaxPendingTickets = 64
+	// ReadAnewInterval is the minimum time between two reads from the start, as a platform
+	// whose instances disagree may seem to come back from a copy with each answer.
+	ReadAnewInterval = 1 * clock.Second
 
 	firstBackoff = 200 * clock.Millis(1)
 	maxBackoff   = 5 * clock.Second
@@ -35,10 +38,12 @@
 func (controller) Step(b *board.Board, input event.Event) {
 	switch input := input.(type) {
 	case event.TicketsRead:
-		recordRead(b, input.Revision)
+		recordRead(b, input)
 		mergePublished(b, input.Tickets)
 	case event.TicketRefused:
 		b.Audit(action.AuditTicket, input.Place, "Refused: "+input.Reason+".")
+	case event.HistoryChanged:
+		readAnew(b, input)
 	case event.PlatformFailed:
 		recordReadFailure(b, input)
 	case event.MessageCame:
@@ -58,13 +63,36 @@
 	}
 	b.Platform.Watching = true
 	wait := WatchTimeout
-	if b.Platform.LastRead == 0 || b.Platform.Failures > 0 {
+	if b.Platform.LastRead == 0 || b.Platform.Failures > 0 || b.Platform.IsReadAnew {
 		wait = 0
 	}
-	b.Emit(action.WatchPlatform{AfterRevision: b.Platform.Revision, Wait: wait})
+	b.Emit(action.WatchPlatform{Era: b.Platform.Era, AfterRevision: b.Platform.Revision, Wait: wait})
 }
 
-func recordRead(b *board.Board, revision uint64) {
+func recordRead(b *board.Board, read event.TicketsRead) {
+	recordAnswer(b)
+	b.Platform.RetryAt = b.Now
+	b.Platform.Era = read.Era
+	b.Platform.Revision = read.Revision
+	if !read.More {
+		b.Platform.LastRead = b.Now
+		b.Platform.IsReadAnew = false
+	}
+}
+
+// readAnew starts to read everything from the platform. Tickets in force stay so, whether or
+// not the copy has them.
+func readAnew(b *board.Board, changed event.HistoryChanged) {
+	recordAnswer(b)
+	b.Audit(action.AuditPlatform, "platform", "Platform came back from an older copy, everything is read anew.")
+	b.Platform.RetryAt = max(b.Now, b.Platform.ReadAnewAt+ReadAnewInterval)
+	b.Platform.ReadAnewAt = b.Platform.RetryAt
+	b.Platform.IsReadAnew = true
+	b.Platform.Era = changed.Era
+	b.Platform.Revision = 0
+}
+
+func recordAnswer(b *board.Board) {
 	switch {
 	case b.Platform.IsUnavailable():
 		b.Audit(action.AuditPlatform, "platform", "Platform answers again.")
@@ -75,12 +103,6 @@
 	}
 	b.Platform.Watching = false
 	b.Platform.Failures = 0
-	b.Platform.RetryAt = b.Now
-	b.Platform.LastRead = b.Now
-	if revision < b.Platform.Revision {
-		b.Audit(action.AuditPlatform, "platform", "Platform went back to an older revision.")
-	}
-	b.Platform.Revision = revision
 }
 
 func recordReadFailure(b *board.Board, failed event.PlatformFailed) {
--- a/internal/fake/config/config.go
+++ b/internal/fake/config/config.go
@@ -12,7 +12,6 @@
 
 	"golang.org/x/time/rate"
 
-	"mustardhook/internal/core/clock"
 	"mustardhook/internal/core/event"
 	"mustardhook/internal/wire/watch"
 )
@@ -30,6 +29,7 @@
 	Server struct {
 		mutex    sync.Mutex
 		values   map[string]watch.Value
+		era      uint64
 		revision uint64
 		changed  chan struct{}
 		limiter  *rate.Limiter
@@ -38,6 +38,8 @@
 		garbage  bool
 		frozen   *Server
 		lag      time.Duration
+		// ignoresEra makes the service read polls as if they named no era.
+		ignoresEra bool
 	}
 )
 
@@ -108,6 +110,7 @@
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	s.frozen = New()
+	s.frozen.era = s.era
 	s.frozen.revision = s.revision
 	for key, value := range s.values {
 		s.frozen.values[key] = value
@@ -141,8 +144,7 @@
 		http.Error(w, "too many reads", http.StatusTooManyRequests)
 		return
 	}
-	after, wait := watch.ParseQuery(r.URL.Query())
-	page, status := s.wait(r, after, wait)
+	page, status := s.wait(r, watch.ParseQuery(r.URL.Query()))
 	if status != http.StatusOK {
 		http.Error(w, "down", status)
 		return
@@ -155,15 +157,15 @@
 	_, _ = w.Write(text)
 }
 
-// wait returns the first page with values after the revision, or an empty page when
+// wait returns the first page with values after the point of the poll, or an empty page when
 // the wait time has passed, and an HTTP status.
-func (s *Server) wait(r *http.Request, after uint64, wait clock.Millis) (watch.Page, int) {
-	timer := time.NewTimer(wait.Duration())
+func (s *Server) wait(r *http.Request, poll watch.Poll) (watch.Page, int) {
+	timer := time.NewTimer(poll.Wait.Duration())
 	defer timer.Stop()
 	s.beginRead()
 	for expired := false; ; {
-		page, changed, status := s.currentPage(after)
-		if status != http.StatusOK || len(page.Values) > 0 || expired || wait == 0 {
+		page, changed, status := s.currentPage(poll)
+		if status != http.StatusOK || len(page.Values) > 0 || expired || poll.Wait == 0 {
 			return page, status
 		}
 		select {
@@ -185,9 +187,9 @@
 	time.Sleep(lag)
 }
 
-// currentPage returns the page after the revision, a channel that is closed at the next
+// currentPage returns the page after the point of the poll, a channel that is closed at the next
 // change, and an HTTP status.
-func (s *Server) currentPage(after uint64) (watch.Page, <-chan struct{}, int) {
+func (s *Server) currentPage(poll watch.Poll) (watch.Page, <-chan struct{}, int) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	if s.down {
@@ -195,18 +197,22 @@
 	}
 	if s.garbage {
 		value := watch.Value{Key: watch.TicketPrefix + "garbage", Text: []byte("{\"number\": ")}
-		return watch.Page{Revision: s.revision, Values: []watch.Value{value}}, s.changed, http.StatusOK
+		return watch.Page{Era: s.era, Revision: s.revision, Values: []watch.Value{value}}, s.changed, http.StatusOK
 	}
 	source := s
 	if s.frozen != nil {
 		source = s.frozen
 	}
+	after := poll.After
+	if poll.NamesEra && poll.Era != source.era && !s.ignoresEra {
+		after = 0
+	}
 	return source.valuesAfter(after), s.changed, http.StatusOK
 }
 
 // valuesAfter returns up to pageLimit values with a higher revision, oldest first.
 func (s *Server) valuesAfter(after uint64) watch.Page {
-	page := watch.Page{Revision: s.revision}
+	page := watch.Page{Era: s.era, Revision: s.revision}
 	for _, value := range s.values {
 		if value.Revision > after {
 			page.Values = append(page.Values, value)
--- a/internal/peer/gossip/gossip.go
+++ b/internal/peer/gossip/gossip.go
@@ -363,7 +363,7 @@
 		return
 	}
 	waited := b.Now - max(b.StartedAt, b.ResumedAt)
-	isRead := b.Platform.LastRead > 0 && b.Platform.LastRead >= b.ResumedAt && b.ListRead
+	isRead := b.Platform.LastRead > 0 && b.Platform.LastRead >= b.ResumedAt && !b.Platform.IsReadAnew && b.ListRead
 	if b.Synced || waited < DiscoveryTimeout || !isRead {
 		return
 	}
@@ -376,7 +376,7 @@
 	b.ConfirmedAt = b.Now
 }
 
-// isOnlyEntry reports whether the platform answers and lists no other entry, and none is
+// isOnlyEntry reports whether the platform was read to the end, answers and lists no other entry, and none is
 // reachable, so that only the platform can confirm the state.
 func isOnlyEntry(b *board.Board) bool {
 	for _, peer := range b.Peers {
@@ -384,7 +384,7 @@
 			return false
 		}
 	}
-	return b.ListRead && !b.Platform.IsUnavailable()
+	return b.ListRead && !b.Platform.IsReadAnew && !b.Platform.IsUnavailable()
 }
 
 // mayBeNewer reports whether the peer may hold newer tickets than this entry. A listed
--- a/internal/peer/roster/roster.go
+++ b/internal/peer/roster/roster.go
@@ -64,7 +64,8 @@
 func (controller) Step(b *board.Board, input event.Event) {
 	switch input := input.(type) {
 	case event.InstancesRead:
-		applyInstances(b, input.Instances)
+		b.List.Read(input, b.Now)
+		applyInstances(b, b.List.Instances())
 	case event.MessageCame:
 		b.LastContactAt = b.Now
 		updatePeer(b, input.From, 0)
@@ -73,6 +74,9 @@
 			applyAges(b, input.From, gossip.Ages)
 		}
 	case event.Ticked:
+		if b.List.Expire(b.Now) {
+			applyInstances(b, b.List.Instances())
+		}
 		removeExpired(b)
 	}
 }
--- a/internal/serve/admin/admin.go
+++ b/internal/serve/admin/admin.go
@@ -113,7 +113,9 @@
 		Entry: b.Self, Domain: b.Domain, Synced: b.Synced, MayOrder: order.MayOrder(b), Stopping: b.Stopping,
 		HighestTicket: b.State.Highest(), StateDigest: b.State.Sum(), Objects: b.State.Len(),
 		Prompts: len(b.Completions), Calls: len(b.Calls), Cancels: len(b.Cancellations),
-		Platform: wire.Platform{Revision: b.Platform.Revision, Failures: b.Platform.Failures, LastReadAge: -1},
+		Platform: wire.Platform{
+			Era: b.Platform.Era, Revision: b.Platform.Revision, Failures: b.Platform.Failures, LastReadAge: -1,
+		},
 	}
 	if b.Platform.LastRead > 0 {
 		status.Platform.LastReadAge = now - b.Platform.LastRead
--- a/internal/serve/parts/simulation_test.go
+++ b/internal/serve/parts/simulation_test.go
@@ -665,6 +665,10 @@
 		sim.schedule(20, func() { sim.watchPlatform(e, entryEpoch, act, until) })
 		return
 	}
+	if revision < act.AfterRevision {
+		sim.schedule(latency, func() { sim.step(e, entryEpoch, event.HistoryChanged{Revision: revision}) })
+		return
+	}
 	tickets := parseTickets(sim.ticketTexts[:count])
 	sim.schedule(latency, func() {
 		sim.step(e, entryEpoch, event.InstancesRead{Instances: slices.Clone(sim.instances), Revision: revision})
--- a/internal/serve/shell/calls.go
+++ b/internal/serve/shell/calls.go
@@ -146,7 +146,7 @@
 }
 
 func (s *Shell) watchPlatform(act action.WatchPlatform) {
-	query := "?" + watch.Query(act.AfterRevision, act.Wait)
+	query := "?" + watch.Query(watch.Poll{Era: act.Era, After: act.AfterRevision, Wait: act.Wait, NamesEra: true})
 	timeout := act.Wait.Duration() + controlTimeout
 	text, err := s.get("http://"+s.settings.Platform+watch.Path+query, timeout)
 	if err != nil {
@@ -160,14 +160,9 @@
 		s.Step(event.PlatformFailed{Reason: err.Error()})
 		return
 	}
-	if s.instances.Apply(page) || act.AfterRevision == 0 {
-		s.Step(event.InstancesRead{Instances: s.instances.List(), Revision: page.Revision})
+	for _, read := range s.reader.Events(act, page) {
+		s.Step(read)
 	}
-	tickets, invalidTickets := page.Tickets()
-	for _, invalid := range invalidTickets {
-		s.Step(event.TicketRefused{Place: invalid.Key, Reason: invalid.Err.Error()})
-	}
-	s.Step(event.TicketsRead{Tickets: tickets, Revision: page.Revision})
 }
 
 func (s *Shell) get(address string, timeout time.Duration) ([]byte, error) {
--- a/internal/serve/shell/shell.go
+++ b/internal/serve/shell/shell.go
@@ -59,7 +59,7 @@
 		pendingMutex   sync.Mutex
 		pendingPrompts map[ident.Request]chan action.Action
 		pendingCalls   map[ident.Request]chan msgs.Result
-		instances      *watch.Instances
+		reader         *watch.Reader
 
 		engines  *http.Client
 		services *http.Client
@@ -95,7 +95,7 @@
 		core:           core,
 		pendingPrompts: map[ident.Request]chan action.Action{},
 		pendingCalls:   map[ident.Request]chan msgs.Result{},
-		instances:      watch.NewInstances(),
+		reader:         watch.NewReader(),
 		engines:        newClient(newTransport(true)),
 		services:       newClient(newTransport(false)),
 		control:        newControlClient(newTransport(true)),
--- a/internal/wire/admin/admin.go
+++ b/internal/wire/admin/admin.go
@@ -61,7 +61,8 @@
 
 	// Platform is the state of the connection to the configuration service.
 	Platform struct {
-		// Revision is the newest revision that was read.
+		// Era and Revision are the point in the platform's history up to which it was read.
+		Era      uint64
 		Revision uint64
 		// Failures counts the reads that failed in a row.
 		Failures int
@@ -117,6 +118,7 @@
 	}
 
 	platformWire struct {
+		Era               uint64 `json:"era"`
 		Revision          uint64 `json:"revision"`
 		Failures          int    `json:"failures"`
 		LastReadAgeMillis int64  `json:"readAgoMillis"`
@@ -170,7 +172,7 @@
 		Entry: s.Entry.String(), Domain: string(s.Domain), Synced: s.Synced, MayOrder: s.MayOrder, Stopping: s.Stopping,
 		HighestTicket: uint64(s.HighestTicket), StateDigest: uint64(s.StateDigest), Objects: s.Objects, Prompts: s.Prompts, Calls: s.Calls,
 		Cancels: s.Cancels, PendingTickets: []uint64{}, Peers: []peerWire{}, Endpoints: []endpointWire{},
-		Platform: platformWire{s.Platform.Revision, s.Platform.Failures, int64(s.Platform.LastReadAge)},
+		Platform: platformWire{s.Platform.Era, s.Platform.Revision, s.Platform.Failures, int64(s.Platform.LastReadAge)},
 	}
 	for _, number := range s.PendingTickets {
 		w.PendingTickets = append(w.PendingTickets, uint64(number))
@@ -199,7 +201,7 @@
 		Entry: ident.ParseIncarnation(w.Entry), Domain: ident.Domain(w.Domain), Synced: w.Synced, MayOrder: w.MayOrder,
 		Stopping: w.Stopping, HighestTicket: fleet.Number(w.HighestTicket), StateDigest: fleet.Digest(w.StateDigest), Objects: w.Objects,
 		Prompts: w.Prompts, Calls: w.Calls, Cancels: w.Cancels,
-		Platform: Platform{w.Platform.Revision, w.Platform.Failures, clock.Millis(w.Platform.LastReadAgeMillis)},
+		Platform: Platform{w.Platform.Era, w.Platform.Revision, w.Platform.Failures, clock.Millis(w.Platform.LastReadAgeMillis)},
 	}
 	for _, number := range w.PendingTickets {
 		s.PendingTickets = append(s.PendingTickets, fleet.Number(number))
--- a/internal/wire/trail/trail.go
+++ b/internal/wire/trail/trail.go
@@ -71,7 +71,9 @@
 
 	ticketsWire struct {
 		Texts    []string `json:"texts"`
+		Era      uint64   `json:"era,omitempty"`
 		Revision uint64   `json:"revision"`
+		More     bool     `json:"more,omitempty"`
 	}
 
 	messageWire struct {
@@ -83,8 +85,8 @@
 
 // eventSamples has one value of each type of event. Read finds the type by its name.
 var eventSamples = []event.Event{
-	event.Started{}, event.Ticked{}, event.TicketsRead{}, event.TicketRefused{}, event.PlatformFailed{},
-	event.InstancesRead{}, event.CompletionAsked{}, event.TokenCame{}, event.AttemptEnded{}, event.CallerGone{},
+	event.Started{}, event.Ticked{}, event.TicketsRead{}, event.TicketRefused{}, event.HistoryChanged{},
+	event.PlatformFailed{}, event.InstancesRead{}, event.CompletionAsked{}, event.TokenCame{}, event.AttemptEnded{}, event.CallerGone{},
 	event.CallAsked{}, event.CallAnswered{}, event.CallFailed{}, event.ReportRead{}, event.ReportFailed{},
 	event.MessageCame{}, event.MessageLost{}, event.OrderEnded{}, event.StopAsked{},
 }
@@ -193,7 +195,7 @@
 func encodeEvent(input event.Event) ([]byte, error) {
 	switch input := input.(type) {
 	case event.TicketsRead:
-		w := ticketsWire{Revision: input.Revision}
+		w := ticketsWire{Era: input.Era, Revision: input.Revision, More: input.More}
 		for _, readTicket := range input.Tickets {
 			w.Texts = append(w.Texts, string(readTicket.Text))
 		}
@@ -266,7 +268,7 @@
 		}
 		tickets = append(tickets, parsed)
 	}
-	return event.TicketsRead{Tickets: tickets, Revision: w.Revision}, nil
+	return event.TicketsRead{Tickets: tickets, Era: w.Era, Revision: w.Revision, More: w.More}, nil
 }
 
 func decodeMessage(value []byte) (messageWire, msgs.Message, error) {
--- a/internal/wire/watch/watch.go
+++ b/internal/wire/watch/watch.go
@@ -3,6 +3,12 @@
 //
 // Keys under tickets/ contain change tickets, keys under instances/ the records of
 // instances. A removed value is sent as a key with the removed flag.
+//
+// A platform that comes back from an older copy gives revisions out again, so they count only
+// within an era. The platform begins another one each time it comes back, and tells of it in
+// each page; none is era zero. A poll names the era of its revision, and a platform in
+// another one should answer at once; a poll without era is that of an older entry. An entry that gets a page of another era, or one whose
+// revision is below the one that it asked for, drops it and reads from the start.
 package watch
 
 import (
@@ -12,6 +18,7 @@
 	"strconv"
 	"strings"
 
+	"mustardhook/internal/core/action"
 	"mustardhook/internal/core/clock"
 	"mustardhook/internal/core/event"
 	"mustardhook/internal/core/fleet"
@@ -28,6 +35,7 @@
 	InstancePrefix = "instances/"
 
 	paramAfter = "after"
+	paramEra   = "era"
 	paramWait  = "waitMillis"
 )
 
@@ -47,6 +55,8 @@
 
 	// Page is the response to one long poll.
 	Page struct {
+		// Era is zero if the platform tells of none.
+		Era uint64
 		// Revision is the revision to poll after next.
 		Revision uint64
 		// More reports whether further changes are available without waiting.
@@ -60,9 +70,20 @@
 		Err error
 	}
 
-	// Instances is the platform's list of instances, updated from pages.
-	Instances struct {
+	// Poll is what a long poll asks for: the values that changed after a revision of an era.
+	Poll struct {
+		Era   uint64
+		After uint64
+		Wait  clock.Millis
+		// NamesEra reports whether the poll names an era. Those of older entries don't.
+		NamesEra bool
+	}
+
+	// Reader turns pages into events. It keeps the platform's list of instances.
+	Reader struct {
 		instances map[string]event.Instance
+		// isPartial reports whether a read from the start has not come to its end.
+		isPartial bool
 	}
 
 	valueWire struct {
@@ -73,6 +94,7 @@
 	}
 
 	pageWire struct {
+		Era      uint64      `json:"era,omitempty"`
 		Revision uint64      `json:"revision"`
 		More     bool        `json:"more,omitempty"`
 		Values   []valueWire `json:"values"`
@@ -93,26 +115,28 @@
 // Unwrap returns the underlying error.
 func (e *FormatError) Unwrap() error { return e.Err }
 
-// Query returns the URL query of a long poll for changes after a revision, which waits up
-// to the given time.
-func Query(after uint64, wait clock.Millis) string {
+// Query returns the URL query of a long poll.
+func Query(poll Poll) string {
 	values := url.Values{}
-	values.Set(paramAfter, strconv.FormatUint(after, 10))
-	values.Set(paramWait, strconv.FormatInt(int64(wait), 10))
+	values.Set(paramAfter, strconv.FormatUint(poll.After, 10))
+	if poll.NamesEra {
+		values.Set(paramEra, strconv.FormatUint(poll.Era, 10))
+	}
+	values.Set(paramWait, strconv.FormatInt(int64(poll.Wait), 10))
 	return values.Encode()
 }
 
-// ParseQuery returns the revision and the waiting time in the URL query of a long poll.
-// Absent or invalid values are zero.
-func ParseQuery(query url.Values) (uint64, clock.Millis) {
+// ParseQuery parses the URL query of a long poll. Absent or invalid values are zero.
+func ParseQuery(query url.Values) Poll {
 	after, _ := strconv.ParseUint(query.Get(paramAfter), 10, 64)
+	era, _ := strconv.ParseUint(query.Get(paramEra), 10, 64)
 	wait, _ := strconv.ParseInt(query.Get(paramWait), 10, 64)
-	return after, clock.Millis(wait)
+	return Poll{era, after, clock.Millis(wait), query.Has(paramEra)}
 }
 
 // EncodePage encodes a response. The error is a *FormatError.
 func EncodePage(page Page) ([]byte, error) {
-	w := pageWire{Revision: page.Revision, More: page.More, Values: []valueWire{}}
+	w := pageWire{Era: page.Era, Revision: page.Revision, More: page.More, Values: []valueWire{}}
 	for _, value := range page.Values {
 		w.Values = append(w.Values, valueWire{value.Key, value.Revision, string(value.Text), value.Removed})
 	}
@@ -129,7 +153,7 @@
 	if err := json.Unmarshal(text, &w); err != nil {
 		return Page{}, &FormatError{err}
 	}
-	page := Page{Revision: w.Revision, More: w.More}
+	page := Page{Era: w.Era, Revision: w.Revision, More: w.More}
 	for _, value := range w.Values {
 		page.Values = append(page.Values, Value{value.Key, value.Revision, []byte(value.Text), value.Removed})
 	}
@@ -164,42 +188,71 @@
 	return tickets, invalid
 }
 
-// NewInstances returns an empty list.
-func NewInstances() *Instances { return &Instances{instances: map[string]event.Instance{}} }
+// continues reports whether the page tells what changed after the poll's point. Everything
+// changed after revision zero of any era.
+func (p Page) continues(act action.WatchPlatform) bool {
+	return act.AfterRevision == 0 || (p.Era == act.Era && p.Revision >= act.AfterRevision)
+}
+
+// NewReader returns a reader with an empty list.
+func NewReader() *Reader { return &Reader{instances: map[string]event.Instance{}} }
 
-// Apply updates the list from the page and reports whether the page had any instances. It
-// ignores records that can't be decoded.
-func (l *Instances) Apply(page Page) bool {
-	hasInstances := false
+// Events returns the events of the page that answers the poll.
+func (r *Reader) Events(act action.WatchPlatform, page Page) []event.Event {
+	if !page.continues(act) {
+		return []event.Event{event.HistoryChanged{Era: page.Era, Revision: page.Revision}}
+	}
+	var events []event.Event
+	isAnew := r.isPartial || act.AfterRevision == 0
+	if r.update(page, act.AfterRevision == 0) {
+		events = append(events, event.InstancesRead{Instances: r.list(), Revision: page.Revision, Anew: isAnew})
+	}
+	tickets, invalidTickets := page.Tickets()
+	for _, invalid := range invalidTickets {
+		events = append(events, event.TicketRefused{Place: invalid.Key, Reason: invalid.Err.Error()})
+	}
+	return append(events, event.TicketsRead{Tickets: tickets, Era: page.Era, Revision: page.Revision, More: page.More})
+}
+
+// update updates the list from the page and reports whether the list is whole and was read
+// or changed. It ignores records that can't be decoded.
+func (r *Reader) update(page Page, fromStart bool) bool {
+	if fromStart {
+		r.instances = map[string]event.Instance{}
+		r.isPartial = true
+	}
+	hasInstances := r.isPartial
 	for _, value := range page.Values {
 		if !strings.HasPrefix(value.Key, InstancePrefix) {
 			continue
 		}
 		hasInstances = true
 		if value.Removed {
-			delete(l.instances, value.Key)
+			delete(r.instances, value.Key)
 			continue
 		}
 		var w instanceWire
 		if json.Unmarshal(value.Text, &w) == nil {
-			l.instances[value.Key] = event.Instance{
+			r.instances[value.Key] = event.Instance{
 				Name: w.Name, Domain: ident.Domain(w.Domain), Address: w.Address, IsEntry: w.Entry, Leaving: w.Leaving,
+				Revision: value.Revision,
 			}
 		}
 	}
-	return hasInstances
+	r.isPartial = r.isPartial && page.More
+	return hasInstances && !r.isPartial
 }
 
-// List returns the instances in order of their keys.
-func (l *Instances) List() []event.Instance {
-	keys := make([]string, 0, len(l.instances))
-	for key := range l.instances {
+// list returns the instances in order of their keys.
+func (r *Reader) list() []event.Instance {
+	keys := make([]string, 0, len(r.instances))
+	for key := range r.instances {
 		keys = append(keys, key)
 	}
 	slices.Sort(keys)
 	instances := make([]event.Instance, 0, len(keys))
 	for _, key := range keys {
-		instances = append(instances, l.instances[key])
+		instances = append(instances, r.instances[key])
 	}
 	return instances
 }
