--- a/internal/serve/parts/older_test.go
+++ b/internal/serve/parts/older_test.go
@@ -5,10 +5,13 @@
 	"math/rand/v2"
 	"net/http"
 	"net/http/httptest"
+	"slices"
+	"strings"
 	"testing"
 
 	"github.com/stretchr/testify/require"
 
+	"mustardhook/internal/claim/voter"
 	"mustardhook/internal/core/action"
 	"mustardhook/internal/core/clock"
 	"mustardhook/internal/core/event"
@@ -47,7 +50,9 @@
 		lastSeen map[string]*sighting
 		// listed has the last step that wrote an instance, as the entry lists it.
 		listed map[string]*sighting
-		log    []string
+		// known has the instances that the entry ever listed.
+		known map[string]bool
+		log   []string
 	}
 
 	// content is what the platform has.
@@ -86,7 +91,7 @@
 func newHistory(t *testing.T, seed uint64) *history {
 	h := &history{
 		t: t, random: rand.New(rand.NewPCG(seed, 0)), platform: config.New(), core: parts.NewCore(), reader: watch.NewReader(),
-		now: origin, read: map[fleet.Number]bool{}, lastSeen: map[string]*sighting{}, listed: map[string]*sighting{},
+		now: origin, read: map[fleet.Number]bool{}, lastSeen: map[string]*sighting{}, listed: map[string]*sighting{}, known: map[string]bool{},
 		content: content{map[fleet.Number]bool{}, map[string]record{}},
 	}
 	h.tellsEra = h.random.IntN(4) > 0
@@ -215,6 +220,7 @@
 // checkListed checks an instance that is listed as the step wrote it, or not at all if it is zero.
 func (h *history) checkListed(name string, step int) {
 	seen, wasListed := h.listed[name]
+	h.known[name] = h.known[name] || step > 0
 	switch {
 	case step > 0 && (!wasListed || seen.step != step):
 		h.listed[name] = &sighting{step: step}
@@ -235,7 +241,8 @@
 		delete(h.lastSeen, name)
 		return
 	}
-	if written := h.content.instances[name]; step == 0 && written.removed {
+	// An entry doesn't remember the removal of an instance that it never listed.
+	if written := h.content.instances[name]; step == 0 && written.removed && h.known[name] {
 		step = written.step
 	}
 	if step > 0 && (seen == nil || step > seen.step) {
@@ -285,3 +292,26 @@
 		}
 	}
 }
+
+// Guards against witnesses that are silent and missing from an older copy of the list, and are replaced at
+// once although they may still vote.
+func TestOlderCopyReplacesNoWitnessesAtOnce(t *testing.T) {
+	sim := newSimulation(9, 1, 1, mutant{})
+	sim.run(warmUp)
+	sim.log = nil
+	sim.pauseEntry(3, clock.Hour)
+	sim.pauseEntry(6, clock.Hour)
+	sim.instances = slices.DeleteFunc(sim.instances, func(instance event.Instance) bool {
+		return instance.Name == "e3" || instance.Name == "e6"
+	})
+	for _, e := range sim.entries {
+		sim.step(e, e.epoch, event.InstancesRead{Instances: slices.Clone(sim.instances), Revision: 1, Anew: true})
+	}
+	isGone := func() bool {
+		return slices.ContainsFunc(sim.log, func(line string) bool { return strings.Contains(line, "Majority of witnesses is gone") })
+	}
+	sim.run(listing.Hold)
+	require.False(t, isGone(), "%s", strings.Join(sim.log, "\n"))
+	sim.run(voter.ResetTimeout + 15*clock.Second)
+	require.True(t, isGone(), "%s", strings.Join(sim.log, "\n"))
+}
