serve: the cache events of a restarted engine are read from the start

What callers saw: slower first tokens than need be. After an engine had restarted, an entry went on to ask for cache events after the number that the process before had reached, and then after that of the first report. What the new process had cached until then stayed unknown, without being counted as missed, and prompts with these prefixes were placed as if they were not cached.

Cause: the number of the last event was kept across the change of `boot`. The same holds for an engine that begins its numbers anew without a restart.

Now the next report after such a change is asked for from the start. The engine keeps recent events only, so this is one report of the size of a first one.

Evidence: the three cases of TestEventsOfRestartedEngineAreReadFromTheStart fail without the change (the next request has `Since` 3 and 9 instead of 0; a prefix of the former sequence is still known).

--- a/internal/route/loads/loads.go
+++ b/internal/route/loads/loads.go
@@ -99,15 +99,23 @@
 	if IsDown(status) {
 		b.Audit(action.AuditEndpoint, string(read.Endpoint), "Endpoint answers again.")
 	}
-	if status.Report.Boot != 0 && status.Report.Boot != read.Report.Boot {
+	isRestarted := status.Report.Boot != 0 && status.Report.Boot != read.Report.Boot
+	if isRestarted {
 		b.Audit(action.AuditEndpoint, string(read.Endpoint), "Endpoint restarted.")
-		status.Prefixes = map[uint64]clock.Millis{}
 		status.LastOrder = board.OrderState{}
+	}
+	isCacheNew := isRestarted || read.Report.CacheSequence < status.Report.CacheSequence
+	if isCacheNew {
+		status.Prefixes = map[uint64]clock.Millis{}
 		status.MissedEvents = 0
 	}
 	status.MissedEvents -= (status.MissedEvents + missedEventsDecay - 1) / missedEventsDecay
 	applyCacheEvents(b, status, read)
 	status.Report = read.Report
+	if isCacheNew {
+		// The report lists only events after a number of the former sequence.
+		status.Report.CacheSequence = 0
+	}
 	status.ReadAt = b.Now
 	status.TakenAt = read.TakenAt()
 	status.ReadInFlight = false
--- a/internal/route/loads/loads_test.go
+++ b/internal/route/loads/loads_test.go
@@ -5,6 +5,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"mustardhook/internal/core/action"
 	"mustardhook/internal/core/board"
 	"mustardhook/internal/core/event"
 	"mustardhook/internal/core/fleet"
@@ -48,6 +49,46 @@
 	require.Empty(t, b.Endpoints["near"].Prefixes)
 }
 
+// Guards against the cached prefixes of a restarted engine that stay unknown, since the reports that list
+// them are asked for from where those of the process before ended.
+func TestEventsOfRestartedEngineAreReadFromTheStart(t *testing.T) {
+	for _, row := range []struct {
+		name  string
+		after event.Report
+	}{
+		{"fewer events", event.Report{Boot: 2, CacheSequence: 3}},
+		{"more events", event.Report{Boot: 2, CacheSequence: 9, CacheEvents: []event.CacheEvent{{Sequence: 9, Prefix: 9, Stored: true}}}},
+		{"same process, cache begun anew", event.Report{Boot: 1, CacheSequence: 3}},
+	} {
+		t.Run(row.name, func(t *testing.T) {
+			b := board.New()
+			state, _ := fleet.NewState().With(fleet.Ticket{Number: 1, Objects: []fleet.Object{fleet.Endpoint{Name: "g"}}})
+			b.SetState(state)
+			controller := loads.NewController()
+			first := event.Report{Boot: 1, CacheSequence: 8, CacheEvents: []event.CacheEvent{{Sequence: 8, Prefix: 8, Stored: true}}}
+			controller.Step(b, event.ReportRead{Endpoint: "g", Report: first})
+			controller.Step(b, event.ReportRead{Endpoint: "g", Report: row.after})
+			require.NotContains(t, b.Endpoints["g"].Prefixes, uint64(8))
+
+			b.Now = loads.ReadInterval
+			controller.Step(b, event.Ticked{})
+			require.Contains(t, b.TakeActions(), action.ReadReport{Endpoint: "g", Since: 0, RequestedAt: b.Now})
+
+			var all []event.CacheEvent
+			for i := range row.after.CacheSequence {
+				all = append(all, event.CacheEvent{Sequence: i + 1, Prefix: i + 1, Stored: true})
+			}
+			whole := event.Report{Boot: row.after.Boot, CacheSequence: row.after.CacheSequence, CacheEvents: all}
+			controller.Step(b, event.ReportRead{Endpoint: "g", Report: whole})
+			require.Len(t, b.Endpoints["g"].Prefixes, len(all))
+			require.Zero(t, b.Endpoints["g"].MissedEvents)
+			b.Now += loads.ReadInterval
+			controller.Step(b, event.Ticked{})
+			require.Contains(t, b.TakeActions(), action.ReadReport{Endpoint: "g", Since: row.after.CacheSequence, RequestedAt: b.Now})
+		})
+	}
+}
+
 // An engine is down after two failed reads and is up again after the next successful
 // one.
 func TestDown(t *testing.T) {
