serve: an entry whose clock was set back before it restarted is known again

What callers saw: none seen; found by reading. An entry's epoch is the time of its start. After its clock was set back, peers took the restarted entry for the former incarnation and dropped what it told of itself: it counted as dead for as long as the platform listed it, was never a witness, and after 30 s the others freed the memory of its prompts at the engines as that of a lost owner.

Cause: a lower epoch was taken for an older message in any case.

Now a message that the entry itself sends under a lower epoch is believed once the known incarnation has been silent for 6 s in which this entry ran: messages are no longer under way for that long. What others still tell of the former incarnation is ignored until they have noticed too.

--- a/internal/core/board/board.go
+++ b/internal/core/board/board.go
@@ -127,6 +127,9 @@
 	// Peer is the known state of another entry.
 	Peer struct {
 		Member msgs.Member
+		// FormerEpoch is the epoch of the incarnation that Member replaced, if that was a higher
+		// one, or zero.
+		FormerEpoch uint64
 		// LastSeenAt is the time of the last message from the peer, or of the latest one
 		// that another peer reported.
 		LastSeenAt clock.Millis
--- a/internal/peer/roster/roster.go
+++ b/internal/peer/roster/roster.go
@@ -68,6 +68,7 @@
 		applyInstances(b, b.List.Instances())
 	case event.MessageCame:
 		b.LastContactAt = b.Now
+		admitLowerEpoch(b, input.From)
 		updatePeer(b, input.From, 0)
 		if gossip, ok := input.Message.(msgs.Gossip); ok {
 			applyGossip(b, gossip)
@@ -136,6 +137,11 @@
 
 func applyGossip(b *board.Board, gossip msgs.Gossip) {
 	for _, member := range gossip.Members {
+		peer := b.Peers[member.Incarnation.Entry]
+		isFormer := peer != nil && member.Incarnation.Epoch == peer.FormerEpoch && peer.FormerEpoch > peer.Member.Incarnation.Epoch
+		if isFormer {
+			continue
+		}
 		updatePeer(b, member, member.Heard)
 	}
 	for _, endpoint := range gossip.Leaving {
@@ -167,6 +173,21 @@
 	}
 }
 
+// admitLowerEpoch makes way for a peer that sends under a lower epoch than the known one:
+// its clock was set back before it started. The known incarnation must have been silent while
+// this entry could have received its messages, since an old message may be late.
+func admitLowerEpoch(b *board.Board, from msgs.Member) {
+	peer := b.Peers[from.Incarnation.Entry]
+	if peer == nil || from.Incarnation.Epoch >= peer.Member.Incarnation.Epoch {
+		return
+	}
+	silentSince := max(peer.LastSeenAt, b.StartedAt, b.ResumedAt)
+	if b.Now-silentSince > UnresponsiveTimeout {
+		peer.FormerEpoch = peer.Member.Incarnation.Epoch
+		peer.Member.Incarnation.Epoch = 0
+	}
+}
+
 // updatePeer records that this or another entry received a message from the member, of
 // the given age. It ignores members of an earlier incarnation. A peer that is leaving
 // stays so until it restarts.
