standin: the platform tells an era of its own process

What was seen: after the stand-in platform was restarted, a ticket whose file sorts before the others was never in force at an entry that had read the others before.

Cause: the stand-in begins its revisions anew with each process and told no era, so it had given out the revision that the entry knew before it was polled again. Without an era an entry can't tell.

Now the era is the time at which the process started.

--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -85,6 +85,8 @@
 		Args:    cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
 			server := config.New()
+			// Revisions begin anew with the process.
+			server.SetEra(uint64(time.Now().UnixMilli()))
 			if err := setInstances(server, entries); err != nil {
 				return err
 			}
--- a/internal/fake/config/copy.go
+++ b/internal/fake/config/copy.go
@@ -35,6 +35,13 @@
 	s.changed = make(chan struct{})
 }
 
+// SetEra sets the era that the service tells.
+func (s *Server) SetEra(era uint64) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.era = era
+}
+
 // IgnoreEra makes the service ignore the era that a poll names, as one that knows of none.
 func (s *Server) IgnoreEra() {
 	s.mutex.Lock()
