--- a/internal/flow/pool/list.go
+++ b/internal/flow/pool/list.go
@@ -135,7 +135,7 @@
 	isListed := make(map[ident.Endpoint]bool, len(list))
 	for _, listing := range list {
 		isListed[listing.Name] = true
-		if p.isOutdated(listing, era, now) {
+		if p.isOutdated(listing, now) {
 			p.removeOutdated(listing.Name, era, now)
 			continue
 		}
@@ -158,10 +158,10 @@
 	}
 }
 
-// isOutdated reports whether a record of a complete list is of an earlier run than the known one of the endpoint, which
-// the source has lost.
-func (p *Pool) isOutdated(listing Listing, era Era, now clock.Millis) bool {
-	if now >= era.HoldUntil {
+// isOutdated reports whether a record of a complete list is of an earlier run than the known one of the endpoint, whose
+// record the source has lost with the era before.
+func (p *Pool) isOutdated(listing Listing, now clock.Millis) bool {
+	if now >= p.renewalsUntil {
 		return false
 	}
 	if endpoint := p.endpoints[listing.Name]; endpoint != nil {
@@ -216,7 +216,7 @@
 	isListed := make(map[ident.Endpoint]bool, len(list))
 	for _, listing := range list {
 		isListed[listing.Name] = true
-		if !listing.IsRenewed && p.isOutdated(listing.Listing, era, now) {
+		if !listing.IsRenewed && p.isOutdated(listing.Listing, now) {
 			p.removeOutdated(listing.Name, era, now)
 			continue
 		}
