Give deltas of the list only after the last page of a whole read

A whole read has the point of its first page; a later page may have records that are newer. These were stored at the earlier point, and their changes, delivered again, were no news: an entry that asked for what had changed since that point did not learn of them and never used a living endpoint.

Lists now tell the point of their last page (LastAt), and deltas begin after it.

--- a/internal/flow/input/input.go
+++ b/internal/flow/input/input.go
@@ -87,10 +87,12 @@
 		Origin string
 	}
 
-	// ListRead delivers the complete list of endpoints at a point of its history.
+	// ListRead delivers the complete list of endpoints at a point of its history. Single records may be
+	// newer, up to LastAt, and are delivered again.
 	ListRead struct {
-		List []pool.Listing
-		At   point.Point
+		List   []pool.Listing
+		At     point.Point
+		LastAt point.Point
 		// Evacuated are all evacuated failure domains.
 		Evacuated evac.Set
 	}
--- a/internal/flow/intake/intake.go
+++ b/internal/flow/intake/intake.go
@@ -100,7 +100,7 @@
 			"era", read.At.Era, "revision", read.At.Revision, "knownEra", before.Era, "knownRevision", before.Revision)
 		return
 	}
-	b.Pool.Replace(read.List, currentEra(b, hadList && before.Era != b.ListAt.Era), b.Now)
+	b.Pool.Replace(read.List, read.LastAt, currentEra(b, hadList && before.Era != b.ListAt.Era), b.Now)
 	b.HasList = true
 	b.Log("List of endpoints read.", "endpoints", len(read.List), "era", read.At.Era, "revision", read.At.Revision)
 	setEvacuated(b, b.Pool.Evacuated().Replace(read.Evacuated, read.At), read.At)
--- a/internal/flow/parts/history_read_test.go
+++ b/internal/flow/parts/history_read_test.go
@@ -141,7 +141,7 @@
 		}
 	}
 	finish := func() {
-		result.Inputs = append(result.Inputs, input.ListRead{List: list, At: at, Evacuated: evac.NewSet(evacuated)})
+		result.Inputs = append(result.Inputs, input.ListRead{List: list, At: at, LastAt: s.at(), Evacuated: evac.NewSet(evacuated)})
 		h.afterIn(e, h.delay(e), func() { end(result, nil) })
 	}
 	if len(keys) < 2 || h.random.IntN(2) == 0 {
--- a/internal/flow/pool/list.go
+++ b/internal/flow/pool/list.go
@@ -122,15 +122,14 @@
 		// The endpoint's listing may have expired while the list was unavailable.
 		endpoint.RemovalGraceUntil = p.availableAt + RemovalGrace
 	default:
-		endpoint.markLeaving(now)
-		p.track(endpoint)
+		p.markRemoved(endpoint, now)
 		return 0
 	}
 	return endpoint.RemovalGraceUntil - now
 }
 
-// Replace applies a complete list of the era that was read from the published state.
-func (p *Pool) Replace(list []Listing, era Era, now clock.Millis) {
+// Replace applies a complete list of the era that was read from the published state, with records up to the last point.
+func (p *Pool) Replace(list []Listing, last point.Point, era Era, now clock.Millis) {
 	p.beginEra(era)
 	isListed := make(map[ident.Endpoint]bool, len(list))
 	for _, listing := range list {
@@ -147,7 +146,7 @@
 		}
 	}
 	p.hasList = true
-	p.completeSince = p.listAt
+	p.completeSince = point.Max(p.listAt, last)
 }
 
 // beginEra begins a new era: records may be lost with the one before, and are written again.
@@ -289,8 +288,14 @@
 		return
 	}
 	endpoint.RemovedAt = now
-	endpoint.RemovalGraceUntil = now + listing.RemovalGrace
 	endpoint.changedAt = p.listAt
+	endpoint.RemovalGraceUntil = now + listing.RemovalGrace
+}
+
+// markRemoved makes known that the endpoint was removed without a grace period.
+func (p *Pool) markRemoved(e *Endpoint, now clock.Millis) {
+	e.markLeaving(now)
+	p.track(e)
 }
 
 // markLeaving records the first time at which the endpoint was found to be leaving.
@@ -314,9 +319,8 @@
 		e.RemovedAt = now
 		e.changedAt = p.listAt
 	}
-	e.markLeaving(now)
 	e.RemovalGraceUntil = 0
-	p.track(e)
+	p.markRemoved(e, now)
 }
 
 // Snapshot returns the list to publish to peers, in order of the names.
--- a/internal/flow/pool/pool_test.go
+++ b/internal/flow/pool/pool_test.go
@@ -38,7 +38,7 @@
 	p := New()
 	p.Put(testListing("a"), 500)
 	p.MarkListUnavailable(1000)
-	p.Replace(nil, Era{}, 5000)
+	p.Replace(nil, point.Point{}, Era{}, 5000)
 	p.MarkListAvailable(5000)
 	require.True(t, p.Find("e-1").IsUsable(6500))
 	require.False(t, p.Find("e-1").IsUsable(7000))
@@ -120,10 +120,10 @@
 	case 3:
 		source.Expire(now)
 	case 4:
-		source.Replace(l.drawList(t, true), era, now)
+		source.Replace(l.drawList(t, true), point.Point{}, era, now)
 	case 5:
 		era.IsNew = false
-		source.Replace(l.drawList(t, false), era, now)
+		source.Replace(l.drawList(t, false), point.Point{}, era, now)
 	default:
 		source.Put(l.draw(t, name, false), now)
 	}
@@ -257,13 +257,13 @@
 	source, receiver := New(), New()
 	for _, p := range []*Pool{source, receiver} {
 		p.SetPoint(point.Point{Era: 1, Revision: 40})
-		p.Replace([]Listing{listing}, Era{}, 1000)
+		p.Replace([]Listing{listing}, point.Point{}, Era{}, 1000)
 	}
 	receiver.SetPoint(point.Point{Era: 1, Revision: 45})
 	receiver.Remove("a", 2000)
 	require.False(t, isUsable(receiver, "a", 2000))
 	source.SetPoint(point.Point{Era: 1, Revision: 60})
-	source.Replace([]Listing{listing}, Era{}, 3000)
+	source.Replace([]Listing{listing}, point.Point{}, Era{}, 3000)
 	receiver.SetPoint(point.Point{Era: 1, Revision: 60})
 	if list, removed, ok := source.Delta(point.Point{Era: 1, Revision: 45}, 3000); ok {
 		receiver.ApplyDelta(list, removed, 3000)
@@ -272,3 +272,18 @@
 	}
 	require.True(t, isUsable(receiver, "a", 3000))
 }
+
+// Guards against an entry that never learns of an endpoint, because the one that it asks has read the whole list in pages, a later
+// one of which had the endpoint at a revision beyond that of the list.
+func TestDeltaBeginsAfterTheLastPageOfTheList(t *testing.T) {
+	p := New()
+	p.SetPoint(point.Point{Era: 1, Revision: 50})
+	p.Replace([]Listing{{Name: "a", Service: "s", Epoch: 1}}, point.Point{Era: 1, Revision: 55}, Era{}, 1000)
+	p.SetPoint(point.Point{Era: 1, Revision: 60})
+	p.Put(Listing{Name: "b", Service: "s", Epoch: 1}, 2000)
+	_, _, ok := p.Delta(point.Point{Era: 1, Revision: 54}, 2000)
+	require.False(t, ok)
+	list, _, ok := p.Delta(point.Point{Era: 1, Revision: 55}, 2000)
+	require.True(t, ok)
+	require.Len(t, list, 1)
+}
