--- a/internal/flow/pool/list.go
+++ b/internal/flow/pool/list.go
@@ -116,6 +116,9 @@
 	endpoint.RemovedAt = now
 	endpoint.changedAt = p.listAt
 	switch {
+	case now < endpoint.heldUntil:
+		p.markRemoved(endpoint, now)
+		return 0
 	case p.unavailableSince != 0:
 		endpoint.RemovalGraceUntil = now + RemovalGrace
 	case p.availableAt != 0 && now < p.availableAt+RemovalGrace:
@@ -234,6 +237,8 @@
 		case era.IsNew && now < era.Since+RemovalGrace && !slices.Contains(removed, name):
 			// The peer may not know the endpoint: its record may be lost with the era before.
 			p.Remove(name, now)
+		case now < p.renewalsUntil && endpoint.RemovedAt != 0 && !slices.Contains(removed, name):
+			// Its removal grace period, if it has one, goes on.
 		default:
 			p.confirmRemoval(endpoint, now)
 		}
@@ -289,6 +294,10 @@
 	}
 	endpoint.RemovedAt = now
 	endpoint.changedAt = p.listAt
+	if now < endpoint.heldUntil {
+		p.markRemoved(endpoint, now)
+		return
+	}
 	endpoint.RemovalGraceUntil = now + listing.RemovalGrace
 }
 
--- a/internal/flow/pool/pool_test.go
+++ b/internal/flow/pool/pool_test.go
@@ -287,3 +287,45 @@
 	require.True(t, ok)
 	require.Len(t, list, 1)
 }
+
+// Guards against an endpoint that has left and is used again, because the removal of its old record is taken for one that the source
+// has lost.
+func TestHeldEndpointGetsNoRemovalGrace(t *testing.T) {
+	listing := Listing{Name: "a", Service: "s", Epoch: 1}
+	era := Era{Since: 3000, HoldUntil: 8000, IsNew: true}
+	for _, isFromPeer := range []bool{false, true} {
+		p := New()
+		p.Put(listing, 1000)
+		p.Remove("a", 2000)
+		p.SetPoint(point.Point{Era: 2, Revision: 5})
+		p.Replace([]Listing{listing}, point.Point{}, era, 3000)
+		p.MarkListUnavailable(7500)
+		if isFromPeer {
+			p.ApplyDelta([]PeerListing{{Listing: listing, RemovalGrace: RemovalGrace}}, nil, 7900)
+		} else {
+			p.Remove("a", 7900)
+		}
+		require.False(t, isUsable(p, "a", 8100))
+	}
+}
+
+// Guards against a living endpoint that is given up in its removal grace period, because a peer that never knew it doesn't list it.
+func TestRemovalGraceOutlastsListsOfPeersWithoutTheEndpoint(t *testing.T) {
+	era := Era{Since: 3000, HoldUntil: 8000, IsNew: true}
+	for _, isKnownToBeRemoved := range []bool{false, true} {
+		p := New()
+		p.Put(Listing{Name: "a", Service: "s", Epoch: 1}, 1000)
+		p.SetPoint(point.Point{Era: 2, Revision: 5})
+		p.Replace(nil, point.Point{}, era, 3000)
+		p.SetPoint(point.Point{Era: 2, Revision: 6})
+		era.IsNew = false
+		var removed []ident.Endpoint
+		if isKnownToBeRemoved {
+			removed = append(removed, "a")
+		}
+		p.ApplySnapshot(nil, removed, era, 3500)
+		require.Equal(t, !isKnownToBeRemoved, isUsable(p, "a", 3500+RemovalGrace-600))
+		require.False(t, isUsable(p, "a", 3000+RemovalGrace))
+		era.IsNew = true
+	}
+}
