--- a/internal/core/intake/intake.go
+++ b/internal/core/intake/intake.go
@@ -18,6 +18,9 @@
 	// MaxPendingTickets limits the number of tickets that wait for the objects they
 	// refer to.
 	MaxPendingTickets = 64
+	// ReadAnewInterval is the minimum time between two reads from the start, as a platform
+	// whose instances disagree may seem to come back from a copy with each answer.
+	ReadAnewInterval = 1 * clock.Second
 
 	firstBackoff = 200 * clock.Millis(1)
 	maxBackoff   = 5 * clock.Second
@@ -35,10 +38,12 @@
 func (controller) Step(b *board.Board, input event.Event) {
 	switch input := input.(type) {
 	case event.TicketsRead:
-		recordRead(b, input.Revision)
+		recordRead(b, input)
 		mergePublished(b, input.Tickets)
 	case event.TicketRefused:
 		b.Audit(action.AuditTicket, input.Place, "Refused: "+input.Reason+".")
+	case event.HistoryChanged:
+		readAnew(b, input)
 	case event.PlatformFailed:
 		recordReadFailure(b, input)
 	case event.MessageCame:
@@ -58,13 +63,36 @@
 	}
 	b.Platform.Watching = true
 	wait := WatchTimeout
-	if b.Platform.LastRead == 0 || b.Platform.Failures > 0 {
+	if b.Platform.LastRead == 0 || b.Platform.Failures > 0 || b.Platform.IsReadAnew {
 		wait = 0
 	}
-	b.Emit(action.WatchPlatform{AfterRevision: b.Platform.Revision, Wait: wait})
+	b.Emit(action.WatchPlatform{Era: b.Platform.Era, AfterRevision: b.Platform.Revision, Wait: wait})
 }
 
-func recordRead(b *board.Board, revision uint64) {
+func recordRead(b *board.Board, read event.TicketsRead) {
+	recordAnswer(b)
+	b.Platform.RetryAt = b.Now
+	b.Platform.Era = read.Era
+	b.Platform.Revision = read.Revision
+	if !read.More {
+		b.Platform.LastRead = b.Now
+		b.Platform.IsReadAnew = false
+	}
+}
+
+// readAnew starts to read everything from the platform. Tickets in force stay so, whether or
+// not the copy has them.
+func readAnew(b *board.Board, changed event.HistoryChanged) {
+	recordAnswer(b)
+	b.Audit(action.AuditPlatform, "platform", "Platform came back from an older copy, everything is read anew.")
+	b.Platform.RetryAt = max(b.Now, b.Platform.ReadAnewAt+ReadAnewInterval)
+	b.Platform.ReadAnewAt = b.Platform.RetryAt
+	b.Platform.IsReadAnew = true
+	b.Platform.Era = changed.Era
+	b.Platform.Revision = 0
+}
+
+func recordAnswer(b *board.Board) {
 	switch {
 	case b.Platform.IsUnavailable():
 		b.Audit(action.AuditPlatform, "platform", "Platform answers again.")
@@ -75,12 +103,6 @@
 	}
 	b.Platform.Watching = false
 	b.Platform.Failures = 0
-	b.Platform.RetryAt = b.Now
-	b.Platform.LastRead = b.Now
-	if revision < b.Platform.Revision {
-		b.Audit(action.AuditPlatform, "platform", "Platform went back to an older revision.")
-	}
-	b.Platform.Revision = revision
 }
 
 func recordReadFailure(b *board.Board, failed event.PlatformFailed) {
@@ -102,7 +124,7 @@
 		return
 	}
 	next, results := b.State.WithAll(tickets)
-	if len(validate(next, tickets)) == 0 {
+	if len(validate(next, tickets, results)) == 0 {
 		accept(b, next, tickets, results)
 		retryPending(b)
 		return
@@ -125,7 +147,7 @@
 func mergeOne(b *board.Board, ticket fleet.Ticket) bool {
 	tickets := []fleet.Ticket{ticket}
 	next, results := b.State.WithAll(tickets)
-	errs := validate(next, tickets)
+	errs := validate(next, tickets, results)
 	if len(errs) > 0 {
 		addPending(b, ticket, errs[0])
 		return false
@@ -160,7 +182,7 @@
 		for _, ticket := range pending {
 			tickets := []fleet.Ticket{ticket}
 			next, results := b.State.WithAll(tickets)
-			if len(validate(next, tickets)) > 0 {
+			if len(validate(next, tickets, results)) > 0 {
 				b.PendingTickets = append(b.PendingTickets, ticket)
 				continue
 			}
@@ -170,10 +192,14 @@
 	}
 }
 
-func validate(next fleet.State, tickets []fleet.Ticket) []error {
+// validate checks the tickets that were merged. One that was known before may name what a
+// later one has removed.
+func validate(next fleet.State, tickets []fleet.Ticket, results []fleet.MergeResult) []error {
 	var errs []error
-	for _, ticket := range tickets {
-		errs = append(errs, next.CheckTicket(ticket)...)
+	for i, ticket := range tickets {
+		if results[i] == fleet.Accepted || results[i] == fleet.ConflictWon {
+			errs = append(errs, next.CheckTicket(ticket)...)
+		}
 	}
 	return errs
 }
