Lists tell of the last removal of an endpoint, and earlier runs of removed ones are never used

A removal now counts as a change at the point of the last one, and an entry that doesn't know the endpoint gives a whole list. A run that the list lacks is removed as any other; an earlier run of a removed endpoint is kept, and held until its record is written anew.

--- a/internal/flow/pool/list.go
+++ b/internal/flow/pool/list.go
@@ -12,6 +12,9 @@
 	"mustardhook/internal/flow/point"
 )
 
+// endlessHold is how long an endpoint is held of which a later run is known, unless its record is written anew.
+const endlessHold = clock.Millis(1 << 31)
+
 // SetPoint sets the point of the list to which the changes that follow belong.
 func (p *Pool) SetPoint(at point.Point) { p.listAt = at }
 
@@ -110,11 +113,15 @@
 // grace period, as long as it answers. Remove returns how long that period lasts.
 func (p *Pool) Remove(name ident.Endpoint, now clock.Millis) clock.Millis {
 	endpoint := p.endpoints[name]
-	if endpoint == nil || endpoint.RemovedAt != 0 {
+	if endpoint == nil {
 		return 0
 	}
-	endpoint.RemovedAt = now
+	// Others that ask for the changes may have listed it since, or another run of it.
 	endpoint.changedAt = p.listAt
+	if endpoint.RemovedAt != 0 {
+		return 0
+	}
+	endpoint.RemovedAt = now
 	switch {
 	case now < endpoint.heldUntil:
 		p.markRemoved(endpoint, now)
@@ -136,11 +143,10 @@
 	p.beginEra(era)
 	isListed := make(map[ident.Endpoint]bool, len(list))
 	for _, listing := range list {
-		isListed[listing.Name] = true
 		if p.isOutdated(listing, now) {
-			p.removeOutdated(listing.Name, era, now)
 			continue
 		}
+		isListed[listing.Name] = true
 		p.put(listing, listing.ColdLeft, p.holdEnd(listing, era, now), now)
 	}
 	for name := range p.endpoints {
@@ -163,21 +169,13 @@
 // isOutdated reports whether a record of a complete list is of an earlier run than the known one of the endpoint, whose
 // record the source has lost with the era before.
 func (p *Pool) isOutdated(listing Listing, now clock.Millis) bool {
-	if now >= p.renewalsUntil {
-		return false
-	}
-	if endpoint := p.endpoints[listing.Name]; endpoint != nil {
-		return listing.Epoch < endpoint.Epoch && !p.isRenewed(endpoint)
-	}
-	return listing.Epoch < p.expiredRuns[listing.Name].epoch
+	endpoint := p.endpoints[listing.Name]
+	return now < p.renewalsUntil && endpoint != nil && listing.Epoch < endpoint.Epoch && !p.isRenewed(endpoint)
 }
 
-// removeOutdated removes an endpoint of whose run a new era lacks the record, with a removal grace period. Later in
-// the era, that period goes on.
-func (p *Pool) removeOutdated(name ident.Endpoint, era Era, now clock.Millis) {
-	if era.IsNew {
-		p.Remove(name, now)
-	}
+// isGone reports whether the endpoint was removed and is in no removal grace period.
+func (e *Endpoint) isGone(now clock.Millis) bool {
+	return e.RemovedAt != 0 && now >= e.RemovalGraceUntil
 }
 
 // isRenewed reports whether the record of the endpoint is known to have been written in the era of the list.
@@ -186,7 +184,7 @@
 }
 
 // holdEnd returns until when an endpoint with a record of a complete list is out of use: in a new era, one whose run is known
-// to have been removed or to be leaving is held.
+// to have been removed or to be leaving is held, and one whose later run was removed is held for good.
 func (p *Pool) holdEnd(listing Listing, era Era, now clock.Millis) clock.Millis {
 	newEnd := clock.Millis(0)
 	if era.IsNew {
@@ -196,15 +194,17 @@
 	switch {
 	case endpoint == nil:
 		run, isExpired := p.expiredRuns[listing.Name]
-		if isExpired && run.epoch == listing.Epoch {
+		switch {
+		case isExpired && era.IsNew && listing.Epoch < run.epoch:
+			return now + endlessHold
+		case isExpired && listing.Epoch == run.epoch:
 			return newEnd
 		}
 		return 0
 	case endpoint.Epoch != listing.Epoch || endpoint.Address != listing.Address:
 		return 0
 	}
-	isRemoved := endpoint.RemovedAt != 0 && now >= endpoint.RemovalGraceUntil
-	if isRemoved || endpoint.Leaving && !listing.Leaving || now < endpoint.heldUntil {
+	if endpoint.isGone(now) || endpoint.Leaving && !listing.Leaving || now < endpoint.heldUntil {
 		return max(newEnd, endpoint.heldUntil)
 	}
 	return 0
@@ -217,11 +217,10 @@
 	p.beginEra(era)
 	isListed := make(map[ident.Endpoint]bool, len(list))
 	for _, listing := range list {
-		isListed[listing.Name] = true
 		if !listing.IsRenewed && p.isOutdated(listing.Listing, now) {
-			p.removeOutdated(listing.Name, era, now)
 			continue
 		}
+		isListed[listing.Name] = true
 		if listing.RemovalGrace > 0 {
 			p.startRemovalGrace(listing, now)
 			continue
@@ -260,6 +259,8 @@
 	for _, name := range removed {
 		if endpoint := p.endpoints[name]; endpoint != nil {
 			p.confirmRemoval(endpoint, now)
+		} else {
+			p.completeSince = p.listAt
 		}
 	}
 }
@@ -289,11 +290,15 @@
 // listed here. It doesn't restore an endpoint that was already removed.
 func (p *Pool) startRemovalGrace(listing PeerListing, now clock.Millis) {
 	endpoint := p.endpoints[listing.Name]
-	if endpoint == nil || endpoint.RemovedAt != 0 {
+	if endpoint == nil {
+		p.completeSince = p.listAt
 		return
 	}
-	endpoint.RemovedAt = now
 	endpoint.changedAt = p.listAt
+	if endpoint.RemovedAt != 0 {
+		return
+	}
+	endpoint.RemovedAt = now
 	if now < endpoint.heldUntil {
 		p.markRemoved(endpoint, now)
 		return
@@ -326,8 +331,8 @@
 func (p *Pool) confirmRemoval(e *Endpoint, now clock.Millis) {
 	if e.RemovedAt == 0 {
 		e.RemovedAt = now
-		e.changedAt = p.listAt
 	}
+	e.changedAt = p.listAt
 	e.RemovalGraceUntil = 0
 	p.markRemoved(e, now)
 }
@@ -350,7 +355,7 @@
 func (p *Pool) Removed(now clock.Millis) []ident.Endpoint {
 	var removed []ident.Endpoint
 	for name, endpoint := range p.endpoints {
-		if endpoint.RemovedAt != 0 && now >= endpoint.RemovalGraceUntil {
+		if endpoint.isGone(now) {
 			removed = append(removed, name)
 		}
 	}
--- a/internal/flow/pool/pool_test.go
+++ b/internal/flow/pool/pool_test.go
@@ -329,3 +329,58 @@
 		era.IsNew = true
 	}
 }
+
+// Guards against an entry that uses an endpoint for good which was removed, listed again and removed once more, because the one that
+// it asks for changes knows of one removal only.
+func TestDeltaTellsOfTheLastRemoval(t *testing.T) {
+	listing := Listing{Name: "a", Service: "s", Epoch: 1}
+	removed := []PeerListing{{Listing: listing, RemovalGrace: RemovalGrace}}
+	for _, isConfirmed := range []bool{false, true} {
+		source := New()
+		source.Put(listing, 1000)
+		source.SetPoint(point.Point{Era: 1, Revision: 20})
+		source.ApplyDelta(removed, nil, 2000)
+		// It was listed again at 22.
+		source.SetPoint(point.Point{Era: 1, Revision: 24})
+		if isConfirmed {
+			source.ApplyDelta(nil, []ident.Endpoint{"a"}, 2500)
+		} else {
+			source.ApplyDelta(removed, nil, 2500)
+		}
+		list, gone, ok := source.Delta(point.Point{Era: 1, Revision: 22}, 2600)
+		require.True(t, ok)
+		require.Len(t, append(list, make([]PeerListing, len(gone))...), 1)
+	}
+	// One that doesn't know the endpoint can't tell of it.
+	source := New()
+	for revision, change := range map[uint64]func(){
+		24: func() { source.ApplyDelta(removed, nil, 2500) }, 25: func() { source.ApplyDelta(nil, []ident.Endpoint{"a"}, 2500) },
+	} {
+		source.SetPoint(point.Point{Era: 1, Revision: revision})
+		change()
+		_, _, ok := source.Delta(point.Point{Era: 1, Revision: 22}, 2600)
+		require.False(t, ok)
+	}
+}
+
+// Guards against an endpoint whose earlier run, which a copy of the store lists, is used once the hold has ended, although a later
+// run was removed; and against other entries that keep such a run because the one that they ask doesn't list it.
+func TestEarlierRunOfRemovedEndpointIsNeverUsed(t *testing.T) {
+	listing := Listing{Name: "a", Service: "s", Epoch: 2}
+	p := New()
+	p.Put(listing, 1000)
+	p.Remove("a", 2000)
+	p.Expire(3000)
+	listing.Epoch = 1
+	p.SetPoint(point.Point{Era: 2, Revision: 5})
+	p.Replace([]Listing{listing}, point.Point{}, Era{Since: 3000, HoldUntil: 8000, IsNew: true}, 3000)
+	p.Expire(60_000)
+	require.False(t, isUsable(p, "a", 60_000))
+	p.SetPoint(point.Point{Era: 2, Revision: 6})
+	p.Remove("a", 60_000)
+	_, gone, ok := p.Delta(point.Point{Era: 2, Revision: 5}, 60_000)
+	require.True(t, ok)
+	require.Equal(t, []ident.Endpoint{"a"}, gone)
+	p.Put(listing, 61_000)
+	require.True(t, isUsable(p, "a", 61_000))
+}
