Lists tell of endpoints that were listed again

An entry that learns by one delta that an endpoint was removed and listed again sees no change. Each endpoint of a delta now counts as changed at its point. TestDeltaTellsOfAnEndpointThatIsListedAgain failed before.

--- a/internal/flow/pool/list.go
+++ b/internal/flow/pool/list.go
@@ -26,6 +26,8 @@
 // putPeerListing adds or updates an endpoint of a peer's list.
 func (p *Pool) putPeerListing(listing PeerListing, now clock.Millis) {
 	endpoint := p.put(listing.Listing, listing.ColdRemaining, now+listing.Hold, now)
+	// Others that ask for the changes may have removed it since, although nothing changed here.
+	endpoint.changedAt = p.listAt
 	if listing.IsRenewed {
 		endpoint.renewedAt = p.listAt
 	}
--- a/internal/flow/pool/pool_test.go
+++ b/internal/flow/pool/pool_test.go
@@ -363,6 +363,21 @@
 	}
 }
 
+// Guards against an entry that never uses an endpoint again which was removed and listed again, because the one that it asks for
+// changes learnt of both at once.
+func TestDeltaTellsOfAnEndpointThatIsListedAgain(t *testing.T) {
+	listing := Listing{Name: "a", Service: "s", Epoch: 1}
+	source := New()
+	source.SetPoint(point.Point{Era: 1, Revision: 20})
+	source.Put(listing, 1000)
+	// It was removed at 22.
+	source.SetPoint(point.Point{Era: 1, Revision: 25})
+	source.ApplyDelta([]PeerListing{{Listing: listing}}, nil, 2500)
+	list, _, ok := source.Delta(point.Point{Era: 1, Revision: 24}, 2600)
+	require.True(t, ok)
+	require.Len(t, list, 1)
+}
+
 // Guards against an endpoint whose earlier run, which a copy of the store lists, is used once the hold has ended, although a later
 // run was removed; and against other entries that keep such a run because the one that they ask doesn't list it.
 func TestEarlierRunOfRemovedEndpointIsNeverUsed(t *testing.T) {
