--- a/internal/flow/pool/list.go
+++ b/internal/flow/pool/list.go
@@ -113,6 +113,8 @@
 func (p *Pool) Remove(name ident.Endpoint, now clock.Millis) clock.Millis {
 	endpoint := p.endpoints[name]
 	if endpoint == nil {
+		// Others may list it: they need the whole list.
+		p.completeSince = p.listAt
 		return 0
 	}
 	// Others that ask for the changes may have listed it since, or another run of it.
--- a/internal/flow/pool/pool_test.go
+++ b/internal/flow/pool/pool_test.go
@@ -399,3 +399,15 @@
 	p.Put(listing, 61_000)
 	require.True(t, isUsable(p, "a", 61_000))
 }
+
+// Guards against an entry that uses an endpoint for good after its removal, because the one that it asks for changes doesn't know
+// the endpoint.
+func TestRemovalOfAnUnknownEndpointNeedsAWholeList(t *testing.T) {
+	p := New()
+	p.SetPoint(point.Point{Era: 1, Revision: 20})
+	p.Remove("a", 1000)
+	_, _, ok := p.Delta(point.Point{Era: 1, Revision: 19}, 1000)
+	require.False(t, ok)
+	_, _, ok = p.Delta(point.Point{Era: 1, Revision: 20}, 1000)
+	require.True(t, ok)
+}
