Package listing becomes insts

Cause: package names are short forms of four to six letters; this one had seven. Change: the package is renamed, nothing else.

--- a/internal/core/board/board.go
+++ b/internal/core/board/board.go
@@ -15,7 +15,7 @@
 	"mustardhook/internal/core/event"
 	"mustardhook/internal/core/fleet"
 	"mustardhook/internal/core/ident"
-	"mustardhook/internal/core/listing"
+	"mustardhook/internal/core/insts"
 	"mustardhook/internal/core/msgs"
 )
 
@@ -55,7 +55,7 @@
 		Platform        Platform
 
 		// List is the platform's list of instances.
-		List listing.List
+		List insts.List
 		// ListRead reports whether the platform's instance list was read in this epoch.
 		ListRead bool
 		// Listed reports whether the platform's instance list contains this entry.
--- a/internal/core/listing/listing.go
+++ b/internal/core/insts/insts.go
@@ -1,7 +1,7 @@
-// Package listing keeps the platform's list of instances across the platform's return from
+// Package insts keeps the platform's list of instances across the platform's return from
 // an older copy. Until the platform has had time to bring its list up to date, what the list
 // said before holds against it.
-package listing
+package insts
 
 import (
 	"cmp"
--- a/internal/core/listing/listing_test.go
+++ b/internal/core/insts/insts_test.go
@@ -1,4 +1,4 @@
-package listing_test
+package insts_test
 
 import (
 	"testing"
@@ -7,7 +7,7 @@
 
 	"mustardhook/internal/core/clock"
 	"mustardhook/internal/core/event"
-	"mustardhook/internal/core/listing"
+	"mustardhook/internal/core/insts"
 )
 
 const start = 1000 * clock.Second
@@ -26,7 +26,7 @@
 }
 
 // names lists the names of the instances, with a minus sign if they leave.
-func names(list *listing.List) []string {
+func names(list *insts.List) []string {
 	found := []string{}
 	for _, instance := range list.Instances() {
 		name := instance.Name
@@ -85,7 +85,7 @@
 	} {
 		t.Run(row.name, func(t *testing.T) {
 			for _, isWritten := range []bool{true, false} {
-				list := &listing.List{}
+				list := &insts.List{}
 				for _, before := range row.before {
 					list.Read(before, start)
 				}
@@ -96,9 +96,9 @@
 					require.Equal(t, row.wantWritten, names(list))
 					continue
 				}
-				require.False(t, list.Expire(start+listing.Hold-1))
+				require.False(t, list.Expire(start+insts.Hold-1))
 				require.Equal(t, row.want, names(list))
-				list.Expire(start + listing.Hold)
+				list.Expire(start + insts.Hold)
 				require.Equal(t, row.wantLater, names(list))
 			}
 		})
@@ -107,19 +107,19 @@
 
 // Guards against a hold that never ends, since the list is read anew again and again.
 func TestRepeatedCopiesDoNotExtendHolds(t *testing.T) {
-	list := &listing.List{}
+	list := &insts.List{}
 	list.Read(read(false, 9, endpoint("a", 2)), start)
-	for at := start; at < start+listing.Hold; at += clock.Second {
+	for at := start; at < start+insts.Hold; at += clock.Second {
 		list.Read(read(true, 5), at)
 		require.False(t, list.Expire(at))
 	}
-	require.True(t, list.Expire(start+listing.Hold))
+	require.True(t, list.Expire(start+insts.Hold))
 	require.Empty(t, list.Instances())
 }
 
 // Guards against changes of other instances that end a hold.
 func TestHoldEndsOnlyWithItsOwnRecord(t *testing.T) {
-	list := &listing.List{}
+	list := &insts.List{}
 	list.Read(read(false, 9, leaver(9), endpoint("b", 3)), start)
 	list.Read(read(true, 5, endpoint("a", 2), endpoint("b", 3)), start)
 	list.Read(read(false, 6, endpoint("a", 2), endpoint("b", 6)), start)
@@ -128,28 +128,28 @@
 
 // Guards against an instance that comes back with a second copy, since the first one was older.
 func TestRemovalOutlastsSeveralCopies(t *testing.T) {
-	list := &listing.List{}
+	list := &insts.List{}
 	list.Read(read(false, 8, endpoint("a", 2)), start)
 	list.Read(read(false, 9), start)
 	list.Read(read(true, 1), start+1)
 	list.Read(read(true, 5, endpoint("a", 2)), start+2)
 	require.Empty(t, names(list))
-	list.Expire(start + listing.RemovalMemory)
+	list.Expire(start + insts.RemovalMemory)
 	require.Equal(t, []string{"a"}, names(list))
 }
 
 // Guards against an instance that was removed anew and comes back with a second copy as soon as the hold
 // against the first copy would have been over.
 func TestSecondRemovalHoldsAnew(t *testing.T) {
-	list := &listing.List{}
+	list := &insts.List{}
 	list.Read(read(false, 8, endpoint("a", 2)), start)
 	list.Read(read(false, 9), start)
 	list.Read(read(true, 5, endpoint("a", 2)), start)
 	list.Read(read(false, 6), start+1)
-	second := start + listing.Hold - 1
+	second := start + insts.Hold - 1
 	list.Read(read(true, 5, endpoint("a", 2)), second)
-	list.Expire(second + listing.Hold - 1)
+	list.Expire(second + insts.Hold - 1)
 	require.Empty(t, names(list))
-	list.Expire(second + listing.Hold)
+	list.Expire(second + insts.Hold)
 	require.Equal(t, []string{"a"}, names(list))
 }
--- a/internal/serve/parts/older_test.go
+++ b/internal/serve/parts/older_test.go
@@ -17,7 +17,7 @@
 	"mustardhook/internal/core/event"
 	"mustardhook/internal/core/fleet"
 	"mustardhook/internal/core/ident"
-	"mustardhook/internal/core/listing"
+	"mustardhook/internal/core/insts"
 	"mustardhook/internal/core/loop"
 	"mustardhook/internal/fake/config"
 	"mustardhook/internal/serve/parts"
@@ -187,7 +187,7 @@
 
 // isHoldOver reports whether what was seen may have been replaced by what an older copy says.
 func (h *history) isHoldOver(seen *sighting) bool {
-	return seen.returnedAt > 0 && h.now >= seen.returnedAt+listing.Hold
+	return seen.returnedAt > 0 && h.now >= seen.returnedAt+insts.Hold
 }
 
 // check checks that no ticket went out of force, and that no instance went, and none that was leaving or
@@ -263,7 +263,7 @@
 			require.True(h.t, b.EndpointStatus(ident.Endpoint(name)).ListedLeaving, "%s doesn't leave: %v", name, h.log)
 		}
 	}
-	h.pass(listing.Hold + clock.Second)
+	h.pass(insts.Hold + clock.Second)
 	want := map[string]string{}
 	for name, written := range h.content.instances {
 		if !written.removed {
@@ -310,7 +310,7 @@
 	isGone := func() bool {
 		return slices.ContainsFunc(sim.log, func(line string) bool { return strings.Contains(line, "Majority of witnesses is gone") })
 	}
-	sim.run(listing.Hold)
+	sim.run(insts.Hold)
 	require.False(t, isGone(), "%s", strings.Join(sim.log, "\n"))
 	sim.run(voter.ResetTimeout + 15*clock.Second)
 	require.True(t, isGone(), "%s", strings.Join(sim.log, "\n"))
