The stand-in of the platform wakes polls in one place

Cause: four changes of its state, one of them added with its copies, closed and renewed the channel of waiting polls by the same two lines. Change: they call wake; nothing else. Measured: the tests of internal/fake, serve/shell and wire/watch pass.

--- a/internal/fake/config/config.go
+++ b/internal/fake/config/config.go
@@ -77,6 +77,11 @@
 	s.revision++
 	value.Revision = s.revision
 	s.values[value.Key] = value
+	s.wake()
+}
+
+// wake ends the waits of all polls.
+func (s *Server) wake() {
 	close(s.changed)
 	s.changed = make(chan struct{})
 }
@@ -86,8 +91,7 @@
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	s.down = down
-	close(s.changed)
-	s.changed = make(chan struct{})
+	s.wake()
 }
 
 // SetGarbage makes the service answer every read with a ticket of malformed JSON.
@@ -122,8 +126,7 @@
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	s.frozen = nil
-	close(s.changed)
-	s.changed = make(chan struct{})
+	s.wake()
 }
 
 // Reads returns the number of reads so far. A long poll counts as one read.
--- a/internal/fake/config/copy.go
+++ b/internal/fake/config/copy.go
@@ -31,8 +31,7 @@
 	if tellsEra {
 		s.era++
 	}
-	close(s.changed)
-	s.changed = make(chan struct{})
+	s.wake()
 }
 
 // SetEra sets the era that the service tells.
