--- a/internal/flow/parts/era_test.go
+++ b/internal/flow/parts/era_test.go
@@ -332,3 +332,17 @@
 		require.Equal(t, role, peers.RoleOf(e.board), "era %d", era)
 	}
 }
+
+// Guards against a whole list that is not taken as it is, although no era has begun since the entry started: its store may
+// tell of none.
+func TestListOfAKnownEraIsTakenAsItIs(t *testing.T) {
+	for _, isFromPeer := range []bool{false, true} {
+		e := newEraEntry(t)
+		second := eraListing("restarted")
+		second.Epoch = 2
+		e.stepList(isFromPeer, point.Point{Era: 1, Revision: 60}, second)
+		e.stepList(isFromPeer, point.Point{Era: 1, Revision: 70}, eraListing("restarted"))
+		require.Equal(t, uint64(1), e.board.Pool.Find("restarted").Epoch)
+		require.True(t, e.isUsed("restarted"))
+	}
+}
