A removed run is held also after an earlier one was listed

Cause: where a copy lists an earlier run of a removed endpoint, that run takes the place of the known one in the pool, and with it what was known of the last run. If the copy of the next era lists that one, it was used at once.

Change: the run that was removed last decides as long as it is remembered, whatever else the list has named since.

--- a/internal/flow/pool/era.go
+++ b/internal/flow/pool/era.go
@@ -38,15 +38,14 @@
 		newEnd = era.HoldUntil
 	}
 	endpoint := p.endpoints[listing.Name]
+	run, isExpired := p.expiredRuns[listing.Name]
+	isLastRun := isExpired && (endpoint == nil || endpoint.Epoch < run.epoch)
 	switch {
+	case isLastRun && era.IsNew && listing.Epoch < run.epoch:
+		return now + endlessHold
+	case isLastRun && listing.Epoch == run.epoch:
+		return newEnd
 	case endpoint == nil:
-		run, isExpired := p.expiredRuns[listing.Name]
-		switch {
-		case isExpired && era.IsNew && listing.Epoch < run.epoch:
-			return now + endlessHold
-		case isExpired && listing.Epoch == run.epoch:
-			return newEnd
-		}
 		return 0
 	case endpoint.Epoch != listing.Epoch || endpoint.Address != listing.Address:
 		return 0
--- a/internal/flow/pool/pool_test.go
+++ b/internal/flow/pool/pool_test.go
@@ -411,3 +411,22 @@
 	_, _, ok = p.Delta(point.Point{Era: 1, Revision: 20}, 1000)
 	require.True(t, ok)
 }
+
+// Guards against an endpoint that has left and is used again because the list of one era names an earlier run of it, and that of the
+// next era the last one.
+func TestRemovedRunIsHeldAfterAnEarlierOne(t *testing.T) {
+	last := Listing{Name: "a", Service: "s", Epoch: 2}
+	earlier := last
+	earlier.Epoch = 1
+	p := New()
+	p.Put(last, 1000)
+	p.Remove("a", 2000)
+	p.Expire(3000)
+	p.SetPoint(point.Point{Era: 2, Revision: 5})
+	p.Replace([]Listing{earlier}, point.Point{}, Era{Since: 3000, HoldUntil: 8000, IsNew: true}, 3000)
+	p.SetPoint(point.Point{Era: 3, Revision: 5})
+	p.Replace([]Listing{last}, point.Point{}, Era{Since: 9000, HoldUntil: 14_000, IsNew: true}, 9000)
+	require.False(t, isUsable(p, "a", 13_999))
+	p.Expire(14_000)
+	require.True(t, isUsable(p, "a", 14_000))
+}
