Whole lists that are passed on tell the point of their last record

Cause: an entry that takes a whole list from another one counted it as complete at its point, although its sender had read a later page with newer records. It then gave deltas from that point on, without these records, and a third entry never learnt of an endpoint. A removal of an unknown endpoint could also move that point back.

Change: GetPublished tells the newest revision of the list (last_revision); deltas begin after it at the receiver, too, and what they begin after never moves back.

TestDeltaBeginsAfterTheLastPageOfTheList has the case, and TestListTellsItsEraAndWhatWasRemoved the message; both need the new parameter and do not compile before.

--- a/internal/flow/input/input.go
+++ b/internal/flow/input/input.go
@@ -101,6 +101,8 @@
 	ListReceived struct {
 		List []pool.PeerListing
 		At   point.Point
+		// LastAt is the point up to which single records of a whole list may be newer.
+		LastAt point.Point
 		// EraAge is how long ago the sender's list moved to its era.
 		EraAge clock.Millis
 		// IsDelta means that List holds only the changes since the point that this
--- a/internal/flow/intake/intake.go
+++ b/internal/flow/intake/intake.go
@@ -119,7 +119,7 @@
 			"endpoints", len(received.List), "gone", len(received.Removed), "era", received.At.Era, "revision", received.At.Revision,
 		)
 	} else {
-		b.Pool.ApplySnapshot(received.List, received.Removed, currentEra(b, hadList && before.Era != b.ListAt.Era), b.Now)
+		b.Pool.ApplySnapshot(received.List, received.Removed, received.LastAt, currentEra(b, hadList && before.Era != b.ListAt.Era), b.Now)
 		b.HasList = true
 		b.Log("List of endpoints told.", "endpoints", len(received.List), "era", received.At.Era, "revision", received.At.Revision)
 	}
--- a/internal/flow/parts/fleet_test.go
+++ b/internal/flow/parts/fleet_test.go
@@ -223,7 +223,7 @@
 			fetch.from.board.Now = f.now
 			source := fetch.to.board
 			received := input.ListReceived{
-				List: source.Pool.Snapshot(f.now), Removed: source.Pool.Removed(f.now), At: source.ListAt, EraAge: f.now - source.EraSince, Evacuated: source.Pool.Evacuated(),
+				List: source.Pool.Snapshot(f.now), Removed: source.Pool.Removed(f.now), At: source.ListAt, LastAt: source.Pool.LastAt(), EraAge: f.now - source.EraSince, Evacuated: source.Pool.Evacuated(),
 			}
 			if list, removed, isDelta := source.Pool.Delta(fetch.from.board.ListAt, f.now); isDelta {
 				received.List, received.Removed, received.IsDelta = list, removed, true
--- a/internal/flow/parts/history_read_test.go
+++ b/internal/flow/parts/history_read_test.go
@@ -286,7 +286,7 @@
 	}
 	version, _ := strconv.ParseUint(string(b.PlanDocument), 10, 64)
 	return input.ListReceived{
-		List: codec.DecodeList(codec.EncodeList(list)), Removed: removed, At: b.ListAt, IsDelta: isDelta, EraAge: max(h.now-b.EraSince, 0),
+		List: codec.DecodeList(codec.EncodeList(list)), Removed: removed, At: b.ListAt, LastAt: b.Pool.LastAt(), IsDelta: isDelta, EraAge: max(h.now-b.EraSince, 0),
 		Evacuated: codec.DecodeEvacuated(codec.EncodeEvacuated(b.Pool.Evacuated())),
 	}, plan.Version(version)
 }
--- a/internal/flow/pool/list.go
+++ b/internal/flow/pool/list.go
@@ -114,7 +114,7 @@
 	endpoint := p.endpoints[name]
 	if endpoint == nil {
 		// Others may list it: they need the whole list.
-		p.completeSince = p.listAt
+		p.completeSince = point.Max(p.completeSince, p.listAt)
 		return 0
 	}
 	// Others that ask for the changes may have listed it since, or another run of it.
@@ -161,8 +161,8 @@
 
 // ApplySnapshot applies the complete list of a peer, which has removed the other endpoints. Removal grace
 // periods and holds are taken over from the peer, whether or not this entry can read the list itself.
-// removed are endpoints that the peer has removed lately.
-func (p *Pool) ApplySnapshot(list []PeerListing, removed []ident.Endpoint, era Era, now clock.Millis) {
+// removed are endpoints that the peer has removed lately; the list has records up to the last point.
+func (p *Pool) ApplySnapshot(list []PeerListing, removed []ident.Endpoint, last point.Point, era Era, now clock.Millis) {
 	p.beginEra(era)
 	isListed := make(map[ident.Endpoint]bool, len(list))
 	for _, listing := range list {
@@ -192,9 +192,12 @@
 		}
 	}
 	p.hasList = true
-	p.completeSince = p.listAt
+	p.completeSince = point.Max(p.listAt, last)
 }
 
+// LastAt returns the point of the newest record that the list may have.
+func (p *Pool) LastAt() point.Point { return point.Max(p.listAt, p.completeSince) }
+
 // ApplyDelta applies a peer's changes to the list. The endpoints in removed are removed
 // without a grace period.
 func (p *Pool) ApplyDelta(list []PeerListing, removed []ident.Endpoint, now clock.Millis) {
@@ -209,7 +212,7 @@
 		if endpoint := p.endpoints[name]; endpoint != nil {
 			p.confirmRemoval(endpoint, now)
 		} else {
-			p.completeSince = p.listAt
+			p.completeSince = point.Max(p.completeSince, p.listAt)
 		}
 	}
 }
@@ -240,7 +243,7 @@
 func (p *Pool) startRemovalGrace(listing PeerListing, now clock.Millis) {
 	endpoint := p.endpoints[listing.Name]
 	if endpoint == nil {
-		p.completeSince = p.listAt
+		p.completeSince = point.Max(p.completeSince, p.listAt)
 		return
 	}
 	endpoint.changedAt = p.listAt
--- a/internal/flow/pool/pool_test.go
+++ b/internal/flow/pool/pool_test.go
@@ -156,12 +156,12 @@
 			receivedEra := era
 			receivedEra.IsNew = received.Era != 0 && received.Era != at.Era
 			snapshots.SetPoint(at)
-			snapshots.ApplySnapshot(source.Snapshot(now), source.Removed(now), receivedEra, now)
+			snapshots.ApplySnapshot(source.Snapshot(now), source.Removed(now), source.LastAt(), receivedEra, now)
 			deltas.SetPoint(at)
 			if list, removed, ok := source.Delta(received, now); ok {
 				deltas.ApplyDelta(list, removed, now)
 			} else {
-				deltas.ApplySnapshot(source.Snapshot(now), source.Removed(now), receivedEra, now)
+				deltas.ApplySnapshot(source.Snapshot(now), source.Removed(now), source.LastAt(), receivedEra, now)
 			}
 			received = at
 			for _, name := range listedNames {
@@ -188,7 +188,7 @@
 	changed := listing
 	changed.Slots = 8
 	p.Put(changed, 500)
-	p.ApplySnapshot([]PeerListing{{Listing: listing}}, nil, Era{}, 600)
+	p.ApplySnapshot([]PeerListing{{Listing: listing}}, nil, point.Point{}, Era{}, 600)
 	require.False(t, p.Find("r1").IsUsable(100000))
 	require.Equal(t, []Hash{HashOf("r1")}, p.RecentlyLeaving(600))
 	listing.Epoch = 2
@@ -268,7 +268,7 @@
 	if list, removed, ok := source.Delta(point.Point{Era: 1, Revision: 45}, 3000); ok {
 		receiver.ApplyDelta(list, removed, 3000)
 	} else {
-		receiver.ApplySnapshot(source.Snapshot(3000), source.Removed(3000), Era{}, 3000)
+		receiver.ApplySnapshot(source.Snapshot(3000), source.Removed(3000), source.LastAt(), Era{}, 3000)
 	}
 	require.True(t, isUsable(receiver, "a", 3000))
 }
@@ -286,6 +286,18 @@
 	list, _, ok := p.Delta(point.Point{Era: 1, Revision: 55}, 2000)
 	require.True(t, ok)
 	require.Len(t, list, 1)
+
+	// Nor may one that was told of that list, whatever it hears of endpoints that it doesn't know.
+	source, receiver := New(), New()
+	source.SetPoint(point.Point{Era: 1, Revision: 50})
+	source.Replace([]Listing{{Name: "a", Service: "s", Epoch: 1}}, point.Point{Era: 1, Revision: 55}, Era{}, 1000)
+	receiver.SetPoint(point.Point{Era: 1, Revision: 50})
+	receiver.ApplySnapshot(source.Snapshot(1000), source.Removed(1000), source.LastAt(), Era{}, 1000)
+	receiver.SetPoint(point.Point{Era: 1, Revision: 51})
+	receiver.Remove("unknown", 2000)
+	receiver.SetPoint(point.Point{Era: 1, Revision: 60})
+	_, _, ok = receiver.Delta(point.Point{Era: 1, Revision: 54}, 2000)
+	require.False(t, ok)
 }
 
 // Guards against an endpoint that has left and is used again, because the removal of its old record is taken for one that the source
@@ -323,7 +335,7 @@
 		if isKnownToBeRemoved {
 			removed = append(removed, "a")
 		}
-		p.ApplySnapshot(nil, removed, era, 3500)
+		p.ApplySnapshot(nil, removed, point.Point{}, era, 3500)
 		require.Equal(t, !isKnownToBeRemoved, isUsable(p, "a", 3500+RemovalGrace-600))
 		require.False(t, isUsable(p, "a", 3000+RemovalGrace))
 		era.IsNew = true
--- a/internal/flow/proxy/era_test.go
+++ b/internal/flow/proxy/era_test.go
@@ -15,6 +15,7 @@
 	"mustardhook/internal/flow/input"
 	"mustardhook/internal/flow/output"
 	"mustardhook/internal/flow/point"
+	"mustardhook/internal/flow/pool"
 	"mustardhook/internal/flow/port"
 	"mustardhook/internal/flow/reader"
 )
@@ -54,7 +55,7 @@
 	source.board.Now = 10_000
 	source.board.EraSince = 9_300
 	source.board.Pool.SetPoint(source.board.ListAt)
-	source.board.Pool.Remove("south", source.board.Now)
+	source.board.Pool.Replace([]pool.Listing{{Name: "north", Epoch: 1}}, point.Point{Era: 2, Revision: 8}, pool.Era{}, source.board.Now)
 	server := httptest.NewServer(source.peerHandler())
 	t.Cleanup(server.Close)
 	received := make(chan input.ListReceived, 1)
@@ -66,6 +67,7 @@
 	ask(point.Point{Era: 1, Revision: 90})
 	list := <-received
 	require.Equal(t, point.Point{Era: 2, Revision: 5}, list.At)
+	require.Equal(t, point.Point{Era: 2, Revision: 8}, list.LastAt)
 	require.EqualValues(t, 700, list.EraAge)
 	require.False(t, list.IsDelta)
 	require.Equal(t, []ident.Endpoint{"south"}, list.Removed)
--- a/internal/flow/proxy/news.go
+++ b/internal/flow/proxy/news.go
@@ -125,6 +125,7 @@
 	list, removed, isDelta := b.Pool.Delta(after, b.Now)
 	if !isDelta {
 		list, removed = b.Pool.Snapshot(b.Now), b.Pool.Removed(b.Now)
+		reply.LastRevision = b.Pool.LastAt().Revision
 	}
 	reply.Endpoints = codec.EncodeList(list)
 	reply.Changes = isDelta
@@ -141,6 +142,7 @@
 	received := input.ListReceived{
 		List: codec.DecodeList(reply.GetEndpoints()), At: listPoint(reply), IsDelta: reply.GetChanges(),
 		EraAge:    clock.Millis(min(reply.GetEraAgeMillis(), maxEraAge)),
+		LastAt:    point.Point{Era: reply.GetListEra(), Revision: reply.GetLastRevision()},
 		Evacuated: codec.DecodeEvacuated(reply.GetEvacuated()),
 	}
 	for _, name := range reply.GetGone() {
