Each return of the store gives endpoints their time anew

Cause: an endpoint whose record was lost with one return of the store kept the removal grace of that one, although the store was gone again before the record could be written anew: the living endpoint was given up, and others were told so.

Change: a new era extends the graces that still run.

--- a/internal/flow/parts/era_test.go
+++ b/internal/flow/parts/era_test.go
@@ -40,6 +40,15 @@
 	return e
 }
 
+// readOn lets the entry read published state without changes for the given time.
+func (e *testEntry) readOn(span clock.Millis) {
+	const pause = 200 * clock.Millis(1)
+	for ; span > 0; span -= pause {
+		e.step(input.Confirmed{At: e.board.ListAt})
+		e.advance(min(span, pause))
+	}
+}
+
 // isUsed reports whether the entry may send to the endpoint.
 func (e *testEntry) isUsed(name ident.Endpoint) bool {
 	endpoint := e.board.Pool.Find(name)
@@ -131,9 +140,9 @@
 		for _, name := range names {
 			e := newEntry()
 			require.False(t, e.isUsed(name))
-			e.advance(eraHold - 100)
+			e.readOn(eraHold - 100)
 			require.False(t, e.isUsed(name))
-			e.advance(100 + expiryDelay)
+			e.readOn(100 + expiryDelay)
 			require.True(t, e.isUsed(name), "its record has not lapsed")
 
 			e = newEntry()
@@ -142,7 +151,7 @@
 
 			e = newEntry()
 			e.step(input.EndpointRemoved{Name: name, At: point.Point{Era: 2, Revision: 31}})
-			e.advance(eraHold + expiryDelay)
+			e.readOn(eraHold + expiryDelay)
 			require.False(t, e.isUsed(name))
 		}
 		// A new run is no old record.
@@ -164,7 +173,7 @@
 	other.board.Settings.HeartbeatInterval = 1200
 	other.step(input.ListReceived{List: e.board.Pool.Snapshot(e.board.Now), At: e.board.ListAt})
 	require.False(t, other.isUsed("removed"))
-	other.advance(eraHold + expiryDelay)
+	other.readOn(eraHold + expiryDelay)
 	require.True(t, other.isUsed("removed"))
 }
 
@@ -294,11 +303,11 @@
 		e := newEraEntry(t, "removed")
 		e.step(input.EndpointRemoved{Name: "removed", At: point.Point{Era: 1, Revision: 51}})
 		e.stepList(isFromPeer, point.Point{Era: 2, Revision: 30}, eraListing("removed"))
-		e.advance(eraHold - 1000)
+		e.readOn(eraHold - 1000)
 		e.stepList(isFromPeer, point.Point{Era: 3, Revision: 30}, eraListing("removed"))
-		e.advance(eraHold - 100)
+		e.readOn(eraHold - 100)
 		require.False(t, e.isUsed("removed"))
-		e.advance(100 + expiryDelay)
+		e.readOn(100 + expiryDelay)
 		require.True(t, e.isUsed("removed"))
 	}
 }
@@ -346,3 +355,18 @@
 		require.True(t, e.isUsed("restarted"))
 	}
 }
+
+// Guards against a living endpoint that is given up because the store came back twice, the second time before the endpoint had
+// the time to write its record again.
+func TestSecondReturnGivesEndpointsTheirTimeAnew(t *testing.T) {
+	for _, isFromPeer := range []bool{false, true} {
+		e := newEraEntry(t, "alive")
+		e.stepList(isFromPeer, point.Point{Era: 2, Revision: 30})
+		e.readOn(pool.RemovalGrace - 500)
+		e.stepList(isFromPeer, point.Point{Era: 3, Revision: 20})
+		e.readOn(pool.RemovalGrace - 100)
+		require.True(t, e.isUsed("alive"))
+		e.readOn(200)
+		require.False(t, e.isUsed("alive"))
+	}
+}
--- a/internal/flow/pool/era.go
+++ b/internal/flow/pool/era.go
@@ -5,11 +5,18 @@
 // endlessHold is how long an endpoint is held of which a later run is known, unless its record is written anew.
 const endlessHold = clock.Millis(1 << 31)
 
-// beginEra begins a new era: records may be lost with the one before, and are written again.
-func (p *Pool) beginEra(era Era) {
-	if era.IsNew {
-		p.availableAt = max(p.availableAt, era.Since)
-		p.renewalsUntil = era.HoldUntil
+// beginEra begins a new era: records may be lost with the one before, and are written again. Endpoints whose records were
+// lost before that, and that had no time to write them again, get as much of it anew.
+func (p *Pool) beginEra(era Era, now clock.Millis) {
+	if !era.IsNew {
+		return
+	}
+	p.availableAt = max(p.availableAt, era.Since)
+	p.renewalsUntil = era.HoldUntil
+	for _, endpoint := range p.endpoints {
+		if endpoint.RemovedAt != 0 && !endpoint.isGone(now) {
+			endpoint.RemovalGraceUntil = max(endpoint.RemovalGraceUntil, era.Since+RemovalGrace)
+		}
 	}
 }
 
--- a/internal/flow/pool/list.go
+++ b/internal/flow/pool/list.go
@@ -141,7 +141,7 @@
 
 // Replace applies a complete list of the era that was read from the published state, with records up to the last point.
 func (p *Pool) Replace(list []Listing, last point.Point, era Era, now clock.Millis) {
-	p.beginEra(era)
+	p.beginEra(era, now)
 	isListed := make(map[ident.Endpoint]bool, len(list))
 	for _, listing := range list {
 		if p.isOutdated(listing, now) {
@@ -163,7 +163,7 @@
 // periods and holds are taken over from the peer, whether or not this entry can read the list itself.
 // removed are endpoints that the peer has removed lately; the list has records up to the last point.
 func (p *Pool) ApplySnapshot(list []PeerListing, removed []ident.Endpoint, last point.Point, era Era, now clock.Millis) {
-	p.beginEra(era)
+	p.beginEra(era, now)
 	isListed := make(map[ident.Endpoint]bool, len(list))
 	for _, listing := range list {
 		if !listing.IsRenewed && p.isOutdated(listing.Listing, now) {
