A hold lasts while nobody can read published state

Cause: a held endpoint was used once its time was over, also if the store had been away for most of it, so that the record which the endpoint had left behind could not lapse. The next return from a copy then found nothing known against it.

Change: while no entry has read published state for 1.5 s, holds are extended by their whole time.

--- a/internal/flow/intake/intake.go
+++ b/internal/flow/intake/intake.go
@@ -17,6 +17,10 @@
 	// ExpireInterval is the time between two calls that expire removed endpoints.
 	ExpireInterval = 1 * clock.Second
 
+	// confirmationGap is the time without a complete read of published state, by any entry, after which the list counts as
+	// unreadable. It exceeds the time for which a read waits for changes, plus the time that its news takes to arrive.
+	confirmationGap = 1500 * clock.Millis(1)
+
 	// maxIgnoredLogged bounds the log lines on entries of one plan that have no effect.
 	maxIgnoredLogged = 16
 )
@@ -78,6 +82,9 @@
 	case input.Ticked:
 		if b.Now-c.expiredAt >= ExpireInterval {
 			c.expiredAt = b.Now
+			if b.Now-lastConfirmation(b) > confirmationGap {
+				b.Pool.ExtendHolds(b.Now+eraHold(b), b.Now)
+			}
 			b.Pool.Expire(b.Now)
 			expireEvacuated(b)
 		}
@@ -157,7 +164,20 @@
 // currentEra returns the era of the list, which may be new. What is known from the era before holds against a state that
 // may come from an older copy until a record that nobody renews has lapsed, and living endpoints are listed again.
 func currentEra(b *board.Board, isNew bool) pool.Era {
-	return pool.Era{Since: b.EraSince, HoldUntil: b.EraSince + b.Settings.RecordTTL() + pool.RemovalGrace, IsNew: isNew}
+	return pool.Era{Since: b.EraSince, HoldUntil: b.EraSince + eraHold(b), IsNew: isNew}
+}
+
+func eraHold(b *board.Board) clock.Millis { return b.Settings.RecordTTL() + pool.RemovalGrace }
+
+// lastConfirmation returns when this entry, or another one in the era of its list, last read published state completely.
+func lastConfirmation(b *board.Board) clock.Millis {
+	last := b.ConfirmedAt
+	for _, peer := range b.Peers {
+		if peer.News.ListAt.Era >= b.ListAt.Era {
+			last = max(last, peer.News.ConfirmedAt)
+		}
+	}
+	return last
 }
 
 // advance sets the point of the list if it is after the current one, and reports whether it is. Changes at
--- a/internal/flow/parts/era_test.go
+++ b/internal/flow/parts/era_test.go
@@ -356,6 +356,22 @@
 	}
 }
 
+// Guards against an endpoint that has left and is used again because its hold ended while the store could not be read, so that
+// its record could not lapse.
+func TestHoldLastsWhileNobodyReads(t *testing.T) {
+	e := newEraEntry(t, "removed")
+	e.step(input.EndpointRemoved{Name: "removed", At: point.Point{Era: 1, Revision: 51}})
+	e.stepList(false, point.Point{Era: 2, Revision: 30}, eraListing("removed"))
+	e.readOn(1000)
+	e.advance(eraHold + expiryDelay)
+	require.False(t, e.isUsed("removed"))
+	// The record lapses three heartbeats after the store can be read again.
+	e.readOn(3 * 1200)
+	require.False(t, e.isUsed("removed"))
+	e.readOn(eraHold)
+	require.True(t, e.isUsed("removed"))
+}
+
 // Guards against a living endpoint that is given up because the store came back twice, the second time before the endpoint had
 // the time to write its record again.
 func TestSecondReturnGivesEndpointsTheirTimeAnew(t *testing.T) {
--- a/internal/flow/pool/era.go
+++ b/internal/flow/pool/era.go
@@ -20,6 +20,16 @@
 	}
 }
 
+// ExtendHolds keeps held endpoints out of use until the given time at least: while nobody can read the list, no record that an
+// endpoint has left behind lapses.
+func (p *Pool) ExtendHolds(until, now clock.Millis) {
+	for _, endpoint := range p.endpoints {
+		if now < endpoint.heldUntil {
+			endpoint.heldUntil = max(endpoint.heldUntil, until)
+		}
+	}
+}
+
 // isOutdated reports whether a record of a complete list is of an earlier run than the known one of the endpoint, whose
 // record the source has lost with the era before.
 func (p *Pool) isOutdated(listing Listing, now clock.Millis) bool {
