What a read of published state has shown is decided in one place

Cause: the proxy and the model of TestHistoriesOfPublishedState each had the switch over the errors of a read, the check of its era and the order in which the reader records them: a change of one could leave the other behind.

Change: reader.Record decides the outcome and the pause, and whether the source has recovered; the proxy logs and passes it on, and the model calls it too. The check of eras moves there from the proxy, with its test (TestAnswersOfOtherErasAreNoReads, which also checks what follows); TestEndsOfReads has the other ends. No change of behaviour but one: a read that ends while the proxy stops is dropped also if it succeeded.

--- a/internal/flow/parts/history_read_test.go
+++ b/internal/flow/parts/history_read_test.go
@@ -39,7 +39,9 @@
 	next := e.reader.Next(e.board)
 	role, random := peers.RoleOf(e.board), e.board.Random.Float64()
 	if !next.ShouldRead {
-		h.reportRecovered(e)
+		if e.reader.Recover() {
+			h.step(e, input.SourceRecovered{})
+		}
 		h.readAfter(e, next.Pause)
 		return
 	}
@@ -47,7 +49,7 @@
 	end := func(result port.ReadResult, err error) {
 		if !hasEnded {
 			hasEnded = true
-			h.endRead(e, next, role, random, result, err)
+			h.endRead(e, next, result, e.reader.Record(next, result.At, err, role, random))
 		}
 	}
 	h.afterIn(e, next.Timeout, func() { end(port.ReadResult{}, errStore) })
@@ -68,48 +70,26 @@
 	h.afterIn(e, pause, func() { h.readNext(e) })
 }
 
-// endRead handles the end of a read like the loop of the proxy.
-func (h *history) endRead(e *historyEntry, next reader.Decision, role peers.Role, random float64, read port.ReadResult, err error) {
-	if err == nil && (read.At.Era < next.Era || !next.After.IsZero() && read.At.Era != next.Era) {
-		err = &port.EraError{Known: next.Era, Found: read.At.Era}
+// endRead passes the end of a read to the core, like the proxy.
+func (h *history) endRead(e *historyEntry, next reader.Decision, read port.ReadResult, end reader.End) {
+	if end.Recovered {
+		h.step(e, input.SourceRecovered{})
 	}
-	var compacted *port.CompactedError
-	var era *port.EraError
-	var cut *port.CutError
-	switch {
-	case err == nil:
-		h.reportRecovered(e)
+	switch end.Outcome {
+	case reader.OutcomeRead:
 		for _, in := range read.Inputs {
 			h.step(e, in)
 		}
 		h.step(e, input.Confirmed{At: read.At})
 		h.tracef("%s read to %v, all %v", e.board.Self, read.At, next.After.IsZero())
-		h.readAfter(e, e.reader.RecordSuccess(read.At))
-	case errors.As(err, &compacted):
-		e.reader.RecordHistoryLost()
-		h.readNext(e)
-	case errors.As(err, &era) && era.Found > era.Known:
-		h.reportRecovered(e)
-		e.reader.RecordHistoryLost()
-		h.readAfter(e, reader.BatchInterval)
-	case errors.As(err, &cut):
-		h.readAfter(e, e.reader.RecordCut(role, random))
-	default:
-		h.tracef("%s: %v", e.board.Self, err)
-		h.step(e, input.SourceLost{Reason: err.Error()})
-		h.readAfter(e, e.reader.RecordFailure(role, random))
+	case reader.OutcomeFailed:
+		h.tracef("%s: %v", e.board.Self, end.Err)
+		h.step(e, input.SourceLost{Reason: end.Err.Error()})
 	}
+	h.readAfter(e, end.Pause)
 	h.check(e)
 }
 
-func (h *history) reportRecovered(e *historyEntry) {
-	wasUnavailable := e.reader.IsUnavailable
-	e.reader.ResetFailures()
-	if wasUnavailable {
-		h.step(e, input.SourceRecovered{})
-	}
-}
-
 // refuse ends a read that can't reach the store at once, or leaves it to its timeout.
 func (h *history) refuse(e *historyEntry, end readEnd) {
 	if h.random.IntN(2) == 0 {
--- a/internal/flow/proxy/era_test.go
+++ b/internal/flow/proxy/era_test.go
@@ -1,14 +1,12 @@
 package proxy
 
 import (
-	"context"
 	"net/http/httptest"
 	"strings"
 	"testing"
 
 	"github.com/stretchr/testify/require"
 
-	"mustardhook/internal/core/clock"
 	"mustardhook/internal/core/cycle"
 	"mustardhook/internal/core/ident"
 	"mustardhook/internal/flow/board"
@@ -16,19 +14,11 @@
 	"mustardhook/internal/flow/output"
 	"mustardhook/internal/flow/point"
 	"mustardhook/internal/flow/pool"
-	"mustardhook/internal/flow/port"
-	"mustardhook/internal/flow/reader"
 )
 
 type (
 	// listRecorder is a controller that records the lists of other entries.
 	listRecorder chan input.ListReceived
-
-	// eraSource is a source that answers in the era.
-	eraSource struct {
-		port.Source
-		era uint64
-	}
 )
 
 // Step handles one input.
@@ -38,14 +28,6 @@
 	}
 }
 
-func (s eraSource) ReadAll(context.Context, uint64) (port.ReadResult, error) {
-	return port.ReadResult{At: point.Point{Era: s.era, Revision: 10}}, nil
-}
-
-func (s eraSource) Follow(context.Context, point.Point, clock.Millis) (port.ReadResult, error) {
-	return port.ReadResult{At: point.Point{Era: s.era, Revision: 10}}, nil
-}
-
 // Guards against entries that act on a new era at different times, because a list doesn't tell when its era began and
 // what was removed before: what the receiver then does is a matter of the core.
 func TestListTellsItsEraAndWhatWasRemoved(t *testing.T) {
@@ -76,26 +58,3 @@
 	ask(point.Point{Era: 2, Revision: 5})
 	require.Empty(t, received)
 }
-
-// Guards against an answer of another era that counts as one of the known era.
-func TestAnswersOfOtherErasAreErrors(t *testing.T) {
-	t.Parallel()
-	known := point.Point{Era: 2, Revision: 9}
-	for found, isFullFine := range map[uint64]bool{1: false, 2: true, 3: true} {
-		p := newTestProxy(t)
-		p.source = eraSource{era: found}
-		_, err := p.readOnce(reader.Decision{ShouldRead: true, After: known, Era: known.Era, Timeout: 1000})
-		_, fullErr := p.readOnce(reader.Decision{ShouldRead: true, Era: known.Era, Timeout: 1000})
-		expected := &port.EraError{Known: 2, Found: found}
-		if found == known.Era {
-			require.NoError(t, err)
-		} else {
-			require.Equal(t, expected, err)
-		}
-		if isFullFine {
-			require.NoError(t, fullErr)
-		} else {
-			require.Equal(t, expected, fullErr)
-		}
-	}
-}
--- a/internal/flow/proxy/read.go
+++ b/internal/flow/proxy/read.go
@@ -4,8 +4,6 @@
 	"context"
 	"time"
 
-	"github.com/go-faster/errors"
-
 	"mustardhook/internal/core/clock"
 	"mustardhook/internal/flow/input"
 	"mustardhook/internal/flow/peers"
@@ -20,39 +18,41 @@
 	for p.lifetime.Err() == nil {
 		next, role, random := p.planNextRead(state)
 		if !next.ShouldRead {
-			p.reportSourceRecovered(state)
+			if state.Recover() {
+				p.Step(input.SourceRecovered{})
+			}
 			p.sleep(next.Pause)
 			continue
 		}
 		read, err := p.readOnce(next)
-		var compacted *port.CompactedError
-		var era *port.EraError
-		var cut *port.CutError
-		switch {
-		case err == nil:
-			p.reportSourceRecovered(state)
-			p.applyRead(read)
-			p.sleep(state.RecordSuccess(read.At))
-		case p.lifetime.Err() != nil:
+		if p.lifetime.Err() != nil {
 			return
-		case errors.As(err, &compacted):
-			p.logger.Part("source").Info("History of published state is gone; all is read anew.", "after", next.After.Revision)
-			state.RecordHistoryLost()
-		case errors.As(err, &era) && era.Found > era.Known:
-			p.reportSourceRecovered(state)
-			p.logger.Part("source").Info("Published state has a new era; all is read anew.", "era", era.Found, "before", era.Known)
-			state.RecordHistoryLost()
-			p.sleep(reader.BatchInterval)
-		case errors.As(err, &cut):
-			p.metrics.failedReads.Inc(1)
-			p.logger.Part("source").Info("Watch of published state was cut.", "after", next.After.Revision, "err", err)
-			p.sleep(state.RecordCut(role, random))
-		default:
-			p.metrics.failedReads.Inc(1)
-			p.Step(input.SourceLost{Reason: err.Error()})
-			p.sleep(state.RecordFailure(role, random))
 		}
+		p.endRead(next, read, state.Record(next, read.At, err, role, random))
+	}
+}
+
+// endRead passes the end of a read to the core and the log, and waits for the time of the next one.
+func (p *Proxy) endRead(next reader.Decision, read port.ReadResult, end reader.End) {
+	if end.Recovered {
+		p.Step(input.SourceRecovered{})
+	}
+	logger := p.logger.Part("source")
+	switch end.Outcome {
+	case reader.OutcomeRead:
+		p.applyRead(read)
+	case reader.OutcomeHistoryLost:
+		logger.Info("History of published state is gone; all is read anew.", "after", next.After.Revision)
+	case reader.OutcomeNewEra:
+		logger.Info("Published state has a new era; all is read anew.", "before", next.Era, "err", end.Err)
+	case reader.OutcomeCut:
+		p.metrics.failedReads.Inc(1)
+		logger.Info("Watch of published state was cut.", "after", next.After.Revision, "err", end.Err)
+	case reader.OutcomeFailed:
+		p.metrics.failedReads.Inc(1)
+		p.Step(input.SourceLost{Reason: end.Err.Error()})
 	}
+	p.sleep(end.Pause)
 }
 
 // planNextRead returns the next read to do, the role of the entry and a random number
@@ -64,33 +64,14 @@
 	return state.Next(p.board), peers.RoleOf(p.board), p.board.Random.Float64()
 }
 
-// readOnce reads all published state, or waits for changes after the last read. It returns a
-// port.EraError if the answer is of a lower era, or lacks changes because it is of a higher one.
+// readOnce reads all published state, or waits for changes after the last read.
 func (p *Proxy) readOnce(next reader.Decision) (port.ReadResult, error) {
 	ctx, cancel := context.WithTimeout(p.lifetime, next.Timeout.Duration())
 	defer cancel()
-	isFull := next.After.IsZero()
-	var read port.ReadResult
-	var err error
-	if isFull {
-		read, err = p.source.ReadAll(ctx, next.Era)
-	} else {
-		read, err = p.source.Follow(ctx, next.After, next.Wait)
-	}
-	if err == nil && (read.At.Era < next.Era || !isFull && read.At.Era != next.Era) {
-		return port.ReadResult{}, &port.EraError{Known: next.Era, Found: read.At.Era}
-	}
-	return read, err
-}
-
-// reportSourceRecovered reports to the core that the source can be read again, if it was
-// unavailable.
-func (p *Proxy) reportSourceRecovered(state *reader.Reader) {
-	wasUnavailable := state.IsUnavailable
-	state.ResetFailures()
-	if wasUnavailable {
-		p.Step(input.SourceRecovered{})
+	if next.After.IsZero() {
+		return p.source.ReadAll(ctx, next.Era)
 	}
+	return p.source.Follow(ctx, next.After, next.Wait)
 }
 
 // applyRead passes the result of a read to the core. It logs invalid records.
--- a/internal/flow/reader/reader.go
+++ b/internal/flow/reader/reader.go
@@ -84,14 +84,16 @@
 	r.ReadTo = point.Max(r.ReadTo, at)
 	r.needsFullRead = false
 	r.backoff = 0
-	r.ResetFailures()
+	r.Recover()
 	return BatchInterval
 }
 
-// ResetFailures forgets the failed reads.
-func (r *Reader) ResetFailures() {
+// Recover forgets the failed reads. It reports whether the source was unavailable.
+func (r *Reader) Recover() bool {
+	wasUnavailable := r.IsUnavailable
 	r.IsUnavailable = false
 	r.wasCut = false
+	return wasUnavailable
 }
 
 // RecordHistoryLost records that the source no longer has the changes after the last
--- a/internal/flow/reader/reader_test.go
+++ b/internal/flow/reader/reader_test.go
@@ -1,6 +1,7 @@
 package reader
 
 import (
+	"context"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -11,6 +12,7 @@
 	"mustardhook/internal/flow/peers"
 	"mustardhook/internal/flow/plan"
 	"mustardhook/internal/flow/point"
+	"mustardhook/internal/flow/port"
 )
 
 // boardOf returns the board of an entry that has published state. The only peer has more
@@ -129,3 +131,48 @@
 	require.True(t, next.After.IsZero())
 	require.Equal(t, uint64(3), next.Era)
 }
+
+// Guards against an answer of another era that counts as one of the known era, and against one of an earlier era that counts at all.
+func TestAnswersOfOtherErasAreNoReads(t *testing.T) {
+	known := point.Point{Era: 2, Revision: 9}
+	for _, test := range []struct {
+		found         uint64
+		changes, full Outcome
+	}{
+		{1, OutcomeFailed, OutcomeFailed}, {2, OutcomeRead, OutcomeRead}, {3, OutcomeNewEra, OutcomeRead},
+	} {
+		at := point.Point{Era: test.found, Revision: 10}
+		for after, outcome := range map[point.Point]Outcome{known: test.changes, {}: test.full} {
+			r := Reader{ReadTo: known, IsUnavailable: true}
+			end := r.Record(Decision{ShouldRead: true, After: after, Era: known.Era}, at, nil, peers.RoleHub, 1)
+			require.Equal(t, outcome, end.Outcome, "%+v after %v", test, after)
+			require.Equal(t, outcome == OutcomeFailed, r.IsUnavailable)
+			require.Equal(t, outcome != OutcomeFailed, end.Recovered)
+			if outcome == OutcomeRead {
+				require.NoError(t, end.Err)
+				require.Equal(t, at, r.ReadTo)
+				continue
+			}
+			require.Equal(t, &port.EraError{Known: 2, Found: test.found}, end.Err)
+			require.Equal(t, known, r.ReadTo)
+			require.Equal(t, outcome == OutcomeNewEra, r.Next(boardOf(90*clock.Second)).After.IsZero(), "all is read anew")
+		}
+	}
+}
+
+// The other ends of a read, each with what follows from it.
+func TestEndsOfReads(t *testing.T) {
+	for outcome, err := range map[Outcome]error{
+		OutcomeHistoryLost: &port.CompactedError{}, OutcomeCut: &port.CutError{Err: context.Canceled}, OutcomeFailed: context.DeadlineExceeded,
+	} {
+		r := Reader{ReadTo: point.Point{Revision: 30}}
+		next := r.Next(boardOf(90 * clock.Second))
+		end := r.Record(next, point.Point{}, err, peers.RoleHub, 1)
+		require.Equal(t, outcome, end.Outcome)
+		require.Equal(t, err, end.Err)
+		require.Equal(t, outcome == OutcomeFailed, r.IsUnavailable)
+		next = r.Next(boardOf(90 * clock.Second))
+		require.Equal(t, outcome == OutcomeHistoryLost, next.After.IsZero())
+		require.Equal(t, outcome == OutcomeFailed, next.Wait > 0)
+	}
+}
