serve: instances of one name are in order

Cause: an entry and an endpoint may have one name, and the list of instances was sorted by names alone, out of a map: the core gave different outputs for equal inputs. Found on rereading. Change: endpoints come before entries. A comment of the watch protocol is wrapped anew.

Measured: TestInstancesOfOneNameAreInOrder failed before; the tests of insts and watch pass.

--- a/internal/core/insts/insts.go
+++ b/internal/core/insts/insts.go
@@ -83,7 +83,7 @@
 	return hasEnded
 }
 
-// Instances returns the instances that count as listed, sorted by name.
+// Instances returns the instances that count as listed, sorted by name, endpoints before entries.
 func (l *List) Instances() []event.Instance {
 	instances := make([]event.Instance, 0, len(l.rows)+len(l.holds))
 	for k, row := range l.rows {
@@ -96,7 +96,9 @@
 			instances = append(instances, held.instance)
 		}
 	}
-	slices.SortFunc(instances, func(a, b event.Instance) int { return cmp.Compare(a.Name, b.Name) })
+	slices.SortFunc(instances, func(a, b event.Instance) int {
+		return cmp.Or(cmp.Compare(a.Name, b.Name), compareBool(a.IsEntry, b.IsEntry))
+	})
 	return instances
 }
 
@@ -149,4 +151,16 @@
 	}
 }
 
+// compareBool orders false before true.
+func compareBool(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case b:
+		return -1
+	default:
+		return 1
+	}
+}
+
 func keyOf(instance event.Instance) key { return key{instance.IsEntry, instance.Name} }
--- a/internal/core/insts/insts_test.go
+++ b/internal/core/insts/insts_test.go
@@ -25,6 +25,15 @@
 	return event.InstancesRead{Instances: rows, Revision: revision, Anew: anew}
 }
 
+// Guards against lists that differ from run to run: the core must give equal outputs for equal inputs.
+func TestInstancesOfOneNameAreInOrder(t *testing.T) {
+	for range 50 {
+		list := &insts.List{}
+		list.Read(read(true, 2, event.Instance{Name: "a", IsEntry: true}, event.Instance{Name: "a"}), start)
+		require.Equal(t, []event.Instance{{Name: "a"}, {Name: "a", IsEntry: true}}, list.Instances())
+	}
+}
+
 // names lists the names of the instances, with a minus sign if they leave.
 func names(list *insts.List) []string {
 	found := []string{}
--- a/internal/wire/watch/watch.go
+++ b/internal/wire/watch/watch.go
@@ -7,8 +7,9 @@
 // A platform that comes back from an older copy gives revisions out again, so they count only
 // within an era. The platform begins another one each time it comes back, and tells of it in
 // each page; none is era zero. A poll names the era of its revision, and a platform in
-// another one should answer at once; a poll without era is that of an older entry. An entry that gets a page of another era, or one whose
-// revision is below the one that it asked for, drops it and reads from the start.
+// another one should answer at once; a poll without era is that of an older entry. An entry
+// that gets a page of another era, or one whose revision is below the one that it asked for,
+// drops it and reads from the start.
 package watch
 
 import (
