Tests say restore, and two functions of package pool no longer read alike

Cause: the tests took the users' word "drill" for what the field calls a restore from a copy; holdEnd and endHold stood for two things.

--- a/internal/flow/parts/history_events_test.go
+++ b/internal/flow/parts/history_events_test.go
@@ -102,14 +102,14 @@
 	}
 }
 
-// goAway takes the store away for the given time. It comes back from an older copy if isDrill is set.
-func (h *history) goAway(away clock.Millis, isDrill bool) {
+// goAway takes the store away for the given time. It comes back from an older copy if isRestore is set.
+func (h *history) goAway(away clock.Millis, isRestore bool) {
 	if h.store.isAway {
 		return
 	}
 	h.store.isAway = true
-	isSilent := !isDrill || away > 100
-	h.tracef("store goes away for %d, drill %v", away, isDrill)
+	isSilent := !isRestore || away > 100
+	h.tracef("store goes away for %d, restore %v", away, isRestore)
 	h.forgetDue()
 	for _, e := range h.entries {
 		if e.testEntry == nil {
@@ -122,7 +122,7 @@
 	}
 	h.after(away, func() {
 		h.store.isAway = false
-		if isDrill {
+		if isRestore {
 			h.comeBack()
 		}
 	})
--- a/internal/flow/pool/era.go
+++ b/internal/flow/pool/era.go
@@ -47,9 +47,9 @@
 	return !e.renewedAt.IsZero() && e.renewedAt.Era == p.listAt.Era
 }
 
-// holdEnd returns until when an endpoint with a record of a complete list is out of use: in a new era, one whose run is known
+// holdUntil returns until when an endpoint with a record of a complete list is out of use: in a new era, one whose run is known
 // to have been removed or to be leaving is held, and one whose later run was removed is held for good.
-func (p *Pool) holdEnd(listing Listing, era Era, now clock.Millis) clock.Millis {
+func (p *Pool) holdUntil(listing Listing, era Era, now clock.Millis) clock.Millis {
 	newEnd := clock.Millis(0)
 	if era.IsNew {
 		newEnd = era.HoldUntil
@@ -73,8 +73,8 @@
 	return 0
 }
 
-// endHold lets an endpoint that is still listed be used like others.
-func (e *Endpoint) endHold() {
+// releaseHold lets an endpoint that is still listed be used like others.
+func (e *Endpoint) releaseHold() {
 	e.heldUntil = 0
 	if e.RemovedAt == 0 && !e.IsLeaving() {
 		e.LeavingAt = 0
--- a/internal/flow/pool/list.go
+++ b/internal/flow/pool/list.go
@@ -148,7 +148,7 @@
 			continue
 		}
 		isListed[listing.Name] = true
-		p.put(listing, listing.ColdLeft, p.holdEnd(listing, era, now), now)
+		p.put(listing, listing.ColdLeft, p.holdUntil(listing, era, now), now)
 	}
 	for name := range p.endpoints {
 		if !isListed[name] {
@@ -175,7 +175,7 @@
 			continue
 		}
 		if !listing.IsRenewed {
-			listing.Hold = max(listing.Hold, p.holdEnd(listing.Listing, era, now)-now)
+			listing.Hold = max(listing.Hold, p.holdUntil(listing.Listing, era, now)-now)
 		}
 		p.putPeerListing(listing, now)
 	}
@@ -343,7 +343,7 @@
 	maps.DeleteFunc(p.expiredRuns, func(_ ident.Endpoint, run expiredRun) bool { return now-run.at > expiredRunTTL })
 	for name, endpoint := range p.endpoints {
 		if endpoint.heldUntil != 0 && now >= endpoint.heldUntil {
-			endpoint.endHold()
+			endpoint.releaseHold()
 		}
 		if endpoint.RemovedAt == 0 || now <= endpoint.RemovalGraceUntil || len(endpoint.Work) > 0 {
 			continue
