--- a/internal/flow/board/board.go
+++ b/internal/flow/board/board.go
@@ -72,10 +72,12 @@
 		FetchBlockedUntil clock.Millis
 		// HasList reports whether the list of endpoints has been read in this epoch.
 		// ListAt is the point of the published state that it comes from, and EraSince when the first
-		// list of its era was read, here or by the entry that told of it.
-		HasList  bool
-		ListAt   point.Point
-		EraSince clock.Millis
+		// list of its era was read, here or by the entry that told of it. Until EraHoldUntil, records of the list may be older
+		// than what entries knew when its era began.
+		HasList      bool
+		ListAt       point.Point
+		EraSince     clock.Millis
+		EraHoldUntil clock.Millis
 		// ConfirmedAt is when this entry last read published state completely, and ReadTo the
 		// point of its history up to which it did.
 		ConfirmedAt clock.Millis
--- a/internal/flow/codec/codec.go
+++ b/internal/flow/codec/codec.go
@@ -107,6 +107,7 @@
 			ColdMillis:  uint32(listing.ColdRemaining),
 			HoldMillis:  uint32(listing.Hold),
 			Renewed:     listing.IsRenewed,
+			Lost:        listing.IsLost,
 		})
 	}
 	return encoded
@@ -130,6 +131,30 @@
 			ColdRemaining: clock.Millis(listing.ColdMillis),
 			Hold:          clock.Millis(listing.HoldMillis),
 			IsRenewed:     listing.Renewed,
+			IsLost:        listing.Lost,
+		})
+	}
+	return list
+}
+
+// EncodeDepartures encodes the departures of endpoints.
+func EncodeDepartures(list []pool.Departure) []*newspb.Departure {
+	encoded := make([]*newspb.Departure, 0, len(list))
+	for _, departed := range list {
+		encoded = append(encoded, &newspb.Departure{
+			Name: string(departed.Name), Born: departed.Epoch, Era: departed.At.Era, Revision: departed.At.Revision, Lost: departed.IsLost,
+		})
+	}
+	return encoded
+}
+
+// DecodeDepartures decodes the departures of endpoints that another entry tells of.
+func DecodeDepartures(encoded []*newspb.Departure) []pool.Departure {
+	list := make([]pool.Departure, 0, len(encoded))
+	for _, departed := range encoded {
+		list = append(list, pool.Departure{
+			Name: ident.Endpoint(departed.Name), Epoch: departed.Born, At: point.Point{Era: departed.Era, Revision: departed.Revision},
+			IsLost: departed.Lost,
 		})
 	}
 	return list
@@ -171,8 +196,9 @@
 	if news.ConfirmedAt != 0 {
 		message.ConfirmedAgeMillis = uint64(max(now-news.ConfirmedAt, 0)) + 1
 	}
-	for _, hash := range news.LeavingEndpoints {
-		message.Left = append(message.Left, uint32(hash))
+	for _, run := range news.LeavingEndpoints {
+		message.Left = append(message.Left, uint32(run.Endpoint))
+		message.LeftBorn = append(message.LeftBorn, run.Epoch)
 	}
 	for _, hash := range slices.Sorted(maps.Keys(news.FailureCounts)) {
 		message.Failed = append(message.Failed, uint32(hash))
@@ -221,8 +247,10 @@
 	if message.ConfirmedAgeMillis > 0 {
 		news.ConfirmedAt = now - clock.Millis(message.ConfirmedAgeMillis-1)
 	}
-	for _, hash := range message.Left {
-		news.LeavingEndpoints = append(news.LeavingEndpoints, pool.Hash(hash))
+	for i, hash := range message.Left {
+		if i < len(message.LeftBorn) {
+			news.LeavingEndpoints = append(news.LeavingEndpoints, pool.Run{Endpoint: pool.Hash(hash), Epoch: message.LeftBorn[i]})
+		}
 	}
 	if len(message.Failed) > 0 {
 		news.FailureCounts = map[pool.Hash]int{}
--- a/internal/flow/codec/codec_test.go
+++ b/internal/flow/codec/codec_test.go
@@ -28,7 +28,7 @@
 		Address: "10.0.0.1:9", Capacity: 134, Members: 370, ListAt: point.Point{Era: rapid.Uint64().Draw(t, "era"), Revision: 8}, ConfirmedAt: now - 5, PlanVersion: plan.Version(count.Draw(t, "version")), Leaving: rapid.Bool().Draw(t, "leaving"),
 	}
 	if rapid.Bool().Draw(t, "left") {
-		news.LeavingEndpoints = []pool.Hash{7, 9}
+		news.LeavingEndpoints = []pool.Run{{Endpoint: 7, Epoch: 1790000000000}, {Endpoint: 9, Epoch: 2}}
 	}
 	if rapid.Bool().Draw(t, "failed") {
 		news.FailureCounts = map[pool.Hash]int{3: 1, 8: count.Draw(t, "failures")}
--- a/internal/flow/input/input.go
+++ b/internal/flow/input/input.go
@@ -106,10 +106,10 @@
 		// EraAge is how long ago the sender's list moved to its era.
 		EraAge clock.Millis
 		// IsDelta means that List holds only the changes since the point that this
-		// entry asked for, and Removed the endpoints removed since then. Otherwise Removed holds
-		// those that the sender has removed lately.
-		IsDelta bool
-		Removed []ident.Endpoint
+		// entry asked for, and Departed the runs of endpoints that have left since then. Otherwise Departed
+		// holds those that the sender has found to have left lately.
+		IsDelta  bool
+		Departed []pool.Departure
 		// Evacuated are all evacuated failure domains, also in a delta.
 		Evacuated evac.Set
 	}
@@ -242,8 +242,8 @@
 		// Members is the largest number of entries that the entry has known at a time. Brief
 		// news has none.
 		Members int
-		// LeavingEndpoints are endpoints that the entry recently found to be leaving.
-		LeavingEndpoints []pool.Hash
+		// LeavingEndpoints are the runs of endpoints that the entry recently found to be leaving.
+		LeavingEndpoints []pool.Run
 		// FailureCounts counts the recent failures of the entry's requests by endpoint.
 		FailureCounts map[pool.Hash]int
 		// Pauses holds when the pauses end that endpoints asked the entry for.
--- a/internal/flow/intake/intake.go
+++ b/internal/flow/intake/intake.go
@@ -46,23 +46,23 @@
 	case input.EndpointRead:
 		if b.Pool.Has(in.Record, b.Now) {
 			b.Pool.UpdateColdness(in.Record, b.Now)
-		} else if advance(b, in.At, 0) {
+		} else if advance(b, in.At) {
 			b.Pool.Put(in.Record, b.Now)
 			b.Log("Endpoint changed.", "endpoint", in.Record.Name, "leaving", in.Record.Leaving,
 				"coldLeft", in.Record.ColdLeft)
 		}
 	case input.EndpointRemoved:
-		if advance(b, in.At, 0) {
+		if advance(b, in.At) {
 			removalGrace := b.Pool.Remove(in.Name, b.Now)
 			b.Log("Endpoint gone from the list.", "endpoint", in.Name, "removalGrace", removalGrace)
 		}
 	case input.EvacuationRead:
 		// A known instruction counts, too, so that no state from before it can end the evacuation.
-		if advance(b, in.At, 0) {
+		if advance(b, in.At) {
 			setEvacuated(b, b.Pool.Evacuated().With(in.Domain, in.At), in.At)
 		}
 	case input.EvacuationRemoved:
-		if advance(b, in.At, 0) {
+		if advance(b, in.At) {
 			setEvacuated(b, b.Pool.Evacuated().Without(in.Domain), in.At)
 		}
 	case input.Confirmed:
@@ -102,11 +102,14 @@
 // applyList applies a list that this entry has read, unless it knows a newer one.
 func applyList(b *board.Board, read input.ListRead) {
 	before, hadList := b.ListAt, b.HasList
-	if !advance(b, read.At, 0) && hadList {
+	if !advance(b, read.At) && hadList {
 		b.Log("List of endpoints that was read is not newer than the known one.", "endpoints", len(read.List),
 			"era", read.At.Era, "revision", read.At.Revision, "knownEra", before.Era, "knownRevision", before.Revision)
 		return
 	}
+	if !hadList || before.Era != b.ListAt.Era {
+		beginEra(b, 0)
+	}
 	b.Pool.Replace(read.List, read.LastAt, currentEra(b, hadList && before.Era != b.ListAt.Era), b.Now)
 	b.HasList = true
 	b.Log("List of endpoints read.", "endpoints", len(read.List), "era", read.At.Era, "revision", read.At.Revision)
@@ -116,17 +119,20 @@
 // applyReceivedList applies the list, or the changes of it, from another entry, unless this one knows a newer one.
 func applyReceivedList(b *board.Board, received input.ListReceived) {
 	before, hadList := b.ListAt, b.HasList
-	if !advance(b, received.At, received.EraAge) {
+	if !advance(b, received.At) {
 		return
 	}
+	if !hadList || before.Era != b.ListAt.Era {
+		beginEra(b, received.EraAge)
+	}
 	if received.IsDelta {
-		b.Pool.ApplyDelta(received.List, received.Removed, b.Now)
+		b.Pool.ApplyDelta(received.List, received.Departed, b.Now)
 		b.Log(
 			"Endpoint changes received from another entry.",
-			"endpoints", len(received.List), "gone", len(received.Removed), "era", received.At.Era, "revision", received.At.Revision,
+			"endpoints", len(received.List), "gone", len(received.Departed), "era", received.At.Era, "revision", received.At.Revision,
 		)
 	} else {
-		b.Pool.ApplySnapshot(received.List, received.Removed, received.LastAt, currentEra(b, hadList && before.Era != b.ListAt.Era), b.Now)
+		b.Pool.ApplySnapshot(received.List, received.Departed, received.LastAt, currentEra(b, hadList && before.Era != b.ListAt.Era), b.Now)
 		b.HasList = true
 		b.Log("List of endpoints told.", "endpoints", len(received.List), "era", received.At.Era, "revision", received.At.Revision)
 	}
@@ -136,7 +142,7 @@
 // setEvacuated replaces the set of evacuated failure domains, and logs the changes. Instructions of earlier eras end if
 // they have not been published again in time.
 func setEvacuated(b *board.Board, evacuated evac.Set, at point.Point) {
-	if b.Now >= currentEra(b, false).HoldUntil {
+	if b.Now >= b.EraHoldUntil {
 		evacuated = evacuated.InEra(b.ListAt.Era)
 	}
 	before := b.Pool.Evacuated()
@@ -156,15 +162,20 @@
 // expireEvacuated ends the instructions of earlier eras that have not been published again in time.
 func expireEvacuated(b *board.Board) {
 	evacuated := b.Pool.Evacuated()
-	if b.Now >= currentEra(b, false).HoldUntil && evacuated.InEra(b.ListAt.Era).Len() < evacuated.Len() {
+	if b.Now >= b.EraHoldUntil && evacuated.InEra(b.ListAt.Era).Len() < evacuated.Len() {
 		setEvacuated(b, evacuated, b.ListAt)
 	}
 }
 
-// currentEra returns the era of the list, which may be new. What is known from the era before holds against a state that
-// may come from an older copy until a record that nobody renews has lapsed, and living endpoints are listed again.
+// beginEra records that the era of the list is known to have begun the given time ago. What is known from the era before holds against a state that may come from an older
+// copy until a record that nobody renews has lapsed, and living endpoints are listed again.
+func beginEra(b *board.Board, age clock.Millis) {
+	b.EraSince = b.Now - age
+	b.EraHoldUntil = b.EraSince + eraHold(b)
+}
+
 func currentEra(b *board.Board, isNew bool) pool.Era {
-	return pool.Era{Since: b.EraSince, HoldUntil: b.EraSince + eraHold(b), IsNew: isNew}
+	return pool.Era{Since: b.EraSince, HoldUntil: b.EraHoldUntil, IsNew: isNew}
 }
 
 func eraHold(b *board.Board) clock.Millis { return b.Settings.RecordTTL() + pool.RemovalGrace }
@@ -181,15 +192,11 @@
 }
 
 // advance sets the point of the list if it is after the current one, and reports whether it is. Changes at
-// earlier points must be ignored: a newer list may have been received from another entry. eraAge is how long ago the
-// era of the point is known to have begun.
-func advance(b *board.Board, at point.Point, eraAge clock.Millis) bool {
+// earlier points must be ignored: a newer list may have been received from another entry.
+func advance(b *board.Board, at point.Point) bool {
 	if !at.IsAfter(b.ListAt) {
 		return false
 	}
-	if !b.HasList || at.Era != b.ListAt.Era {
-		b.EraSince = b.Now - eraAge
-	}
 	b.ListAt = at
 	b.Pool.SetPoint(at)
 	b.NewsChanged = true
--- a/internal/flow/parts/cold_test.go
+++ b/internal/flow/parts/cold_test.go
@@ -262,7 +262,7 @@
 	require.Equal(t, until, endpoint().ColdUntil())
 	other := newTestEntry(t).configureCold(6, coldRate)
 	list, removed, _ := e.board.Pool.Delta(point.Point{Revision: 22}, e.board.Now)
-	other.step(input.ListReceived{List: list, Removed: removed, IsDelta: true, At: point.Point{Revision: 24}})
+	other.step(input.ListReceived{List: list, Departed: removed, IsDelta: true, At: point.Point{Revision: 24}})
 	require.Equal(t, coldTime, other.board.Pool.Find("engine-0001").ColdUntil()-other.board.Now, "it has started anew")
 	other.step(input.ListRead{List: []pool.Listing{record}, At: point.Point{Revision: 23}})
 	require.Equal(t, coldTime, other.board.Pool.Find("engine-0001").ColdUntil()-other.board.Now)
--- /dev/null
+++ b/internal/flow/parts/departure_test.go
@@ -0,0 +1,153 @@
+package parts
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"mustardhook/internal/core/clock"
+	"mustardhook/internal/core/ident"
+	"mustardhook/internal/flow/input"
+	"mustardhook/internal/flow/point"
+	"mustardhook/internal/flow/pool"
+)
+
+// tell passes the whole list of an entry to another one.
+func (e *testEntry) tell(other *testEntry) {
+	b := e.board
+	other.step(input.ListReceived{
+		List: b.Pool.Snapshot(b.Now), Departed: b.Pool.Departures(b.Now), At: b.ListAt, LastAt: b.Pool.LastAt(),
+		EraAge: b.Now - b.EraSince, Evacuated: b.Pool.Evacuated(),
+	})
+}
+
+func removed(name ident.Endpoint, era, revision uint64) input.EndpointRemoved {
+	return input.EndpointRemoved{Name: name, At: point.Point{Era: era, Revision: revision}}
+}
+
+// Guards against an endpoint that has left and is used again (DRAIN) because the entry finds its old record in a list that isn't the first
+// one of the era.
+func TestDepartureHoldsAgainstAllListsOfAnEra(t *testing.T) {
+	for _, isToldFirst := range []bool{false, true} {
+		e := newEraEntry(t, "left")
+		e.step(removed("left", 1, 51))
+		e.stepList(isToldFirst, point.Point{Era: 2, Revision: 30})
+		e.readOn(500)
+		if !isToldFirst {
+			// A list that lacked it was followed by one that doesn't: it was written in between.
+			e.stepList(false, point.Point{Era: 2, Revision: 31}, eraListing("left"))
+			require.True(t, e.isUsed("left"))
+			continue
+		}
+		e.stepList(false, point.Point{Era: 2, Revision: 31}, eraListing("left"))
+		require.False(t, e.isUsed("left"))
+		e.readOn(eraHold + expiryDelay)
+		require.True(t, e.isUsed("left"), "its record has not lapsed")
+	}
+}
+
+// Guards against a living endpoint that is given up because another entry tells that an earlier run of it has left.
+func TestDepartureEndsNoLaterRun(t *testing.T) {
+	e, other := newEraEntry(t, "restarted"), newEraEntry(t, "restarted")
+	e.step(removed("restarted", 1, 51))
+	second := eraListing("restarted")
+	second.Epoch = 2
+	other.step(input.EndpointRead{Record: second, At: point.Point{Era: 1, Revision: 52}})
+	e.stepList(false, point.Point{Era: 2, Revision: 30})
+	e.tell(other)
+	require.True(t, other.isUsed("restarted"))
+	other.readOn(pool.RemovalGrace + 100)
+	require.False(t, other.isUsed("restarted"))
+}
+
+// Guards against a living endpoint that all entries give up because one of them was the first to do so: its record was lost with an era,
+// and that entry heard of none that listed it.
+func TestLossOfARecordIsNoDeparture(t *testing.T) {
+	e, other := newEraEntry(t, "lost"), newEraEntry(t, "lost")
+	e.stepList(false, point.Point{Era: 2, Revision: 30})
+	e.readOn(pool.RemovalGrace + 100)
+	require.False(t, e.isUsed("lost"))
+	e.stepList(false, point.Point{Era: 3, Revision: 30}, eraListing("lost"))
+	require.False(t, e.isUsed("lost"), "the copy may be older than its end")
+	e.tell(other)
+	require.True(t, other.isUsed("lost"))
+
+	// The next copy lacks it, too.
+	e.stepList(false, point.Point{Era: 4, Revision: 30})
+	require.False(t, e.isUsed("lost"))
+	require.Empty(t, e.board.Pool.RecentlyLeaving(e.board.Now))
+	e.tell(other)
+	require.True(t, other.isUsed("lost"))
+	require.Empty(t, other.board.Pool.RecentlyLeaving(other.board.Now))
+	other.readOn(pool.RemovalGrace + 100)
+	require.False(t, other.isUsed("lost"))
+}
+
+// Guards against a living endpoint that other entries give up at once, because the one that tells them of its removal during an outage
+// held it.
+func TestHeldEndpointIsToldWithItsGrace(t *testing.T) {
+	e, other := newEraEntry(t, "held"), newEraEntry(t, "held")
+	e.stepList(false, point.Point{Era: 2, Revision: 30})
+	e.readOn(pool.RemovalGrace + 100)
+	for _, entry := range []*testEntry{e, other} {
+		entry.stepList(false, point.Point{Era: 3, Revision: 30}, eraListing("held"))
+	}
+	require.False(t, e.isUsed("held"))
+	e.step(input.SourceLost{Reason: "test"})
+	e.step(removed("held", 3, 31))
+	e.tell(other)
+	require.False(t, e.isUsed("held"))
+	require.True(t, other.isUsed("held"))
+	other.readOn(pool.RemovalGrace + 100)
+	require.False(t, other.isUsed("held"))
+	e.readOn(eraHold + expiryDelay)
+	require.False(t, e.isUsed("held"), "its hold has ended, but it is not listed")
+}
+
+// Guards against an entry that starts after a return and uses an endpoint that has left, although its peers know that, because it finds
+// the old record itself.
+func TestEntryThatStartsLearnsDepartures(t *testing.T) {
+	e, fresh := newEraEntry(t, "left", "restarted"), newTestEntry(t)
+	fresh.board.Settings.HeartbeatInterval = 1200
+	second := eraListing("restarted")
+	second.Epoch = 2
+	e.step(removed("left", 1, 51))
+	e.step(input.EndpointRead{Record: second, At: point.Point{Era: 1, Revision: 52}})
+	at := point.Point{Era: 2, Revision: 30}
+	e.stepList(false, at, eraListing("left"), eraListing("restarted"))
+	e.readOn(pool.RemovalGrace + expiryDelay)
+	e.tell(fresh)
+	at.Revision++
+	fresh.stepList(false, at, eraListing("left"), eraListing("restarted"))
+	require.False(t, fresh.isUsed("left"))
+	require.False(t, fresh.isUsed("restarted"), "a later run is known")
+	fresh.readOn(eraHold + expiryDelay)
+	require.True(t, fresh.isUsed("left"), "its record has not lapsed")
+}
+
+// Guards against an endpoint that is held although its record is known to have been written in the era, because a peer only knows that
+// it had left before.
+func TestHoldOfAPeerGivesWayToAWrittenRecord(t *testing.T) {
+	for _, isDelta := range []bool{false, true} {
+		e := newEraEntry(t, "kept")
+		e.stepList(false, point.Point{Era: 2, Revision: 30}, eraListing("kept"))
+		e.step(input.EndpointRead{Record: eraListing("kept"), At: point.Point{Era: 2, Revision: 31}})
+		e.step(input.ListReceived{
+			List:     []pool.PeerListing{{Listing: eraListing("kept"), Hold: 2 * clock.Second}},
+			Departed: []pool.Departure{{Name: "kept", Epoch: 1, At: point.Point{Era: 1, Revision: 51}}},
+			At:       point.Point{Era: 2, Revision: 32}, IsDelta: isDelta,
+		})
+		require.True(t, e.isUsed("kept"))
+	}
+}
+
+// Guards against an endpoint that has left and is used again because a peer without that knowledge tells of its old record as a change.
+func TestDepartureHoldsAgainstChangesOfPeers(t *testing.T) {
+	e := newEraEntry(t, "left")
+	e.step(removed("left", 1, 51))
+	e.stepList(false, point.Point{Era: 2, Revision: 30}, eraListing("left"))
+	e.step(input.ListReceived{
+		List: []pool.PeerListing{{Listing: eraListing("left")}}, At: point.Point{Era: 2, Revision: 31}, IsDelta: true,
+	})
+	require.False(t, e.isUsed("left"))
+}
--- a/internal/flow/parts/era_test.go
+++ b/internal/flow/parts/era_test.go
@@ -102,7 +102,7 @@
 // which its peer knows that they were removed.
 func TestPeerTellsHowLongToKeepEndpoints(t *testing.T) {
 	e := newEraEntry(t, "lost", "removed")
-	e.step(input.ListReceived{At: point.Point{Era: 2, Revision: 30}, EraAge: pool.RemovalGrace - 500, Removed: []ident.Endpoint{"removed"}})
+	e.step(input.ListReceived{At: point.Point{Era: 2, Revision: 30}, EraAge: pool.RemovalGrace - 500, Departed: []pool.Departure{{Name: "removed", Epoch: 1}}})
 	require.True(t, e.isUsed("lost"))
 	require.False(t, e.isUsed("removed"))
 	e.advance(600)
--- a/internal/flow/parts/fleet_test.go
+++ b/internal/flow/parts/fleet_test.go
@@ -223,10 +223,10 @@
 			fetch.from.board.Now = f.now
 			source := fetch.to.board
 			received := input.ListReceived{
-				List: source.Pool.Snapshot(f.now), Removed: source.Pool.Removed(f.now), At: source.ListAt, LastAt: source.Pool.LastAt(), EraAge: f.now - source.EraSince, Evacuated: source.Pool.Evacuated(),
+				List: source.Pool.Snapshot(f.now), Departed: source.Pool.Departures(f.now), At: source.ListAt, LastAt: source.Pool.LastAt(), EraAge: f.now - source.EraSince, Evacuated: source.Pool.Evacuated(),
 			}
 			if list, removed, isDelta := source.Pool.Delta(fetch.from.board.ListAt, f.now); isDelta {
-				received.List, received.Removed, received.IsDelta = list, removed, true
+				received.List, received.Departed, received.IsDelta = list, removed, true
 			}
 			f.carryOut(fetch.from, fetch.from.step(received))
 			f.carryOut(fetch.from, fetch.from.step(input.PlanRead{Plan: source.Plan}))
--- a/internal/flow/parts/history_check_test.go
+++ b/internal/flow/parts/history_check_test.go
@@ -35,9 +35,6 @@
 		// readyAt holds when each run was last written as ready, goneAt when it was written as leaving or removed.
 		readyAt map[run]clock.Millis
 		goneAt  map[run][]goneWrite
-		// givenUp holds the runs that an entry has taken for gone, if only because a copy lacked them for too long. When a later
-		// copy lists one, it is held (the limit in DESIGN.md on endpoints that lapsed), and entries tell each other of holds.
-		givenUp map[run]bool
 		// takenBackAt holds when the evacuation of each failure domain was last removed.
 		takenBackAt map[ident.Domain]clock.Millis
 		// returnedAt holds when the store came back in each era, movedAt when the first list moved to it, and lacking the
@@ -65,6 +62,8 @@
 		// in the era before.
 		kept       map[run]clock.Millis
 		evacuation map[ident.Domain]bool
+		// traced holds the last state of each endpoint in the trace.
+		traced map[ident.Endpoint]string
 	}
 
 	// goneWrite is a change by which a run is leaving or removed.
@@ -89,14 +88,16 @@
 
 func newHistoryLog() *historyLog {
 	return &historyLog{
-		readyAt: map[run]clock.Millis{}, goneAt: map[run][]goneWrite{}, givenUp: map[run]bool{}, takenBackAt: map[ident.Domain]clock.Millis{},
+		readyAt: map[run]clock.Millis{}, goneAt: map[run][]goneWrite{}, takenBackAt: map[ident.Domain]clock.Millis{},
 		returnedAt: map[uint64]clock.Millis{}, movedAt: map[uint64]clock.Millis{}, copied: map[uint64]map[ident.Endpoint]bool{},
 		due: map[string]dueChange{},
 	}
 }
 
 func newKnowledge() *knowledge {
-	return &knowledge{gone: map[run]knownGone{}, kept: map[run]clock.Millis{}, evacuation: map[ident.Domain]bool{}}
+	return &knowledge{
+		gone: map[run]knownGone{}, kept: map[run]clock.Millis{}, evacuation: map[ident.Domain]bool{}, traced: map[ident.Endpoint]string{},
+	}
 }
 
 // fail ends the history. The number is that of the invariant.
@@ -140,17 +141,6 @@
 	}
 }
 
-// mayBeTakenFor reports whether entries may still tell each other that an endpoint leaves because an earlier run did: they do so
-// by its name only.
-func (h *history) mayBeTakenFor(name ident.Endpoint) bool {
-	for known, writes := range h.goneAt {
-		if known.name == name && h.now-writes[len(writes)-1].time < settleTime {
-			return true
-		}
-	}
-	return false
-}
-
 func (h *history) forgetDue() { clear(h.due) }
 
 // recordReturn records that the store has come back in a new era.
@@ -191,7 +181,7 @@
 	h.tracef("%s moves to era %d", e.board.Self, era)
 	clear(e.kept)
 	for _, used := range known.used {
-		if !h.copied[era][used.name] && !h.givenUp[used] && !h.mayBeTakenFor(used.name) {
+		if !h.copied[era][used.name] {
 			e.kept[used] = min(h.now+keptTime, h.movedAt[era]+pool.RemovalGrace) - checkSlack
 		}
 	}
@@ -208,7 +198,9 @@
 	}
 	e.version = b.Plan.Version
 	for _, endpoint := range h.endpoints {
-		if found := b.Pool.Find(endpoint.name); found != nil {
+		found := b.Pool.Find(endpoint.name)
+		h.traceEndpoint(e, endpoint.name, found)
+		if found != nil {
 			h.checkGone(e, found)
 		}
 		h.checkKept(e, endpoint)
@@ -219,6 +211,19 @@
 	}
 }
 
+// traceEndpoint adds what an entry knows of an endpoint to the trace, if that has changed.
+func (h *history) traceEndpoint(e *historyEntry, name ident.Endpoint, found *pool.Endpoint) {
+	state := "unknown"
+	if found != nil {
+		state = fmt.Sprintf("run %d, used %v, leaving %v, removed at %d with grace until %d, leaving by others until %d", found.Epoch,
+			found.IsUsable(h.now), found.Leaving, found.RemovedAt, found.RemovalGraceUntil, found.PeerLeavingUntil)
+	}
+	if before := e.traced[name]; before != state {
+		e.traced[name] = state
+		h.tracef("%s: %s is %s", e.board.Self, name, state)
+	}
+}
+
 // holdHasEnded reports whether what was known before the era of an entry's list may be forgotten.
 func (h *history) holdHasEnded(e *historyEntry) bool {
 	return h.now >= h.movedAt[e.board.ListAt.Era]+eraHold-checkSlack
@@ -231,7 +236,6 @@
 	era := e.board.ListAt.Era
 	switch {
 	case found.Leaving || found.RemovedAt != 0 && h.now >= found.RemovalGraceUntil:
-		h.givenUp[known] = true
 		if !isGone {
 			gone.time, gone.at = h.now, e.board.ListAt
 		}
--- a/internal/flow/parts/history_read_test.go
+++ b/internal/flow/parts/history_read_test.go
@@ -260,13 +260,15 @@
 func (h *history) give(e *historyEntry, after point.Point) (input.ListReceived, plan.Version) {
 	b := e.board
 	b.Now = h.now
-	list, removed, isDelta := b.Pool.Delta(after, h.now)
+	list, departed, isDelta := b.Pool.Delta(after, h.now)
 	if !isDelta {
-		list, removed = b.Pool.Snapshot(h.now), b.Pool.Removed(h.now)
+		list, departed = b.Pool.Snapshot(h.now), b.Pool.Departures(h.now)
 	}
 	version, _ := strconv.ParseUint(string(b.PlanDocument), 10, 64)
 	return input.ListReceived{
-		List: codec.DecodeList(codec.EncodeList(list)), Removed: removed, At: b.ListAt, LastAt: b.Pool.LastAt(), IsDelta: isDelta, EraAge: max(h.now-b.EraSince, 0),
+		List: codec.DecodeList(codec.EncodeList(list)), Departed: codec.DecodeDepartures(codec.EncodeDepartures(departed)),
+		At: b.ListAt, LastAt: b.Pool.LastAt(), IsDelta: isDelta,
+		EraAge: max(h.now-b.EraSince, 0),
 		Evacuated: codec.DecodeEvacuated(codec.EncodeEvacuated(b.Pool.Evacuated())),
 	}, plan.Version(version)
 }
--- a/internal/flow/parts/history_test.go
+++ b/internal/flow/parts/history_test.go
@@ -90,7 +90,8 @@
 
 // historyRegressions are seeds beyond the default ones that have failed, some only once faults behind others were mended.
 var historyRegressions = []uint64{
-	339, 1107, 1378, 4190, 4215, 4682, 4812, 5053, 5456, 5590, 9968, 10179, 13195, 13923, 14323, 16326, 17683, 19493, 19937,
+	339, 400, 931, 1107, 1378, 2846, 2992, 4190, 4215, 4682, 4812, 5053, 5456, 5590, 6632, 9968, 10179, 13195, 13923, 14323, 16326, 17683,
+	19493, 19937, 24235, 28987, 36449, 38645,
 }
 
 // Len and the others implement heap.Interface.
--- a/internal/flow/parts/requests_test.go
+++ b/internal/flow/parts/requests_test.go
@@ -335,7 +335,7 @@
 	e.advance(pool.RemovalGrace)
 	require.False(t, e.board.Pool.Find("desk-1").IsUsable(e.board.Now))
 	e.step(input.EndpointRemoved{Name: "desk-2", At: point.Point{Revision: 23}})
-	require.Equal(t, []pool.Hash{pool.HashOf("desk-2")}, e.board.Pool.RecentlyLeaving(e.board.Now))
+	require.Equal(t, []pool.Run{{Endpoint: pool.HashOf("desk-2"), Epoch: 1}}, e.board.Pool.RecentlyLeaving(e.board.Now))
 
 	// An endpoint that is listed again is no longer published as leaving.
 	restored.Name = "desk-2"
--- a/internal/flow/pool/cold.go
+++ b/internal/flow/pool/cold.go
@@ -15,9 +15,6 @@
 	// coldTolerance is by how much a record may tell of a longer coldness than is known
 	// without being a change that entries tell each other: a record may be read late.
 	coldTolerance = 1500 * clock.Millis(1)
-	// expiredRunTTL is how long the run of an endpoint that was removed from the list is
-	// remembered. If it is listed again, it has not started anew.
-	expiredRunTTL = 60 * clock.Second
 	// viewTTL is how long a ranking of the entries is used.
 	viewTTL = 250 * clock.Millis(1)
 )
@@ -36,12 +33,6 @@
 		viewedAt clock.Millis
 		isLogged bool
 	}
-
-	// expiredRun is the run of an endpoint that was deleted from the pool.
-	expiredRun struct {
-		epoch uint64
-		at    clock.Millis
-	}
 )
 
 // SetColdTimes sets how long the endpoints of each service are cold after their start. The
@@ -128,8 +119,8 @@
 // appears after the first list has just started, unless it was removed from the list for a
 // while only.
 func (p *Pool) markStart(e *Endpoint, left, now clock.Millis) {
-	removed, wasRemoved := p.expiredRuns[e.Name]
-	isKnown := wasRemoved && removed.epoch == e.Epoch
+	last, hasLeft := p.departures[e.Name]
+	isKnown := hasLeft && last.Epoch == e.Epoch
 	if p.hasList && !isKnown {
 		left = max(left, p.coldTimes[e.Service])
 	}
--- a/internal/flow/pool/era.go
+++ b/internal/flow/pool/era.go
@@ -20,9 +20,12 @@
 	}
 }
 
-// ExtendHolds keeps held endpoints out of use until the given time at least: while nobody can read the list, no record that an
-// endpoint has left behind lapses.
+// ExtendHolds lets what holds at the beginning of an era do so until the given time at least: while nobody can read the list, no
+// record that an endpoint has left behind lapses.
 func (p *Pool) ExtendHolds(until, now clock.Millis) {
+	if now < p.renewalsUntil {
+		p.renewalsUntil = max(p.renewalsUntil, until)
+	}
 	for _, endpoint := range p.endpoints {
 		if now < endpoint.heldUntil {
 			endpoint.heldUntil = max(endpoint.heldUntil, until)
@@ -47,36 +50,39 @@
 	return !e.renewedAt.IsZero() && e.renewedAt.Era == p.listAt.Era
 }
 
-// holdUntil returns until when an endpoint with a record of a complete list is out of use: in a new era, one whose run is known
-// to have been removed or to be leaving is held, and one whose later run was removed is held for good.
-func (p *Pool) holdUntil(listing Listing, era Era, now clock.Millis) clock.Millis {
-	newEnd := clock.Millis(0)
-	if era.IsNew {
-		newEnd = era.HoldUntil
-	}
+// holdUntil returns until when an endpoint is out of use whose record may be older than what is known of it; zero if it isn't. At
+// the beginning of an era, that is a record of a run that had left before the era, unless it is known to have been written since. One of
+// an earlier run than the last one is held for good.
+func (p *Pool) holdUntil(listing Listing, now clock.Millis) clock.Millis {
 	endpoint := p.endpoints[listing.Name]
-	run, isExpired := p.expiredRuns[listing.Name]
-	isLastRun := isExpired && (endpoint == nil || endpoint.Epoch < run.epoch)
+	isKnown := endpoint != nil && endpoint.Epoch == listing.Epoch && endpoint.Address == listing.Address
+	if listing.Leaving || isKnown && endpoint.RemovedAt == 0 && p.isRenewed(endpoint) {
+		return 0
+	}
+	held := clock.Millis(0)
+	if isKnown && endpoint.RemovedAt == 0 && now < endpoint.heldUntil {
+		held = max(endpoint.heldUntil, p.renewalsUntil)
+	}
+	last, hasLeft := p.departureOf(listing.Name, now)
 	switch {
-	case isLastRun && now < p.renewalsUntil && listing.Epoch < run.epoch:
+	case !hasLeft || listing.Epoch > last.Epoch || now >= p.renewalsUntil:
+		return held
+	case listing.Epoch < last.Epoch:
 		return now + endlessHold
-	case isLastRun && listing.Epoch == run.epoch:
-		return newEnd
-	case endpoint == nil:
-		return 0
-	case endpoint.Epoch != listing.Epoch || endpoint.Address != listing.Address:
+	case last.mayReturn():
+		return held
+	case last.At.Era == p.listAt.Era:
+		// It was listed again in this era.
 		return 0
 	}
-	if endpoint.isGone(now) || endpoint.Leaving && !listing.Leaving || now < endpoint.heldUntil {
-		return max(newEnd, endpoint.heldUntil)
-	}
-	return 0
+	return max(held, p.renewalsUntil)
 }
 
 // releaseHold lets an endpoint that is still listed be used like others.
-func (e *Endpoint) releaseHold() {
+func (p *Pool) releaseHold(e *Endpoint) {
 	e.heldUntil = 0
 	if e.RemovedAt == 0 && !e.IsLeaving() {
 		e.LeavingAt = 0
+		p.forgetDeparture(e)
 	}
 }
--- a/internal/flow/pool/health.go
+++ b/internal/flow/pool/health.go
@@ -1,6 +1,7 @@
 package pool
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 
@@ -52,25 +53,25 @@
 // IsLeaving reports whether the endpoint is leaving by the list or by its own word.
 func (e *Endpoint) IsLeaving() bool { return e.Leaving || e.announcedLeaving }
 
-// RecentlyLeaving returns the hashes of the endpoints that this entry found to be leaving
-// within the last LeavingPublishWindow, in order.
-func (p *Pool) RecentlyLeaving(now clock.Millis) []Hash {
-	var leaving []Hash
+// RecentlyLeaving returns the runs of endpoints that this entry found to be leaving
+// within the last LeavingPublishWindow, in order of the hashes.
+func (p *Pool) RecentlyLeaving(now clock.Millis) []Run {
+	var leaving []Run
 	for _, endpoint := range p.tracked {
 		if endpoint.LeavingAt != 0 && now-endpoint.LeavingAt <= LeavingPublishWindow {
-			leaving = append(leaving, endpoint.hash)
+			leaving = append(leaving, Run{endpoint.hash, endpoint.Epoch})
 		}
 	}
-	slices.Sort(leaving)
+	slices.SortFunc(leaving, func(a, b Run) int { return cmp.Compare(a.Endpoint, b.Endpoint) })
 	return leaving
 }
 
-// UpdatePeerLeaving records that a peer reported the endpoints as leaving. Each is out of
-// use for PeerLeavingTTL.
-func (p *Pool) UpdatePeerLeaving(leaving []Hash, now clock.Millis) {
+// UpdatePeerLeaving records that a peer reported the runs of endpoints as leaving. Each is out of
+// use for PeerLeavingTTL. Other runs are not.
+func (p *Pool) UpdatePeerLeaving(leaving []Run, now clock.Millis) {
 	all := p.ByHash()
-	for _, hash := range leaving {
-		if endpoint := all[hash]; endpoint != nil {
+	for _, run := range leaving {
+		if endpoint := all[run.Endpoint]; endpoint != nil && endpoint.Epoch == run.Epoch {
 			endpoint.PeerLeavingUntil = now + PeerLeavingTTL
 		}
 	}
@@ -83,8 +84,7 @@
 		return false
 	}
 	e.announcedLeaving = true
-	e.markLeaving(now)
-	p.track(e)
+	p.markRemoved(e, now)
 	return true
 }
 
--- a/internal/flow/pool/list.go
+++ b/internal/flow/pool/list.go
@@ -20,9 +20,14 @@
 	p.put(listing, listing.ColdLeft, 0, now).renewedAt = p.listAt
 }
 
-// putPeerListing adds or updates an endpoint of a peer's list.
+// putPeerListing adds or updates an endpoint of a peer's list. It is held for as long as here or at the peer, unless one of them
+// knows that its record was written in the era of the list.
 func (p *Pool) putPeerListing(listing PeerListing, now clock.Millis) {
-	endpoint := p.put(listing.Listing, listing.ColdRemaining, now+listing.Hold, now)
+	heldUntil := clock.Millis(0)
+	if known := p.endpoints[listing.Name]; !listing.IsRenewed && (known == nil || known.Epoch != listing.Epoch || !p.isRenewed(known)) {
+		heldUntil = max(now+listing.Hold, p.holdUntil(listing.Listing, now))
+	}
+	endpoint := p.put(listing.Listing, listing.ColdRemaining, heldUntil, now)
 	// Others that ask for the changes may have removed it since, although nothing changed here.
 	endpoint.changedAt = p.listAt
 	if listing.IsRenewed {
@@ -41,10 +46,11 @@
 	}
 	if !endpoint.IsLeaving() {
 		endpoint.LeavingAt = 0
+		p.forgetDeparture(endpoint)
 		return endpoint
 	}
-	endpoint.markLeaving(now)
-	p.track(endpoint)
+	p.markRemoved(endpoint, now)
+	p.recordDeparture(Departure{Name: endpoint.Name, Epoch: endpoint.Epoch, At: p.listAt}, false, now)
 	return endpoint
 }
 
@@ -69,6 +75,7 @@
 	endpoint.isEvacuated = p.evacuated.Contains(listing.Domain)
 	endpoint.RemovedAt = 0
 	endpoint.RemovalGraceUntil = 0
+	endpoint.isLost = false
 	endpoint.changedAt = p.listAt
 	return endpoint
 }
@@ -122,11 +129,8 @@
 	if endpoint.RemovedAt != 0 {
 		return 0
 	}
-	endpoint.RemovedAt = now
+	p.markUnlisted(endpoint, now)
 	switch {
-	case now < endpoint.heldUntil:
-		p.markRemoved(endpoint, now)
-		return 0
 	case p.unavailableSince != 0:
 		endpoint.RemovalGraceUntil = now + RemovalGrace
 	case p.availableAt != 0 && now < p.availableAt+RemovalGrace:
@@ -139,31 +143,64 @@
 	return endpoint.RemovalGraceUntil - now
 }
 
+// lose records that the first known list of an era lacks the endpoint, whose record may be lost with the era before. It
+// stays in use until the removal grace period of the era ends.
+func (p *Pool) lose(endpoint *Endpoint, now clock.Millis) {
+	endpoint.changedAt = p.listAt
+	if endpoint.RemovedAt != 0 {
+		return
+	}
+	p.markUnlisted(endpoint, now)
+	endpoint.isLost = !p.hasLeft(endpoint)
+	endpoint.RemovalGraceUntil = p.availableAt + RemovalGrace
+}
+
+// markUnlisted records that the endpoint is no longer listed. One that is held stays out of use until it is listed again.
+func (p *Pool) markUnlisted(e *Endpoint, now clock.Millis) {
+	e.RemovedAt = now
+	e.removedPoint = p.listAt
+	if now < e.heldUntil {
+		e.heldUntil = now + endlessHold
+	}
+}
+
 // Replace applies a complete list of the era that was read from the published state, with records up to the last point.
 func (p *Pool) Replace(list []Listing, last point.Point, era Era, now clock.Millis) {
 	p.beginEra(era, now)
 	isListed := make(map[ident.Endpoint]bool, len(list))
+	isKept := make(map[ident.Endpoint]bool, len(list))
 	for _, listing := range list {
+		isListed[listing.Name] = true
 		if p.isOutdated(listing, now) {
 			continue
 		}
-		isListed[listing.Name] = true
-		p.put(listing, listing.ColdLeft, p.holdUntil(listing, era, now), now)
+		isKept[listing.Name] = true
+		p.put(listing, listing.ColdLeft, p.holdUntil(listing, now), now)
 	}
-	for name := range p.endpoints {
-		if !isListed[name] {
+	for name, endpoint := range p.endpoints {
+		switch {
+		case isKept[name]:
+		case era.IsNew:
+			p.lose(endpoint, now)
+		default:
 			p.Remove(name, now)
 		}
 	}
+	p.confirmAbsence(isListed, now)
 	p.hasList = true
 	p.completeSince = point.Max(p.listAt, last)
 }
 
 // ApplySnapshot applies the complete list of a peer, which has removed the other endpoints. Removal grace
 // periods and holds are taken over from the peer, whether or not this entry can read the list itself.
-// removed are endpoints that the peer has removed lately; the list has records up to the last point.
-func (p *Pool) ApplySnapshot(list []PeerListing, removed []ident.Endpoint, last point.Point, era Era, now clock.Millis) {
+// departed are the departures that the peer knows; the list has records up to the last point.
+func (p *Pool) ApplySnapshot(list []PeerListing, departed []Departure, last point.Point, era Era, now clock.Millis) {
 	p.beginEra(era, now)
+	if !p.hasList && slices.ContainsFunc(departed, func(d Departure) bool { return d.IsLost || d.At.Era != p.listAt.Era }) {
+		// The peer has seen the era begin.
+		p.renewalsUntil = era.HoldUntil
+	}
+	learnt := p.learnDepartures(departed, now)
 	isListed := make(map[ident.Endpoint]bool, len(list))
 	for _, listing := range list {
 		if !listing.IsRenewed && p.isOutdated(listing.Listing, now) {
@@ -174,18 +211,18 @@
 			p.startRemovalGrace(listing, now)
 			continue
 		}
-		if !listing.IsRenewed {
-			listing.Hold = max(listing.Hold, p.holdUntil(listing.Listing, era, now)-now)
-		}
 		p.putPeerListing(listing, now)
 	}
 	for name, endpoint := range p.endpoints {
+		found, isLearnt := learnt[name]
 		switch {
 		case isListed[name]:
-		case era.IsNew && now < era.Since+RemovalGrace && !slices.Contains(removed, name):
+		case isLearnt && found.hasEnded(endpoint.Epoch):
+			p.confirmRemoval(endpoint, now)
+		case era.IsNew:
 			// The peer may not know the endpoint: its record may be lost with the era before.
-			p.Remove(name, now)
-		case now < p.renewalsUntil && endpoint.RemovedAt != 0 && !slices.Contains(removed, name):
+			p.lose(endpoint, now)
+		case endpoint.RemovedAt != 0:
 			// Its removal grace period, if it has one, goes on.
 		default:
 			p.confirmRemoval(endpoint, now)
@@ -198,9 +235,10 @@
 // LastAt returns the point of the newest record that the list may have.
 func (p *Pool) LastAt() point.Point { return point.Max(p.listAt, p.completeSince) }
 
-// ApplyDelta applies a peer's changes to the list. The endpoints in removed are removed
+// ApplyDelta applies a peer's changes to the list. Endpoints that have departed are removed
 // without a grace period.
-func (p *Pool) ApplyDelta(list []PeerListing, removed []ident.Endpoint, now clock.Millis) {
+func (p *Pool) ApplyDelta(list []PeerListing, departed []Departure, now clock.Millis) {
+	learnt := p.learnDepartures(departed, now)
 	for _, listing := range list {
 		if listing.RemovalGrace > 0 {
 			p.startRemovalGrace(listing, now)
@@ -208,34 +246,42 @@
 		}
 		p.putPeerListing(listing, now)
 	}
-	for _, name := range removed {
-		if endpoint := p.endpoints[name]; endpoint != nil {
-			p.confirmRemoval(endpoint, now)
-		} else {
+	isListed := func(name ident.Endpoint) bool {
+		return slices.ContainsFunc(list, func(l PeerListing) bool { return l.Name == name })
+	}
+	for name, found := range learnt {
+		endpoint := p.endpoints[name]
+		switch {
+		case isListed(name):
+		case endpoint == nil:
 			p.completeSince = point.Max(p.completeSince, p.listAt)
+		case found.hasEnded(endpoint.Epoch):
+			p.confirmRemoval(endpoint, now)
 		}
 	}
 }
 
 // Delta returns the changes to the list after the point, in order of the names: the
-// endpoints that are listed or in a removal grace period, and those that are removed. ok
+// endpoints that are listed or in a removal grace period, and those that have departed. ok
 // is false if the pool no longer has all changes since then.
-func (p *Pool) Delta(after point.Point, now clock.Millis) (list []PeerListing, removed []ident.Endpoint, ok bool) {
+func (p *Pool) Delta(after point.Point, now clock.Millis) (list []PeerListing, departed []Departure, ok bool) {
 	if after.IsZero() || after.Era != p.listAt.Era || p.completeSince.IsAfter(after) {
 		return nil, nil, false
 	}
 	for name, endpoint := range p.endpoints {
-		switch {
-		case !endpoint.changedAt.IsAfter(after):
-		case endpoint.RemovedAt == 0, now < endpoint.RemovalGraceUntil:
+		if !endpoint.changedAt.IsAfter(after) {
+			continue
+		}
+		if !endpoint.isGone(now) {
 			list = append(list, p.peerListing(endpoint, now))
-		default:
-			removed = append(removed, name)
+		}
+		if last, isKnown := p.departureOf(name, now); isKnown {
+			departed = append(departed, last.Departure)
 		}
 	}
 	slices.SortFunc(list, func(a, b PeerListing) int { return cmp.Compare(a.Name, b.Name) })
-	slices.Sort(removed)
-	return list, removed, true
+	sortDepartures(departed)
+	return list, departed, true
 }
 
 // startRemovalGrace takes over a peer's removal grace period for an endpoint that is
@@ -250,15 +296,12 @@
 	if endpoint.RemovedAt != 0 {
 		return
 	}
-	endpoint.RemovedAt = now
-	if now < endpoint.heldUntil {
-		p.markRemoved(endpoint, now)
-		return
-	}
+	p.markUnlisted(endpoint, now)
+	endpoint.isLost = listing.IsLost && !p.hasLeft(endpoint)
 	endpoint.RemovalGraceUntil = now + listing.RemovalGrace
 }
 
-// markRemoved makes known that the endpoint was removed without a grace period.
+// markRemoved makes known that the endpoint is leaving or was removed without a grace period.
 func (p *Pool) markRemoved(e *Endpoint, now clock.Millis) {
 	e.markLeaving(now)
 	p.track(e)
@@ -274,10 +317,11 @@
 // confirmRemoval removes the endpoint without a grace period.
 func (p *Pool) confirmRemoval(e *Endpoint, now clock.Millis) {
 	if e.RemovedAt == 0 {
-		e.RemovedAt = now
+		p.markUnlisted(e, now)
 	}
 	e.changedAt = p.listAt
 	e.RemovalGraceUntil = 0
+	e.isLost = false
 	p.markRemoved(e, now)
 }
 
@@ -294,32 +338,18 @@
 	return list
 }
 
-// Removed returns the endpoints that were removed lately and are in no removal grace period, in order of
-// the names.
-func (p *Pool) Removed(now clock.Millis) []ident.Endpoint {
-	var removed []ident.Endpoint
-	for name, endpoint := range p.endpoints {
-		if endpoint.isGone(now) {
-			removed = append(removed, name)
-		}
-	}
-	for name := range p.expiredRuns {
-		if p.endpoints[name] == nil {
-			removed = append(removed, name)
-		}
-	}
-	slices.Sort(removed)
-	return removed
-}
-
 // peerListing returns the listing of the endpoint as it is sent to peers.
 func (p *Pool) peerListing(e *Endpoint, now clock.Millis) PeerListing {
 	listing := PeerListing{
 		Listing: e.Listing, ColdRemaining: max(e.cold.until-now, 0), Hold: max(e.heldUntil-now, 0),
 		IsRenewed: p.isRenewed(e),
 	}
+	if last, hasLeft := p.departures[e.Name]; hasLeft && last.IsLost && last.Epoch == e.Epoch {
+		// That this entry gave the endpoint up without its record holds for nobody else.
+		listing.Hold = 0
+	}
 	if e.RemovedAt != 0 {
-		listing.RemovalGrace = e.RemovalGraceUntil - now
+		listing.RemovalGrace, listing.IsLost = e.RemovalGraceUntil-now, e.isLost
 	}
 	return listing
 }
@@ -340,16 +370,16 @@
 // Expire deletes the endpoints that were removed, have no removal grace left and run no
 // work of this entry.
 func (p *Pool) Expire(now clock.Millis) {
-	maps.DeleteFunc(p.expiredRuns, func(_ ident.Endpoint, run expiredRun) bool { return now-run.at > expiredRunTTL })
+	p.expireDepartures(now)
 	for name, endpoint := range p.endpoints {
 		if endpoint.heldUntil != 0 && now >= endpoint.heldUntil {
-			endpoint.releaseHold()
+			p.releaseHold(endpoint)
 		}
 		if endpoint.RemovedAt == 0 || now <= endpoint.RemovalGraceUntil || len(endpoint.Work) > 0 {
 			continue
 		}
 		p.completeSince = point.Max(p.completeSince, endpoint.changedAt)
-		p.expiredRuns[name] = expiredRun{endpoint.Epoch, now}
+		p.recordDeparture(endpoint.departure(), false, now)
 		delete(p.endpoints, name)
 		delete(p.byHash, endpoint.hash)
 		delete(p.byService, endpoint.Service)
--- a/internal/flow/pool/pool.go
+++ b/internal/flow/pool/pool.go
@@ -54,8 +54,10 @@
 	PeerListing struct {
 		Listing
 		// RemovalGrace is how much longer an endpoint that was removed from the list
-		// stays in use. It is zero while the endpoint is listed.
+		// stays in use. It is zero while the endpoint is listed. IsLost reports whether it was not
+		// removed, but a copy that the source came back from lacks its record.
 		RemovalGrace clock.Millis
+		IsLost       bool
 		// Hold is how much longer the endpoint is out of use because its record may be older
 		// than what the sender knows of it. IsRenewed reports whether the record was written in
 		// the era of the list, so that it is not.
@@ -79,14 +81,24 @@
 	// names. A collision only attributes work to the wrong endpoint.
 	Hash uint32
 
+	// Run is a run of an endpoint as entries tell each other of it.
+	Run struct {
+		Endpoint Hash
+		Epoch    uint64
+	}
+
 	// Endpoint is an endpoint with its load and health.
 	Endpoint struct {
 		Listing
 		// RemovedAt is when the endpoint was removed from the list; zero while it is
 		// listed.
 		RemovedAt clock.Millis
+		// removedPoint is the point of the list at which that became known.
+		removedPoint point.Point
 		// RemovalGraceUntil is the end of the removal grace period.
 		RemovalGraceUntil clock.Millis
+		// isLost reports whether it was not removed, but a copy that the source came back from lacks its record.
+		isLost bool
 		// heldUntil is until when the endpoint is out of use because its record may be older than
 		// what is known of it.
 		heldUntil clock.Millis
@@ -198,8 +210,8 @@
 		// endpoints of each service are cold after their start.
 		hasList   bool
 		coldTimes map[ident.Service]clock.Millis
-		// expiredRuns holds the runs of endpoints that were deleted lately.
-		expiredRuns map[ident.Endpoint]expiredRun
+		// departures holds the last run of each endpoint that is known to have left.
+		departures map[ident.Endpoint]departure
 	}
 
 	// unreachableDomain is a failure domain whose entries are unresponsive and one of whose
@@ -215,7 +227,7 @@
 	return &Pool{
 		endpoints: map[ident.Endpoint]*Endpoint{}, unreachable: map[ident.Domain]unreachableDomain{}, tracked: map[Hash]*Endpoint{},
 		byHash: map[Hash]*Endpoint{}, durations: map[ident.Service]*durations{}, byService: map[ident.Service][]*Endpoint{},
-		expiredRuns: map[ident.Endpoint]expiredRun{},
+		departures: map[ident.Endpoint]departure{},
 	}
 }
 
--- a/internal/flow/pool/pool_test.go
+++ b/internal/flow/pool/pool_test.go
@@ -156,12 +156,12 @@
 			receivedEra := era
 			receivedEra.IsNew = received.Era != 0 && received.Era != at.Era
 			snapshots.SetPoint(at)
-			snapshots.ApplySnapshot(source.Snapshot(now), source.Removed(now), source.LastAt(), receivedEra, now)
+			snapshots.ApplySnapshot(source.Snapshot(now), source.Departures(now), source.LastAt(), receivedEra, now)
 			deltas.SetPoint(at)
 			if list, removed, ok := source.Delta(received, now); ok {
 				deltas.ApplyDelta(list, removed, now)
 			} else {
-				deltas.ApplySnapshot(source.Snapshot(now), source.Removed(now), source.LastAt(), receivedEra, now)
+				deltas.ApplySnapshot(source.Snapshot(now), source.Departures(now), source.LastAt(), receivedEra, now)
 			}
 			received = at
 			for _, name := range listedNames {
@@ -190,7 +190,7 @@
 	p.Put(changed, 500)
 	p.ApplySnapshot([]PeerListing{{Listing: listing}}, nil, point.Point{}, Era{}, 600)
 	require.False(t, p.Find("r1").IsUsable(100000))
-	require.Equal(t, []Hash{HashOf("r1")}, p.RecentlyLeaving(600))
+	require.Equal(t, []Run{{HashOf("r1"), 1}}, p.RecentlyLeaving(600))
 	listing.Epoch = 2
 	p.Put(listing, 700)
 	require.True(t, p.Find("r1").IsUsable(700))
@@ -268,7 +268,7 @@
 	if list, removed, ok := source.Delta(point.Point{Era: 1, Revision: 45}, 3000); ok {
 		receiver.ApplyDelta(list, removed, 3000)
 	} else {
-		receiver.ApplySnapshot(source.Snapshot(3000), source.Removed(3000), source.LastAt(), Era{}, 3000)
+		receiver.ApplySnapshot(source.Snapshot(3000), source.Departures(3000), source.LastAt(), Era{}, 3000)
 	}
 	require.True(t, isUsable(receiver, "a", 3000))
 }
@@ -292,7 +292,7 @@
 	source.SetPoint(point.Point{Era: 1, Revision: 50})
 	source.Replace([]Listing{{Name: "a", Service: "s", Epoch: 1}}, point.Point{Era: 1, Revision: 55}, Era{}, 1000)
 	receiver.SetPoint(point.Point{Era: 1, Revision: 50})
-	receiver.ApplySnapshot(source.Snapshot(1000), source.Removed(1000), source.LastAt(), Era{}, 1000)
+	receiver.ApplySnapshot(source.Snapshot(1000), source.Departures(1000), source.LastAt(), Era{}, 1000)
 	receiver.SetPoint(point.Point{Era: 1, Revision: 51})
 	receiver.Remove("unknown", 2000)
 	receiver.SetPoint(point.Point{Era: 1, Revision: 60})
@@ -331,9 +331,9 @@
 		p.Replace(nil, point.Point{}, era, 3000)
 		p.SetPoint(point.Point{Era: 2, Revision: 6})
 		era.IsNew = false
-		var removed []ident.Endpoint
+		var removed []Departure
 		if isKnownToBeRemoved {
-			removed = append(removed, "a")
+			removed = append(removed, Departure{Name: "a", Epoch: 1})
 		}
 		p.ApplySnapshot(nil, removed, point.Point{}, era, 3500)
 		require.Equal(t, !isKnownToBeRemoved, isUsable(p, "a", 3500+RemovalGrace-600))
@@ -355,7 +355,7 @@
 		// It was listed again at 22.
 		source.SetPoint(point.Point{Era: 1, Revision: 24})
 		if isConfirmed {
-			source.ApplyDelta(nil, []ident.Endpoint{"a"}, 2500)
+			source.ApplyDelta(nil, []Departure{{Name: "a", Epoch: 1}}, 2500)
 		} else {
 			source.ApplyDelta(removed, nil, 2500)
 		}
@@ -366,7 +366,7 @@
 	// One that doesn't know the endpoint can't tell of it.
 	source := New()
 	for revision, change := range map[uint64]func(){
-		24: func() { source.ApplyDelta(removed, nil, 2500) }, 25: func() { source.ApplyDelta(nil, []ident.Endpoint{"a"}, 2500) },
+		24: func() { source.ApplyDelta(removed, nil, 2500) }, 25: func() { source.ApplyDelta(nil, []Departure{{Name: "a", Epoch: 1}}, 2500) },
 	} {
 		source.SetPoint(point.Point{Era: 1, Revision: revision})
 		change()
@@ -407,7 +407,8 @@
 	p.Remove("a", 60_000)
 	_, gone, ok := p.Delta(point.Point{Era: 2, Revision: 5}, 60_000)
 	require.True(t, ok)
-	require.Equal(t, []ident.Endpoint{"a"}, gone)
+	require.Len(t, gone, 1)
+	require.Equal(t, Departure{Name: "a", Epoch: 2}, gone[0])
 	p.Put(listing, 61_000)
 	require.True(t, isUsable(p, "a", 61_000))
 }
@@ -460,3 +461,17 @@
 	p.Replace([]Listing{earlier}, point.Point{}, era, 5000)
 	require.False(t, isUsable(p, "a", 5000))
 }
+
+// Guards against a new run of an endpoint that is out of use because peers still tell that the one before leaves.
+func TestPeersLeavingReportIsOfOneRun(t *testing.T) {
+	p, peer := New(), New()
+	for _, each := range []*Pool{p, peer} {
+		each.Put(Listing{Name: "a", Service: "s", Epoch: 1, Leaving: true}, 1000)
+	}
+	p.Put(Listing{Name: "a", Service: "s", Epoch: 2}, 2000)
+	p.UpdatePeerLeaving(peer.RecentlyLeaving(2100), 2100)
+	require.True(t, isUsable(p, "a", 2100))
+	peer.Put(Listing{Name: "a", Service: "s", Epoch: 2, Leaving: true}, 2200)
+	p.UpdatePeerLeaving(peer.RecentlyLeaving(2300), 2300)
+	require.False(t, isUsable(p, "a", 2300))
+}
--- a/internal/flow/proxy/era_test.go
+++ b/internal/flow/proxy/era_test.go
@@ -8,7 +8,6 @@
 	"github.com/stretchr/testify/require"
 
 	"mustardhook/internal/core/cycle"
-	"mustardhook/internal/core/ident"
 	"mustardhook/internal/flow/board"
 	"mustardhook/internal/flow/input"
 	"mustardhook/internal/flow/output"
@@ -52,7 +51,7 @@
 	require.Equal(t, point.Point{Era: 2, Revision: 8}, list.LastAt)
 	require.EqualValues(t, 700, list.EraAge)
 	require.False(t, list.IsDelta)
-	require.Equal(t, []ident.Endpoint{"south"}, list.Removed)
+	require.Equal(t, []pool.Departure{{Name: "south", Epoch: 1, At: point.Point{Era: 2, Revision: 5}}}, list.Departed)
 	require.Len(t, list.List, 1)
 	ask(point.Point{Era: 3, Revision: 1})
 	ask(point.Point{Era: 2, Revision: 5})
--- a/internal/flow/proxy/news.go
+++ b/internal/flow/proxy/news.go
@@ -9,7 +9,6 @@
 	"github.com/go-faster/errors"
 
 	"mustardhook/internal/core/clock"
-	"mustardhook/internal/core/ident"
 	"mustardhook/internal/flow/board"
 	"mustardhook/internal/flow/codec"
 	"mustardhook/internal/flow/input"
@@ -122,33 +121,28 @@
 // fillList adds the changes of the endpoint list after the point to the reply, or
 // the whole list if those changes are no longer available, and all evacuated failure domains.
 func fillList(b *board.Board, reply *newspb.PublishedGive, after point.Point) {
-	list, removed, isDelta := b.Pool.Delta(after, b.Now)
+	list, departed, isDelta := b.Pool.Delta(after, b.Now)
 	if !isDelta {
-		list, removed = b.Pool.Snapshot(b.Now), b.Pool.Removed(b.Now)
+		list, departed = b.Pool.Snapshot(b.Now), b.Pool.Departures(b.Now)
 		reply.LastRevision = b.Pool.LastAt().Revision
 	}
 	reply.Endpoints = codec.EncodeList(list)
 	reply.Changes = isDelta
 	reply.Evacuated = codec.EncodeEvacuated(b.Pool.Evacuated())
-	for _, name := range removed {
-		reply.Gone = append(reply.Gone, string(name))
-	}
+	reply.Departed = codec.EncodeDepartures(departed)
 }
 
 func (p *Proxy) peerHandler() http.Handler { return newspb.NewShareServer(p) }
 
 // decodeList returns the endpoint list in another entry's reply as an input of the core.
 func decodeList(reply *newspb.PublishedGive) input.ListReceived {
-	received := input.ListReceived{
+	return input.ListReceived{
 		List: codec.DecodeList(reply.GetEndpoints()), At: listPoint(reply), IsDelta: reply.GetChanges(),
 		EraAge:    clock.Millis(min(reply.GetEraAgeMillis(), maxEraAge)),
+		Departed:  codec.DecodeDepartures(reply.GetDeparted()),
 		LastAt:    point.Point{Era: reply.GetListEra(), Revision: reply.GetLastRevision()},
 		Evacuated: codec.DecodeEvacuated(reply.GetEvacuated()),
 	}
-	for _, name := range reply.GetGone() {
-		received.Removed = append(received.Removed, ident.Endpoint(name))
-	}
-	return received
 }
 
 // fetchPublished fetches newer published state from another entry and passes it to the
