An evacuation of the era before lasts while nobody can read published state

Callers could see work reach an evacuated failure domain (EVAC): an evacuation that the copy lacks ended 5.5 s after the return, also if the store could not be read in that time, so that nobody could have written it again. Holds of endpoints were extended then, the evacuations were not.

The end of both is one time of the board now, and entries tell it to each other, so that one that starts later doesn't drop the evacuation.

--- a/internal/flow/input/input.go
+++ b/internal/flow/input/input.go
@@ -103,8 +103,10 @@
 		At   point.Point
 		// LastAt is the point up to which single records of a whole list may be newer.
 		LastAt point.Point
-		// EraAge is how long ago the sender's list moved to its era.
-		EraAge clock.Millis
+		// EraAge is how long ago the sender's list moved to its era, and EraHold how much longer the sender holds
+		// what it knew before against records of the list.
+		EraAge  clock.Millis
+		EraHold clock.Millis
 		// IsDelta means that List holds only the changes since the point that this
 		// entry asked for, and Departed the runs of endpoints that have left since then. Otherwise Departed
 		// holds those that the sender has found to have left lately.
--- a/internal/flow/intake/intake.go
+++ b/internal/flow/intake/intake.go
@@ -82,9 +82,7 @@
 	case input.Ticked:
 		if b.Now-c.expiredAt >= ExpireInterval {
 			c.expiredAt = b.Now
-			if b.Now-lastConfirmation(b) > confirmationGap {
-				b.Pool.ExtendHolds(b.Now+eraHold(b), b.Now)
-			}
+			extendEraHold(b)
 			b.Pool.Expire(b.Now)
 			expireEvacuated(b)
 		}
@@ -108,7 +106,7 @@
 		return
 	}
 	if !hadList || before.Era != b.ListAt.Era {
-		beginEra(b, 0)
+		beginEra(b, 0, 0)
 	}
 	b.Pool.Replace(read.List, read.LastAt, currentEra(b, hadList && before.Era != b.ListAt.Era), b.Now)
 	b.HasList = true
@@ -123,7 +121,7 @@
 		return
 	}
 	if !hadList || before.Era != b.ListAt.Era {
-		beginEra(b, received.EraAge)
+		beginEra(b, received.EraAge, received.EraHold)
 	}
 	if received.IsDelta {
 		b.Pool.ApplyDelta(received.List, received.Departed, b.Now)
@@ -167,11 +165,25 @@
 	}
 }
 
-// beginEra records that the era of the list is known to have begun the given time ago. What is known from the era before holds against a state that may come from an older
+// beginEra records that the era of the list is known to have begun the given time ago, and that another entry holds what it knew
+// before for at least the given time. What is known from the era before holds against a state that may come from an older
 // copy until a record that nobody renews has lapsed, and living endpoints are listed again.
-func beginEra(b *board.Board, age clock.Millis) {
+func beginEra(b *board.Board, age, hold clock.Millis) {
 	b.EraSince = b.Now - age
-	b.EraHoldUntil = b.EraSince + eraHold(b)
+	b.EraHoldUntil = max(b.EraSince+eraHold(b), b.Now+hold)
+}
+
+// extendEraHold lets what is known from the era before hold for longer while no entry can read published state, so that no
+// record lapses and nothing is written again.
+func extendEraHold(b *board.Board) {
+	if b.Now-lastConfirmation(b) <= confirmationGap {
+		return
+	}
+	until := b.Now + eraHold(b)
+	if b.Now < b.EraHoldUntil {
+		b.EraHoldUntil = max(b.EraHoldUntil, until)
+	}
+	b.Pool.ExtendHolds(until, b.Now)
 }
 
 func currentEra(b *board.Board, isNew bool) pool.Era {
--- a/internal/flow/proxy/era_test.go
+++ b/internal/flow/proxy/era_test.go
@@ -35,6 +35,7 @@
 	source.board.ListAt = point.Point{Era: 2, Revision: 5}
 	source.board.Now = 10_000
 	source.board.EraSince = 9_300
+	source.board.EraHoldUntil = 14_300
 	source.board.Pool.SetPoint(source.board.ListAt)
 	source.board.Pool.Replace([]pool.Listing{{Name: "north", Epoch: 1}}, point.Point{Era: 2, Revision: 8}, pool.Era{}, source.board.Now)
 	server := httptest.NewServer(source.peerHandler())
@@ -52,6 +53,7 @@
 	require.EqualValues(t, 700, list.EraAge)
 	require.False(t, list.IsDelta)
 	require.Equal(t, []pool.Departure{{Name: "south", Epoch: 1, At: point.Point{Era: 2, Revision: 5}}}, list.Departed)
+	require.EqualValues(t, 4300, list.EraHold)
 	require.Len(t, list.List, 1)
 	ask(point.Point{Era: 3, Revision: 1})
 	ask(point.Point{Era: 2, Revision: 5})
--- a/internal/flow/proxy/news.go
+++ b/internal/flow/proxy/news.go
@@ -24,6 +24,8 @@
 	maxDatagramBytes = 65507
 	// maxEraAge is the largest age of an era that another entry may tell, in milliseconds.
 	maxEraAge = 1 << 40
+	// maxEraHold bounds how much longer another entry may tell that it holds what it knew before an era.
+	maxEraHold = 60_000
 )
 
 type (
@@ -99,7 +101,7 @@
 	b := p.board
 	reply := &newspb.PublishedGive{
 		PlanVersion: uint64(b.Plan.Version), ListEra: b.ListAt.Era, ListRevision: b.ListAt.Revision,
-		EraAgeMillis: uint64(max(b.Now-b.EraSince, 0)),
+		EraAgeMillis: uint64(max(b.Now-b.EraSince, 0)), EraHoldMillis: uint64(max(b.EraHoldUntil-b.Now, 0)),
 	}
 	if reply.PlanVersion > request.GetPlanVersion() {
 		reply.Document = b.PlanDocument
@@ -139,6 +141,7 @@
 	return input.ListReceived{
 		List: codec.DecodeList(reply.GetEndpoints()), At: listPoint(reply), IsDelta: reply.GetChanges(),
 		EraAge:    clock.Millis(min(reply.GetEraAgeMillis(), maxEraAge)),
+		EraHold:   clock.Millis(min(reply.GetEraHoldMillis(), maxEraHold)),
 		Departed:  codec.DecodeDepartures(reply.GetDeparted()),
 		LastAt:    point.Point{Era: reply.GetListEra(), Revision: reply.GetLastRevision()},
 		Evacuated: codec.DecodeEvacuated(reply.GetEvacuated()),
