An endpoint's announcement that it leaves outlasts its record

Callers could see requests sent to an endpoint later than it had announced its leave to that machine (DRAIN): the announcement was kept with the endpoint, which is forgotten seconds after its record is removed. If the record was listed again for the same run, by itself or by an older copy of the store, the run was used again.

--- a/internal/flow/parts/departure_test.go
+++ b/internal/flow/parts/departure_test.go
@@ -152,6 +152,21 @@
 	require.False(t, e.isUsed("left"))
 }
 
+// Guards against an endpoint that has announced that it leaves and is used again (DRAIN), because the entry forgot that with its record.
+func TestAnnouncementOutlastsTheRecord(t *testing.T) {
+	e := newEraEntry(t, "announced")
+	require.True(t, e.board.Pool.AnnounceLeaving(e.board.Pool.Find("announced"), e.board.Now))
+	e.step(removed("announced", 1, 51))
+	e.readOn(3 * clock.Second)
+	require.Nil(t, e.board.Pool.Find("announced"))
+	e.step(input.EndpointRead{Record: eraListing("announced"), At: point.Point{Era: 1, Revision: 52}})
+	require.False(t, e.isUsed("announced"))
+	second := eraListing("announced")
+	second.Epoch = 2
+	e.step(input.EndpointRead{Record: second, At: point.Point{Era: 1, Revision: 53}})
+	require.True(t, e.isUsed("announced"))
+}
+
 // Guards against an evacuation that ends (EVAC) because the store could not be read while it would have been written again.
 func TestEvacuationLastsWhileNobodyReads(t *testing.T) {
 	e, fresh := newEraEntry(t, "desk"), newTestEntry(t)
--- a/internal/flow/pool/departure.go
+++ b/internal/flow/pool/departure.go
@@ -24,11 +24,13 @@
 		IsLost bool
 	}
 
-	// departure is a Departure that this entry knows of since knownAt. isTold reports whether it knows so from peers only.
+	// departure is a Departure that this entry knows of since knownAt. isTold reports whether it knows so from peers only,
+	// isAnnounced whether the run itself has told this entry that it leaves.
 	departure struct {
 		Departure
-		knownAt clock.Millis
-		isTold  bool
+		knownAt     clock.Millis
+		isTold      bool
+		isAnnounced bool
 	}
 )
 
@@ -47,7 +49,7 @@
 func (p *Pool) recordDeparture(found Departure, isTold bool, now clock.Millis) {
 	known, isKnown := p.departures[found.Name]
 	if !isKnown || known.Epoch < found.Epoch {
-		known = departure{found, now, isTold}
+		known = departure{found, now, isTold, false}
 	}
 	if found.supersedes(known.Departure) {
 		known.Departure = found
--- a/internal/flow/pool/health.go
+++ b/internal/flow/pool/health.go
@@ -85,6 +85,10 @@
 	}
 	e.announcedLeaving = true
 	p.markRemoved(e, now)
+	p.recordDeparture(Departure{Name: e.Name, Epoch: e.Epoch, At: p.listAt}, false, now)
+	announced := p.departures[e.Name]
+	announced.isAnnounced = announced.Epoch == e.Epoch
+	p.departures[e.Name] = announced
 	return true
 }
 
--- a/internal/flow/pool/list.go
+++ b/internal/flow/pool/list.go
@@ -87,6 +87,8 @@
 		Listing: listing, Work: map[uint64]Work{}, changedAt: p.listAt, hash: HashOf(listing.Name),
 		sortKey: xxhash.Sum64String(string(listing.Name)), isEvacuated: p.evacuated.Contains(listing.Domain),
 	}
+	last := p.departures[listing.Name]
+	created.announcedLeaving = last.isAnnounced && last.Epoch == listing.Epoch
 	if previous != nil {
 		created.RemoteLoad = previous.RemoteLoad
 		// A run that replaces one whose record was written in this era was, too.
