Departures that peers repeat are forgotten in time

Entries tell each other the departures that they know with each whole list, and each time began the 60 s anew for which one is remembered: names of endpoints could be kept for as long as lists were told often. TestRepeatedDepartureIsForgotten fails without this.

TestHistoriesWithDisturbancesInSeries is new: the histories with returns shortly after one another, during rolling restarts and cuts, and right after changes that they undo.

--- a/internal/flow/parts/history_events_test.go
+++ b/internal/flow/parts/history_events_test.go
@@ -10,6 +10,10 @@
 func (h *history) act() {
 	endpoint := h.endpoints[h.random.IntN(len(h.endpoints))]
 	e := h.entries[h.random.IntN(len(h.entries))]
+	if h.hasSeries && h.random.IntN(4) == 0 {
+		h.actInSeries(endpoint)
+		return
+	}
 	switch h.random.IntN(20) {
 	case 0, 1:
 		h.publishVersion()
@@ -153,3 +157,43 @@
 		h.after(h.between(0, rewriteTime), func() { h.publish(key, isForced) })
 	}
 }
+
+// actInSeries begins a series of disturbances.
+func (h *history) actInSeries(endpoint *historyEndpoint) {
+	returnsSoon := func() {
+		h.after(h.between(10, 400), func() { h.goAway(h.between(0, 600), true) })
+	}
+	switch h.random.IntN(5) {
+	case 0:
+		h.tracef("returns in series")
+		for at := clock.Millis(0); at < 2500; at += h.between(150, 1200) {
+			h.after(at, func() { h.goAway(h.between(0, 100), true) })
+		}
+	case 1:
+		h.tracef("rolling restart")
+		pause := h.between(100, 700)
+		for i, e := range h.entries {
+			h.after(clock.Millis(i)*pause, func() { h.startEntry(e) })
+		}
+		returnsSoon()
+		if h.random.IntN(2) == 0 {
+			h.after(h.between(400, 2000), func() { h.goAway(h.between(0, 100), true) })
+		}
+	case 2:
+		h.changeEndpoint(endpoint)
+		returnsSoon()
+	case 3:
+		h.evacuateOrTakeBack([]ident.Domain{"north", "south", "harbour"}[h.random.IntN(3)])
+		returnsSoon()
+	case 4:
+		for _, e := range h.entries {
+			if h.random.IntN(2) == 0 {
+				e.storeCutUntil = h.now + h.between(300, 2500)
+				e.disturb(e.storeCutUntil)
+				h.tracef("%s cut from the store until %d", e.board.Self, e.storeCutUntil)
+				h.endWatch(e, true)
+			}
+		}
+		returnsSoon()
+	}
+}
--- a/internal/flow/parts/history_test.go
+++ b/internal/flow/parts/history_test.go
@@ -21,8 +21,10 @@
 )
 
 const (
-	// historiesVariable is the environment variable with the seeds of the histories to run, as FIRST-LAST.
+	// historiesVariable is the environment variable with the seeds of the histories to run, as FIRST-LAST, and seriesVariable that
+	// with those of histories in which disturbances come in series.
 	historiesVariable = "MUSTARDHOOK_HISTORIES"
+	seriesVariable    = "MUSTARDHOOK_HISTORY_SERIES"
 	// historyTick is the time between two ticks of an entry.
 	historyTick = 50 * clock.Millis(1)
 	// heartbeat is the time between two renewals of a record.
@@ -41,6 +43,8 @@
 		now       clock.Millis
 		queue     eventQueue
 		lastEvent uint64
+		// hasSeries reports whether disturbances come in series, too.
+		hasSeries bool
 		trace     []string
 		failure   string
 
@@ -94,6 +98,9 @@
 	19493, 19937, 24235, 28987, 36449, 38645,
 }
 
+// seriesRegressions are such seeds of histories with disturbances in series.
+var seriesRegressions = []uint64{}
+
 // Len and the others implement heap.Interface.
 func (q eventQueue) Len() int { return len(q) }
 
@@ -118,12 +125,23 @@
 // Random histories of a store that comes back from older copies, of what is published there and of entries that follow it. By default few
 // of them run, and the ones that have failed.
 func TestHistoriesOfPublishedState(t *testing.T) {
+	playHistories(t, historiesVariable, historyRegressions, false)
+}
+
+// The same with disturbances that come in series: returns of the store shortly after one another, during rolling restarts of the
+// entries, and right after changes that they undo.
+func TestHistoriesWithDisturbancesInSeries(t *testing.T) {
+	playHistories(t, seriesVariable, seriesRegressions, true)
+}
+
+// playHistories plays the regressions and the seeds of the variable, by default few of them.
+func playHistories(t *testing.T, variable string, regressions []uint64, hasSeries bool) {
 	first, last := uint64(1), uint64(300)
-	if text := os.Getenv(historiesVariable); text != "" {
+	if text := os.Getenv(variable); text != "" {
 		_, err := fmt.Sscanf(text, "%d-%d", &first, &last)
 		require.NoError(t, err)
 	}
-	seeds := slices.Clone(historyRegressions)
+	seeds := slices.Clone(regressions)
 	for seed := first; seed <= last; seed++ {
 		seeds = append(seeds, seed)
 	}
@@ -131,7 +149,7 @@
 	for _, seed := range slices.Compact(seeds) {
 		t.Run(fmt.Sprintf("seed-%d", seed), func(t *testing.T) {
 			t.Parallel()
-			h := newHistory(t, seed)
+			h := newHistory(t, seed, hasSeries)
 			h.play()
 			if h.failure != "" {
 				t.Fatalf("seed %d: %s\n%s", seed, h.failure, strings.Join(h.trace, "\n"))
@@ -140,9 +158,9 @@
 	}
 }
 
-func newHistory(t *testing.T, seed uint64) *history {
+func newHistory(t *testing.T, seed uint64, hasSeries bool) *history {
 	h := &history{
-		t: t, random: rand.New(rand.NewPCG(seed, 67)), now: 100 * clock.Second, store: newModelStore(), byHost: map[string]*historyEntry{},
+		t: t, hasSeries: hasSeries, random: rand.New(rand.NewPCG(seed, 67)), now: 100 * clock.Second, store: newModelStore(), byHost: map[string]*historyEntry{},
 		evacuated: map[ident.Domain]bool{}, historyLog: newHistoryLog(),
 	}
 	h.store.copies = append(h.store.copies, storeCopy{0, h.store.revision, map[string]storeItem{}})
--- a/internal/flow/pool/departure.go
+++ b/internal/flow/pool/departure.go
@@ -57,7 +57,10 @@
 	if known.Epoch == found.Epoch {
 		known.isTold = known.isTold && isTold
 	}
-	known.knownAt = now
+	if !isTold {
+		// Entries that repeat it to each other don't keep it for longer.
+		known.knownAt = now
+	}
 	p.departures[found.Name] = known
 }
 
--- a/internal/flow/pool/pool_test.go
+++ b/internal/flow/pool/pool_test.go
@@ -475,3 +475,16 @@
 	p.UpdatePeerLeaving(peer.RecentlyLeaving(2300), 2300)
 	require.False(t, isUsable(p, "a", 2300))
 }
+
+// Guards against departures that are never forgotten since entries repeat them to each other.
+func TestRepeatedDepartureIsForgotten(t *testing.T) {
+	p := New()
+	told := []Departure{{Name: "a", Epoch: 1}}
+	for now := clock.Millis(1000); now < 1000+departureTTL; now += 1000 {
+		p.ApplySnapshot(nil, told, point.Point{}, Era{}, now)
+		p.Expire(now)
+		require.Len(t, p.Departures(now), 1)
+	}
+	p.Expire(1001 + departureTTL)
+	require.Empty(t, p.Departures(1001+departureTTL))
+}
