--- a/internal/flow/parts/era_test.go
+++ b/internal/flow/parts/era_test.go
@@ -342,6 +342,25 @@
 	}
 }
 
+// Guards against an endpoint that has left and is used again, because a peer that still follows an era that has ended confirms reads while
+// nobody reads the new one.
+func TestPeerOfEndedEraEndsNoHold(t *testing.T) {
+	for era, isUsed := range map[uint64]bool{1: false, 2: true} {
+		e := newEraEntry(t, "removed")
+		e.step(input.EndpointRemoved{Name: "removed", At: point.Point{Era: 1, Revision: 51}})
+		e.stepList(false, point.Point{Era: 2, Revision: 30}, eraListing("removed"))
+		for range 10 {
+			e.receiveNews("entry-9", func(n *input.News) {
+				n.Domain = e.board.Domain
+				n.ConfirmedAt = e.board.Now
+				n.ListAt = point.Point{Era: era, Revision: 60}
+			})
+			e.advance((eraHold + expiryDelay) / 10)
+		}
+		require.Equal(t, isUsed, e.isUsed("removed"), "era %d", era)
+	}
+}
+
 // Guards against a whole list that is not taken as it is, although no era has begun since the entry started: its store may
 // tell of none.
 func TestListOfAKnownEraIsTakenAsItIs(t *testing.T) {
