--- a/internal/flow/pool/pool_test.go
+++ b/internal/flow/pool/pool_test.go
@@ -488,3 +488,15 @@
 	p.Expire(1001 + departureTTL)
 	require.Empty(t, p.Departures(1001+departureTTL))
 }
+
+// Guards against changes that are told after a point of another era, in which revisions have another meaning, by an entry that has not
+// read a whole list yet.
+func TestDeltaIsOfOneEra(t *testing.T) {
+	p := New()
+	p.SetPoint(point.Point{Era: 2, Revision: 20})
+	p.Put(Listing{Name: "a", Service: "s", Epoch: 1}, 1000)
+	for era, isTold := range map[uint64]bool{1: false, 2: true, 3: false} {
+		_, _, ok := p.Delta(point.Point{Era: era, Revision: 10}, 1000)
+		require.Equal(t, isTold, ok, "era %d", era)
+	}
+}
