A list is older than what was read on the last page of another one

An endpoint that was found leaving on the last page of a whole list was used again, and one that was found there for the first time was given up by all that heard of it: a list of a peer from a point between that of the list and that of its last page was taken for newer in all.

Departures that are found in a whole list have the point of its last page, and a list that isn't after it doesn't outweigh them. An endpoint that such a list lacks stays in use for 1 s.

--- a/internal/flow/parts/departure_test.go
+++ b/internal/flow/parts/departure_test.go
@@ -183,3 +183,34 @@
 		require.False(t, entry.board.Pool.Evacuated().Contains("north"))
 	}
 }
+
+// Guards against an endpoint that is never used again because its record, written anew by an earlier run whose clock was set back, is taken
+// for the known one.
+func TestRewrittenRecordEndsTheHoldOfAnEarlierRun(t *testing.T) {
+	e := newEraEntry(t, "restarted")
+	second := eraListing("restarted")
+	second.Epoch = 2
+	e.step(input.EndpointRead{Record: second, At: point.Point{Era: 1, Revision: 51}})
+	e.step(removed("restarted", 1, 52))
+	e.readOn(3 * clock.Second)
+	e.stepList(false, point.Point{Era: 2, Revision: 30}, eraListing("restarted"))
+	e.readOn(eraHold + expiryDelay)
+	require.False(t, e.isUsed("restarted"))
+	e.step(input.EndpointRead{Record: eraListing("restarted"), At: point.Point{Era: 2, Revision: 31}})
+	require.True(t, e.isUsed("restarted"))
+}
+
+// Guards against a run that counts as one from before the era although it replaces one that was written there, and against one that is never
+// replaced by a run with an earlier start, as after a setback of its clock.
+func TestRunsOfOneEraFollowTheList(t *testing.T) {
+	e := newEraEntry(t, "restarted")
+	runs := []pool.Listing{eraListing("restarted"), eraListing("restarted")}
+	runs[1].Epoch = 2
+	e.stepList(false, point.Point{Era: 2, Revision: 30}, runs[0])
+	e.step(input.EndpointRead{Record: runs[0], At: point.Point{Era: 2, Revision: 31}})
+	e.stepList(true, point.Point{Era: 2, Revision: 32}, runs[1])
+	require.True(t, e.board.Pool.Snapshot(e.board.Now)[0].IsRenewed)
+	e.stepList(false, point.Point{Era: 2, Revision: 33}, runs[0])
+	require.True(t, e.isUsed("restarted"))
+	require.Equal(t, uint64(1), e.board.Pool.Find("restarted").Epoch)
+}
--- a/internal/flow/parts/history_test.go
+++ b/internal/flow/parts/history_test.go
@@ -99,7 +99,7 @@
 }
 
 // seriesRegressions are such seeds of histories with disturbances in series.
-var seriesRegressions = []uint64{}
+var seriesRegressions = []uint64{11674, 13931, 14888}
 
 // Len and the others implement heap.Interface.
 func (q eventQueue) Len() int { return len(q) }
--- a/internal/flow/pool/departure.go
+++ b/internal/flow/pool/departure.go
@@ -17,7 +17,7 @@
 	Departure struct {
 		Name  ident.Endpoint
 		Epoch uint64
-		// At is the point of the list at which the run was found to have left.
+		// At is the point of the list at which the run was found to have left, or a later one before which it was.
 		At point.Point
 		// IsLost reports whether the run has only lost its record, since the source came back from a copy without it. It
 		// was not seen to leave, but earlier runs have ended.
@@ -138,8 +138,8 @@
 func (p *Pool) confirmAbsence(isListed map[ident.Endpoint]bool, now clock.Millis) {
 	p.recordDepartures(now)
 	for name, known := range p.departures {
-		if !isListed[name] && p.listAt.IsAfter(known.At) {
-			known.At = p.listAt
+		if !isListed[name] {
+			known.At = point.Max(known.At, p.recordsAt)
 			p.departures[name] = known
 		}
 	}
--- a/internal/flow/pool/era.go
+++ b/internal/flow/pool/era.go
@@ -65,11 +65,14 @@
 	}
 	last, hasLeft := p.departureOf(listing.Name, now)
 	switch {
-	case !hasLeft || listing.Epoch > last.Epoch || now >= p.renewalsUntil:
+	case !hasLeft || listing.Epoch > last.Epoch:
 		return held
-	case listing.Epoch < last.Epoch:
+	case listing.Epoch < last.Epoch && now < p.renewalsUntil:
 		return now + endlessHold
-	case last.mayReturn():
+	case last.hasEnded(listing.Epoch) && !p.listAt.IsAfter(last.At):
+		// The list is older than the departure, which is read again soon.
+		return max(held, now+RemovalGrace)
+	case now >= p.renewalsUntil || last.mayReturn():
 		return held
 	case last.At.Era == p.listAt.Era:
 		// It was listed again in this era.
--- a/internal/flow/pool/health.go
+++ b/internal/flow/pool/health.go
@@ -85,7 +85,7 @@
 	}
 	e.announcedLeaving = true
 	p.markRemoved(e, now)
-	p.recordDeparture(Departure{Name: e.Name, Epoch: e.Epoch, At: p.listAt}, false, now)
+	p.recordDeparture(Departure{Name: e.Name, Epoch: e.Epoch, At: p.recordsAt}, false, now)
 	announced := p.departures[e.Name]
 	announced.isAnnounced = announced.Epoch == e.Epoch
 	p.departures[e.Name] = announced
--- a/internal/flow/pool/list.go
+++ b/internal/flow/pool/list.go
@@ -13,7 +13,7 @@
 )
 
 // SetPoint sets the point of the list to which the changes that follow belong.
-func (p *Pool) SetPoint(at point.Point) { p.listAt = at }
+func (p *Pool) SetPoint(at point.Point) { p.listAt, p.recordsAt = at, at }
 
 // Put adds or updates an endpoint whose record was just written.
 func (p *Pool) Put(listing Listing, now clock.Millis) {
@@ -38,6 +38,7 @@
 // put adds or updates an endpoint that is cold for the given time, and out of use until heldUntil.
 func (p *Pool) put(listing Listing, coldLeft, heldUntil, now clock.Millis) *Endpoint {
 	endpoint := p.upsert(listing, coldLeft, now)
+	endpoint.listedAt = point.Max(endpoint.listedAt, p.recordsAt)
 	endpoint.heldUntil = 0
 	if heldUntil > now {
 		// What is known of the endpoint stays published.
@@ -50,7 +51,7 @@
 		return endpoint
 	}
 	p.markRemoved(endpoint, now)
-	p.recordDeparture(Departure{Name: endpoint.Name, Epoch: endpoint.Epoch, At: p.listAt}, false, now)
+	p.recordDeparture(Departure{Name: endpoint.Name, Epoch: endpoint.Epoch, At: p.recordsAt}, false, now)
 	return endpoint
 }
 
@@ -157,10 +158,22 @@
 	endpoint.RemovalGraceUntil = p.availableAt + RemovalGrace
 }
 
+// isListedAfter reports whether the record of the endpoint may have been read after the point, on a later page of a list.
+func (e *Endpoint) isListedAfter(at point.Point) bool {
+	return e.RemovedAt == 0 && e.listedAt.IsAfter(at)
+}
+
+// recheck records that a list which may be older than the record of the endpoint lacks it.
+func (p *Pool) recheck(endpoint *Endpoint, now clock.Millis) {
+	endpoint.changedAt = p.listAt
+	p.markUnlisted(endpoint, now)
+	endpoint.RemovalGraceUntil = now + recheckTime
+}
+
 // markUnlisted records that the endpoint is no longer listed. One that is held stays out of use until it is listed again.
 func (p *Pool) markUnlisted(e *Endpoint, now clock.Millis) {
 	e.RemovedAt = now
-	e.removedPoint = p.listAt
+	e.removedPoint = p.recordsAt
 	if now < e.heldUntil {
 		e.heldUntil = now + endlessHold
 	}
@@ -169,6 +182,7 @@
 // Replace applies a complete list of the era that was read from the published state, with records up to the last point.
 func (p *Pool) Replace(list []Listing, last point.Point, era Era, now clock.Millis) {
 	p.beginEra(era, now)
+	p.recordsAt = point.Max(p.listAt, last)
 	isListed := make(map[ident.Endpoint]bool, len(list))
 	isKept := make(map[ident.Endpoint]bool, len(list))
 	for _, listing := range list {
@@ -184,13 +198,15 @@
 		case isKept[name]:
 		case era.IsNew:
 			p.lose(endpoint, now)
+		case endpoint.isListedAfter(p.recordsAt):
+			p.recheck(endpoint, now)
 		default:
 			p.Remove(name, now)
 		}
 	}
 	p.confirmAbsence(isListed, now)
 	p.hasList = true
-	p.completeSince = point.Max(p.listAt, last)
+	p.completeSince = p.recordsAt
 }
 
 // ApplySnapshot applies the complete list of a peer, which has removed the other endpoints. Removal grace
@@ -198,6 +214,7 @@
 // departed are the departures that the peer knows; the list has records up to the last point.
 func (p *Pool) ApplySnapshot(list []PeerListing, departed []Departure, last point.Point, era Era, now clock.Millis) {
 	p.beginEra(era, now)
+	p.recordsAt = point.Max(p.listAt, last)
 	if !p.hasList && slices.ContainsFunc(departed, func(d Departure) bool { return d.IsLost || d.At.Era != p.listAt.Era }) {
 		// The peer has seen the era begin.
 		p.renewalsUntil = era.HoldUntil
@@ -226,12 +243,14 @@
 			p.lose(endpoint, now)
 		case endpoint.RemovedAt != 0:
 			// Its removal grace period, if it has one, goes on.
+		case endpoint.isListedAfter(p.recordsAt):
+			p.recheck(endpoint, now)
 		default:
 			p.confirmRemoval(endpoint, now)
 		}
 	}
 	p.hasList = true
-	p.completeSince = point.Max(p.listAt, last)
+	p.completeSince = p.recordsAt
 }
 
 // LastAt returns the point of the newest record that the list may have.
--- a/internal/flow/pool/pool.go
+++ b/internal/flow/pool/pool.go
@@ -31,6 +31,9 @@
 	PeerLeavingTTL = 4 * clock.Second
 	// BackoffFailures is the number of failures in a row that starts a backoff.
 	BackoffFailures = 2
+	// recheckTime is how long an endpoint stays in use that is missing from a list older than its record. What was
+	// published in between is read by then.
+	recheckTime = 1 * clock.Second
 )
 
 type (
@@ -145,9 +148,11 @@
 		requestedAt clock.Millis
 
 		// changedAt is the point of the list at which the endpoint last changed, and renewedAt that at
-		// which its record is known to have been written; zero if it is not.
+		// which its record is known to have been written; zero if it is not. listedAt is the last point at which its
+		// record may have been read.
 		changedAt point.Point
 		renewedAt point.Point
+		listedAt  point.Point
 
 		hash Hash
 		// sortKey orders the endpoints of a service in the same way at all entries. It
@@ -186,9 +191,10 @@
 		// byService caches the sorted endpoints of each service. The cached slice is
 		// dropped if an endpoint is added to the service or removed from it.
 		byService map[ident.Service][]*Endpoint
-		// listAt is the point of the list, and completeSince the oldest point after which the
-		// pool has all changes of it.
+		// listAt is the point of the list, recordsAt that up to which the records that were last applied may be newer, and
+		// completeSince the oldest point after which the pool has all changes of it.
 		listAt        point.Point
+		recordsAt     point.Point
 		completeSince point.Point
 		// renewalsUntil is until when the first write of a record in a new era is a change of the list.
 		renewalsUntil clock.Millis
--- a/internal/flow/pool/pool_test.go
+++ b/internal/flow/pool/pool_test.go
@@ -500,3 +500,33 @@
 		require.Equal(t, isTold, ok, "era %d", era)
 	}
 }
+
+// Guards against a living endpoint that is given up, and one that leaves and is used again, because a list is taken for newer than what
+// was read on the last page of the one before.
+func TestListIsOlderThanTheLastPageOfAnother(t *testing.T) {
+	leaving := Listing{Name: "leaving", Service: "s", Epoch: 1, Leaving: true}
+	added := Listing{Name: "added", Service: "s", Epoch: 1}
+	gone := Listing{Name: "gone", Service: "s", Epoch: 1}
+	ready := leaving
+	ready.Leaving = false
+	for _, isFromPeer := range []bool{false, true} {
+		p := New()
+		p.SetPoint(point.Point{Era: 1, Revision: 12})
+		p.Replace([]Listing{added, gone, leaving}, point.Point{Era: 1, Revision: 14}, Era{}, 1000)
+		p.SetPoint(point.Point{Era: 1, Revision: 13})
+		if isFromPeer {
+			p.ApplySnapshot([]PeerListing{{Listing: ready}}, nil, point.Point{}, Era{}, 1100)
+		} else {
+			p.Replace([]Listing{ready}, point.Point{}, Era{}, 1100)
+		}
+		require.False(t, isUsable(p, "leaving", 1100))
+		require.True(t, isUsable(p, "added", 1100))
+		p.SetPoint(point.Point{Era: 1, Revision: 14})
+		p.Put(added, 1300)
+		p.Put(leaving, 1300)
+		p.Expire(1100 + RemovalGrace)
+		require.True(t, isUsable(p, "added", 1100+RemovalGrace))
+		require.False(t, isUsable(p, "leaving", 1100+RemovalGrace))
+		require.False(t, isUsable(p, "gone", 1100+recheckTime), "it is not listed again")
+	}
+}
