Entries tell the point at which a record was last known to be written

They told only whether that was in the era of the list. An entry that knew a departure and hadn't heard that the endpoint was listed again held a living endpoint for 5.5 s after the next return, although the one that told it of the new era knew better; whether it held one depended on which messages it had got.

The point is told with each record now and compared with that of the departure.

--- a/internal/flow/codec/codec.go
+++ b/internal/flow/codec/codec.go
@@ -106,8 +106,8 @@
 			DoubtMillis: uint32(listing.RemovalGrace),
 			ColdMillis:  uint32(listing.ColdRemaining),
 			HoldMillis:  uint32(listing.Hold),
-			Renewed:     listing.IsRenewed,
-			Lost:        listing.IsLost,
+			WrittenEra:  listing.WrittenAt.Era, WrittenRevision: listing.WrittenAt.Revision,
+			Lost: listing.IsLost,
 		})
 	}
 	return encoded
@@ -130,7 +130,7 @@
 			RemovalGrace:  clock.Millis(listing.DoubtMillis),
 			ColdRemaining: clock.Millis(listing.ColdMillis),
 			Hold:          clock.Millis(listing.HoldMillis),
-			IsRenewed:     listing.Renewed,
+			WrittenAt:     point.Point{Era: listing.WrittenEra, Revision: listing.WrittenRevision},
 			IsLost:        listing.Lost,
 		})
 	}
--- a/internal/flow/pool/departure.go
+++ b/internal/flow/pool/departure.go
@@ -109,7 +109,7 @@
 
 // isWrittenAfter reports whether the record of the endpoint is known to have been written after the departure.
 func (e *Endpoint) isWrittenAfter(found Departure) bool {
-	return e.RemovedAt == 0 && e.Epoch == found.Epoch && e.renewedAt.IsAfter(found.At)
+	return e.RemovedAt == 0 && e.Epoch == found.Epoch && e.writtenAt.IsAfter(found.At)
 }
 
 // recordDepartures records the departures of the endpoints that are gone.
--- a/internal/flow/pool/list.go
+++ b/internal/flow/pool/list.go
@@ -17,22 +17,20 @@
 
 // Put adds or updates an endpoint whose record was just written.
 func (p *Pool) Put(listing Listing, now clock.Millis) {
-	p.put(listing, listing.ColdLeft, 0, now).renewedAt = p.listAt
+	p.put(listing, listing.ColdLeft, 0, now).writtenAt = p.listAt
 }
 
 // putPeerListing adds or updates an endpoint of a peer's list. It is held for as long as here or at the peer, unless one of them
-// knows that its record was written in the era of the list.
+// knows that its record was written since it had left.
 func (p *Pool) putPeerListing(listing PeerListing, now clock.Millis) {
-	heldUntil := clock.Millis(0)
-	if known := p.endpoints[listing.Name]; !listing.IsRenewed && (known == nil || known.Epoch != listing.Epoch || !p.isRenewed(known)) {
-		heldUntil = max(now+listing.Hold, p.holdUntil(listing.Listing, now))
+	heldUntil, writtenAt := p.holdUntil(listing.Listing, listing.WrittenAt, now)
+	if heldUntil > 0 || writtenAt.IsZero() {
+		heldUntil = max(heldUntil, now+listing.Hold)
 	}
 	endpoint := p.put(listing.Listing, listing.ColdRemaining, heldUntil, now)
 	// Others that ask for the changes may have removed it since, although nothing changed here.
 	endpoint.changedAt = p.listAt
-	if listing.IsRenewed {
-		endpoint.renewedAt = p.listAt
-	}
+	endpoint.writtenAt = point.Max(endpoint.writtenAt, writtenAt)
 }
 
 // put adds or updates an endpoint that is cold for the given time, and out of use until heldUntil.
@@ -62,6 +60,7 @@
 		return endpoint
 	}
 	if endpoint == nil || endpoint.Epoch != listing.Epoch || endpoint.Address != listing.Address {
+		p.departureOf(listing.Name, now)
 		created := p.create(listing, endpoint)
 		p.markStart(created, coldLeft, now)
 		return created
@@ -93,7 +92,7 @@
 	if previous != nil {
 		created.RemoteLoad = previous.RemoteLoad
 		// A run that replaces one whose record was written in this era was, too.
-		created.renewedAt = previous.renewedAt
+		created.writtenAt = previous.writtenAt
 		delete(p.byService, previous.Service)
 	}
 	p.endpoints[listing.Name] = created
@@ -172,6 +171,7 @@
 
 // markUnlisted records that the endpoint is no longer listed. One that is held stays out of use until it is listed again.
 func (p *Pool) markUnlisted(e *Endpoint, now clock.Millis) {
+	p.releaseHold(e, now)
 	e.RemovedAt = now
 	e.removedPoint = p.recordsAt
 	if now < e.heldUntil {
@@ -191,7 +191,9 @@
 			continue
 		}
 		isKept[listing.Name] = true
-		p.put(listing, listing.ColdLeft, p.holdUntil(listing, now), now)
+		heldUntil, writtenAt := p.holdUntil(listing, point.Point{}, now)
+		endpoint := p.put(listing, listing.ColdLeft, heldUntil, now)
+		endpoint.writtenAt = point.Max(endpoint.writtenAt, writtenAt)
 	}
 	for name, endpoint := range p.endpoints {
 		switch {
@@ -222,7 +224,7 @@
 	learnt := p.learnDepartures(departed, now)
 	isListed := make(map[ident.Endpoint]bool, len(list))
 	for _, listing := range list {
-		if !listing.IsRenewed && p.isOutdated(listing.Listing, now) {
+		if !p.isOfEra(listing.WrittenAt) && p.isOutdated(listing.Listing, now) {
 			continue
 		}
 		isListed[listing.Name] = true
@@ -363,7 +365,7 @@
 func (p *Pool) peerListing(e *Endpoint, now clock.Millis) PeerListing {
 	listing := PeerListing{
 		Listing: e.Listing, ColdRemaining: max(e.cold.until-now, 0), Hold: max(e.heldUntil-now, 0),
-		IsRenewed: p.isRenewed(e),
+		WrittenAt: e.writtenAt,
 	}
 	if last, hasLeft := p.departures[e.Name]; hasLeft && last.IsLost && last.Epoch == e.Epoch {
 		// That this entry gave the endpoint up without its record holds for nobody else.
@@ -393,9 +395,7 @@
 func (p *Pool) Expire(now clock.Millis) {
 	p.expireDepartures(now)
 	for name, endpoint := range p.endpoints {
-		if endpoint.heldUntil != 0 && now >= endpoint.heldUntil {
-			p.releaseHold(endpoint)
-		}
+		p.releaseHold(endpoint, now)
 		if endpoint.RemovedAt == 0 || now <= endpoint.RemovalGraceUntil || len(endpoint.Work) > 0 {
 			continue
 		}
--- a/internal/flow/pool/pool.go
+++ b/internal/flow/pool/pool.go
@@ -62,10 +62,10 @@
 		RemovalGrace clock.Millis
 		IsLost       bool
 		// Hold is how much longer the endpoint is out of use because its record may be older
-		// than what the sender knows of it. IsRenewed reports whether the record was written in
-		// the era of the list, so that it is not.
+		// than what the sender knows of it. WrittenAt is the last point at which its record is known to have
+		// been written; zero if none is.
 		Hold      clock.Millis
-		IsRenewed bool
+		WrittenAt point.Point
 		// ColdRemaining is how much longer the endpoint is cold by what the sender knows.
 		ColdRemaining clock.Millis
 	}
@@ -147,11 +147,11 @@
 		reported    Pace
 		requestedAt clock.Millis
 
-		// changedAt is the point of the list at which the endpoint last changed, and renewedAt that at
-		// which its record is known to have been written; zero if it is not. listedAt is the last point at which its
+		// changedAt is the point of the list at which the endpoint last changed, and writtenAt the last
+		// one at which its record is known to have been written; zero if none is. listedAt is the last point at which its
 		// record may have been read.
 		changedAt point.Point
-		renewedAt point.Point
+		writtenAt point.Point
 		listedAt  point.Point
 
 		hash Hash
