--- a/internal/flow/parts/history_check_test.go
+++ b/internal/flow/parts/history_check_test.go
@@ -63,7 +63,14 @@
 		kept       map[run]clock.Millis
 		evacuation map[ident.Domain]bool
 		// traced holds the last state of each endpoint in the trace.
-		traced map[ident.Endpoint]string
+		traced map[ident.Endpoint]endpointState
+	}
+
+	// endpointState is what an entry knows of an endpoint.
+	endpointState struct {
+		epoch                                uint64
+		isUsed, isLeaving, isLeavingByOthers bool
+		removedAt, removalGraceUntil         clock.Millis
 	}
 
 	// goneWrite is a change by which a run is leaving or removed.
@@ -96,7 +103,7 @@
 
 func newKnowledge() *knowledge {
 	return &knowledge{
-		gone: map[run]knownGone{}, kept: map[run]clock.Millis{}, evacuation: map[ident.Domain]bool{}, traced: map[ident.Endpoint]string{},
+		gone: map[run]knownGone{}, kept: map[run]clock.Millis{}, evacuation: map[ident.Domain]bool{}, traced: map[ident.Endpoint]endpointState{},
 	}
 }
 
@@ -213,14 +220,15 @@
 
 // traceEndpoint adds what an entry knows of an endpoint to the trace, if that has changed.
 func (h *history) traceEndpoint(e *historyEntry, name ident.Endpoint, found *pool.Endpoint) {
-	state := "unknown"
+	var state endpointState
 	if found != nil {
-		state = fmt.Sprintf("run %d, used %v, leaving %v, removed at %d with grace until %d, leaving by others until %d", found.Epoch,
-			found.IsUsable(h.now), found.Leaving, found.RemovedAt, found.RemovalGraceUntil, found.PeerLeavingUntil)
+		state = endpointState{
+			found.Epoch, found.IsUsable(h.now), found.Leaving, h.now < found.PeerLeavingUntil, found.RemovedAt, found.RemovalGraceUntil,
+		}
 	}
-	if before := e.traced[name]; before != state {
+	if e.traced[name] != state {
 		e.traced[name] = state
-		h.tracef("%s: %s is %s", e.board.Self, name, state)
+		h.tracef("%s: %s is %+v", e.board.Self, name, state)
 	}
 }
 
