--- a/internal/flow/pool/pool_test.go
+++ b/internal/flow/pool/pool_test.go
@@ -530,3 +530,52 @@
 		require.False(t, isUsable(p, "gone", 1100+recheckTime), "it is not listed again")
 	}
 }
+
+// Guards against an endpoint whose hold has ended that is held again, or taken for gone, because no tick came between.
+func TestHoldEndsWithoutATick(t *testing.T) {
+	listing := Listing{Name: "a", Service: "s", Epoch: 1}
+	for _, isRemoved := range []bool{false, true} {
+		p := New()
+		p.SetPoint(point.Point{Era: 1, Revision: 50})
+		p.Put(listing, 1000)
+		p.Remove("a", 2000)
+		p.SetPoint(point.Point{Era: 2, Revision: 5})
+		p.Replace([]Listing{listing}, point.Point{}, Era{Since: 3000, HoldUntil: 8000, IsNew: true}, 3000)
+		require.False(t, isUsable(p, "a", 3000))
+		if isRemoved {
+			p.MarkListUnavailable(8000)
+			p.Remove("a", 8000)
+			require.True(t, isUsable(p, "a", 8000))
+		}
+		p.SetPoint(point.Point{Era: 3, Revision: 5})
+		p.Replace([]Listing{listing}, point.Point{}, Era{Since: 8000, HoldUntil: 13_000, IsNew: true}, 8000)
+		require.True(t, isUsable(p, "a", 8000))
+	}
+}
+
+// Guards against entries that don't learn that a run has ended because the next one began before a tick came.
+func TestDepartureIsToldAfterTheNextRunBegan(t *testing.T) {
+	p := New()
+	p.SetPoint(point.Point{Era: 1, Revision: 50})
+	p.Put(Listing{Name: "a", Service: "s", Epoch: 1}, 1000)
+	p.Remove("a", 2000)
+	p.SetPoint(point.Point{Era: 1, Revision: 52})
+	p.Put(Listing{Name: "a", Service: "s", Epoch: 2}, 2100)
+	require.Equal(t, []Departure{{Name: "a", Epoch: 1, At: point.Point{Era: 1, Revision: 50}}}, p.Departures(2100))
+}
+
+// Guards against a record that counts as written although the list that has it is older than the one that lacked it.
+func TestOlderListTellsOfNoWrite(t *testing.T) {
+	listing := Listing{Name: "a", Service: "s", Epoch: 1}
+	for revision, isWritten := range map[uint64]bool{14: false, 17: true} {
+		p := New()
+		p.SetPoint(point.Point{Era: 1, Revision: 12})
+		p.Replace([]Listing{listing}, point.Point{}, Era{}, 1000)
+		p.MarkListUnavailable(1100)
+		p.SetPoint(point.Point{Era: 1, Revision: 13})
+		p.Replace(nil, point.Point{Era: 1, Revision: 16}, Era{}, 1200)
+		p.SetPoint(point.Point{Era: 1, Revision: revision})
+		p.Replace([]Listing{listing}, point.Point{}, Era{}, 1300)
+		require.Equal(t, isWritten, !p.Snapshot(1300)[0].WrittenAt.IsZero(), "revision %d", revision)
+	}
+}
