Tests that fail without the loss of a record, the point of a write and the end of a departure

Three mutants were found by no test: a lost record that counts as a departure, a told departure that outweighs a later write, and a departure that is kept once its endpoint is in use.

--- a/internal/flow/parts/departure_test.go
+++ b/internal/flow/parts/departure_test.go
@@ -234,3 +234,44 @@
 		require.True(t, other.isUsed("back"))
 	}
 }
+
+// Guards against an entry that cuts the grace of a living endpoint short because another one gave it up in an earlier era.
+func TestGraceOutlastsTheLossAtOthers(t *testing.T) {
+	e, other := newEraEntry(t, "lost"), newEraEntry(t, "lost")
+	e.stepList(false, point.Point{Era: 2, Revision: 30})
+	e.readOn(pool.RemovalGrace + 100)
+	require.False(t, e.isUsed("lost"))
+	for _, entry := range []*testEntry{e, other} {
+		entry.stepList(false, point.Point{Era: 3, Revision: 30})
+	}
+	e.step(input.EndpointRead{Record: eraListing("new"), At: point.Point{Era: 3, Revision: 31}})
+	e.tell(other)
+	require.True(t, other.isUsed("lost"))
+	require.Empty(t, other.board.Pool.RecentlyLeaving(other.board.Now))
+}
+
+// Guards against a living endpoint that is given up at once in a new era, because the entry that tells of it knows an old departure and not
+// that the record was written again.
+func TestOldDepartureEndsNoRecordWrittenSince(t *testing.T) {
+	e := newEraEntry(t, "back")
+	e.step(removed("back", 1, 51))
+	e.step(input.EndpointRead{Record: eraListing("back"), At: point.Point{Era: 1, Revision: 52}})
+	e.step(input.ListReceived{
+		Departed: []pool.Departure{{Name: "back", Epoch: 1, At: point.Point{Era: 1, Revision: 51}}}, At: point.Point{Era: 2, Revision: 31},
+	})
+	require.True(t, e.isUsed("back"))
+	e.readOn(pool.RemovalGrace + 100)
+	require.False(t, e.isUsed("back"))
+}
+
+// Guards against an endpoint that is held anew in the next era, although it was in use again since its hold had ended.
+func TestEndpointInUseAgainIsNotHeldInTheNextEra(t *testing.T) {
+	e := newEraEntry(t, "back")
+	e.step(removed("back", 1, 51))
+	e.stepList(true, point.Point{Era: 2, Revision: 30})
+	e.readOn(eraHold + expiryDelay)
+	e.stepList(false, point.Point{Era: 2, Revision: 31}, eraListing("back"))
+	require.True(t, e.isUsed("back"))
+	e.stepList(false, point.Point{Era: 3, Revision: 30}, eraListing("back"))
+	require.True(t, e.isUsed("back"))
+}
