--- a/internal/core/insts/insts_test.go
+++ b/internal/core/insts/insts_test.go
@@ -162,3 +162,22 @@
 	list.Expire(second + insts.Hold)
 	require.Equal(t, []string{"a"}, names(list))
 }
+
+// Guards against a record of a copy that counts as written since, because it is the last one of the copy.
+func TestLastRecordOfTheCopyEndsNoHold(t *testing.T) {
+	list := &insts.List{}
+	list.Read(read(false, 9, leaver(9)), start)
+	list.Read(read(true, 5, endpoint("a", 5)), start)
+	list.Read(read(false, 6, endpoint("a", 5), endpoint("b", 6)), start)
+	require.Equal(t, []string{"-a", "b"}, names(list))
+}
+
+// Guards against an instance that was removed and listed again, and counts as removed when a copy lists it.
+func TestInstanceListedAgainIsNotRemoved(t *testing.T) {
+	list := &insts.List{}
+	list.Read(read(false, 7, endpoint("a", 2)), start)
+	list.Read(read(false, 8), start)
+	list.Read(read(false, 9, endpoint("a", 9)), start)
+	list.Read(read(true, 5, endpoint("a", 2)), start)
+	require.Equal(t, []string{"a"}, names(list))
+}
--- a/internal/flow/pool/pool_test.go
+++ b/internal/flow/pool/pool_test.go
@@ -579,3 +579,17 @@
 		require.Equal(t, isWritten, !p.Snapshot(1300)[0].WrittenAt.IsZero(), "revision %d", revision)
 	}
 }
+
+// Guards against a run that has left and counts as one that has only lost its record, since both were found at one point.
+func TestDepartureSupersedesALossAtItsPoint(t *testing.T) {
+	lost := Departure{Name: "a", Epoch: 1, At: point.Point{Era: 2, Revision: 5}, IsLost: true}
+	left := lost
+	left.IsLost = false
+	for _, order := range [][]Departure{{lost, left}, {left, lost}} {
+		p := New()
+		for _, told := range order {
+			p.ApplySnapshot(nil, []Departure{told}, point.Point{}, Era{}, 1000)
+		}
+		require.Equal(t, []Departure{left}, p.Departures(1000))
+	}
+}
