--- a/internal/flow/parts/departure_test.go
+++ b/internal/flow/parts/departure_test.go
@@ -275,3 +275,16 @@
 	e.stepList(false, point.Point{Era: 3, Revision: 30}, eraListing("back"))
 	require.True(t, e.isUsed("back"))
 }
+
+// Guards against an endpoint that has left and is used again because its old record is found after an outage, in which no record lapsed.
+func TestDepartureHoldsAfterAnOutage(t *testing.T) {
+	e := newEraEntry(t, "left")
+	e.step(removed("left", 1, 51))
+	e.stepList(true, point.Point{Era: 2, Revision: 30})
+	e.readOn(1000)
+	e.advance(eraHold + expiryDelay)
+	e.stepList(false, point.Point{Era: 2, Revision: 31}, eraListing("left"))
+	require.False(t, e.isUsed("left"))
+	e.readOn(2*eraHold + expiryDelay)
+	require.True(t, e.isUsed("left"), "its record has not lapsed")
+}
